--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol spoken with callers.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon.
--- /dev/null
+++ b/crates/hosts/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between the system's own processes.
--- /dev/null
+++ b/crates/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! What operators do: questionnaire, proposal, acceptance, explanation.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's services.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions only: what to admit, where to send it, when to change a role.
+//!
+//! A decision that can be replayed can be explained, tested and compared. This
+//! package therefore does no I/O, reads no clock and starts no task: typed
+//! events and the time go in, typed actions come out, and the same events in
+//! the same order always give the same actions. Both daemons call it, and so
+//! can any outside harness.
+//!
+//! * [`EntryPolicy`] runs in every entry process: admission, queueing,
+//!   placement, shedding.
+
+mod entry;
+mod event;
+mod time;
+
+pub use entry::EntryPolicy;
+pub use event::{
+    AttemptEnd, EntryAction, EntryEvent, LoadReport, PrefixHash, RequestFacts, Target,
+    UpstreamFacts, UpstreamKey, WorkspaceFacts, WorkspaceKey,
+};
+pub use time::Timestamp;
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for outside systems, with switchable faults.
--- /dev/null
+++ b/crates/steward/src/lib.rs
@@ -0,0 +1,1 @@
+//! The steward daemon.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and histograms.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,34 @@
+//! Identifiers, configuration, outcomes and usage records shared by all packages.
+//!
+//! Every process speaks about the same hosts, data centres, workspaces and
+//! upstreams, to its peers, to the platform and to callers. The words are
+//! defined once, here, so that a value read from one peer can be handed to
+//! another without translation. The package does no I/O and reads no clock.
+
+mod configuration;
+mod identifiers;
+mod keys;
+mod manifest;
+mod outcome;
+mod usage;
+
+pub use configuration::{
+    Class, Configuration, DataCentreCapacity, FencingSupport, Limits, PlainRoute, RouteAccess,
+    Supply, Upstream, UpstreamKind, UpstreamRole, Urgency, Workspace,
+};
+pub use identifiers::{
+    ClassName, DataCentreName, Epoch, HostName, IdentifierError, Incarnation, ModelName, ProcessId,
+    ProcessRole, RequestId, Revision, RouteName, Sequence, UpstreamName, WorkspaceName,
+};
+pub use keys::{KeyDigest, ParseDigestError};
+pub use manifest::{AssembleError, Chunk, ChunkDigest, ChunkName, Manifest};
+pub use outcome::{NotRunReason, Outcome, OutcomeKind};
+pub use usage::{UsageFigures, UsageRecord, WindowId};
+
+/// Tokens in one piece, the unit of work by which limits and fair shares count.
+pub const TOKENS_PER_PIECE: u64 = 2_000;
+
+/// Returns the number of started pieces that `tokens` tokens make up.
+pub fn pieces(tokens: u64) -> u64 {
+    tokens.div_ceil(TOKENS_PER_PIECE)
+}
--- /dev/null
+++ b/crates/types/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the shared types.
+
+mod manifest;
--- /dev/null
+++ b/crates/types/tests/all/manifest.rs
@@ -0,0 +1,50 @@
+//! A configuration survives being cut into chunks and put together again.
+
+use lagoonlift_types::{
+    AssembleError, Configuration, DataCentreCapacity, DataCentreName, KeyDigest, Limits, Manifest,
+    Revision, Workspace, WorkspaceName,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+fn configuration() -> Configuration {
+    let workspace = Workspace {
+        keys: BTreeSet::from([KeyDigest::of("secret")]),
+        models: BTreeSet::new(),
+        classes: BTreeMap::new(),
+        routes: BTreeMap::new(),
+        limits: Limits {
+            requests_per_second: 1.0,
+            tokens_per_second: 10.0,
+            burst_seconds: 2.0,
+        },
+        weight: 1,
+    };
+    let name = WorkspaceName::new("plumbers").expect("a valid name");
+    let data_centre = DataCentreName::new("dc1").expect("a valid name");
+    Configuration {
+        revision: Revision(7),
+        workspaces: BTreeMap::from([(name, Arc::new(workspace))]),
+        data_centres: BTreeMap::from([(data_centre, Arc::new(DataCentreCapacity::default()))]),
+    }
+}
+
+#[test]
+fn assemble_inverts_cut() {
+    let before = configuration();
+    let (manifest, chunks) = Manifest::cut(&before).expect("plain values");
+    let text = serde_json::to_vec(&manifest).expect("plain values");
+    let manifest: Manifest = serde_json::from_slice(&text).expect("its own text");
+    let after = manifest.assemble(|digest| chunks.get(&digest));
+    assert_eq!(after, Ok(before));
+}
+
+#[test]
+fn a_missing_chunk_is_named() {
+    let (manifest, _) = Manifest::cut(&configuration()).expect("plain values");
+    let result = manifest.assemble(|_| None::<Vec<u8>>);
+    assert!(
+        matches!(result, Err(AssembleError::Missing(_))),
+        "{result:?}"
+    );
+}
--- /dev/null
+++ b/crates/upstreams/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of model engines and plain services.
--- /dev/null
+++ b/crates/usage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Usage records: second copies, windows, sealing and reports.
--- /dev/null
+++ b/src/bin/lagoonlift-entry.rs
@@ -0,0 +1,3 @@
+//! Command `lagoonlift-entry`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/lagoonlift-steward.rs
@@ -0,0 +1,3 @@
+//! Command `lagoonlift-steward`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/lagoonlift.rs
@@ -0,0 +1,3 @@
+//! Command `lagoonlift`.
+
+fn main() {}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of whole sessions and of each promise.
