--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,1 @@
+//! A model engine behind HTTP.
--- /dev/null
+++ b/crates/standins/src/model.rs
@@ -0,0 +1,1 @@
+//! A model of one engine: batching, prefill, decode, KV memory, role changes.
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,1 @@
+//! The platform: object API, usage, ordering, weights, host list.
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,1 @@
+//! A plain service behind HTTP.
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -77,7 +77,7 @@
     pub burst_seconds: f64,
 }
 
-/// A declared route to a plain service, served under `/v1/services/NAME/`.
+/// A declared route to a plain service, served under `/v1/services/WORKSPACE/NAME/`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlainRoute {
     /// The plain service that answers.
@@ -124,7 +124,7 @@
 
 /// What an upstream is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum UpstreamKind {
     /// A model engine.
     Engine {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 //! another without translation. The package does no I/O and reads no clock.
 
 mod configuration;
+mod fleet;
 mod identifiers;
 mod keys;
 mod manifest;
@@ -16,6 +17,7 @@
     Class, Configuration, DataCentreCapacity, FencingSupport, Limits, PlainRoute, RouteAccess,
     Supply, Upstream, UpstreamKind, UpstreamRole, Urgency, Workspace,
 };
+pub use fleet::{Availability, FleetView, UpstreamStatus};
 pub use identifiers::{
     ClassName, DataCentreName, Epoch, HostName, IdentifierError, Incarnation, ModelName, ProcessId,
     ProcessRole, RequestId, Revision, RouteName, Sequence, UpstreamName, WorkspaceName,
