--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,17 @@
 //! Logs, metrics and histograms.
+//!
+//! What a process did has to be visible while it runs on a host without a disk.
+//! Counters and histograms come first; a log line is written only when a state
+//! changes. Both daemons serve the same two pages on their admin address:
+//! `/metrics` for the scraper and `/ready` for the balancer.
+
+mod admin;
+mod logs;
+mod metrics;
+
+pub use admin::admin_routes;
+pub use logs::{LogStyle, init_logs};
+pub use metrics::{LATENCY_BUCKETS, Metrics};
+pub use readiness::Readiness;
+
+mod readiness;
