Check the INI settings and name file, section and key of each fault

A wrong setting found at the first request is an outage; all are checked before anything starts. The parser merges sections of one name, so a host listed twice would pass unseen: section headers are checked on the text.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,8 +5,12 @@
 //! found at the first request is an outage; every setting is therefore checked
 //! before anything starts, and an error names the file, the section and the key.
 
+mod document;
+mod error;
+mod load;
 mod values;
 
+pub use error::SettingsError;
 pub use values::{
     EntrySettings, HostSettings, LogFormat, LogSettings, PeerKey, PeerSeed, PeerSettings,
     PlatformSettings, Settings, StewardSettings, UsageSettings,
--- /dev/null
+++ b/crates/settings/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the settings.
+
+mod errors;
+mod values;
