Add the fleet policy: roles, models and purchases of one data centre

The steward needs one pure interface for its decisions. FleetPolicy takes load and demand reports, ends of orders and purchases, and ticks; it returns role changes, model loads, orders and releases. Every steward knows all engines but orders only its own; all rank the same engines, so data centres don't change roles in step. Demand reports are optional: without them the work is estimated from the load reports, and stale reports hold every decision.

Not measured yet; the numbers in FleetLimits are first guesses.

--- /dev/null
+++ b/crates/policy/src/fleet.rs
@@ -0,0 +1,464 @@
+//! The policy of one data centre's steward.
+//!
+//! Roles, models and purchases change how much of the fleet reads prompts and
+//! how much generates tokens. Each change costs seconds of an engine, so the
+//! policy weighs the work that a change would save over a horizon against the
+//! seconds away, and holds still whenever it can't see.
+//!
+//! Every steward knows the engines of all data centres but orders only its
+//! own. All of them rank the same engines in the same way and only the owner of
+//! the first one acts, so that data centres don't change roles in step.
+
+use crate::forecast::WorkForecast;
+use crate::purchase::{PurchaseChoice, PurchasePlanner};
+use crate::split::{self, RoleCounts};
+use crate::{
+    EngineFacts, EngineRates, EngineState, FleetAction, FleetEvent, LoadReport, PhaseWork,
+    Timestamp, UpstreamKey,
+};
+use lagoonlift_types::{DataCentreName, ModelName, Supply, UpstreamRole};
+use slotmap::SlotMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Time over which work that waits at the entry is to be caught up with.
+const CATCH_UP: Duration = Duration::from_secs(20);
+/// Time that another data centre gets for a change that is its turn.
+const TURN_PATIENCE: Duration = Duration::from_secs(6);
+
+/// What a deployment weighs most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetWeighting {
+    /// Goodput through shifts: change roles readily, buy late.
+    Goodput,
+    /// The worst-served workspace: keep slack, change roles less, buy early.
+    WorstServed,
+}
+
+/// The numbers that the fleet policy weighs with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetLimits {
+    /// How fast an engine works.
+    pub rates: EngineRates,
+    /// Utilisation of a role above which its work counts as unserved.
+    pub full_utilisation: f64,
+    /// Over how long a change has to pay.
+    pub horizon: Duration,
+    /// Seconds that a change takes the engine away, draining included.
+    pub away: Duration,
+    /// A change must save this many times what it costs.
+    pub gain_factor: f64,
+    /// Least time between two changes of one engine.
+    pub dwell: Duration,
+    /// Engines of one model, out of which one may be away at once.
+    pub engines_per_absence: usize,
+    /// Age at which a report no longer counts.
+    pub stale_after: Duration,
+    /// Model loads that the weight store permits in a minute.
+    pub loads_per_minute: u32,
+    /// Long-term utilisation above which upstreams are ordered.
+    pub order_above: f64,
+    /// Long-term utilisation, after the release, below which one is released.
+    pub release_below: f64,
+    /// Most upstreams that may be on order or ordered at once.
+    pub order_limit: u32,
+}
+
+impl FleetLimits {
+    /// Creates the limits of a weighting.
+    pub fn new(weighting: FleetWeighting) -> Self {
+        let goodput = Self {
+            rates: EngineRates::default(),
+            full_utilisation: 0.9,
+            horizon: Duration::from_secs(45),
+            away: Duration::from_secs(8),
+            gain_factor: 1.5,
+            dwell: Duration::from_secs(20),
+            engines_per_absence: 6,
+            stale_after: Duration::from_secs(10),
+            loads_per_minute: 2,
+            order_above: 0.9,
+            release_below: 0.7,
+            order_limit: 4,
+        };
+        match weighting {
+            FleetWeighting::Goodput => goodput,
+            FleetWeighting::WorstServed => Self {
+                full_utilisation: 0.8,
+                gain_factor: 2.0,
+                order_above: 0.8,
+                release_below: 0.6,
+                ..goodput
+            },
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct EngineRecord {
+    pub(crate) facts: EngineFacts,
+    load: Option<(Timestamp, LoadReport)>,
+    changed_at: Option<Timestamp>,
+    /// An order of ours that hasn't ended.
+    ordered_change: bool,
+}
+
+#[derive(Debug, Default)]
+struct ModelRecord {
+    forecast: WorkForecast,
+    purchases: PurchasePlanner,
+    /// The other data centre's engine whose turn it is, and since when.
+    awaited: Option<(UpstreamKey, Timestamp)>,
+}
+
+/// Plans roles, models and purchases of one data centre.
+#[derive(Debug)]
+pub struct FleetPolicy {
+    data_centre: DataCentreName,
+    limits: FleetLimits,
+    engines: SlotMap<UpstreamKey, EngineRecord>,
+    models: BTreeMap<ModelName, ModelRecord>,
+    recent_loads: VecDeque<Timestamp>,
+}
+
+impl FleetPolicy {
+    /// Creates a policy for the engines of `data_centre`.
+    pub fn new(data_centre: DataCentreName, limits: FleetLimits) -> Self {
+        Self {
+            data_centre,
+            limits,
+            engines: SlotMap::with_key(),
+            models: BTreeMap::new(),
+            recent_loads: VecDeque::new(),
+        }
+    }
+
+    /// Adds an engine, of this or another data centre.
+    pub fn add_engine(&mut self, facts: EngineFacts) -> UpstreamKey {
+        self.models.entry(facts.model.clone()).or_default();
+        self.engines.insert(EngineRecord {
+            facts,
+            load: None,
+            changed_at: None,
+            ordered_change: false,
+        })
+    }
+
+    /// Replaces what is known of an engine.
+    pub fn update_engine(&mut self, key: UpstreamKey, facts: EngineFacts) {
+        self.models.entry(facts.model.clone()).or_default();
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.facts = facts;
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn remove_engine(&mut self, key: UpstreamKey) {
+        self.engines.remove(key);
+    }
+
+    /// Takes in one event at `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Timestamp, event: FleetEvent, actions: &mut Vec<FleetAction>) {
+        match event {
+            FleetEvent::Loaded {
+                engine,
+                measured_at,
+                report,
+            } => self.record_load(engine, measured_at, report),
+            FleetEvent::Demanded {
+                measured_at,
+                report,
+            } => {
+                let work = PhaseWork::of(&report, self.limits.rates, CATCH_UP);
+                let record = self.models.entry(report.model).or_default();
+                record.forecast.observe(measured_at, work);
+            }
+            FleetEvent::OrderFinished { engine, .. } => {
+                if let Some(engine) = self.engines.get_mut(engine) {
+                    engine.ordered_change = false;
+                    engine.changed_at = Some(now);
+                }
+            }
+            FleetEvent::PurchaseArrived { model, count }
+            | FleetEvent::PurchaseFailed { model, count } => {
+                let record = self.models.entry(model).or_default();
+                record.purchases.settle(count);
+            }
+            FleetEvent::Tick => self.plan(now, actions),
+        }
+    }
+
+    fn record_load(&mut self, key: UpstreamKey, measured_at: Timestamp, report: LoadReport) {
+        match self.engines.get_mut(key) {
+            Some(engine) if engine.load.is_none_or(|(at, _)| at < measured_at) => {
+                engine.load = Some((measured_at, report));
+            }
+            _ => {}
+        }
+    }
+
+    fn plan(&mut self, now: Timestamp, actions: &mut Vec<FleetAction>) {
+        let models: Vec<ModelName> = self.models.keys().cloned().collect();
+        for model in models {
+            let Some(work) = self.expected_work(now, &model) else {
+                continue;
+            };
+            self.plan_role(now, &model, work, actions);
+            self.plan_purchases(now, &model, actions);
+        }
+        self.plan_models(now, actions);
+    }
+
+    /// Returns the work expected when a change would take effect, or `None`
+    /// when nothing recent enough is known.
+    fn expected_work(&self, now: Timestamp, model: &ModelName) -> Option<PhaseWork> {
+        let forecast = &self.models[model].forecast;
+        let demand_is_fresh = forecast
+            .updated_at()
+            .is_some_and(|at| now.since(at) <= self.limits.stale_after);
+        if demand_is_fresh {
+            return Some(forecast.after(self.limits.away));
+        }
+        self.reported_work(now, model)
+    }
+
+    /// Estimates the work from load reports alone; every serving engine must
+    /// have reported recently.
+    fn reported_work(&self, now: Timestamp, model: &ModelName) -> Option<PhaseWork> {
+        let mut work = PhaseWork::default();
+        for engine in self.serving(model) {
+            let (measured_at, report) = engine.load?;
+            if now.since(measured_at) > self.limits.stale_after {
+                return None;
+            }
+            let load = split::work_of_report(&report, self.limits.rates, CATCH_UP);
+            work.prefill += load.prefill;
+            work.decode += load.decode;
+        }
+        Some(work)
+    }
+
+    fn serving(&self, model: &ModelName) -> impl Iterator<Item = &EngineRecord> {
+        self.engines.values().filter(move |engine| {
+            engine.facts.model == *model
+                && engine.facts.state == EngineState::Serving
+                && !engine.ordered_change
+        })
+    }
+
+    fn away(&self, model: &ModelName) -> usize {
+        let is_away = |engine: &&EngineRecord| {
+            engine.facts.model == *model
+                && (engine.ordered_change || engine.facts.state == EngineState::Changing)
+        };
+        self.engines.values().filter(is_away).count()
+    }
+
+    fn plan_role(
+        &mut self,
+        now: Timestamp,
+        model: &ModelName,
+        work: PhaseWork,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let counts = RoleCounts::of(self.serving(model).map(|engine| engine.facts.role));
+        let total = counts.total() + self.away(model);
+        let permitted_away = total.div_ceil(self.limits.engines_per_absence).max(1);
+        let Some(step) = split::best_step(counts, work, &self.limits) else {
+            return;
+        };
+        if self.away(model) >= permitted_away {
+            return;
+        }
+        let Some(engine) = self.turn(now, model, step.from) else {
+            return;
+        };
+        self.engines[engine].ordered_change = true;
+        self.engines[engine].changed_at = Some(now);
+        actions.push(FleetAction::ChangeRole {
+            engine,
+            role: step.to,
+        });
+    }
+
+    /// Returns the own engine that is to leave `role`, if it's this data
+    /// centre's turn.
+    fn turn(
+        &mut self,
+        now: Timestamp,
+        model: &ModelName,
+        role: UpstreamRole,
+    ) -> Option<UpstreamKey> {
+        let first = self.ranked(now, model, role, |_| true)?;
+        let record = self.models.get_mut(model)?;
+        if self.engines[first].facts.data_centre == self.data_centre {
+            record.awaited = None;
+            return Some(first);
+        }
+        match record.awaited {
+            Some((key, since)) if key == first && now.since(since) >= TURN_PATIENCE => {
+                let own = self.data_centre.clone();
+                self.ranked(now, model, role, |engine| engine.facts.data_centre == own)
+            }
+            Some((key, _)) if key == first => None,
+            _ => {
+                record.awaited = Some((first, now));
+                None
+            }
+        }
+    }
+
+    /// Returns the engine that should leave `role` first: from the data centre
+    /// with the most of that role, then the least loaded.
+    fn ranked(
+        &self,
+        now: Timestamp,
+        model: &ModelName,
+        role: UpstreamRole,
+        eligible: impl Fn(&EngineRecord) -> bool,
+    ) -> Option<UpstreamKey> {
+        let mut per_site: BTreeMap<&DataCentreName, usize> = BTreeMap::new();
+        for engine in self.serving(model) {
+            if engine.facts.role == role {
+                *per_site.entry(&engine.facts.data_centre).or_default() += 1;
+            }
+        }
+        let rested = |engine: &EngineRecord| {
+            engine
+                .changed_at
+                .is_none_or(|at| now.since(at) >= self.limits.dwell)
+        };
+        let candidates = self.engines.iter().filter(|(_, engine)| {
+            engine.facts.model == *model
+                && engine.facts.role == role
+                && engine.facts.state == EngineState::Serving
+                && !engine.ordered_change
+                && rested(engine)
+                && eligible(engine)
+        });
+        candidates
+            .min_by_key(|(_, engine)| {
+                let count = per_site.get(&engine.facts.data_centre).copied();
+                let streams = engine.load.map_or(0, |(_, load)| load.active_streams);
+                let backlog = engine
+                    .load
+                    .map_or(0, |(_, load)| load.prefill_backlog_tokens);
+                let load = u64::from(streams) + backlog;
+                (std::cmp::Reverse(count), load, &engine.facts.name)
+            })
+            .map(|(key, _)| key)
+    }
+
+    fn plan_purchases(
+        &mut self,
+        now: Timestamp,
+        model: &ModelName,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let own_engines = self.own_engines(model);
+        let share = self.own_share(model);
+        let Some(record) = self.models.get_mut(model) else {
+            return;
+        };
+        let work = record.forecast.long_term().total() * share;
+        let choice = record
+            .purchases
+            .choose(now, work, own_engines.len(), &self.limits);
+        match choice {
+            PurchaseChoice::Hold => {}
+            PurchaseChoice::Order(count) => actions.push(FleetAction::OrderUpstreams {
+                model: model.clone(),
+                supply: Supply::Reclaimable,
+                count,
+            }),
+            PurchaseChoice::Release => {
+                let releasable = own_engines.into_iter().find(|key| {
+                    let engine = &self.engines[*key];
+                    engine.facts.ordered && self.spares(model, engine.facts.role)
+                });
+                if let Some(engine) = releasable {
+                    self.engines[engine].ordered_change = true;
+                    actions.push(FleetAction::ReleaseUpstream { engine });
+                }
+            }
+        }
+    }
+
+    /// Returns whether the role keeps an engine when one more leaves it.
+    fn spares(&self, model: &ModelName, role: UpstreamRole) -> bool {
+        let in_role = |engine: &&EngineRecord| engine.facts.role == role;
+        self.serving(model).filter(in_role).count() > 1
+    }
+
+    fn own_engines(&self, model: &ModelName) -> Vec<UpstreamKey> {
+        let own = self.engines.iter().filter(|(_, engine)| {
+            engine.facts.data_centre == self.data_centre
+                && engine.facts.model == *model
+                && !matches!(engine.facts.state, EngineState::Leaving | EngineState::Lost)
+        });
+        own.map(|(key, _)| key).collect()
+    }
+
+    /// Returns the share of a model's configured engines that stand here.
+    fn own_share(&self, model: &ModelName) -> f64 {
+        let configured = |engine: &&EngineRecord| {
+            engine.facts.model == *model
+                && !engine.facts.ordered
+                && !matches!(engine.facts.state, EngineState::Leaving | EngineState::Lost)
+        };
+        let all = self.engines.values().filter(configured).count().max(1);
+        let is_own = |engine: &&EngineRecord| engine.facts.data_centre == self.data_centre;
+        let own = self.engines.values().filter(configured).filter(is_own);
+        own.count() as f64 / all as f64
+    }
+
+    /// Moves one engine to a model that has too few, within the rate limit of
+    /// the weight store.
+    fn plan_models(&mut self, now: Timestamp, actions: &mut Vec<FleetAction>) {
+        while let Some(at) = self.recent_loads.front()
+            && now.since(*at) >= Duration::from_secs(60)
+        {
+            self.recent_loads.pop_front();
+        }
+        if self.recent_loads.len() >= self.limits.loads_per_minute as usize {
+            return;
+        }
+        let Some((engine, model)) = self.model_move(now) else {
+            return;
+        };
+        self.engines[engine].ordered_change = true;
+        self.engines[engine].changed_at = Some(now);
+        self.recent_loads.push_back(now);
+        actions.push(FleetAction::LoadModel { engine, model });
+    }
+
+    fn model_move(&self, now: Timestamp) -> Option<(UpstreamKey, ModelName)> {
+        let long_utilisation = |model: &ModelName, engines: usize| {
+            let record = &self.models[model];
+            let fresh = record
+                .forecast
+                .updated_at()
+                .is_some_and(|at| now.since(at) <= self.limits.stale_after);
+            fresh.then(|| record.forecast.long_term().total() / engines.max(1) as f64)
+        };
+        let needy = self.models.keys().find(|model| {
+            let engines = self.serving(model).count();
+            self.away(model) == 0
+                && long_utilisation(model, engines).is_some_and(|u| u > self.limits.order_above)
+        })?;
+        let donor = |engine: &EngineRecord| {
+            let model = &engine.facts.model;
+            let remaining = self.serving(model).count().saturating_sub(1);
+            model != needy
+                && engine.facts.data_centre == self.data_centre
+                && engine.facts.state == EngineState::Serving
+                && !engine.ordered_change
+                && engine.facts.loadable.contains(needy)
+                && self.away(model) == 0
+                && self.spares(model, engine.facts.role)
+                && long_utilisation(model, remaining).is_some_and(|u| u < self.limits.release_below)
+        };
+        let (key, _) = self.engines.iter().find(|(_, engine)| donor(engine))?;
+        Some((key, needy.clone()))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/forecast.rs
@@ -0,0 +1,135 @@
+//! Forecast of one model's work, as engines kept busy in each phase.
+//!
+//! Demand is noisy from second to second and a role change takes an engine away
+//! for seconds, so the policy must act on where the mix is going, not on where
+//! it was in the last report. Level and trend are smoothed exponentially; the
+//! trend is damped so that a burst isn't taken for a shift.
+
+use crate::{DemandReport, Timestamp};
+use std::time::Duration;
+
+/// Time over which the level forgets.
+const LEVEL_TIME: Duration = Duration::from_secs(8);
+/// Time over which the trend forgets.
+const TREND_TIME: Duration = Duration::from_secs(20);
+/// Share of the trend that is believed.
+const TREND_DAMPING: f64 = 0.5;
+/// Time over which the long-term level forgets.
+const LONG_TIME: Duration = Duration::from_secs(90);
+
+/// How fast one engine works; both rates are those of an engine that does
+/// nothing else.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineRates {
+    /// Prompt tokens a second.
+    pub prefill_tokens_per_second: f64,
+    /// Output tokens a second, over all streams of a full batch.
+    pub decode_tokens_per_second: f64,
+}
+
+impl Default for EngineRates {
+    fn default() -> Self {
+        Self {
+            prefill_tokens_per_second: 10_000.0,
+            decode_tokens_per_second: 1_400.0,
+        }
+    }
+}
+
+/// Engines kept busy by each phase.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PhaseWork {
+    /// By reading prompts.
+    pub prefill: f64,
+    /// By generating tokens.
+    pub decode: f64,
+}
+
+impl PhaseWork {
+    /// Returns the work that `report` stands for; waiting work is spread over
+    /// `catch_up`.
+    pub fn of(report: &DemandReport, rates: EngineRates, catch_up: Duration) -> Self {
+        let seconds = report.span.as_secs_f64().max(0.001);
+        let rate = |arrived: u64, waiting: u64| {
+            arrived as f64 / seconds + waiting as f64 / catch_up.as_secs_f64()
+        };
+        Self {
+            prefill: rate(report.prompt_tokens, report.waiting_prompt_tokens)
+                / rates.prefill_tokens_per_second,
+            decode: rate(report.output_tokens, report.waiting_output_tokens)
+                / rates.decode_tokens_per_second,
+        }
+    }
+
+    /// Returns the engines kept busy in all.
+    pub fn total(self) -> f64 {
+        self.prefill + self.decode
+    }
+
+    fn combine(self, other: Self, f: impl Fn(f64, f64) -> f64) -> Self {
+        Self {
+            prefill: f(self.prefill, other.prefill),
+            decode: f(self.decode, other.decode),
+        }
+    }
+}
+
+/// Smoothed level and trend of one model's work.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorkForecast {
+    level: PhaseWork,
+    trend: PhaseWork,
+    long_level: PhaseWork,
+    updated_at: Option<Timestamp>,
+}
+
+impl WorkForecast {
+    /// Takes in the work seen at `at`; earlier reports are ignored.
+    pub(crate) fn observe(&mut self, at: Timestamp, work: PhaseWork) {
+        let Some(updated_at) = self.updated_at else {
+            self.level = work;
+            self.long_level = work;
+            self.updated_at = Some(at);
+            return;
+        };
+        let elapsed = at.since(updated_at).as_secs_f64();
+        if elapsed <= 0.0 {
+            return;
+        }
+        let before = self.level;
+        let level_gain = gain(elapsed, LEVEL_TIME);
+        self.level = before.combine(work, |old, new| old + level_gain * (new - old));
+        let slope = self.level.combine(before, |new, old| (new - old) / elapsed);
+        let trend_gain = gain(elapsed, TREND_TIME);
+        self.trend = self
+            .trend
+            .combine(slope, |old, new| old + trend_gain * (new - old));
+        let long_gain = gain(elapsed, LONG_TIME);
+        self.long_level = self
+            .long_level
+            .combine(work, |old, new| old + long_gain * (new - old));
+        self.updated_at = Some(at);
+    }
+
+    /// Returns the work expected after `horizon`.
+    pub(crate) fn after(&self, horizon: Duration) -> PhaseWork {
+        let seconds = horizon.as_secs_f64() * TREND_DAMPING;
+        self.level.combine(self.trend, |level, trend| {
+            (level + trend * seconds).max(0.0)
+        })
+    }
+
+    /// Returns the level over minutes, which purchases follow.
+    pub(crate) fn long_term(&self) -> PhaseWork {
+        self.long_level
+    }
+
+    /// Returns when the last report was true.
+    pub(crate) fn updated_at(&self) -> Option<Timestamp> {
+        self.updated_at
+    }
+}
+
+fn gain(elapsed: f64, time: Duration) -> f64 {
+    1.0 - (-elapsed / time.as_secs_f64()).exp()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,9 +8,15 @@
 //!
 //! * [`EntryPolicy`] runs in every entry process: admission, queueing,
 //!   placement, shedding.
+//! * [`FleetPolicy`] runs in every steward: roles, models, purchases.
 
 mod entry;
 mod event;
+mod fleet;
+mod fleet_event;
+mod forecast;
+mod purchase;
+mod split;
 mod time;
 
 pub use entry::EntryPolicy;
@@ -18,4 +24,7 @@
     AttemptEnd, EntryAction, EntryEvent, LoadReport, PrefixHash, RequestFacts, Target,
     UpstreamFacts, UpstreamKey, WorkspaceFacts, WorkspaceKey,
 };
+pub use fleet::{FleetLimits, FleetPolicy, FleetWeighting};
+pub use fleet_event::{DemandReport, EngineFacts, EngineState, FleetAction, FleetEvent, OrderEnd};
+pub use forecast::{EngineRates, PhaseWork};
 pub use time::Timestamp;
--- /dev/null
+++ b/crates/policy/src/split.rs
@@ -0,0 +1,109 @@
+//! How many engines of a model should read prompts and how many generate.
+
+use crate::{EngineRates, FleetLimits, LoadReport, PhaseWork};
+use lagoonlift_types::UpstreamRole;
+use std::time::Duration;
+
+/// Streams that make up a full batch.
+const FULL_BATCH: f64 = 64.0;
+
+/// Serving engines of one model by role.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct RoleCounts {
+    pub(crate) prefill: usize,
+    pub(crate) decode: usize,
+    pub(crate) mixed: usize,
+}
+
+impl RoleCounts {
+    pub(crate) fn of(roles: impl Iterator<Item = UpstreamRole>) -> Self {
+        let mut counts = Self::default();
+        for role in roles {
+            match role {
+                UpstreamRole::Prefill => counts.prefill += 1,
+                UpstreamRole::Decode => counts.decode += 1,
+                UpstreamRole::Mixed => counts.mixed += 1,
+            }
+        }
+        counts
+    }
+
+    pub(crate) fn total(self) -> usize {
+        self.prefill + self.decode + self.mixed
+    }
+
+    /// Returns the work a second, in engines, that these roles can't do.
+    fn unserved(self, work: PhaseWork, full: f64) -> f64 {
+        let short_prefill = (work.prefill - full * self.prefill as f64).max(0.0);
+        let short_decode = (work.decode - full * self.decode as f64).max(0.0);
+        (short_prefill + short_decode - full * self.mixed as f64).max(0.0)
+    }
+}
+
+/// One engine's move from a role to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RoleStep {
+    pub(crate) from: UpstreamRole,
+    pub(crate) to: UpstreamRole,
+}
+
+/// Returns the move that pays most over the horizon, if one pays at all. The
+/// last engine of a role never moves.
+pub(crate) fn best_step(
+    counts: RoleCounts,
+    work: PhaseWork,
+    limits: &FleetLimits,
+) -> Option<RoleStep> {
+    let to_prefill = (counts.decode > 1).then(|| {
+        let after = RoleCounts {
+            prefill: counts.prefill + 1,
+            decode: counts.decode - 1,
+            ..counts
+        };
+        let step = RoleStep {
+            from: UpstreamRole::Decode,
+            to: UpstreamRole::Prefill,
+        };
+        (step, after)
+    });
+    let to_decode = (counts.prefill > 1).then(|| {
+        let after = RoleCounts {
+            prefill: counts.prefill - 1,
+            decode: counts.decode + 1,
+            ..counts
+        };
+        let step = RoleStep {
+            from: UpstreamRole::Prefill,
+            to: UpstreamRole::Decode,
+        };
+        (step, after)
+    });
+    let unserved = counts.unserved(work, limits.full_utilisation);
+    let price = limits.away.as_secs_f64() * limits.gain_factor;
+    let options = [to_prefill, to_decode].into_iter().flatten();
+    let gains = options.map(|(step, after)| {
+        let saved = unserved - after.unserved(work, limits.full_utilisation);
+        (step, saved * limits.horizon.as_secs_f64())
+    });
+    let paying = gains.filter(|(_, gain)| *gain > price);
+    let best = paying.max_by(|(_, a), (_, b)| a.total_cmp(b));
+    best.map(|(step, _)| step)
+}
+
+/// Estimates the work behind one engine's load report.
+pub(crate) fn work_of_report(
+    report: &LoadReport,
+    rates: EngineRates,
+    catch_up: Duration,
+) -> PhaseWork {
+    let backlog_seconds = report.prefill_backlog_tokens as f64 / rates.prefill_tokens_per_second;
+    let reads = if report.prefill_backlog_tokens > 0 {
+        0.9
+    } else {
+        0.0
+    };
+    PhaseWork {
+        prefill: reads + backlog_seconds / catch_up.as_secs_f64(),
+        decode: f64::from(report.active_streams) / FULL_BATCH,
+    }
+}
