Decide at the entry: fair queueing, bounded placement, early refusal

The entry policy used to send each request to the upstream with the fewest own requests and never queued. It now holds back what the engines can't take:

* placement by two random choices among engines below their bound, load from the last report plus own work since, times the number of entry processes; prefix affinity within a bounded difference; own data centre first, then up to three others;
* a queue for each target, fair between workspaces by tokens, urgent first within a bounded lead, bounded in tokens and requests;
* refusal at arrival when the queue's measured rate can't meet the deadline, and at the latest start;
* cheap upstreams only for repeatable work that isn't urgent, up to what the reserved ones can absorb.

Additions: EntryAction::Prefill and EntryEvent::Prefilled, only from a policy built with_split_phases(true). Callers should send a Tick at least every 100 ms, so that waiting requests are refused in time. Not measured yet.

--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -1,123 +1,261 @@
 //! The policy of one entry process.
+//!
+//! An entry process sees its own requests and reports that are old when they
+//! come. The policy holds back what the engines can't take yet, because a
+//! request that waits here can still go to any engine, be overtaken by urgent
+//! work of another workspace, or be refused in time; one that waits in an
+//! engine can't.
 
+mod admission;
+mod attempts;
+mod drain;
+mod limits;
+mod load;
+mod placement;
+mod pools;
+mod prefixes;
+mod queue;
+mod spread;
+
+pub use limits::EntryLimits;
+pub use queue::{FairQueue, WaitingRequest};
+
+use crate::entry::drain::DrainRate;
+use crate::entry::load::UpstreamRecord;
+use crate::entry::pools::{Part, PoolIndex};
+use crate::entry::prefixes::PrefixMemory;
+use crate::entry::spread::SpreadRng;
 use crate::{
-    EntryAction, EntryEvent, RequestFacts, Target, Timestamp, UpstreamFacts, UpstreamKey,
-    WorkspaceFacts, WorkspaceKey,
+    EntryAction, EntryEvent, QueuedWork, RequestFacts, Target, Timestamp, UpstreamFacts,
+    UpstreamKey, WorkspaceFacts, WorkspaceKey,
 };
-use lagoonlift_types::{NotRunReason, UpstreamRole, Urgency};
+use lagoonlift_types::{DataCentreName, RequestId, Urgency};
 use slotmap::SlotMap;
-use std::time::Duration;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-/// How long a caller is asked to wait when no upstream can take its request.
-const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
+/// Share of the permitted output that is expected before anything is known.
+const FIRST_OUTPUT_SHARE: f64 = 0.5;
 
 #[derive(Debug)]
-struct UpstreamState {
-    facts: UpstreamFacts,
-    in_flight: u32,
+struct WorkspaceRecord {
+    facts: WorkspaceFacts,
+    /// Share of the permitted output that its answers have used.
+    output_share: f64,
 }
 
-/// Admits, queues and places the requests of one entry process.
 #[derive(Debug, Default)]
+struct TargetQueue {
+    queue: FairQueue,
+    drain: DrainRate,
+    /// Requests whose prompt is being read, or was, and that need an engine for
+    /// the answer next.
+    reading: u32,
+    read: VecDeque<RequestId>,
+}
+
+/// A request that was sent to an upstream.
+#[derive(Debug)]
+struct Attempt {
+    facts: RequestFacts,
+    upstream: UpstreamKey,
+    part: Part,
+    charged: u64,
+    prompt_is_read: bool,
+}
+
+/// Admits, queues and places the requests of one entry process.
+#[derive(Debug)]
 pub struct EntryPolicy {
-    upstreams: SlotMap<UpstreamKey, UpstreamState>,
-    workspaces: SlotMap<WorkspaceKey, WorkspaceFacts>,
+    limits: EntryLimits,
+    splits_phases: bool,
+    own_site: Option<usize>,
+    rng: SpreadRng,
+    upstreams: SlotMap<UpstreamKey, UpstreamRecord>,
+    workspaces: SlotMap<WorkspaceKey, WorkspaceRecord>,
+    pools: PoolIndex,
+    queues: BTreeMap<Target, TargetQueue>,
+    attempts: HashMap<RequestId, Attempt>,
+    prefixes: PrefixMemory,
+    cheap_requests: Vec<u32>,
+}
+
+impl Default for EntryPolicy {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl EntryPolicy {
     /// Creates a policy that knows no workspace and no upstream.
     pub fn new() -> Self {
-        Self::default()
+        let limits = EntryLimits::default();
+        Self {
+            limits,
+            splits_phases: false,
+            own_site: None,
+            rng: SpreadRng::new(0),
+            upstreams: SlotMap::with_key(),
+            workspaces: SlotMap::with_key(),
+            pools: PoolIndex::default(),
+            queues: BTreeMap::new(),
+            attempts: HashMap::new(),
+            prefixes: PrefixMemory::new(limits.prefixes),
+            cheap_requests: Vec::new(),
+        }
+    }
+
+    /// Replaces the limits.
+    #[must_use]
+    pub fn with_limits(mut self, limits: EntryLimits) -> Self {
+        self.prefixes = PrefixMemory::new(limits.prefixes);
+        self.limits = limits;
+        self
+    }
+
+    /// Sets the seed of the random choices. Give each process its own, so that
+    /// equal processes don't choose alike.
+    #[must_use]
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.rng = SpreadRng::new(seed);
+        self
+    }
+
+    /// Sets the data centre whose upstreams are taken first.
+    #[must_use]
+    pub fn with_data_centre(mut self, name: &DataCentreName) -> Self {
+        self.own_site = Some(self.pools.data_centre(name));
+        self
+    }
+
+    /// Sets whether prompts are read by engines of the prefill role, through
+    /// [`EntryAction::Prefill`]. Off at first: engines of that role then get
+    /// nothing.
+    #[must_use]
+    pub fn with_split_phases(mut self, splits_phases: bool) -> Self {
+        self.splits_phases = splits_phases;
+        self
+    }
+
+    /// Sets how many entry processes place work on the same engines.
+    pub fn set_peers(&mut self, peers: u32) {
+        self.limits.peers = peers.max(1);
     }
 
     /// Adds a workspace.
     pub fn add_workspace(&mut self, facts: WorkspaceFacts) -> WorkspaceKey {
-        self.workspaces.insert(facts)
+        self.workspaces.insert(WorkspaceRecord {
+            facts,
+            output_share: FIRST_OUTPUT_SHARE,
+        })
     }
 
     /// Replaces what is known of a workspace.
     pub fn update_workspace(&mut self, key: WorkspaceKey, facts: WorkspaceFacts) {
         if let Some(workspace) = self.workspaces.get_mut(key) {
-            *workspace = facts;
+            workspace.facts = facts;
         }
     }
 
     /// Forgets a workspace; its queued requests are still answered.
     pub fn remove_workspace(&mut self, key: WorkspaceKey) {
         self.workspaces.remove(key);
+        for target in self.queues.values_mut() {
+            target.queue.forget(key);
+        }
     }
 
     /// Adds an upstream.
     pub fn add_upstream(&mut self, facts: UpstreamFacts) -> UpstreamKey {
-        self.upstreams.insert(UpstreamState {
-            facts,
-            in_flight: 0,
-        })
+        let site = self.pools.data_centre(&facts.data_centre);
+        let record = UpstreamRecord::new(facts.clone(), site);
+        let key = self.upstreams.insert(record);
+        self.pools.add(key, &facts);
+        key
     }
 
     /// Replaces what is known of an upstream; its in-flight work is kept.
+    ///
+    /// Requests that wait for it are placed at the next event.
     pub fn update_upstream(&mut self, key: UpstreamKey, facts: UpstreamFacts) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
+            self.pools.remove(key, &upstream.facts);
+            self.pools.add(key, &facts);
+            upstream.site = self.pools.data_centre(&facts.data_centre);
             upstream.facts = facts;
         }
     }
 
     /// Forgets an upstream.
     pub fn remove_upstream(&mut self, key: UpstreamKey) {
-        self.upstreams.remove(key);
+        if let Some(upstream) = self.upstreams.remove(key) {
+            self.pools.remove(key, &upstream.facts);
+        }
     }
 
-    /// Takes in one event at `now` and appends what is to be done.
-    pub fn handle(&mut self, _now: Timestamp, event: EntryEvent, actions: &mut Vec<EntryAction>) {
-        match event {
-            EntryEvent::Arrived(facts) => actions.push(self.place(&facts, &[])),
-            EntryEvent::Retry { facts, avoid } => actions.push(self.place(&facts, &avoid)),
-            EntryEvent::Ended { upstream, .. } => self.release(upstream),
-            EntryEvent::FirstToken { .. }
-            | EntryEvent::Withdrawn { .. }
-            | EntryEvent::Loaded { .. }
-            | EntryEvent::Cached { .. }
-            | EntryEvent::Tick => {}
-        }
+    /// Returns what waits for each target, for metrics and demand reports.
+    pub fn queued(&self) -> impl Iterator<Item = (&Target, QueuedWork)> {
+        self.queues.iter().map(|(target, waiting)| {
+            let mut work = QueuedWork::default();
+            for request in waiting.queue.requests() {
+                work.requests += 1;
+                work.prompt_tokens += request.facts.prompt_tokens;
+                work.output_tokens += self.expected_output(&request.facts);
+            }
+            (target, work)
+        })
     }
 
-    fn place(&mut self, facts: &RequestFacts, avoid: &[UpstreamKey]) -> EntryAction {
-        let candidate = self
-            .upstreams
-            .iter()
-            .filter(|(key, upstream)| can_serve(&upstream.facts, facts) && !avoid.contains(key))
-            .min_by_key(|(_, upstream)| upstream.in_flight)
-            .map(|(key, _)| key);
-        let Some(upstream) = candidate else {
-            return EntryAction::Refuse {
-                request: facts.request,
-                reason: NotRunReason::NoUpstream,
-                retry_after: NO_UPSTREAM_RETRY,
-            };
-        };
-        self.upstreams[upstream].in_flight += 1;
-        EntryAction::Dispatch {
-            request: facts.request,
-            upstream,
-            priority: priority(facts.urgency),
-        }
+    /// Returns the output tokens that a request is expected to need.
+    pub fn expected_output(&self, facts: &RequestFacts) -> u64 {
+        let share = self
+            .workspaces
+            .get(facts.workspace)
+            .map_or(FIRST_OUTPUT_SHARE, |workspace| workspace.output_share);
+        (facts.max_output_tokens as f64 * share).ceil() as u64
     }
 
-    fn release(&mut self, upstream: UpstreamKey) {
-        if let Some(upstream) = self.upstreams.get_mut(upstream) {
-            upstream.in_flight = upstream.in_flight.saturating_sub(1);
+    /// Takes in one event at `now` and appends what is to be done.
+    ///
+    /// Each arrival and each retry gets exactly one [`EntryAction::Dispatch`]
+    /// or [`EntryAction::Refuse`], now or at a later event, unless it is
+    /// withdrawn before.
+    pub fn handle(&mut self, now: Timestamp, event: EntryEvent, actions: &mut Vec<EntryAction>) {
+        match event {
+            EntryEvent::Arrived(facts) => self.admit(now, facts, actions),
+            EntryEvent::Retry { facts, avoid } => self.readmit(now, facts, avoid, actions),
+            EntryEvent::FirstToken { request } => self.note_first_token(request),
+            EntryEvent::Prefilled { request, upstream } => {
+                self.finish_reading(now, request, upstream, actions);
+            }
+            EntryEvent::Ended {
+                request,
+                upstream,
+                end,
+            } => self.finish(now, request, upstream, end, actions),
+            EntryEvent::Withdrawn { request } => self.withdraw(request),
+            EntryEvent::Loaded {
+                upstream,
+                measured_at,
+                report,
+            } => {
+                if let Some(upstream) = self.upstreams.get_mut(upstream) {
+                    upstream.reported(measured_at, report);
+                }
+                self.drain_upstream(now, upstream, actions);
+            }
+            EntryEvent::Cached {
+                upstream,
+                prefix,
+                held: true,
+            } => self.prefixes.add(prefix, upstream),
+            EntryEvent::Cached {
+                upstream, prefix, ..
+            } => self.prefixes.remove(prefix, upstream),
+            EntryEvent::Tick => self.drain_all(now, actions),
         }
     }
 }
 
-fn can_serve(upstream: &UpstreamFacts, request: &RequestFacts) -> bool {
-    let serves = match &request.target {
-        Target::Model(model) => upstream.models.contains(model),
-        Target::Service(name) => upstream.role.is_none() && upstream.name == *name,
-    };
-    serves && upstream.accepts_work && upstream.role != Some(UpstreamRole::Prefill)
-}
-
 fn priority(urgency: Urgency) -> u8 {
     match urgency {
         Urgency::Urgent => 0,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -46,7 +46,7 @@
 }
 
 /// Where a request may go.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Target {
     /// Any engine that serves the model.
     Model(ModelName),
@@ -88,6 +88,17 @@
     pub kv_used: f32,
 }
 
+/// What waits for one target in an entry process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueuedWork {
+    /// Requests.
+    pub requests: u64,
+    /// Tokens of their prompts.
+    pub prompt_tokens: u64,
+    /// Tokens that their answers are expected to have.
+    pub output_tokens: u64,
+}
+
 /// How an attempt at an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -121,6 +132,14 @@
         /// The request.
         request: RequestId,
     },
+    /// A prompt was read after [`EntryAction::Prefill`]; the engine holds its KV
+    /// cache for export.
+    Prefilled {
+        /// The request.
+        request: RequestId,
+        /// The engine that read it.
+        upstream: UpstreamKey,
+    },
     /// An attempt ended.
     Ended {
         /// The request.
@@ -169,6 +188,17 @@
         /// Priority for the engine's own queue; lower goes first.
         priority: u8,
     },
+    /// Send the request to an engine that reads its prompt only; a
+    /// [`EntryAction::Dispatch`] follows once the prompt is read, to an engine
+    /// that imports the KV cache. Comes only from a policy that splits phases.
+    Prefill {
+        /// The request.
+        request: RequestId,
+        /// Where to.
+        upstream: UpstreamKey,
+        /// Priority for the engine's own queue; lower goes first.
+        priority: u8,
+    },
     /// Refuse the request; it has not been sent to any upstream by this
     /// decision.
     Refuse {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,9 +19,9 @@
 mod split;
 mod time;
 
-pub use entry::EntryPolicy;
+pub use entry::{EntryLimits, EntryPolicy, FairQueue, WaitingRequest};
 pub use event::{
-    AttemptEnd, EntryAction, EntryEvent, LoadReport, PrefixHash, RequestFacts, Target,
+    AttemptEnd, EntryAction, EntryEvent, LoadReport, PrefixHash, QueuedWork, RequestFacts, Target,
     UpstreamFacts, UpstreamKey, WorkspaceFacts, WorkspaceKey,
 };
 pub use fleet::{FleetLimits, FleetPolicy, FleetWeighting};
