--- a/crates/standins/src/engine.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! A model engine behind HTTP.
--- /dev/null
+++ b/crates/standins/src/engine/stream.rs
@@ -0,0 +1,324 @@
+//! One run of a completion: the tokens, their pace, and the fault that hits it.
+
+use super::execution::{Execution, ExecutionEnd, ExecutionIndex};
+use super::faults::EngineFault;
+use super::server::EngineShared;
+use super::tokens::{answer_token, prompt_tokens};
+use bytes::Bytes;
+use serde_json::{Value, json};
+use std::future;
+use std::panic;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tokio_stream::wrappers::ReceiverStream;
+use warp::http::{HeaderMap, StatusCode, header};
+use warp::reply::{self, Reply, Response};
+
+/// Tokens in an answer when the request sets no limit.
+const DEFAULT_OUTPUT_TOKENS: u64 = 16;
+/// Events that may wait for a slow reader.
+const EVENT_BUFFER: usize = 16;
+/// When a caller that was refused as busy may come back, in seconds.
+const BUSY_RETRY_SECONDS: &str = "1";
+
+/// How fast an engine works.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    pub(crate) prefill_per_piece: Duration,
+    pub(crate) token_interval: Duration,
+}
+
+/// A connection that the engine breaks on purpose.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the engine crashed")]
+pub(crate) struct EngineCrashed;
+
+/// One completion, from request to last event.
+pub(crate) struct CompletionRun {
+    shared: EngineShared,
+    fault: EngineFault,
+    pace: Pace,
+    prompt: String,
+    model: String,
+    request: String,
+    attempt: u32,
+    first_token: u64,
+    last_token: u64,
+    stream: bool,
+    header_names: Vec<String>,
+    had_key: bool,
+}
+
+impl CompletionRun {
+    pub(crate) fn new(shared: EngineShared, headers: &HeaderMap, body: &Value, pace: Pace) -> Self {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let limit = body["max_completion_tokens"]
+            .as_u64()
+            .or(body["max_tokens"].as_u64());
+        Self {
+            fault: shared.faults.take(),
+            shared,
+            pace,
+            prompt: prompt_of(body),
+            model: body["model"].as_str().unwrap_or_default().to_owned(),
+            request: text("x-request-id").unwrap_or_default().to_owned(),
+            attempt: text("x-attempt").and_then(|n| n.parse().ok()).unwrap_or(0),
+            first_token: body["resume_from"].as_u64().unwrap_or(0),
+            last_token: limit.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+            stream: body["stream"].as_bool().unwrap_or(false),
+            header_names: headers.keys().map(ToString::to_string).collect(),
+            had_key: headers.contains_key(header::AUTHORIZATION),
+        }
+    }
+
+    pub(crate) async fn respond(self) -> Response {
+        let active = self.shared.active.fetch_add(1, Ordering::Relaxed);
+        let full = active >= self.shared.config.max_streams;
+        let index = self.shared.log.begin(self.execution());
+        let slot = StreamSlot {
+            shared: self.shared.clone(),
+            index,
+        };
+        match &self.fault {
+            EngineFault::Busy => slot.refuse(),
+            _ if full => slot.refuse(),
+            EngineFault::CrashBeforeHeaders => {
+                slot.finish(ExecutionEnd::Crashed);
+                break_connection()
+            }
+            EngineFault::ServerError => {
+                slot.finish(ExecutionEnd::Crashed);
+                StatusCode::INTERNAL_SERVER_ERROR.into_response()
+            }
+            _ if self.stream => self.respond_streaming(slot),
+            _ => self.respond_whole(slot).await,
+        }
+    }
+
+    fn execution(&self) -> Execution {
+        Execution {
+            request: self.request.clone(),
+            attempt: self.attempt,
+            first_token: self.first_token,
+            tokens: 0,
+            end: ExecutionEnd::Running,
+            headers: self.header_names.clone(),
+            had_key: self.had_key,
+        }
+    }
+
+    fn respond_streaming(self, slot: StreamSlot) -> Response {
+        let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
+        tokio::spawn(async move {
+            tokio::select! {
+                // Checked first, so that a caller that left counts as cancelled.
+                biased;
+                () = sender.closed() => slot.finish(ExecutionEnd::Cancelled),
+                () = self.send_events(&sender, &slot) => {}
+            }
+        });
+        let mut response = reply::stream(ReceiverStream::new(receiver)).into_response();
+        response.headers_mut().insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("text/event-stream"),
+        );
+        response
+    }
+
+    async fn send_events(&self, sender: &EventSender, slot: &StreamSlot) {
+        self.prefill().await;
+        for index in self.first_token..self.last_token {
+            if self.hit_by_fault(index, sender, slot).await {
+                return;
+            }
+            self.generate(slot).await;
+            let sent = sender.send(Ok(event(&self.token_chunk(index)))).await;
+            if sent.is_err() {
+                return slot.finish(ExecutionEnd::Cancelled);
+            }
+        }
+        if self.hit_by_fault(self.last_token, sender, slot).await {
+            return;
+        }
+        // Marked before the end is sent: whoever sees the end sees the log.
+        slot.finish(ExecutionEnd::Completed);
+        for last in [event(&self.last_chunk()), Bytes::from("data: [DONE]\n\n")] {
+            // A caller that left after the last token has its whole answer.
+            let _ = sender.send(Ok(last)).await;
+        }
+    }
+
+    /// Returns whether the fault ends the stream before token `index`.
+    async fn hit_by_fault(&self, index: u64, sender: &EventSender, slot: &StreamSlot) -> bool {
+        let sent = index - self.first_token;
+        let at_end = index == self.last_token;
+        match self.fault {
+            EngineFault::CrashAfterTokens(tokens) if sent == tokens => {}
+            EngineFault::CrashBeforeEnd if at_end => {}
+            EngineFault::LoseAnswer if at_end => {}
+            EngineFault::SilentAfterTokens(tokens) if sent == tokens => {
+                future::pending::<()>().await;
+            }
+            _ => return false,
+        }
+        slot.finish(ExecutionEnd::Crashed);
+        let _ = sender.send(Err(EngineCrashed)).await;
+        true
+    }
+
+    async fn respond_whole(self, slot: StreamSlot) -> Response {
+        self.prefill().await;
+        let mut text = String::new();
+        for index in self.first_token..self.last_token {
+            match self.fault {
+                EngineFault::CrashAfterTokens(tokens) if index - self.first_token == tokens => {
+                    slot.finish(ExecutionEnd::Crashed);
+                    break_connection()
+                }
+                EngineFault::SilentAfterTokens(tokens) if index - self.first_token == tokens => {
+                    future::pending::<()>().await;
+                }
+                _ => {}
+            }
+            self.generate(&slot).await;
+            text.push_str(&self.token(index));
+        }
+        match self.fault {
+            EngineFault::LoseAnswer | EngineFault::CrashBeforeEnd => {
+                slot.finish(ExecutionEnd::Completed);
+                break_connection()
+            }
+            _ => slot.finish(ExecutionEnd::Completed),
+        }
+        reply::json(&self.whole_answer(&text)).into_response()
+    }
+
+    async fn prefill(&self) {
+        if let EngineFault::Delay(delay) = self.fault {
+            sleep(delay).await;
+        }
+        let tokens = prompt_tokens(&self.prompt);
+        let backlog = &self.shared.backlog_tokens;
+        backlog.fetch_add(tokens, Ordering::Relaxed);
+        let pieces = tokens as f64 / lagoonlift_types::TOKENS_PER_PIECE as f64;
+        wait(self.pace.prefill_per_piece.mul_f64(pieces)).await;
+        backlog.fetch_sub(tokens, Ordering::Relaxed);
+        self.shared.cache.announce(&self.prompt);
+    }
+
+    async fn generate(&self, slot: &StreamSlot) {
+        wait(self.pace.token_interval).await;
+        self.shared.log.count_token(slot.index);
+    }
+
+    fn token(&self, index: u64) -> String {
+        match self.fault {
+            EngineFault::ForeignTokens => answer_token("another prompt", index),
+            _ => answer_token(&self.prompt, index),
+        }
+    }
+
+    fn token_chunk(&self, index: u64) -> Value {
+        let choice = json!({
+            "index": 0,
+            "delta": { "content": self.token(index) },
+            "finish_reason": null,
+        });
+        let mut chunk = self.envelope("chat.completion.chunk", choice);
+        chunk["token_index"] = index.into();
+        chunk
+    }
+
+    fn last_chunk(&self) -> Value {
+        let choice = json!({ "index": 0, "delta": {}, "finish_reason": "length" });
+        let mut chunk = self.envelope("chat.completion.chunk", choice);
+        chunk["usage"] = self.usage();
+        chunk
+    }
+
+    fn whole_answer(&self, text: &str) -> Value {
+        let choice = json!({
+            "index": 0,
+            "message": { "role": "assistant", "content": text },
+            "finish_reason": "length",
+        });
+        let mut answer = self.envelope("chat.completion", choice);
+        answer["usage"] = self.usage();
+        answer
+    }
+
+    fn envelope(&self, object: &str, choice: Value) -> Value {
+        json!({
+            "id": format!("chatcmpl-{}", self.request),
+            "object": object,
+            "created": 0,
+            "model": self.model,
+            "choices": [choice],
+        })
+    }
+
+    fn usage(&self) -> Value {
+        let prompt = prompt_tokens(&self.prompt);
+        json!({
+            "prompt_tokens": prompt,
+            "completion_tokens": self.last_token,
+            "total_tokens": prompt + self.last_token,
+        })
+    }
+}
+
+type EventSender = mpsc::Sender<Result<Bytes, EngineCrashed>>;
+
+/// A stream's place in the engine; given back when dropped.
+struct StreamSlot {
+    shared: EngineShared,
+    index: ExecutionIndex,
+}
+
+impl StreamSlot {
+    fn finish(&self, end: ExecutionEnd) {
+        self.shared.log.finish(self.index, end);
+    }
+
+    fn refuse(&self) -> Response {
+        self.finish(ExecutionEnd::Refused);
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        reply::with_header(status, header::RETRY_AFTER, BUSY_RETRY_SECONDS).into_response()
+    }
+}
+
+impl Drop for StreamSlot {
+    fn drop(&mut self) {
+        self.shared.active.fetch_sub(1, Ordering::Relaxed);
+        self.finish(ExecutionEnd::Cancelled);
+    }
+}
+
+/// Ends the task that serves the connection, which closes it without a
+/// response. Unwinds without the panic hook, so that nothing is printed.
+fn break_connection() -> ! {
+    panic::resume_unwind(Box::new(EngineCrashed))
+}
+
+/// Returns the text of all messages of a request, the prompt.
+fn prompt_of(body: &Value) -> String {
+    let messages = body["messages"].as_array().map_or(&[][..], Vec::as_slice);
+    messages
+        .iter()
+        .map(|message| message["content"].as_str().unwrap_or_default())
+        .collect::<Vec<_>>()
+        .join("\n")
+}
+
+fn event(chunk: &Value) -> Bytes {
+    Bytes::from(format!("data: {chunk}\n\n"))
+}
+
+async fn wait(duration: Duration) {
+    if !duration.is_zero() {
+        sleep(duration).await;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/tokens.rs
@@ -0,0 +1,25 @@
+//! Prompts and answers: which tokens a prompt has and which answer it gets.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Returns the number of tokens in a prompt: its words.
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    prompt.split_whitespace().count() as u64
+}
+
+/// Returns token `index` of the answer to `prompt`, with its trailing space.
+///
+/// `DefaultHasher::new()` has fixed keys, so all processes of one build agree.
+pub fn answer_token(prompt: &str, index: u64) -> String {
+    let mut hasher = DefaultHasher::new();
+    prompt.hash(&mut hasher);
+    index.hash(&mut hasher);
+    format!("{index}:{:04x} ", hasher.finish() & 0xffff)
+}
+
+/// Returns the first `count` tokens of the answer to `prompt`.
+pub fn answer_text(prompt: &str, count: u64) -> String {
+    (0..count)
+        .map(|index| answer_token(prompt, index))
+        .collect()
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod engine;
 pub mod model;
 pub mod platform;
+mod server;
 pub mod service;
--- /dev/null
+++ b/crates/standins/tests/all/engine.rs
@@ -0,0 +1,92 @@
+//! The engine stand-in streams, resumes, fails on command and logs what ran.
+
+use lagoonlift_standins::engine::{
+    EngineConfig, EngineFault, EngineStandin, ExecutionEnd, answer_text,
+};
+use lagoonlift_types::ModelName;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+
+fn start_engine() -> EngineStandin {
+    let model = ModelName::new("tide-7b").expect("a valid name");
+    let config = EngineConfig::new(BTreeSet::from([model]));
+    let listen = "127.0.0.1:0".parse().expect("a valid address");
+    EngineStandin::start(listen, config).expect("a free port")
+}
+
+async fn post(engine: &EngineStandin, body: &Value) -> reqwest::Result<String> {
+    let url = format!("http://{}/v1/chat/completions", engine.addr());
+    let client = reqwest::Client::new();
+    let response = client
+        .post(url)
+        .header("x-request-id", "r1")
+        .json(body)
+        .send()
+        .await?;
+    response.text().await
+}
+
+fn request(stream: bool, resume_from: u64) -> Value {
+    json!({
+        "model": "tide-7b",
+        "messages": [{ "role": "user", "content": "which pipe failed" }],
+        "max_tokens": 4,
+        "stream": stream,
+        "resume_from": resume_from,
+    })
+}
+
+fn streamed_text(body: &str) -> String {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("data: {"))
+        .map(|rest| serde_json::from_str::<Value>(&format!("{{{rest}")).expect("JSON events"))
+        .filter_map(|chunk| {
+            chunk["choices"][0]["delta"]["content"]
+                .as_str()
+                .map(str::to_owned)
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn a_stream_and_its_resumption_are_one_answer() {
+    let engine = start_engine();
+    let whole = post(&engine, &request(true, 0)).await.expect("an answer");
+    let rest = post(&engine, &request(true, 2)).await.expect("an answer");
+    let expected = answer_text("which pipe failed", 4);
+    let first_two = answer_text("which pipe failed", 2);
+    assert_eq!(streamed_text(&whole), expected);
+    assert_eq!(format!("{first_two}{}", streamed_text(&rest)), expected);
+    assert!(whole.ends_with("data: [DONE]\n\n"));
+}
+
+#[tokio::test]
+async fn a_fault_breaks_the_connection_and_is_logged() {
+    let engine = start_engine();
+    engine.faults().push(EngineFault::CrashBeforeHeaders);
+    engine.faults().push(EngineFault::CrashAfterTokens(2));
+    post(&engine, &request(false, 0))
+        .await
+        .expect_err("no headers");
+    post(&engine, &request(true, 0))
+        .await
+        .expect_err("cut after two tokens");
+    let log = engine.log().snapshot();
+    let tokens: Vec<u64> = log.iter().map(|execution| execution.tokens).collect();
+    assert_eq!(tokens, [0, 2]);
+    assert!(
+        log.iter()
+            .all(|execution| execution.end == ExecutionEnd::Crashed)
+    );
+}
+
+#[tokio::test]
+async fn a_crashed_engine_refuses_connections_until_it_restarts() {
+    let mut engine = start_engine();
+    engine.crash();
+    post(&engine, &request(false, 0))
+        .await
+        .expect_err("nobody listens");
+    engine.restart().expect("the port is still free");
+    post(&engine, &request(false, 0)).await.expect("an answer");
+}
--- /dev/null
+++ b/crates/standins/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! The stand-ins keep to the protocols that they stand in for.
+
+mod engine;
+mod service;
