Read questionnaires into drafts and compare chunks in operators' words

Cause: operators had no way from a team's answers to a configuration. Every fault of a file is collected before it is refused; keys are left out of proposals, so that accepting one can't bring a withdrawn key back.

--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,1 +1,18 @@
-//! What operators do: questionnaire, proposal, acceptance, explanation.
+//! The operators' side: questionnaire, proposal, acceptance and explanation.
+//!
+//! Operators are a peer like any other: what they send is checked before it is
+//! put in force, and what they are shown is made for reading. A change passes
+//! three steps, each of which can be repeated after a lost answer: a
+//! questionnaire becomes a [`Proposal`], the proposal is stored, and accepting
+//! it replaces the manifest on the condition that nobody else has changed the
+//! same part since.
+
+mod description;
+mod proposal;
+mod questionnaire;
+
+pub use description::{ChunkDifference, ValueChange, key_id};
+pub use proposal::{Draft, ParseProposalError, Proposal, ProposalFit, ProposalId};
+pub use questionnaire::{
+    AnswerProblem, KnownUpstreams, QuestionnaireError, QuestionnaireKind, read_questionnaire,
+};
--- /dev/null
+++ b/crates/operators/src/questionnaire/workspace.rs
@@ -0,0 +1,378 @@
+//! The questionnaire of a workspace.
+
+use super::KnownUpstreams;
+use super::answers::{Answer, AnswerReader, Name, Names, Rate};
+use crate::proposal::Draft;
+use lagoonlift_types::{
+    Chunk, ChunkName, Class, ClassName, Limits, ModelName, PlainRoute, RouteAccess, RouteName,
+    Urgency, Workspace, WorkspaceName,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Name of the class that every workspace has.
+const DEFAULT_CLASS: &str = "default";
+
+/// Usual limits, relative to what the classes add up to.
+const USUAL_HEADROOM: f64 = 2.0;
+
+/// Usual time that a rush above the limits may last.
+const USUAL_RUSH: Duration = Duration::from_secs(10);
+
+/// Longest deadline that makes sense while a caller is on the line.
+const LONGEST_ON_LINE: Duration = Duration::from_secs(60);
+
+/// Time to the first token for which a deadline must leave room.
+const FIRST_TOKEN: Duration = Duration::from_millis(820);
+
+/// Time between tokens for which a deadline must leave room.
+const TOKEN_GAP: Duration = Duration::from_millis(51);
+
+/// Methods that a route may permit.
+const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
+
+/// Who waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Waiting {
+    Caller,
+    Staff,
+    Nobody,
+}
+
+impl Answer for Waiting {
+    const FORM: &'static str = "`caller`, `staff` or `nobody`";
+
+    fn read(text: &str) -> Result<Self, Option<String>> {
+        match text {
+            "caller" => Ok(Self::Caller),
+            "staff" => Ok(Self::Staff),
+            "nobody" => Ok(Self::Nobody),
+            _ => Err(None),
+        }
+    }
+}
+
+impl Answer for RouteAccess {
+    const FORM: &'static str = "`key-holders` or `anyone`";
+
+    fn read(text: &str) -> Result<Self, Option<String>> {
+        match text {
+            "key-holders" => Ok(Self::Keyed),
+            "anyone" => Ok(Self::Open),
+            _ => Err(None),
+        }
+    }
+}
+
+/// Methods of a route, in upper case.
+struct Methods(BTreeSet<String>);
+
+impl Answer for Methods {
+    const FORM: &'static str = "methods out of GET, HEAD, POST, PUT, PATCH, DELETE";
+
+    fn read(text: &str) -> Result<Self, Option<String>> {
+        let methods = text.split(',').map(|method| method.trim().to_uppercase());
+        let methods: BTreeSet<String> = methods.collect();
+        match methods.iter().all(|m| METHODS.contains(&m.as_str())) {
+            true => Ok(Self(methods)),
+            false => Err(None),
+        }
+    }
+}
+
+/// Path at a plain service.
+struct ServicePath(String);
+
+impl Answer for ServicePath {
+    const FORM: &'static str = "a path that starts with `/`, without `?`, `#`, `..` or spaces";
+
+    fn read(text: &str) -> Result<Self, Option<String>> {
+        let plain = |c: char| !c.is_whitespace() && !c.is_control() && !"?#".contains(c);
+        match text.starts_with('/') && text.chars().all(plain) && !text.contains("..") {
+            true => Ok(Self(text.to_owned())),
+            false => Err(None),
+        }
+    }
+}
+
+/// What one class says of its traffic.
+#[derive(Clone, Copy, Debug, Default)]
+struct Traffic {
+    requests_per_second: f64,
+    tokens_per_second: f64,
+}
+
+/// Reads the answers; `None` if one that is needed is missing or wrong.
+pub(super) fn read(reader: &mut AnswerReader<'_>, known: &KnownUpstreams) -> Option<Draft> {
+    let name: Option<Name<WorkspaceName>> = reader.required("workspace", "name");
+    let models = read_models(reader, known);
+    let weight = read_weight(reader);
+    let (classes, traffic) = read_classes(reader);
+    let routes = read_routes(reader, &classes, known);
+    let limits = read_limits(reader, traffic);
+    let Name(name) = name?;
+    let reasons = reasons(&classes, &routes, traffic);
+    let workspace = Workspace {
+        keys: BTreeSet::new(),
+        models,
+        classes,
+        routes,
+        limits,
+        weight,
+    };
+    let chunk = Chunk::Workspace(Arc::new(workspace));
+    Some(Draft::new(ChunkName::Workspace(name), chunk, reasons))
+}
+
+fn read_models(reader: &mut AnswerReader<'_>, known: &KnownUpstreams) -> BTreeSet<ModelName> {
+    let Names(models) = reader.or_usual("workspace", "models", Names(BTreeSet::new()));
+    for model in models.difference(&known.models) {
+        let text = format!("no engine in force serves `{model}`; propose its data centre first");
+        reader.problem("workspace.models", text);
+    }
+    models
+}
+
+fn read_weight(reader: &mut AnswerReader<'_>) -> u32 {
+    let weight = reader.or_usual("workspace", "cost-weight", 1);
+    if weight == 0 {
+        reader.problem("workspace.cost-weight", "must be at least 1".to_owned());
+    }
+    weight
+}
+
+fn read_classes(reader: &mut AnswerReader<'_>) -> (BTreeMap<ClassName, Class>, Traffic) {
+    let sections = reader.sections::<ClassName>("class");
+    if !sections
+        .iter()
+        .any(|(_, name)| name.as_str() == DEFAULT_CLASS)
+    {
+        let text = "the section is needed for requests that name no class";
+        reader.problem("class.default", text.to_owned());
+    }
+    let mut classes = BTreeMap::new();
+    let mut total = Traffic::default();
+    for (section, name) in sections {
+        let (class, traffic) = read_class(reader, &section);
+        total.requests_per_second += traffic.requests_per_second;
+        total.tokens_per_second += traffic.tokens_per_second;
+        classes.extend(class.map(|class| (name, class)));
+    }
+    (classes, total)
+}
+
+fn read_class(reader: &mut AnswerReader<'_>, section: &str) -> (Option<Class>, Traffic) {
+    let waiting = reader.required(section, "who-waits");
+    let deadline = reader.required(section, "answer-within");
+    let idempotent = reader.required(section, "idempotent");
+    let rate = reader.required(section, "requests-per-second");
+    let prompt: Option<u32> = reader.required(section, "prompt-tokens");
+    let output: Option<u32> = reader.required(section, "output-tokens");
+    check_deadline(reader, section, waiting, deadline, output);
+    let traffic = match (rate, prompt, output) {
+        (Some(Rate(rate)), Some(prompt), Some(output)) => Traffic {
+            requests_per_second: rate,
+            tokens_per_second: rate * (f64::from(prompt) + f64::from(output)),
+        },
+        _ => Traffic::default(),
+    };
+    let class = match (waiting, deadline, idempotent) {
+        (Some(waiting), Some(deadline), Some(idempotent)) => Some(Class {
+            urgency: urgency(waiting),
+            idempotent,
+            deadline,
+        }),
+        _ => None,
+    };
+    (class, traffic)
+}
+
+fn check_deadline(
+    reader: &mut AnswerReader<'_>,
+    section: &str,
+    waiting: Option<Waiting>,
+    deadline: Option<Duration>,
+    output: Option<u32>,
+) {
+    let question = format!("{section}.answer-within");
+    let Some(deadline) = deadline else { return };
+    let needed = match output {
+        Some(output) if output > 0 => FIRST_TOKEN + TOKEN_GAP * output,
+        _ => Duration::ZERO,
+    };
+    if needed > deadline {
+        let needed = Duration::from_secs(needed.as_secs() + 1);
+        let text = format!(
+            "{} is too short for {} tokens: allow at least {}, or lower output-tokens",
+            humantime::format_duration(deadline),
+            output.unwrap_or_default(),
+            humantime::format_duration(needed),
+        );
+        reader.problem(&question, text);
+    }
+    if waiting == Some(Waiting::Caller) && deadline > LONGEST_ON_LINE {
+        let text = format!(
+            "{} contradicts who-waits = caller: nobody stays on the line for more than {}",
+            humantime::format_duration(deadline),
+            humantime::format_duration(LONGEST_ON_LINE),
+        );
+        reader.problem(&question, text);
+    }
+}
+
+fn urgency(waiting: Waiting) -> Urgency {
+    match waiting {
+        Waiting::Caller => Urgency::Urgent,
+        Waiting::Staff => Urgency::Normal,
+        Waiting::Nobody => Urgency::Background,
+    }
+}
+
+fn read_routes(
+    reader: &mut AnswerReader<'_>,
+    classes: &BTreeMap<ClassName, Class>,
+    known: &KnownUpstreams,
+) -> BTreeMap<RouteName, PlainRoute> {
+    let mut routes = BTreeMap::new();
+    for (section, name) in reader.sections::<RouteName>("route") {
+        let route = read_route(reader, &section, classes, known);
+        routes.extend(route.map(|route| (name, route)));
+    }
+    routes
+}
+
+fn read_route(
+    reader: &mut AnswerReader<'_>,
+    section: &str,
+    classes: &BTreeMap<ClassName, Class>,
+    known: &KnownUpstreams,
+) -> Option<PlainRoute> {
+    let upstream = reader.required(section, "service");
+    let ServicePath(path) = reader.or_usual(section, "path", ServicePath("/".to_owned()));
+    let methods = reader.required(section, "methods");
+    let access = reader.required(section, "who-may-call");
+    let class: Option<Name<ClassName>> = reader.optional(section, "class");
+    let class = match class {
+        Some(Name(class)) => class,
+        None => ClassName::new(DEFAULT_CLASS).ok()?,
+    };
+    if !classes.contains_key(&class) {
+        let text = format!("there is no valid section [class.{class}]");
+        reader.problem(&format!("{section}.class"), text);
+    }
+    let Name(upstream) = upstream?;
+    if !known.services.contains(&upstream) {
+        let text = format!("no data centre in force has the service `{upstream}`");
+        reader.problem(&format!("{section}.service"), text);
+    }
+    let Methods(methods) = methods?;
+    Some(PlainRoute {
+        upstream,
+        path,
+        methods,
+        access: access?,
+        class,
+    })
+}
+
+fn read_limits(reader: &mut AnswerReader<'_>, traffic: Traffic) -> Limits {
+    let requests = reader.optional("limits", "requests-per-second");
+    let tokens = reader.optional("limits", "tokens-per-second");
+    let rush = reader.or_usual("limits", "rush", USUAL_RUSH);
+    check_limit(
+        reader,
+        "requests-per-second",
+        requests,
+        traffic.requests_per_second,
+    );
+    check_limit(
+        reader,
+        "tokens-per-second",
+        tokens,
+        traffic.tokens_per_second,
+    );
+    Limits {
+        requests_per_second: limit(requests, traffic.requests_per_second),
+        tokens_per_second: limit(tokens, traffic.tokens_per_second),
+        burst_seconds: rush.as_secs_f64(),
+    }
+}
+
+fn limit(answer: Option<Rate>, traffic: f64) -> f64 {
+    match answer {
+        Some(Rate(limit)) => limit,
+        None => USUAL_HEADROOM * traffic,
+    }
+}
+
+fn check_limit(reader: &mut AnswerReader<'_>, key: &str, answer: Option<Rate>, traffic: f64) {
+    match answer {
+        Some(Rate(limit)) if limit < traffic => {
+            let text = format!("{limit} is below the classes' traffic of {traffic} together");
+            reader.problem(&format!("limits.{key}"), text);
+        }
+        _ => {}
+    }
+}
+
+fn reasons(
+    classes: &BTreeMap<ClassName, Class>,
+    routes: &BTreeMap<RouteName, PlainRoute>,
+    traffic: Traffic,
+) -> BTreeMap<String, String> {
+    let mut reasons = BTreeMap::new();
+    let mut add = |name: String, reason: String| reasons.insert(name, reason);
+    add("models".to_owned(), "workspace.models".to_owned());
+    add(
+        "weight".to_owned(),
+        "workspace.cost-weight; share of the fleet when it is short".to_owned(),
+    );
+    add(
+        "limit requests a second".to_owned(),
+        format!(
+            "the classes send {} in their busiest minute",
+            traffic.requests_per_second
+        ),
+    );
+    add(
+        "limit tokens a second".to_owned(),
+        format!(
+            "the classes need {} in their busiest minute",
+            traffic.tokens_per_second
+        ),
+    );
+    add("limit rush".to_owned(), "limits.rush".to_owned());
+    for (name, class) in classes {
+        let reason = match class.urgency {
+            Urgency::Urgent => "a caller is on the line",
+            Urgency::Normal => "staff wait, but not on the line",
+            Urgency::Background => "nobody waits",
+        };
+        add(format!("class {name} urgency"), reason.to_owned());
+        add(
+            format!("class {name} deadline"),
+            format!("class.{name}.answer-within"),
+        );
+        let reason = match class.idempotent {
+            true => "may run twice without harm: retried after a failure",
+            false => "may not run twice: sent to an upstream at most once",
+        };
+        add(format!("class {name} idempotent"), reason.to_owned());
+    }
+    for (name, route) in routes {
+        let reason = match route.access {
+            RouteAccess::Keyed => "route.who-may-call: only with a key",
+            RouteAccess::Open => "route.who-may-call: no key is asked for",
+        };
+        add(format!("route {name} access"), reason.to_owned());
+        add(
+            format!("route {name} class"),
+            format!(
+                "its urgency, deadline and idempotency are those of class {}",
+                route.class
+            ),
+        );
+    }
+    reasons
+}
