--- /dev/null
+++ b/crates/callers/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the protocol spoken with callers.
+
+mod answers;
