--- a/src/bin/lagoonlift.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Command `lagoonlift`.
-
-fn main() {}
