--- /dev/null
+++ b/crates/experiments/examples/experiment.rs
@@ -0,0 +1,28 @@
+//! Runs experiments and prints the table; for work on the policy.
+//!
+//! `experiment [tuning|report] [PROFILE|all] [DEPLOYMENT|all] [JSON-FILE]`
+
+use lagoonlift_experiments::{
+    Deployment, ExperimentError, ExperimentPlan, Profile, REPORT_SEEDS, TUNING_SEEDS, render_table,
+    run,
+};
+
+fn main() -> Result<(), ExperimentError> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let argument = |index: usize| arguments.get(index).map_or("all", String::as_str);
+    let seeds: &[u64] = match argument(0) {
+        "report" => &REPORT_SEEDS,
+        _ => &TUNING_SEEDS,
+    };
+    let mut plan = ExperimentPlan::new(seeds);
+    plan.profiles
+        .retain(|profile: &Profile| argument(1) == "all" || profile.as_str() == argument(1));
+    plan.deployments
+        .retain(|place: &Deployment| argument(2) == "all" || place.as_str() == argument(2));
+    let result = run(plan)?;
+    println!("{}", render_table(&result));
+    if let Some(path) = arguments.get(3) {
+        std::fs::write(path, result.to_json()?).map_err(serde_json::Error::io)?;
+    }
+    Ok(())
+}
--- a/crates/policy/src/entry/attempts.rs
+++ b/crates/policy/src/entry/attempts.rs
@@ -42,10 +42,10 @@
         if attempt.part == Part::Answer {
             record.stream_ended(now);
         }
-        if record.facts.supply == Supply::Reclaimable {
-            if let Some(count) = self.cheap_requests.get_mut(record.site) {
-                *count = count.saturating_sub(1);
-            }
+        if record.facts.supply == Supply::Reclaimable
+            && let Some(count) = self.cheap_requests.get_mut(record.site)
+        {
+            *count = count.saturating_sub(1);
         }
     }
 
