Make the bound move work at no cost and raise the swing's load

Its engines now have no interference, its work moves to engines that keep the role, KV moves at once and it knows the answers' lengths. EntryEvent::Moved tells an entry of a moved attempt.

--- a/crates/experiments/src/deployment.rs
+++ b/crates/experiments/src/deployment.rs
@@ -153,7 +153,7 @@
                 prompt_heavy: RequestKind {
                     urgency: Urgency::Background,
                     idempotent: true,
-                    deadline: Duration::from_secs(90),
+                    deadline: Duration::from_secs(60),
                     prompt_tokens: (6_000, 18_000),
                     output_tokens: (80, 240),
                     max_output_tokens: 400,
@@ -200,7 +200,7 @@
                 output_heavy: RequestKind {
                     urgency: Urgency::Background,
                     idempotent: true,
-                    deadline: Duration::from_secs(75),
+                    deadline: Duration::from_secs(60),
                     prompt_tokens: (500, 1_100),
                     output_tokens: (300, 700),
                     max_output_tokens: 900,
--- a/crates/experiments/src/driver/engines.rs
+++ b/crates/experiments/src/driver/engines.rs
@@ -6,21 +6,23 @@
 use crate::engine_slot::{EngineSlot, SlotState};
 use crate::schedule::Occurrence;
 use lagoonlift_policy::{AttemptEnd, EntryEvent};
-use lagoonlift_standins::model::EngineEvent;
+use lagoonlift_standins::model::{EngineCosts, EngineEvent};
 use lagoonlift_types::UpstreamRole;
 use std::time::Duration;
 
 impl Run {
     pub(super) fn add_engine(&mut self, mut place: EnginePlace, ordered: bool) {
-        let delay = match self.key.contender {
-            Contender::Oracle => Duration::ZERO,
-            _ => REPORT_DELAY,
-        };
+        let mut costs = EngineCosts::default();
+        let mut delay = REPORT_DELAY;
+        if self.key.contender == Contender::Oracle {
+            costs.interference = 1.0;
+            delay = Duration::ZERO;
+        }
         if self.key.contender == Contender::AllMixed {
             place.role = UpstreamRole::Mixed;
         }
         let seed = self.key.seed * 1_000 + self.engines.len() as u64;
-        let mut slot = EngineSlot::new(place, self.now, delay, seed, ordered);
+        let mut slot = EngineSlot::new(place, costs, self.now, delay, seed, ordered);
         slot.loads.set_frozen(self.frozen);
         let facts = slot.upstream_facts(&self.data_centres);
         for host in &mut self.hosts {
--- a/crates/experiments/src/driver/fleets.rs
+++ b/crates/experiments/src/driver/fleets.rs
@@ -4,7 +4,7 @@
 use crate::contender::Contender;
 use crate::deployment::{DATA_CENTRES, EnginePlace};
 use crate::driver::{DELIVERY_DELAY, FLEET_TICK, Run, RunKey};
-use crate::engine_slot::SlotState;
+use crate::engine_slot::{EngineSlot, SlotState};
 use crate::schedule::Occurrence;
 use crate::series::SeriesPoint;
 use crate::traffic::Arrival;
@@ -258,9 +258,37 @@
         self.buy_with_foresight();
         let demand = self.coming(ORACLE_ROLE_HORIZON);
         let changes = baselines::oracle(&self.engines, &self.models[0], demand);
-        for (engine, role) in changes {
-            self.engines[engine].model.set_role(role);
-            self.show_engine(engine);
+        for (engine, role) in &changes {
+            self.engines[*engine].model.set_role(*role);
+            self.show_engine(*engine);
+        }
+        for (engine, _) in changes {
+            self.move_work(engine);
+        }
+    }
+
+    /// Moves all work of an engine that changed its role to those that still
+    /// have the old one, at no cost.
+    fn move_work(&mut self, engine: usize) {
+        let role = self.engines[engine].model.role();
+        let jobs = self.engines[engine].model.take_jobs();
+        for progress in jobs {
+            let takes_over = |slot: &EngineSlot| {
+                slot.state == SlotState::Serving
+                    && slot.place.model == self.models[0]
+                    && slot.model.role() != role
+            };
+            let load = |index: &usize| {
+                let load = self.engines[*index].model.load();
+                (load.active_streams, load.prefill_backlog_tokens)
+            };
+            let target = (0..self.engines.len())
+                .filter(|index| takes_over(&self.engines[*index]))
+                .min_by_key(load)
+                .unwrap_or(engine);
+            self.engines[target].model.put_job(self.now, progress);
+            self.schedule_engine(target);
+            self.note_move(progress.job.id as usize, target);
         }
     }
 
@@ -281,7 +309,7 @@
     /// Has as many upstreams as the coming work needs, from now on.
     fn buy_with_foresight(&mut self) {
         let demand = self.coming(ORACLE_FLEET_HORIZON);
-        let serving = |engine: &crate::engine_slot::EngineSlot| {
+        let serving = |engine: &EngineSlot| {
             engine.state == SlotState::Serving && engine.place.model == self.models[0]
         };
         let count = self.engines.iter().filter(|engine| serving(engine)).count();
--- a/crates/experiments/src/driver/requests.rs
+++ b/crates/experiments/src/driver/requests.rs
@@ -1,5 +1,6 @@
 //! Requests of a run, from arrival to their end.
 
+use crate::contender::Contender;
 use crate::driver::{Run, SERIES_INTERVAL};
 use crate::measures::{RequestEnd, RequestMeasure};
 use crate::schedule::Occurrence;
@@ -110,7 +111,10 @@
             urgency: arrival.kind.urgency,
             target: Target::Model(model.clone()),
             prompt_tokens: arrival.prompt_tokens,
-            max_output_tokens: arrival.kind.max_output_tokens,
+            max_output_tokens: match self.key.contender {
+                Contender::Oracle => arrival.output_tokens,
+                _ => arrival.kind.max_output_tokens,
+            },
             deadline: arrival.at + arrival.kind.deadline,
             idempotent: arrival.kind.idempotent,
             prefix: arrival.prefix.map(|(prefix, _)| prefix),
@@ -163,7 +167,10 @@
         match phase {
             JobPhase::DecodeOnly => {
                 let tokens = self.arrivals[index].prompt_tokens as u32;
-                let at = self.now + KV_MOVE_PER_TOKEN * tokens;
+                let at = match self.key.contender {
+                    Contender::Oracle => self.now,
+                    _ => self.now + KV_MOVE_PER_TOKEN * tokens,
+                };
                 let occurrence = Occurrence::KvArrival {
                     request: index,
                     engine,
@@ -246,6 +253,17 @@
         }
     }
 
+    pub(super) fn note_move(&mut self, index: usize, engine: usize) {
+        let state = &mut self.requests[index];
+        state.engine = Some(engine);
+        let host = state.host;
+        let upstream = self.hosts[host].upstreams[engine];
+        if let Some(request) = request_id(index) {
+            let event = EntryEvent::Moved { request, upstream };
+            self.inbox.push_back((host, event));
+        }
+    }
+
     pub(super) fn finish_prompt(&mut self, index: usize, engine: usize) {
         let state = &mut self.requests[index];
         state.prompt_is_read = true;
--- a/crates/experiments/src/engine_slot.rs
+++ b/crates/experiments/src/engine_slot.rs
@@ -45,13 +45,14 @@
 impl EngineSlot {
     pub(crate) fn new(
         place: EnginePlace,
+        costs: EngineCosts,
         now: Timestamp,
         report_delay: Duration,
         seed: u64,
         ordered: bool,
     ) -> Self {
         Self {
-            model: EngineModel::new(EngineCosts::default(), place.role),
+            model: EngineModel::new(costs, place.role),
             place,
             state: SlotState::Serving,
             ordered,
--- a/crates/experiments/src/profile.rs
+++ b/crates/experiments/src/profile.rs
@@ -102,7 +102,7 @@
                 ),
                 0.0,
             ),
-            Self::MixSwing | Self::ReportsFrozen => (0.8, swing(time), 0.0),
+            Self::MixSwing | Self::ReportsFrozen => (0.92, swing(time), 0.0),
             Self::WorkspaceFlood => (
                 0.7,
                 0.5,
@@ -121,10 +121,10 @@
     }
 }
 
-/// Swings between 0.3 and 0.7, with ramps of 30 s and level parts of 70 s.
+/// Swings between 0.25 and 0.75, with ramps of 30 s and level parts of 70 s.
 fn swing(time: f64) -> f64 {
-    const LOW: f64 = 0.3;
-    const HIGH: f64 = 0.7;
+    const LOW: f64 = 0.25;
+    const HIGH: f64 = 0.75;
     const RAMP: f64 = 30.0;
     const HALF_PERIOD: f64 = 100.0;
     let phase = time.max(0.0) % (2.0 * HALF_PERIOD);
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -227,6 +227,7 @@
             EntryEvent::Prefilled { request, upstream } => {
                 self.finish_reading(now, request, upstream, actions);
             }
+            EntryEvent::Moved { request, upstream } => self.note_move(now, request, upstream),
             EntryEvent::Ended {
                 request,
                 upstream,
--- a/crates/policy/src/entry/attempts.rs
+++ b/crates/policy/src/entry/attempts.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    pub(super) fn note_move(&mut self, now: Timestamp, request: RequestId, upstream: UpstreamKey) {
+        if let Some(attempt) = self.attempts.remove(&request) {
+            self.release(now, &attempt);
+            self.send(now, attempt, upstream);
+        }
+    }
+
     pub(super) fn finish_reading(
         &mut self,
         now: Timestamp,
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -140,6 +140,13 @@
         /// The engine that read it.
         upstream: UpstreamKey,
     },
+    /// An attempt was moved with its KV cache to another upstream.
+    Moved {
+        /// The request.
+        request: RequestId,
+        /// The upstream that has it now.
+        upstream: UpstreamKey,
+    },
     /// An attempt ended.
     Ended {
         /// The request.
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -92,6 +92,17 @@
     WrongRole,
 }
 
+/// A job on its way from one engine to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobProgress {
+    /// The job.
+    pub job: EngineJob,
+    /// Tokens of its prompt that have yet to be read.
+    pub unread_tokens: u64,
+    /// Tokens of its answer so far.
+    pub generated: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct WaitingJob {
     job: EngineJob,
@@ -235,6 +246,44 @@
         self.role = role;
     }
 
+    /// Takes out all work, with its progress, to be moved to other engines.
+    pub fn take_jobs(&mut self) -> Vec<JobProgress> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let waiting = waiting.into_values().flatten().map(|waiting| JobProgress {
+            job: waiting.job,
+            unread_tokens: waiting.unread_tokens,
+            generated: 0,
+        });
+        let streams = std::mem::take(&mut self.streams);
+        let streams = streams.into_iter().map(|stream| JobProgress {
+            job: stream.job,
+            unread_tokens: 0,
+            generated: stream.generated,
+        });
+        self.kv_tokens = 0;
+        waiting.chain(streams).collect()
+    }
+
+    /// Continues work that was taken from another engine.
+    pub fn put_job(&mut self, now: Timestamp, progress: JobProgress) {
+        let job = progress.job;
+        match progress.generated {
+            0 => {
+                let queue = self.waiting.entry(job.priority).or_default();
+                queue.push_back(WaitingJob {
+                    job,
+                    unread_tokens: progress.unread_tokens,
+                    started: false,
+                });
+            }
+            generated => {
+                self.kv_tokens += reserved_tokens(&job);
+                self.streams.push(ActiveStream { job, generated });
+            }
+        }
+        self.start_step(now);
+    }
+
     /// Returns when the model has to be advanced next, if it isn't idle.
     pub fn next_event(&self) -> Option<Timestamp> {
         match self.change {
