Read prompts on engines that generate when all readers are full

Reading overflows to an engine below 0.35 of its bound. The price is the token gap: p95 43 -> 54-81 ms where it overflows most.

--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -229,6 +229,7 @@
                 let prompt = self.search(now, &waiting.facts, &waiting.avoid, Part::Prompt, 1.0);
                 match prompt {
                     Choice::Nowhere => (Part::Answer, answer),
+                    Choice::Full if load < self.limits.overflow_share => (Part::Answer, answer),
                     prompt => (Part::Prompt, prompt),
                 }
             }
--- a/crates/policy/src/entry/limits.rs
+++ b/crates/policy/src/entry/limits.rs
@@ -31,6 +31,9 @@
     pub absorbable_share: f64,
     /// Share of its bound up to which a nearby engine is taken before others.
     pub nearby_share: f64,
+    /// Share of its bound below which an engine that generates also reads
+    /// prompts, when all that only read are full.
+    pub overflow_share: f64,
     /// Least load, as a share of the bound, that affinity may add to an engine
     /// beyond that of the best alternative.
     pub affinity_slack: f64,
@@ -53,6 +56,7 @@
             peers: 1,
             absorbable_share: 0.25,
             nearby_share: 0.5,
+            overflow_share: 0.35,
             affinity_slack: 0.25,
             prefixes: 65_536,
         }
