--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -7,6 +7,9 @@
 /// Streams that make up a full batch.
 const FULL_BATCH: f64 = 64.0;
 
+/// How much slower an engine that generates reads prompts besides.
+const OVERFLOW_EFFICIENCY: f64 = 0.6;
+
 /// Serving engines of one model by role.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct RoleCounts {
@@ -34,7 +37,9 @@
 
     /// Returns the work a second, in engines, that these roles can't do.
     fn unserved(self, work: PhaseWork, full: f64) -> f64 {
+        let spare_decode = (full * self.decode as f64 - work.decode).max(0.0);
         let short_prefill = (work.prefill - full * self.prefill as f64).max(0.0);
+        let short_prefill = (short_prefill - OVERFLOW_EFFICIENCY * spare_decode).max(0.0);
         let short_decode = (work.decode - full * self.decode as f64).max(0.0);
         (short_prefill + short_decode - full * self.mixed as f64).max(0.0)
     }
