--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -229,7 +229,9 @@
                 let prompt = self.search(now, &waiting.facts, &waiting.avoid, Part::Prompt, 1.0);
                 match prompt {
                     Choice::Nowhere => (Part::Answer, answer),
-                    Choice::Full if load < self.limits.overflow_share => (Part::Answer, answer),
+                    Choice::Full if load < self.limits.overflow_share => {
+                        (Part::Prompt, self.search_overflow(now, waiting))
+                    }
                     prompt => (Part::Prompt, prompt),
                 }
             }
@@ -238,6 +240,31 @@
         }
     }
 
+    /// Looks for an engine that generates to read a prompt, too. Streams there
+    /// slow down meanwhile, so the few first ones are taken, not all in turn.
+    fn search_overflow(&mut self, now: Timestamp, waiting: &WaitingRequest) -> Choice {
+        let Some(pool) = self.pools.get(&waiting.facts.target) else {
+            return Choice::Nowhere;
+        };
+        let mut placement = Placement {
+            now,
+            limits: &self.limits,
+            upstreams: &self.upstreams,
+            pool,
+            prefixes: &self.prefixes,
+            rng: &mut self.rng,
+            own_site: self.own_site,
+            cheap_requests: &self.cheap_requests,
+        };
+        placement.choose(Search {
+            facts: &waiting.facts,
+            avoid: &waiting.avoid,
+            part: Part::Answer,
+            bound: self.limits.overflow_share,
+            concentrates: true,
+        })
+    }
+
     pub(super) fn search(
         &mut self,
         now: Timestamp,
@@ -264,6 +291,7 @@
             avoid,
             part,
             bound,
+            concentrates: false,
         })
     }
 
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -42,6 +42,8 @@
     pub(crate) part: Part,
     /// Load at which an upstream is full.
     pub(crate) bound: f64,
+    /// Whether to take the first that has room, not to spread.
+    pub(crate) concentrates: bool,
 }
 
 /// What a search looks at.
@@ -102,6 +104,10 @@
 
     fn two_choices(&mut self, site: &SitePool, search: Search<'_>) -> Option<(UpstreamKey, f64)> {
         let members = site.members(search.part);
+        if search.concentrates {
+            let first = members.iter().take(SCANNED);
+            return first.filter_map(|key| self.load_of(*key, search)).next();
+        }
         let mut found = [None; SCANNED];
         let mut count = 0;
         match members.len() <= SCANNED {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -69,10 +69,10 @@
     pub fn new(weighting: FleetWeighting) -> Self {
         let goodput = Self {
             rates: EngineRates::default(),
-            full_utilisation: 0.9,
+            full_utilisation: 0.8,
             horizon: Duration::from_secs(45),
             away: Duration::from_secs(8),
-            gain_factor: 1.5,
+            gain_factor: 2.0,
             dwell: Duration::from_secs(20),
             engines_per_absence: 6,
             stale_after: Duration::from_secs(10),
@@ -84,8 +84,6 @@
         match weighting {
             FleetWeighting::Goodput => goodput,
             FleetWeighting::WorstServed => Self {
-                full_utilisation: 0.8,
-                gain_factor: 2.0,
                 order_above: 0.8,
                 release_below: 0.6,
                 ..goodput
