--- a/crates/standins/src/platform.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The platform: object API, usage, ordering, weights, host list.
