--- a/crates/operators/src/proposal.rs
+++ b/crates/operators/src/proposal.rs
@@ -5,6 +5,7 @@
 //! work. Keys are the exception: they are given and withdrawn at any time, so a
 //! proposal never holds any and leaves those in force as they are.
 
+use crate::description::describe;
 use lagoonlift_types::{Chunk, ChunkDigest, ChunkName, Workspace};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +17,9 @@
 /// Hexadecimal digits of a proposal's identifier.
 const ID_DIGITS: usize = 12;
 
+/// Reason of a value that stands in the questionnaire as it is.
+const AS_ANSWERED: &str = "as answered";
+
 /// What the answers of a questionnaire ask for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Draft {
@@ -28,7 +32,17 @@
 }
 
 impl Draft {
-    pub(crate) fn new(name: ChunkName, content: Chunk, reasons: BTreeMap<String, String>) -> Self {
+    /// Values that `reasons` doesn't name were answered as they are.
+    pub(crate) fn new(
+        name: ChunkName,
+        content: Chunk,
+        mut reasons: BTreeMap<String, String>,
+    ) -> Self {
+        for value in describe(&content).into_keys() {
+            reasons
+                .entry(value)
+                .or_insert_with(|| AS_ANSWERED.to_owned());
+        }
         Self {
             name,
             content,
--- a/crates/operators/src/questionnaire/answers.rs
+++ b/crates/operators/src/questionnaire/answers.rs
@@ -116,15 +116,6 @@
                 }
             }
         }
-        let mut names = BTreeSet::new();
-        for section in self.ini.sections().flatten() {
-            if !names.insert(section) {
-                self.problems.push(AnswerProblem {
-                    question: section.to_owned(),
-                    text: "the section is there more than once".to_owned(),
-                });
-            }
-        }
         self.problems
     }
 
--- a/crates/operators/src/questionnaire/data_centre.rs
+++ b/crates/operators/src/questionnaire/data_centre.rs
@@ -145,7 +145,7 @@
     let mut reasons = BTreeMap::new();
     let reason = match order_limit {
         0 => "nothing may be ordered beyond what is listed",
-        _ => "data-centre.order-limit",
+        _ => "most that may be ordered beyond what is listed",
     };
     reasons.insert("order limit".to_owned(), reason.to_owned());
     for (name, upstream) in upstreams {
--- a/crates/operators/src/questionnaire/mod.rs
+++ b/crates/operators/src/questionnaire/mod.rs
@@ -92,7 +92,7 @@
 /// Fails with every wrong, missing or contradictory answer of the file.
 pub fn read_questionnaire(text: &str, known: &KnownUpstreams) -> Result<Draft, QuestionnaireError> {
     let ini = Ini::load_from_str_noescape(text).map_err(|error| QuestionnaireError::Syntax {
-        line: error.line + 1,
+        line: error.line,
         text: error.msg.into_owned(),
     })?;
     let has = |section| ini.section(Some(section)).is_some();
@@ -102,8 +102,26 @@
         (false, true) => data_centre::read(&mut reader),
         (true, true) | (false, false) => return Err(QuestionnaireError::Kind),
     };
+    report_repeated_sections(&mut reader, text);
     match (reader.finish(), draft) {
         (problems, Some(draft)) if problems.is_empty() => Ok(draft),
         (problems, _) => Err(QuestionnaireError::Answers(problems)),
     }
 }
+
+/// The parser merges sections of one name; one of them would go unnoticed.
+fn report_repeated_sections(reader: &mut AnswerReader<'_>, text: &str) {
+    let mut seen = BTreeSet::new();
+    for line in text.lines() {
+        let section = line
+            .trim()
+            .strip_prefix('[')
+            .and_then(|l| l.strip_suffix(']'));
+        match section.map(str::trim) {
+            Some(section) if !seen.insert(section) => {
+                reader.problem(section, "the section is there more than once".to_owned());
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/operators/src/questionnaire/workspace.rs
+++ b/crates/operators/src/questionnaire/workspace.rs
@@ -323,10 +323,13 @@
 ) -> BTreeMap<String, String> {
     let mut reasons = BTreeMap::new();
     let mut add = |name: String, reason: String| reasons.insert(name, reason);
-    add("models".to_owned(), "workspace.models".to_owned());
+    add(
+        "keys".to_owned(),
+        "given and withdrawn apart from proposals".to_owned(),
+    );
     add(
         "weight".to_owned(),
-        "workspace.cost-weight; share of the fleet when it is short".to_owned(),
+        "cost-weight: share of the fleet when it is short".to_owned(),
     );
     add(
         "limit requests a second".to_owned(),
@@ -342,7 +345,6 @@
             traffic.tokens_per_second
         ),
     );
-    add("limit rush".to_owned(), "limits.rush".to_owned());
     for (name, class) in classes {
         let reason = match class.urgency {
             Urgency::Urgent => "a caller is on the line",
@@ -362,8 +364,8 @@
     }
     for (name, route) in routes {
         let reason = match route.access {
-            RouteAccess::Keyed => "route.who-may-call: only with a key",
-            RouteAccess::Open => "route.who-may-call: no key is asked for",
+            RouteAccess::Keyed => "only with one of the workspace's keys",
+            RouteAccess::Open => "no key is asked for",
         };
         add(format!("route {name} access"), reason.to_owned());
         add(
--- /dev/null
+++ b/crates/operators/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the operators' side.
+
+mod proposal;
+mod questionnaire;
--- a/crates/types/src/manifest.rs
+++ b/crates/types/src/manifest.rs
@@ -120,6 +120,21 @@
         format!("config/chunks/{digest}")
     }
 
+    /// Returns the JSON text of a chunk, with the members of each object sorted.
+    ///
+    /// Stores may hand a value back with its members in another order. Whoever
+    /// reads a chunk as a JSON value and writes it down again has the same text,
+    /// and so the same digest.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a value can't be written as JSON.
+    pub fn chunk_text(chunk: &Chunk) -> Result<Vec<u8>, serde_json::Error> {
+        let mut value = serde_json::to_value(chunk)?;
+        value.sort_all_objects();
+        serde_json::to_vec(&value)
+    }
+
     /// Cuts a configuration into chunks: the manifest and each chunk's text.
     ///
     /// # Errors
@@ -142,7 +157,7 @@
         };
         let mut texts = BTreeMap::new();
         for (name, chunk) in workspaces.chain(data_centres) {
-            let text = serde_json::to_vec(&chunk)?;
+            let text = Self::chunk_text(&chunk)?;
             let digest = ChunkDigest::of(&text);
             manifest.chunks.insert(name, digest);
             texts.insert(digest, text);
