--- /dev/null
+++ b/crates/upstreams/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the clients of upstreams.
+
+mod decoder;
