--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -6,6 +6,7 @@
 //! execution log says what really ran.
 
 mod cache;
+mod cancellation;
 mod execution;
 mod faults;
 mod orders;
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -1,5 +1,7 @@
 //! The engine's HTTP server: completions, load, orders, cache events, KV cache.
 
+use super::cache::{CacheEvents, EventsQuery};
+use super::cancellation::CancelRegistry;
 use super::execution::ExecutionLog;
 use super::faults::EngineFaults;
 use super::orders::{Order, OrderBook, OrderRefusal};
@@ -63,7 +65,8 @@
     pub(crate) orders: OrderBook,
     pub(crate) active: Arc<AtomicU32>,
     pub(crate) backlog_tokens: Arc<AtomicU64>,
-    pub(crate) cache: super::cache::CacheEvents,
+    pub(crate) cache: CacheEvents,
+    pub(crate) cancels: CancelRegistry,
     pub(crate) config: EngineConfig,
 }
 
@@ -88,7 +91,8 @@
             orders,
             active: Arc::default(),
             backlog_tokens: Arc::default(),
-            cache: super::cache::CacheEvents::default(),
+            cache: CacheEvents::default(),
+            cancels: CancelRegistry::default(),
             config,
         };
         let server = StandinServer::start(listen, routes(shared.clone()))?;
@@ -170,11 +174,17 @@
     let events = warp::path!("cache-events")
         .and(warp::get())
         .and(state.clone())
-        .and(warp::query::<super::cache::EventsQuery>())
+        .and(warp::query::<EventsQuery>())
         .map(|shared: EngineShared, query| reply::json(&shared.cache.after(query)));
     let cancel = warp::path!("v1" / "requests" / String)
         .and(warp::delete())
-        .map(|_| StatusCode::ACCEPTED);
+        .and(state.clone())
+        .map(
+            |request: String, shared: EngineShared| match shared.cancels.cancel(&request) {
+                true => StatusCode::ACCEPTED,
+                false => StatusCode::NOT_FOUND,
+            },
+        );
     let export = warp::path!("kv" / "export")
         .and(warp::post())
         .and(warp::body::json())
--- a/crates/standins/src/engine/stream.rs
+++ b/crates/standins/src/engine/stream.rs
@@ -1,5 +1,6 @@
 //! One run of a completion: the tokens, their pace, and the fault that hits it.
 
+use super::cancellation::CancelSignal;
 use super::execution::{Execution, ExecutionEnd, ExecutionIndex};
 use super::faults::EngineFault;
 use super::server::EngineShared;
@@ -78,6 +79,7 @@
         let active = self.shared.active.fetch_add(1, Ordering::Relaxed);
         let full = active >= self.shared.config.max_streams;
         let index = self.shared.log.begin(self.execution());
+        let cancel = self.shared.cancels.register(&self.request);
         let slot = StreamSlot {
             shared: self.shared.clone(),
             index,
@@ -93,8 +95,8 @@
                 slot.finish(ExecutionEnd::Crashed);
                 StatusCode::INTERNAL_SERVER_ERROR.into_response()
             }
-            _ if self.stream => self.respond_streaming(slot),
-            _ => self.respond_whole(slot).await,
+            _ if self.stream => self.respond_streaming(slot, cancel),
+            _ => self.respond_whole(slot, cancel).await,
         }
     }
 
@@ -110,13 +112,14 @@
         }
     }
 
-    fn respond_streaming(self, slot: StreamSlot) -> Response {
+    fn respond_streaming(self, slot: StreamSlot, mut cancel: CancelSignal) -> Response {
         let (sender, receiver) = mpsc::channel(EVENT_BUFFER);
         tokio::spawn(async move {
             tokio::select! {
                 // Checked first, so that a caller that left counts as cancelled.
                 biased;
                 () = sender.closed() => slot.finish(ExecutionEnd::Cancelled),
+                () = cancel.cancelled() => slot.finish(ExecutionEnd::Cancelled),
                 () = self.send_events(&sender, &slot) => {}
             }
         });
@@ -169,7 +172,18 @@
         true
     }
 
-    async fn respond_whole(self, slot: StreamSlot) -> Response {
+    async fn respond_whole(self, slot: StreamSlot, mut cancel: CancelSignal) -> Response {
+        tokio::select! {
+            biased;
+            () = cancel.cancelled() => {
+                slot.finish(ExecutionEnd::Cancelled);
+                break_connection()
+            }
+            response = self.whole_response(&slot) => response,
+        }
+    }
+
+    async fn whole_response(&self, slot: &StreamSlot) -> Response {
         self.prefill().await;
         let mut text = String::new();
         for index in self.first_token..self.last_token {
@@ -183,7 +197,7 @@
                 }
                 _ => {}
             }
-            self.generate(&slot).await;
+            self.generate(slot).await;
             text.push_str(&self.token(index));
         }
         match self.fault {
--- a/crates/standins/tests/all/engine.rs
+++ b/crates/standins/tests/all/engine.rs
@@ -90,3 +90,24 @@
     engine.restart().expect("the port is still free");
     post(&engine, &request(false, 0)).await.expect("an answer");
 }
+
+#[tokio::test]
+async fn a_cancelled_request_stops_and_frees_its_slot() {
+    let engine = start_engine();
+    engine.faults().push(EngineFault::SilentAfterTokens(1));
+    let client = reqwest::Client::new();
+    let url = format!("http://{}", engine.addr());
+    let stream = client
+        .post(format!("{url}/v1/chat/completions"))
+        .header("x-request-id", "r1")
+        .json(&request(true, 0))
+        .send()
+        .await
+        .expect("headers");
+    let cancel = client.delete(format!("{url}/v1/requests/r1")).send().await;
+    assert_eq!(cancel.expect("an answer").status(), 202);
+    stream.text().await.expect("an ended stream");
+    assert_eq!(engine.log().snapshot()[0].end, ExecutionEnd::Cancelled);
+    let again = client.delete(format!("{url}/v1/requests/r1")).send().await;
+    assert_eq!(again.expect("an answer").status(), 404);
+}
