Add the protocol between hosts: heartbeats, configuration, fleets, copies

Processes have no disks and may be cut off from the platform, so they learn of each other, of the configuration in force and of upstreams from their neighbours, and keep each other's usage records.

Weighed: listing everything in each heartbeat (grows with the fleet), a stream between every pair (760 x 760 streams). Chosen: heartbeats with a bounded fan-out that carry revisions, and a fetch over TCP of what is lacking, as a delta where the revisions are near.

--- /dev/null
+++ b/crates/hosts/src/node.rs
@@ -0,0 +1,363 @@
+//! One process's part in the protocol.
+
+use crate::PeerConfig;
+use crate::context::PeerContext;
+use crate::copier::{CopyError, PendingCopy, UsageCopier};
+use crate::copies::{CopyLedger, HeldCopies, UsagePosition};
+use crate::counters::{PeerCounter, PeerCounters};
+use crate::datagram::{DatagramCodec, DatagramError};
+use crate::fleet_news::FleetNews;
+use crate::fleets::FleetBoard;
+use crate::heartbeat::{End, HeartbeatActor, Incoming, Leave, Round, Spread};
+use crate::membership::{Member, Membership, MembershipConfig};
+use crate::puller::{Attach, PullActor};
+use crate::server::PeerServer;
+use crate::store::ConfigurationStore;
+use crate::wire::{Fact, FactState};
+use lagoonlift_types::{DataCentreName, FleetView, Incarnation, ProcessId, UsageRecord};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, MissedTickBehavior};
+use xtra::{Address, Mailbox};
+
+/// Attempts to find a port number that is free for both UDP and TCP.
+const BIND_ATTEMPTS: u32 = 32;
+/// Longest datagram that is read; a longer one is cut and then refused.
+const RECEIVE_BYTES: usize = 2_048;
+
+/// Why a node can't start.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The address can't be listened on.
+    #[error("can't listen on {address}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// Others can't be told to send to an address that stands for all.
+    #[error("{0} isn't the address of one interface")]
+    Unspecified(SocketAddr),
+}
+
+/// One process's part in the protocol between the system's own processes.
+///
+/// Clones share the node; it ends with the last of them.
+#[derive(Clone)]
+pub struct PeerNode {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    context: Arc<PeerContext>,
+    address: SocketAddr,
+    heartbeat: Address<HeartbeatActor>,
+    members: watch::Receiver<Arc<Vec<Member>>>,
+    copier: Arc<UsageCopier>,
+    copies: Arc<Mutex<CopyLedger>>,
+    tasks: Vec<AbortHandle>,
+}
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl PeerNode {
+    /// Starts a node that listens and sends heartbeats until it is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't listen on its address.
+    pub async fn start(config: PeerConfig) -> Result<Self, PeerError> {
+        let (listener, socket) = bind(config.listen).await?;
+        let address = listener.local_addr().map_err(|source| PeerError::Bind {
+            address: config.listen,
+            source,
+        })?;
+        let context = Arc::new(PeerContext {
+            process: config.process.clone(),
+            incarnation: config.incarnation,
+            data_centre: config.data_centre.clone(),
+            keys: config.keys(),
+            store: Arc::new(ConfigurationStore::new()),
+            fleets: FleetBoard::new(),
+            counters: Arc::new(PeerCounters::default()),
+        });
+        Ok(Self::assemble(config, context, address, listener, socket))
+    }
+
+    fn assemble(
+        config: PeerConfig,
+        context: Arc<PeerContext>,
+        address: SocketAddr,
+        listener: TcpListener,
+        socket: UdpSocket,
+    ) -> Self {
+        let socket = Arc::new(socket);
+        let (members_sender, members) = watch::channel(Arc::default());
+        let puller = xtra::spawn_tokio(PullActor::new(Arc::clone(&context)), Mailbox::unbounded());
+        let actor = heartbeat_actor(
+            &config,
+            &context,
+            address,
+            &socket,
+            puller.clone(),
+            members_sender,
+        );
+        let heartbeat = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        let copier = Arc::new(UsageCopier::new(Arc::clone(&context)));
+        let copies = Arc::new(Mutex::new(CopyLedger::new()));
+        let server = PeerServer {
+            context: Arc::clone(&context),
+            heartbeat: heartbeat.downgrade(),
+            copies: Arc::clone(&copies),
+        };
+        let attach = puller.send(Attach(heartbeat.downgrade()));
+        let tasks = vec![
+            abort_handle(async move {
+                // The puller lives as long as the heartbeat actor.
+                let _ = attach.await;
+            }),
+            abort_handle(server.run(listener)),
+            abort_handle(receive(socket, Arc::clone(&context), heartbeat.clone())),
+            abort_handle(run_rounds(config.heartbeat, heartbeat.clone())),
+            abort_handle(spread_news(Arc::clone(&context), heartbeat.clone())),
+            abort_handle(Arc::clone(&copier).run(members.clone())),
+        ];
+        let shared = Shared {
+            context,
+            address,
+            heartbeat,
+            members,
+            copier,
+            copies,
+            tasks,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Returns the address for UDP and TCP.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// Returns the configuration in force.
+    pub fn store(&self) -> Arc<ConfigurationStore> {
+        Arc::clone(&self.shared.context.store)
+    }
+
+    /// Returns a receiver of the members, without this process.
+    pub fn members(&self) -> watch::Receiver<Arc<Vec<Member>>> {
+        self.shared.members.clone()
+    }
+
+    /// Returns the counts of what was sent, received and refused.
+    pub fn counters(&self) -> Arc<PeerCounters> {
+        Arc::clone(&self.shared.context.counters)
+    }
+
+    /// Publishes a fleet view to all processes.
+    pub fn publish_fleet(&self, view: FleetView) {
+        self.shared.context.fleets.offer(view);
+    }
+
+    /// Returns a receiver of the latest fleet view of each data centre.
+    pub fn fleets(&self) -> watch::Receiver<Arc<BTreeMap<DataCentreName, FleetView>>> {
+        self.shared.context.fleets.subscribe()
+    }
+
+    /// Copies a usage record of this process to another host of its data
+    /// centre, and returns when that holds it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no other host confirmed a copy in time; the record is kept
+    /// and copied as soon as one is there.
+    pub async fn copy_usage(&self, record: UsageRecord) -> Result<(), CopyError> {
+        self.enqueue_usage(record).wait().await
+    }
+
+    /// Queues a usage record of this process for copying. Records must be
+    /// queued in the order of their sequence, without gaps.
+    pub fn enqueue_usage(&self, record: UsageRecord) -> PendingCopy {
+        self.shared.copier.enqueue(record)
+    }
+
+    /// Notes up to where the usage windows of this process are closed.
+    pub fn advance_usage(&self, position: UsagePosition) {
+        self.shared.copier.advance(position);
+    }
+
+    /// Returns the usage records that this process keeps for neighbours.
+    pub fn held_copies(&self) -> Vec<HeldCopies> {
+        self.lock_copies().held()
+    }
+
+    /// Notes up to where the windows of a neighbour's incarnation are closed.
+    pub fn advance_copies(
+        &self,
+        process: &ProcessId,
+        incarnation: Incarnation,
+        position: UsagePosition,
+    ) {
+        self.lock_copies().advance(process, incarnation, position);
+    }
+
+    /// Forgets a neighbour's incarnation all of whose records are covered.
+    pub fn forget_copies(&self, process: &ProcessId, incarnation: Incarnation) {
+        self.lock_copies().forget(process, incarnation);
+    }
+
+    /// Announces that the process will end soon and takes no new work.
+    pub async fn leave(&self) {
+        // The actor lives as long as this node holds its address.
+        let _ = self.shared.heartbeat.send(Leave).await;
+    }
+
+    /// Announces that the process ends now.
+    pub async fn end(&self) {
+        // The actor lives as long as this node holds its address.
+        let _ = self.shared.heartbeat.send(End).await;
+    }
+
+    fn lock_copies(&self) -> MutexGuard<'_, CopyLedger> {
+        // Nothing that may panic runs between two writes to the ledger.
+        let copies = self.shared.copies.lock();
+        copies.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn heartbeat_actor(
+    config: &PeerConfig,
+    context: &Arc<PeerContext>,
+    address: SocketAddr,
+    socket: &Arc<UdpSocket>,
+    puller: Address<PullActor>,
+    members: watch::Sender<Arc<Vec<Member>>>,
+) -> HeartbeatActor {
+    let own = Fact {
+        process: config.process.clone(),
+        data_centre: config.data_centre.clone(),
+        address,
+        incarnation: config.incarnation,
+        refutation: 0,
+        state: FactState::Alive,
+    };
+    let membership_config = MembershipConfig {
+        own,
+        heartbeat: config.heartbeat,
+        seeds: config.seeds.clone(),
+        random_seed: rand::random(),
+    };
+    HeartbeatActor {
+        context: Arc::clone(context),
+        membership: Membership::new(membership_config, Duration::ZERO),
+        socket: Arc::clone(socket),
+        codec: DatagramCodec::new(config.keys()),
+        puller,
+        members,
+        fleet_news: FleetNews::default(),
+        started: Instant::now(),
+        sequence: 0,
+        buffer: Vec::new(),
+        superseded: false,
+    }
+}
+
+fn abort_handle(task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
+    tokio::spawn(task).abort_handle()
+}
+
+/// Listens on the same port number for TCP and UDP.
+async fn bind(address: SocketAddr) -> Result<(TcpListener, UdpSocket), PeerError> {
+    if address.ip().is_unspecified() {
+        return Err(PeerError::Unspecified(address));
+    }
+    let mut attempt = 0;
+    loop {
+        attempt += 1;
+        match try_bind(address).await {
+            Ok(bound) => return Ok(bound),
+            Err(_) if address.port() == 0 && attempt < BIND_ATTEMPTS => {}
+            Err(source) => return Err(PeerError::Bind { address, source }),
+        }
+    }
+}
+
+async fn try_bind(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let listener = TcpListener::bind(address).await?;
+    let socket = UdpSocket::bind(listener.local_addr()?).await?;
+    Ok((listener, socket))
+}
+
+/// Checks datagrams and passes on those that an accepted key signed.
+async fn receive(
+    socket: Arc<UdpSocket>,
+    context: Arc<PeerContext>,
+    heartbeat: Address<HeartbeatActor>,
+) {
+    let codec = DatagramCodec::new(context.keys.clone());
+    let counters = &context.counters;
+    let mut buffer = [0; RECEIVE_BYTES];
+    loop {
+        // An error stands for an earlier datagram that nobody listened to.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        counters.increment(PeerCounter::DatagramsReceived);
+        counters.add(PeerCounter::DatagramBytesReceived, length as u64);
+        match codec.decode(&buffer[..length]) {
+            Ok(datagram) => {
+                if heartbeat.send(Incoming { from, datagram }).await.is_err() {
+                    return;
+                }
+            }
+            Err(DatagramError::Unauthenticated) => {
+                counters.increment(PeerCounter::DatagramsUnauthenticated);
+            }
+            Err(DatagramError::Malformed | DatagramError::TooLong) => {
+                counters.increment(PeerCounter::DatagramsMalformed);
+            }
+        }
+    }
+}
+
+async fn run_rounds(heartbeat: Duration, actor: Address<HeartbeatActor>) {
+    let mut interval = tokio::time::interval(heartbeat);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if actor.send(Round).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells some members at once of each configuration and fleet view that is new.
+async fn spread_news(context: Arc<PeerContext>, heartbeat: Address<HeartbeatActor>) {
+    let mut configurations = context.store.subscribe();
+    let mut fleets = context.fleets.subscribe();
+    loop {
+        tokio::select! {
+            _ = configurations.changed() => {}
+            _ = fleets.changed() => {}
+        }
+        if heartbeat.send(Spread).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hosts/src/stream.rs
@@ -0,0 +1,156 @@
+//! Authenticated streams of postcard frames.
+//!
+//! Each end contributes a nonce to the session key, so a recorded stream can't
+//! be played to either end again. Every frame carries a tag over its direction
+//! and position: none can be dropped, repeated, reordered or reflected. The
+//! content is authenticated, not hidden.
+
+use crate::counters::{PeerCounter, PeerCounters};
+use crate::keys::{Direction, PeerKeys, SessionKey, TAG_BYTES};
+use bytes::{BufMut, Bytes, BytesMut};
+use futures::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Largest frame in bytes: a chunk of a megabyte and its wrapping.
+const MAX_FRAME_BYTES: usize = 1_280 * 1024;
+const NONCE_BYTES: usize = 32;
+
+type Nonce = [u8; NONCE_BYTES];
+
+/// Why a stream ended.
+#[derive(Debug, Error)]
+pub(crate) enum StreamError {
+    /// The connection failed.
+    #[error("the connection failed")]
+    Io(#[from] io::Error),
+    /// The other end closed the connection.
+    #[error("the other end closed the connection")]
+    Closed,
+    /// The other end doesn't know an accepted key.
+    #[error("no accepted key signed the frame")]
+    Unauthenticated,
+    /// A signed frame doesn't parse.
+    #[error("the frame is malformed")]
+    Malformed(#[from] postcard::Error),
+    /// The other end answered something else than was asked.
+    #[error("the answer doesn't fit the question")]
+    Unexpected,
+}
+
+/// One end of an authenticated stream.
+pub(crate) struct PeerStream {
+    frames: Framed<TcpStream, LengthDelimitedCodec>,
+    key: SessionKey,
+    sends: Direction,
+    sent: u64,
+    received: u64,
+    counters: Arc<PeerCounters>,
+}
+
+impl PeerStream {
+    /// Opens a stream to another process.
+    pub(crate) async fn connect(
+        address: SocketAddr,
+        keys: &PeerKeys,
+        counters: Arc<PeerCounters>,
+    ) -> Result<Self, StreamError> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let mut nonces = [0; 2 * NONCE_BYTES];
+        stream.read_exact(&mut nonces[..NONCE_BYTES]).await?;
+        let nonce: Nonce = rand::random();
+        nonces[NONCE_BYTES..].copy_from_slice(&nonce);
+        let key = keys.session_key(&nonces);
+        let hello = [&nonce[..], &key.frame_tag(Direction::Opener, 0, &nonce)].concat();
+        stream.write_all(&hello).await?;
+        Ok(Self::new(stream, key, Direction::Opener, counters))
+    }
+
+    /// Accepts a stream that another process opened.
+    pub(crate) async fn accept(
+        mut stream: TcpStream,
+        keys: &PeerKeys,
+        counters: Arc<PeerCounters>,
+    ) -> Result<Self, StreamError> {
+        stream.set_nodelay(true)?;
+        let nonce: Nonce = rand::random();
+        stream.write_all(&nonce).await?;
+        let mut hello = [0; NONCE_BYTES + TAG_BYTES];
+        stream.read_exact(&mut hello).await?;
+        let (opener_nonce, tag) = hello.split_at(NONCE_BYTES);
+        let nonces = [&nonce, opener_nonce].concat();
+        let key = keys
+            .session_keys(&nonces)
+            .find(|key| key.accepts(Direction::Opener, 0, opener_nonce, tag))
+            .ok_or(StreamError::Unauthenticated)?;
+        Ok(Self::new(stream, key, Direction::Acceptor, counters))
+    }
+
+    fn new(
+        stream: TcpStream,
+        key: SessionKey,
+        sends: Direction,
+        counters: Arc<PeerCounters>,
+    ) -> Self {
+        let codec = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self {
+            frames: Framed::new(stream, codec),
+            key,
+            sends,
+            // Position 0 of either direction stands for the greeting.
+            sent: 1,
+            received: 1,
+            counters,
+        }
+    }
+
+    /// Sends one message.
+    pub(crate) async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), StreamError> {
+        let body = postcard::to_allocvec(message)?;
+        let tag = self.key.frame_tag(self.sends, self.sent, &body);
+        self.sent += 1;
+        let mut frame = BytesMut::with_capacity(TAG_BYTES + body.len());
+        frame.put_slice(&tag);
+        frame.put_slice(&body);
+        self.counters
+            .add(PeerCounter::StreamBytesSent, frame.len() as u64);
+        self.frames.send(frame.freeze()).await?;
+        Ok(())
+    }
+
+    /// Receives one message.
+    pub(crate) async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, StreamError> {
+        let frame = self.frames.next().await.ok_or(StreamError::Closed)??;
+        self.counters
+            .add(PeerCounter::StreamBytesReceived, frame.len() as u64);
+        let body = self.open(frame.freeze())?;
+        Ok(postcard::from_bytes(&body)?)
+    }
+
+    /// Checks a frame's tag and returns its body.
+    fn open(&mut self, mut frame: Bytes) -> Result<Bytes, StreamError> {
+        if frame.len() < TAG_BYTES {
+            return Err(StreamError::Unauthenticated);
+        }
+        let body = frame.split_off(TAG_BYTES);
+        let receives = match self.sends {
+            Direction::Opener => Direction::Acceptor,
+            Direction::Acceptor => Direction::Opener,
+        };
+        if !self.key.accepts(receives, self.received, &body, &frame) {
+            return Err(StreamError::Unauthenticated);
+        }
+        self.received += 1;
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/crates/hosts/src/wire.rs
@@ -0,0 +1,190 @@
+//! What processes say to each other, in datagrams and on streams.
+
+use crate::copies::UsagePosition;
+use crate::history::ManifestDelta;
+use lagoonlift_types::{
+    ChunkDigest, DataCentreName, Epoch, FleetView, Incarnation, Manifest, ProcessId, Revision,
+    Sequence, UsageRecord,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Identifies one incarnation of one process in eight bytes.
+///
+/// Each datagram names the incarnation that it is meant for, so that one which
+/// was recorded earlier, or for another process, is refused by its receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Identity(pub [u8; 8]);
+
+impl Identity {
+    /// Used by a sender that doesn't know the receiver yet.
+    pub const UNKNOWN: Self = Self([0; 8]);
+
+    /// Computes the identity of an incarnation.
+    pub fn of(process: &ProcessId, incarnation: Incarnation) -> Self {
+        let text = format!("{process} {incarnation}");
+        let hash = blake3::hash(text.as_bytes());
+        let mut identity = [0; 8];
+        identity.copy_from_slice(&hash.as_bytes()[..8]);
+        Self(identity)
+    }
+}
+
+/// What one process holds to be true of another, or says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fact {
+    /// The process.
+    pub process: ProcessId,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Where it listens, UDP and TCP.
+    pub address: SocketAddr,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// How often it has refuted a suspicion or changed its state since its
+    /// start; the process alone raises it.
+    pub refutation: u32,
+    /// What is said of it.
+    pub state: FactState,
+}
+
+/// What is said of a process. Of two facts with equal incarnation and
+/// refutation, the one with the later state wins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum FactState {
+    /// It takes part.
+    Alive,
+    /// It takes part, but will end soon.
+    Leaving,
+    /// It didn't answer.
+    Suspect,
+    /// It said that it ended.
+    Left,
+}
+
+impl Fact {
+    /// Returns whether this fact replaces `other` about the same process.
+    pub fn replaces(&self, other: &Self) -> bool {
+        let rank = |fact: &Self| (fact.incarnation, fact.refutation, fact.state);
+        rank(self) > rank(other)
+    }
+
+    /// Returns the identity of the incarnation that the fact is about.
+    pub fn identity(&self) -> Identity {
+        Identity::of(&self.process, self.incarnation)
+    }
+}
+
+/// The latest version of one data centre's fleet view that a sender holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetVersion {
+    /// The data centre.
+    pub data_centre: DataCentreName,
+    /// Epoch of the steward that published it.
+    pub epoch: Epoch,
+    /// Its version within the epoch.
+    pub version: u64,
+}
+
+/// One heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// What the sender says of itself.
+    pub sender: Fact,
+    /// The incarnation that the datagram is meant for.
+    pub to: Identity,
+    /// Rises with each datagram of the sender's incarnation.
+    pub sequence: u64,
+    /// What is asked or answered.
+    pub kind: Kind,
+    /// Revision of the configuration that the sender holds.
+    pub revision: Revision,
+    /// Some of the fleet views that the sender holds.
+    pub fleets: Vec<FleetVersion>,
+    /// Facts about other processes that changed lately.
+    pub facts: Vec<Fact>,
+}
+
+/// What a heartbeat asks or answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Asks for an [`Kind::Ack`] with the same number.
+    Ping {
+        /// Chosen by the sender.
+        probe: u64,
+    },
+    /// Answers a [`Kind::Ping`].
+    Ack {
+        /// From the ping.
+        probe: u64,
+    },
+    /// Asks the receiver to ping a third process and pass its answer on.
+    Relay {
+        /// Chosen by the sender.
+        probe: u64,
+        /// The process to ping.
+        target: Identity,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// Only carries news.
+    Notice,
+}
+
+/// What the opener of a stream asks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Request {
+    /// Everything known about members.
+    Members,
+    /// What changed in the manifest since the given revision.
+    Manifest {
+        /// The revision that the opener holds.
+        since: Revision,
+        /// Whether only the whole manifest will do.
+        whole: bool,
+    },
+    /// The texts of these chunks.
+    Chunks(Vec<ChunkDigest>),
+    /// Fleet views that replace the opener's.
+    Fleets(Vec<FleetVersion>),
+    /// Keep copies of usage records.
+    CopyUsage(CopyBatch),
+}
+
+/// What the acceptor of a stream answers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Response {
+    /// Answers [`Request::Members`].
+    Members(Vec<Fact>),
+    /// Answers [`Request::Manifest`].
+    ManifestDelta(ManifestDelta),
+    /// Answers [`Request::Manifest`] when the changes aren't known.
+    Manifest(Manifest),
+    /// Answers [`Request::Chunks`] with those that fit one frame, in order.
+    Chunks(Vec<Arc<[u8]>>),
+    /// Answers [`Request::Fleets`] with one view; `more` tells of others.
+    Fleet {
+        /// A view that replaces the opener's, if there is one.
+        view: Option<Arc<FleetView>>,
+        /// Whether the opener should ask again.
+        more: bool,
+    },
+    /// Answers [`Request::CopyUsage`]: every record of the batch is held.
+    Copied,
+}
+
+/// Usage records for a neighbour to keep.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CopyBatch {
+    /// The process whose records these are.
+    pub(crate) process: ProcessId,
+    /// Its incarnation.
+    pub(crate) incarnation: Incarnation,
+    /// Up to where its windows are closed.
+    pub(crate) position: UsagePosition,
+    /// The position of the first record.
+    pub(crate) first: Sequence,
+    /// The records, without gaps.
+    pub(crate) records: Vec<UsageRecord>,
+}
--- /dev/null
+++ b/crates/hosts/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the protocol between the system's own processes.
+
+mod nodes;
+mod support;
--- a/crates/types/src/usage.rs
+++ b/crates/types/src/usage.rs
@@ -45,7 +45,9 @@
 
 /// Number of a usage window: seconds since the Unix epoch divided by the
 /// window's length. Windows only group records; no promise rests on the clock.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct WindowId(pub u64);
 
