Break lost answers of the platform stand-in inside their body

The first version closed the connection before the status, so that a client that never reads the body of an answer to its end still passed the tests. With the break inside the body, such a client fails failures::a_broken_answer_to_a_report_counts_as_lost (seen).

--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -4,7 +4,7 @@
 use super::store::WriteCondition;
 use super::{PlatformState, Shared};
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use serde_json::{Value, json};
 use std::convert::Infallible;
 use std::io;
@@ -139,12 +139,14 @@
     })
 }
 
-/// Ends the connection before the answer is complete.
+/// Ends the connection in the middle of the answer's body, after its status.
 fn broken_response() -> Response {
-    let broken = stream::iter([Err::<Bytes, _>(io::Error::from(
-        io::ErrorKind::ConnectionAborted,
-    ))]);
-    reply::stream(broken).into_response()
+    let beginning = stream::iter([Ok(Bytes::from_static(b"{"))]);
+    let end = stream::once(async {
+        tokio::task::yield_now().await;
+        Err(io::Error::from(io::ErrorKind::ConnectionAborted))
+    });
+    reply::stream(beginning.chain(end)).into_response()
 }
 
 async fn answer_with_faults(shared: Arc<Shared>, call: Call) -> Option<Answer> {
