Keep a bounded log of decisions and serve it to operators

Cause: nobody could say afterwards why a request went where it went. Daemons serve it, and the revision in force, with operator_routes(log, status) next to the admin pages.

--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -6,13 +6,25 @@
 //! questionnaire becomes a [`Proposal`], the proposal is stored, and accepting
 //! it replaces the manifest on the condition that nobody else has changed the
 //! same part since.
+//!
+//! The daemons keep a [`DecisionLog`] and serve it with [`operator_routes`].
 
+mod admin;
+mod decision;
+mod decision_log;
 mod description;
 mod proposal;
 mod questionnaire;
+mod routes;
 
+pub use admin::{AdminAddress, AdminClient, ExplainReport, StatusReport};
+pub use decision::{
+    Decision, DecisionAuthority, DecisionStep, DecisionSubject, Evidence, HoldReason,
+};
+pub use decision_log::{DecisionLog, ExplainQuery, RecordedDecision};
 pub use description::{ChunkDifference, ValueChange, key_id};
 pub use proposal::{Draft, ParseProposalError, Proposal, ProposalFit, ProposalId};
 pub use questionnaire::{
     AnswerProblem, KnownUpstreams, QuestionnaireError, QuestionnaireKind, read_questionnaire,
 };
+pub use routes::{ProcessStatus, operator_routes};
--- a/crates/operators/tests/all/main.rs
+++ b/crates/operators/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the operators' side.
 
+mod decision_log;
 mod proposal;
 mod questionnaire;
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -53,7 +53,8 @@
 }
 
 /// The outcome without its details, as a metrics label and header value.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum OutcomeKind {
     /// See [`Outcome::Answered`].
     Answered,
