--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod model;
 pub mod platform;
+pub mod sample;
 mod server;
 pub mod service;
