Start a steward that brings the configuration from the platform

Only three stewards of a data centre watch the manifest; the others learn of changes from their neighbours, so the platform's calls don't grow with the fleet. Ruled out: a watch for each host, which costs one call for each host and each change.

--- /dev/null
+++ b/crates/steward/src/candidate.rs
@@ -0,0 +1,67 @@
+//! Which stewards of a data centre follow the platform closely.
+//!
+//! If each steward watched the lease and the configuration, the platform's
+//! calls would grow with the fleet. A few candidates are enough to replace a
+//! holder soon. Who is one follows from the members that a process knows, which
+//! is only a hint: two processes may disagree, and then a few more calls are
+//! made or a takeover comes a little later. Authority rests with the lease.
+
+use lagoonlift_hosts::{Member, MemberState};
+use lagoonlift_types::{DataCentreName, ProcessId, ProcessRole};
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// Stewards of a data centre that follow the platform closely.
+const CANDIDATES: usize = 3;
+
+/// Whether this process is a candidate.
+#[derive(Clone, Debug)]
+pub(crate) struct CandidateFlag(watch::Receiver<bool>);
+
+impl CandidateFlag {
+    pub(crate) fn new(receiver: watch::Receiver<bool>) -> Self {
+        Self(receiver)
+    }
+
+    pub(crate) fn get(&self) -> bool {
+        *self.0.borrow()
+    }
+
+    /// Waits until this process is a candidate; for ever once it ends.
+    pub(crate) async fn raised(&mut self) {
+        if self.0.wait_for(|raised| *raised).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Decides whether `own` is a candidate among the members that it knows.
+pub(crate) fn is_candidate(
+    own: &ProcessId,
+    data_centre: &DataCentreName,
+    members: &[Member],
+) -> bool {
+    let earlier = members.iter().filter(|member| {
+        member.process.role == ProcessRole::Steward
+            && member.data_centre == *data_centre
+            && member.state == MemberState::Alive
+            && member.process.host < own.host
+    });
+    earlier.count() < CANDIDATES
+}
+
+/// Keeps the flag up to date until the node ends.
+pub(crate) async fn run_candidacy(
+    own: ProcessId,
+    data_centre: DataCentreName,
+    mut members: watch::Receiver<Arc<Vec<Member>>>,
+    flag: watch::Sender<bool>,
+) {
+    loop {
+        let raised = is_candidate(&own, &data_centre, &members.borrow_and_update());
+        flag.send_if_modified(|flag| std::mem::replace(flag, raised) != raised);
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/steward/src/configuration.rs
@@ -0,0 +1,110 @@
+//! Brings the configuration from the platform to the hosts.
+//!
+//! Hosts pass a configuration on among themselves, so only a few processes of
+//! a data centre have to read it from the platform: its calls don't grow with
+//! the fleet. The store of the node never goes back, so whatever an older or
+//! restarted platform shows, this reader may simply offer it.
+
+use crate::candidate::CandidateFlag;
+use lagoonlift_hosts::{ConfigurationStore, Offer};
+use lagoonlift_platform::{PlatformClient, PlatformError, Version};
+use lagoonlift_types::{ChunkDigest, Manifest};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Longest time that one watch waits at the platform.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Time after a failed call until the next.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Follows `config/manifest` while this process is a candidate.
+#[derive(Debug)]
+pub(crate) struct ConfigurationReader {
+    client: PlatformClient,
+    store: Arc<ConfigurationStore>,
+    candidate: CandidateFlag,
+}
+
+impl ConfigurationReader {
+    pub(crate) fn new(
+        client: PlatformClient,
+        store: Arc<ConfigurationStore>,
+        candidate: CandidateFlag,
+    ) -> Self {
+        Self {
+            client,
+            store,
+            candidate,
+        }
+    }
+
+    /// Runs until dropped.
+    pub(crate) async fn run(mut self) {
+        loop {
+            self.candidate.raised().await;
+            if let Err(error) = self.follow().await {
+                tracing::debug!(%error, "the configuration can't be read");
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Reads the configuration and each change until this process is no
+    /// candidate any more or a call fails.
+    async fn follow(&self) -> Result<(), PlatformError> {
+        let list = self.client.list(Manifest::KEY).await?;
+        let mut after = list.version;
+        for object in list.objects {
+            self.offer(object.parse()?).await?;
+        }
+        while self.candidate.get() {
+            after = self.wait_for_change(after).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_for_change(&self, after: Version) -> Result<Version, PlatformError> {
+        let changes = self.client.watch(Manifest::KEY, after, WATCH_WAIT).await?;
+        if !changes.changes.is_empty()
+            && let Some((manifest, _)) = self.client.get_as(Manifest::KEY).await?
+        {
+            self.offer(manifest).await?;
+        }
+        Ok(changes.version)
+    }
+
+    async fn offer(&self, manifest: Manifest) -> Result<(), PlatformError> {
+        if manifest.revision <= self.store.revision() {
+            return Ok(());
+        }
+        let mut chunks = BTreeMap::new();
+        for digest in self.store.missing(&manifest) {
+            if let Some(text) = self.read_chunk(digest).await? {
+                chunks.insert(digest, text);
+            }
+        }
+        let revision = manifest.revision;
+        match self.store.offer(manifest, chunks) {
+            Offer::Accepted => tracing::info!(%revision, "configuration in force"),
+            Offer::Older => {}
+            offer @ (Offer::Incomplete | Offer::Malformed) => {
+                tracing::warn!(%revision, ?offer, "configuration not taken");
+            }
+        }
+        Ok(())
+    }
+
+    async fn read_chunk(&self, digest: ChunkDigest) -> Result<Option<Vec<u8>>, PlatformError> {
+        let Some(object) = self.client.get(&Manifest::chunk_key(digest)).await? else {
+            return Ok(None);
+        };
+        let mut value = object.value;
+        value.sort_all_objects();
+        let text = serde_json::to_vec(&value).map_err(|error| PlatformError::Malformed {
+            detail: format!("{}: {error}", object.key),
+        })?;
+        Ok(Some(text))
+    }
+}
--- /dev/null
+++ b/crates/steward/tests/all/configuration.rs
@@ -0,0 +1,75 @@
+//! A steward brings the configuration in force, and never takes one back.
+
+use crate::support::{GUARD, settings, start_platform, start_steward};
+use lagoonlift_standins::platform::PlatformStandin;
+use lagoonlift_types::{Configuration, DataCentreCapacity, DataCentreName, Manifest, Revision};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use tokio::time::timeout;
+
+fn publish(platform: &PlatformStandin, revision: u64, order_limit: u32) {
+    let capacity = DataCentreCapacity {
+        upstreams: BTreeMap::new(),
+        order_limit,
+    };
+    let name = DataCentreName::new("dc1").expect("a valid name");
+    let configuration = Configuration {
+        revision: Revision(revision),
+        workspaces: BTreeMap::new(),
+        data_centres: BTreeMap::from([(name, Arc::new(capacity))]),
+    };
+    let (manifest, chunks) = Manifest::cut(&configuration).expect("plain values");
+    for (digest, text) in chunks {
+        let value = serde_json::from_slice(&text).expect("JSON text");
+        platform.put_object(&Manifest::chunk_key(digest), value);
+    }
+    let manifest = serde_json::to_value(&manifest).expect("plain values");
+    platform.put_object(Manifest::KEY, manifest);
+}
+
+#[tokio::test]
+async fn an_accepted_change_comes_into_force() {
+    let platform = start_platform().await;
+    publish(&platform, 1, 1);
+    let steward = start_steward(&settings("h1", platform.addr(), &[])).await;
+    let mut configurations = steward.configurations();
+    let first = timeout(
+        GUARD,
+        configurations.wait_for(|c| c.revision == Revision(1)),
+    );
+    first.await.expect("no hang").expect("running");
+    publish(&platform, 2, 5);
+    let second = timeout(
+        GUARD,
+        configurations.wait_for(|c| c.revision == Revision(2)),
+    );
+    let second = second.await.expect("no hang").expect("running").clone();
+    let name = DataCentreName::new("dc1").expect("a valid name");
+    assert_eq!(second.data_centres[&name].order_limit, 5);
+}
+
+#[tokio::test]
+async fn a_platform_restarted_with_older_data_changes_nothing() {
+    let platform = start_platform().await;
+    publish(&platform, 1, 1);
+    let older = platform.snapshot();
+    publish(&platform, 2, 2);
+    let steward = start_steward(&settings("h1", platform.addr(), &[])).await;
+    let mut configurations = steward.configurations();
+    let second = timeout(
+        GUARD,
+        configurations.wait_for(|c| c.revision == Revision(2)),
+    );
+    second.await.expect("no hang").expect("running");
+    platform.faults().set_down(true);
+    platform.restore(older);
+    platform.faults().set_down(false);
+    publish(&platform, 1, 9);
+    publish(&platform, 3, 3);
+    let third = timeout(
+        GUARD,
+        configurations.wait_for(|c| c.revision != Revision(2)),
+    );
+    let third = third.await.expect("no hang").expect("running").clone();
+    assert_eq!(third.revision, Revision(3));
+}
--- /dev/null
+++ b/crates/steward/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the steward.
+
+mod configuration;
+mod support;
