Record usage with a second copy and close windows once

A record is billed exactly once though its process may die, be paused or be cut off. The windows of an incarnation form a chain of objects that are created only if absent, each starting where the one before it ended, so that the process and a neighbour with its copies can both close them.

Ruled out: letting idle windows be left out while records are uncovered, for a neighbour could close the one left out and the process a later one, with the same records in both.

Five tests over the real protocol and the platform's stand-in pass.

--- a/crates/hosts/src/copier.rs
+++ b/crates/hosts/src/copier.rs
@@ -7,6 +7,7 @@
 
 use crate::context::{ANSWER_TIMEOUT, CONNECT_TIMEOUT, PeerContext};
 use crate::copies::UsagePosition;
+use crate::copy_queue::{CopyError, CopyQueue, PendingCopy};
 use crate::counters::PeerCounter;
 use crate::membership::Member;
 use crate::stream::{PeerStream, StreamError};
@@ -16,28 +17,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout};
 
-/// Most records in one batch.
-const MAX_BATCH: usize = 512;
 /// Time for which a neighbour that failed is tried last.
 const AVOID_AFTER_FAILURE: Duration = Duration::from_secs(5);
 /// Time between two attempts while no neighbour takes copies.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Time after which a caller is told that its record has no copy yet.
-const COPY_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Why a record has no second copy. It is kept and copied later if possible.
-#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-pub enum CopyError {
-    /// No other host of the data centre takes copies.
-    #[error("no other host of the data centre takes copies")]
-    NoNeighbour,
-    /// No neighbour confirmed a copy in time.
-    #[error("no neighbour confirmed a copy in time")]
-    Timeout,
-}
 
 /// Copies usage records to a neighbour.
 #[derive(Debug)]
@@ -47,35 +33,6 @@
     wake: Notify,
 }
 
-/// Records that no closed window is known to cover, and who waits for a copy.
-#[derive(Debug, Default)]
-struct CopyQueue {
-    position: UsagePosition,
-    records: BTreeMap<Sequence, UsageRecord>,
-    /// The first record that the present neighbour wasn't sent.
-    unsent: Sequence,
-    waiting: BTreeMap<Sequence, oneshot::Sender<Result<(), CopyError>>>,
-}
-
-/// A copy that was asked for.
-#[derive(Debug)]
-pub struct PendingCopy(oneshot::Receiver<Result<(), CopyError>>);
-
-impl PendingCopy {
-    /// Waits for the copy.
-    ///
-    /// # Errors
-    ///
-    /// Fails when no neighbour confirmed a copy in time.
-    pub async fn wait(self) -> Result<(), CopyError> {
-        match timeout(COPY_TIMEOUT, self.0).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(_)) => Err(CopyError::NoNeighbour),
-            Err(_) => Err(CopyError::Timeout),
-        }
-    }
-}
-
 impl UsageCopier {
     pub(crate) fn new(context: Arc<PeerContext>) -> Self {
         Self {
@@ -87,20 +44,14 @@
 
     /// Queues a record for copying; sequences must be queued without gaps.
     pub(crate) fn enqueue(&self, record: UsageRecord) -> PendingCopy {
-        let (sender, receiver) = oneshot::channel();
-        let mut queue = self.lock();
-        queue.waiting.insert(record.sequence, sender);
-        queue.records.insert(record.sequence, record);
-        drop(queue);
+        let pending = self.lock().add(record);
         self.wake.notify_one();
-        PendingCopy(receiver)
+        pending
     }
 
     /// Notes up to where windows are closed.
     pub(crate) fn advance(&self, position: UsagePosition) {
-        let mut queue = self.lock();
-        queue.position = queue.position.max(position);
-        queue.records = queue.records.split_off(&position.covered_to);
+        self.lock().advance(position);
     }
 
     fn lock(&self) -> MutexGuard<'_, CopyQueue> {
@@ -112,7 +63,7 @@
     pub(crate) async fn run(self: Arc<Self>, mut members: watch::Receiver<Arc<Vec<Member>>>) {
         let mut failures = BTreeMap::new();
         loop {
-            if self.lock().records.is_empty() {
+            if self.lock().is_empty() {
                 self.wake.notified().await;
                 continue;
             }
@@ -125,11 +76,23 @@
                 self.context
                     .counters
                     .increment(PeerCounter::UsageBatchesFailed);
-                failures.insert(neighbour.process, Instant::now());
+                self.note_failure(&mut failures, neighbour.process).await;
             }
         }
     }
 
+    /// Remembers a failure; pauses when there was nobody better to ask.
+    async fn note_failure(
+        &self,
+        failures: &mut BTreeMap<ProcessId, Instant>,
+        neighbour: ProcessId,
+    ) {
+        failures.retain(|_, at| at.elapsed() < AVOID_AFTER_FAILURE);
+        if failures.insert(neighbour, Instant::now()).is_some() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
     /// Waits until there may be a neighbour, or a new record has to be told
     /// that there is none.
     async fn wait_for_change(&self, members: &mut watch::Receiver<Arc<Vec<Member>>>) {
@@ -208,16 +171,9 @@
     }
 
     fn next_batch(&self) -> Option<CopyBatch> {
-        let mut queue = self.lock();
-        let records = queue.take_batch();
-        let first = records.first()?.sequence;
-        Some(CopyBatch {
-            process: self.context.process.clone(),
-            incarnation: self.context.incarnation,
-            position: queue.position,
-            first,
-            records,
-        })
+        let context = &self.context;
+        self.lock()
+            .take_batch(&context.process, context.incarnation)
     }
 }
 
@@ -229,41 +185,3 @@
     #[error("the neighbour didn't answer in time")]
     Timeout(#[from] tokio::time::error::Elapsed),
 }
-
-impl CopyQueue {
-    /// Has everything sent again, to another neighbour.
-    fn restart(&mut self) {
-        self.unsent = self.position.covered_to;
-    }
-
-    fn take_batch(&mut self) -> Vec<UsageRecord> {
-        let start = self.unsent.max(self.position.covered_to);
-        let numbers = (start.0..).map(Sequence);
-        let records: Vec<UsageRecord> = self
-            .records
-            .range(start..)
-            .zip(numbers)
-            .take_while(|((sequence, _), number)| *sequence == number)
-            .take(MAX_BATCH)
-            .map(|((_, record), _)| record.clone())
-            .collect();
-        self.unsent = Sequence(start.0 + records.len() as u64);
-        records
-    }
-
-    /// Notes that the neighbour holds every record before `end`.
-    fn confirm(&mut self, end: Sequence) {
-        let unconfirmed = self.waiting.split_off(&end);
-        for (_, waiter) in std::mem::replace(&mut self.waiting, unconfirmed) {
-            // A caller that no longer waits needs no answer.
-            let _ = waiter.send(Ok(()));
-        }
-    }
-
-    fn fail(&mut self, error: CopyError) {
-        for (_, waiter) in std::mem::take(&mut self.waiting) {
-            // A caller that no longer waits needs no answer.
-            let _ = waiter.send(Err(error));
-        }
-    }
-}
--- a/crates/hosts/src/copies.rs
+++ b/crates/hosts/src/copies.rs
@@ -19,7 +19,7 @@
     pub covered_to: Sequence,
 }
 
-/// The records kept for one incarnation of a neighbour.
+/// What is kept for one incarnation of a neighbour.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldCopies {
     /// The neighbour.
@@ -28,8 +28,8 @@
     pub incarnation: Incarnation,
     /// Up to where its windows are closed.
     pub position: UsagePosition,
-    /// The records from `position.covered_to` on, up to the first gap.
-    pub records: Vec<UsageRecord>,
+    /// How many records are kept.
+    pub records: usize,
 }
 
 /// Keeps usage records of neighbours.
@@ -51,7 +51,7 @@
     }
 
     /// Keeps a batch; returns whether the batch was well formed and is kept.
-    pub(crate) fn hold(&mut self, batch: CopyBatch) -> bool {
+    pub fn hold(&mut self, batch: CopyBatch) -> bool {
         let numbers = (batch.first.0..).map(Sequence);
         let well_formed = batch.records.iter().zip(numbers).all(|(record, sequence)| {
             record.sequence == sequence
@@ -90,14 +90,21 @@
 
     /// Returns what is kept, for each incarnation of each neighbour.
     pub fn held(&self) -> Vec<HeldCopies> {
-        let copies =
+        let summary =
             |((process, incarnation), held): (&(ProcessId, Incarnation), &Held)| HeldCopies {
                 process: process.clone(),
                 incarnation: *incarnation,
                 position: held.position,
-                records: held.contiguous(),
+                records: held.records.len(),
             };
-        self.held.iter().map(copies).collect()
+        self.held.iter().map(summary).collect()
+    }
+
+    /// Returns the kept records that no closed window covers, in order, up to
+    /// the first gap.
+    pub fn records(&self, process: &ProcessId, incarnation: Incarnation) -> Vec<UsageRecord> {
+        let held = self.held.get(&(process.clone(), incarnation));
+        held.map(Held::contiguous).unwrap_or_default()
     }
 
     /// Forgets an incarnation all of whose records are covered.
--- a/crates/hosts/src/lib.rs
+++ b/crates/hosts/src/lib.rs
@@ -14,6 +14,7 @@
 mod context;
 mod copier;
 mod copies;
+mod copy_queue;
 mod counters;
 mod datagram;
 mod fleet_news;
@@ -31,8 +32,8 @@
 mod wire;
 
 pub use config::PeerConfig;
-pub use copier::{CopyError, PendingCopy};
 pub use copies::{CopyLedger, HeldCopies, UsagePosition};
+pub use copy_queue::{CopyError, CopyQueue, PendingCopy};
 pub use counters::{PeerCounter, PeerCounters};
 pub use datagram::{DatagramCodec, DatagramError};
 pub use fleets::FleetBoard;
@@ -44,4 +45,4 @@
 pub use node::{PeerError, PeerNode};
 pub use replay::{ReplayError, ReplayGuard};
 pub use store::{ConfigurationStore, Offer};
-pub use wire::{Datagram, Fact, FactState, FleetVersion, Identity, Kind};
+pub use wire::{CopyBatch, Datagram, Fact, FactState, FleetVersion, Identity, Kind};
--- a/crates/hosts/src/node.rs
+++ b/crates/hosts/src/node.rs
@@ -2,8 +2,9 @@
 
 use crate::PeerConfig;
 use crate::context::PeerContext;
-use crate::copier::{CopyError, PendingCopy, UsageCopier};
+use crate::copier::UsageCopier;
 use crate::copies::{CopyLedger, HeldCopies, UsagePosition};
+use crate::copy_queue::{CopyError, PendingCopy};
 use crate::counters::{PeerCounter, PeerCounters};
 use crate::datagram::{DatagramCodec, DatagramError};
 use crate::fleet_news::FleetNews;
@@ -202,11 +203,17 @@
         self.shared.copier.advance(position);
     }
 
-    /// Returns the usage records that this process keeps for neighbours.
+    /// Returns what this process keeps for neighbours.
     pub fn held_copies(&self) -> Vec<HeldCopies> {
         self.lock_copies().held()
     }
 
+    /// Returns the records kept for a neighbour's incarnation that no closed
+    /// window covers, in order, up to the first gap.
+    pub fn held_records(&self, process: &ProcessId, incarnation: Incarnation) -> Vec<UsageRecord> {
+        self.lock_copies().records(process, incarnation)
+    }
+
     /// Notes up to where the windows of a neighbour's incarnation are closed.
     pub fn advance_copies(
         &self,
--- a/crates/hosts/src/wire.rs
+++ b/crates/hosts/src/wire.rs
@@ -176,15 +176,15 @@
 
 /// Usage records for a neighbour to keep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct CopyBatch {
+pub struct CopyBatch {
     /// The process whose records these are.
-    pub(crate) process: ProcessId,
+    pub process: ProcessId,
     /// Its incarnation.
-    pub(crate) incarnation: Incarnation,
+    pub incarnation: Incarnation,
     /// Up to where its windows are closed.
-    pub(crate) position: UsagePosition,
+    pub position: UsagePosition,
     /// The position of the first record.
-    pub(crate) first: Sequence,
+    pub first: Sequence,
     /// The records, without gaps.
-    pub(crate) records: Vec<UsageRecord>,
+    pub records: Vec<UsageRecord>,
 }
--- a/crates/hosts/tests/all/nodes.rs
+++ b/crates/hosts/tests/all/nodes.rs
@@ -69,7 +69,8 @@
     assert_eq!(result, Ok(()));
     let held = nodes[1].held_copies();
     assert_eq!(held.len(), 1);
-    assert_eq!(held[0].records, [copied]);
+    let records = nodes[1].held_records(&held[0].process, held[0].incarnation);
+    assert_eq!(records, [copied]);
 }
 
 #[tokio::test]
--- /dev/null
+++ b/crates/usage/tests/all/keepers.rs
@@ -0,0 +1,68 @@
+//! Keepers over the real protocol and a stand-in for the platform.
+
+use crate::support::{
+    Host, billed, process, record, start_host, start_pair, start_platform, until, windows,
+};
+use lagoonlift_hosts::CopyError;
+use lagoonlift_standins::platform::{FaultEffect, FaultRule};
+use lagoonlift_types::RequestId;
+use lagoonlift_usage::UsageCounter;
+
+#[tokio::test]
+async fn each_record_is_billed_once() {
+    let platform = start_platform().await;
+    let (first, second) = start_pair(platform.addr()).await;
+    for tokens in 1..=10 {
+        record(&first, tokens).await;
+        record(&second, 100).await;
+    }
+    until(|| billed(&platform) == (20, 55 + 1000)).await;
+}
+
+#[tokio::test]
+async fn the_neighbour_closes_the_window_of_a_dead_process() {
+    let platform = start_platform().await;
+    let (first, second) = start_pair(platform.addr()).await;
+    record(&first, 7).await;
+    drop(first);
+    until(|| billed(&platform) == (1, 7)).await;
+    assert_eq!(windows(&platform)[0].closed_by, process("h1"));
+    drop(second);
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_read_back() {
+    let platform = start_platform().await;
+    let (first, _second) = start_pair(platform.addr()).await;
+    let rule = FaultRule::new("/objects/usage/windows", FaultEffect::LoseAnswer).with_remaining(1);
+    platform.faults().add(rule);
+    record(&first, 7).await;
+    let counters = first.keeper.counters();
+    until(|| counters.get(UsageCounter::WindowsClosed) == 1).await;
+    assert_eq!(counters.get(UsageCounter::AttemptsFailed), 1);
+    assert_eq!(counters.get(UsageCounter::WindowsClosedByOthers), 0);
+    assert_eq!(billed(&platform), (1, 7));
+}
+
+#[tokio::test]
+async fn flushing_closes_the_running_window() {
+    let platform = start_platform().await;
+    let (first, _second) = start_pair(platform.addr()).await;
+    record(&first, 7).await;
+    assert_eq!(first.keeper.flush().await, Ok(()));
+    assert_eq!(billed(&platform), (1, 7));
+}
+
+#[tokio::test]
+async fn a_record_without_a_neighbour_is_billed_but_said_to_have_no_copy() {
+    let platform = start_platform().await;
+    let host: Host = start_host("h0", &[], platform.addr()).await;
+    let result = host.keeper.record(
+        RequestId::new(),
+        "plumbers".parse().expect("a valid name"),
+        "default".parse().expect("a valid name"),
+        crate::support::figures(3),
+    );
+    assert_eq!(result.await, Err(CopyError::NoNeighbour));
+    until(|| billed(&platform) == (1, 3)).await;
+}
--- /dev/null
+++ b/crates/usage/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of usage records and their windows.
+
+mod keepers;
+mod support;
