--- a/crates/usage/tests/all/main.rs
+++ b/crates/usage/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of usage records and their windows.
 
 mod keepers;
+mod schedules;
 mod support;
