Add the operators' commands with golden sessions of both deployments

questionnaire, propose, accept, key, status and explain; the operator's token and the hosts' admin addresses come from a settings file of its own. The sessions run the built command against the platform's stand-in; only keys and file names are replaced in them.

--- a/crates/operators/src/admin.rs
+++ b/crates/operators/src/admin.rs
@@ -125,13 +125,15 @@
 }
 
 impl StatusReport {
-    /// Returns whether every process that answered goes by the expected
+    /// Returns whether any process answered and all that did go by the expected
     /// revision or a later one.
     pub fn in_force(&self) -> bool {
         let expected = self.expected;
-        self.statuses
-            .iter()
-            .all(|status| status.revision >= expected)
+        !self.statuses.is_empty()
+            && self
+                .statuses
+                .iter()
+                .all(|status| status.revision >= expected)
     }
 }
 
--- a/crates/operators/src/decision_log.rs
+++ b/crates/operators/src/decision_log.rs
@@ -125,4 +125,3 @@
         found
     }
 }
-
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -55,8 +55,9 @@
         let mut document = SettingsDocument::parse(file, text)?;
         let platform = read_platform(document.require("platform")?)?;
         let hosts = document.take_all("admin.").into_iter();
-        let hosts: Result<Vec<OperatorHost>, SettingsError> =
-            hosts.map(|(name, section)| read_host(&name, section)).collect();
+        let hosts: Result<Vec<OperatorHost>, SettingsError> = hosts
+            .map(|(name, section)| read_host(&name, section))
+            .collect();
         document.finish()?;
         Ok(Self {
             platform,
--- a/crates/settings/tests/all/main.rs
+++ b/crates/settings/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the settings.
 
 mod errors;
+mod operator;
 mod values;
--- a/src/commands/key.rs
+++ b/src/commands/key.rs
@@ -39,7 +39,9 @@
             eprintln!("key {id} of {workspace} is accepted as revision {revision}");
         }
         ["withdraw", workspace, id] => {
-            let revision = editor.withdraw_key(&WorkspaceName::new(workspace)?, id).await?;
+            let revision = editor
+                .withdraw_key(&WorkspaceName::new(workspace)?, id)
+                .await?;
             println!("key {id} of {workspace} is withdrawn as of revision {revision}");
         }
         ["list", workspace] => {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,13 @@
 //! One module for each command: read its arguments, call the library, print.
 
+mod accept;
+mod explain;
+mod key;
+mod operator;
+mod propose;
+mod questionnaire;
 mod standin;
+mod status;
 
 use eyre::Result;
 use lexopt::prelude::*;
@@ -9,8 +16,16 @@
 const USAGE: &str = "\
 Usage: lagoonlift COMMAND [OPTIONS]
 
+For operators:
+    questionnaire  print a questionnaire to be filled in
+    propose        store what a questionnaire asks for, and show the change
+    accept         put a proposal in force
+    key            give, withdraw and list callers' keys
+    status         show which revision is in force where
+    explain        show what was decided about a request, upstream or workspace
+
 For trials:
-    standin       run a stand-in for the platform, an engine or a plain service
+    standin        run a stand-in for the platform, an engine or a plain service
 
 `lagoonlift COMMAND --help` explains a command.
 
@@ -31,6 +46,12 @@
 
 fn dispatch(command: &str, parser: lexopt::Parser) -> Result<ExitCode> {
     match command {
+        "questionnaire" => questionnaire::run(parser),
+        "propose" => propose::run(parser),
+        "accept" => accept::run(parser),
+        "key" => key::run(parser),
+        "status" => status::run(parser),
+        "explain" => explain::run(parser),
         "standin" => standin::run(parser),
         other => {
             let message = format!("`{other}` is not a command; see --help");
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,3 @@
 //! Tests of whole sessions and of each promise.
+
+mod operators;
--- /dev/null
+++ b/tests/all/operators.rs
@@ -0,0 +1,89 @@
+//! Operators' sessions at the command line, as golden files.
+
+mod session;
+
+use insta::assert_snapshot;
+use session::OperatorSession;
+
+/// A deployment's questionnaires.
+struct Deployment {
+    directory: &'static str,
+    workspace: &'static str,
+}
+
+const DESTAPES: Deployment = Deployment {
+    directory: "examples/destapes",
+    workspace: "property-manager",
+};
+
+const SOLAR_WATCH: Deployment = Deployment {
+    directory: "examples/solar-watch",
+    workspace: "forecasters",
+};
+
+/// Puts a deployment in force, gives a key, withdraws it.
+async fn put_in_force(deployment: &Deployment) -> OperatorSession {
+    let mut session = OperatorSession::start().await;
+    for data_centre in ["dc1", "dc2", "dc3"] {
+        let file = format!("{}/{data_centre}.ini", deployment.directory);
+        let id = session.propose(&file).await;
+        session.run(&["accept", &id]).await;
+    }
+    let file = format!("{}/{}.ini", deployment.directory, deployment.workspace);
+    let id = session.propose(&file).await;
+    session.run(&["accept", &id]).await;
+    session.run(&["accept", &id]).await;
+    session
+}
+
+#[tokio::test]
+async fn destapes_is_put_in_force_from_its_questionnaires() {
+    let session = put_in_force(&DESTAPES).await;
+    assert_snapshot!("destapes-configuration", session.transcript());
+}
+
+#[tokio::test]
+async fn solar_watch_is_put_in_force_from_its_questionnaires() {
+    let session = put_in_force(&SOLAR_WATCH).await;
+    assert_snapshot!("solar-watch-configuration", session.transcript());
+}
+
+#[tokio::test]
+async fn keys_races_and_wrong_answers_are_shown() {
+    let mut session = put_in_force(&DESTAPES).await;
+    session.forget();
+    let workspace = DESTAPES.workspace;
+    session.run(&["key", "new", workspace]).await;
+    let names = session.run(&["key", "list", workspace]).await;
+    session
+        .run(&["key", "withdraw", workspace, names.trim()])
+        .await;
+    session
+        .run(&["key", "withdraw", workspace, names.trim()])
+        .await;
+
+    let file = format!("{}/{workspace}.ini", DESTAPES.directory);
+    let one = session
+        .propose_changed(&file, "cost-weight = 3", "cost-weight = 5")
+        .await;
+    let other = session
+        .propose_changed(&file, "cost-weight = 3", "cost-weight = 7")
+        .await;
+    session.run(&["accept", &one]).await;
+    session.run(&["accept", &other]).await;
+
+    let changed = [("idempotent = no", "idempotent = perhaps"), ("8s", "1s")];
+    session.propose_wrong(&file, &changed).await;
+    session.run(&["accept", "0123456789ab"]).await;
+    session.platform().faults().set_down(true);
+    session.run(&["accept", &other]).await;
+    assert_snapshot!("keys-races-and-wrong-answers", session.transcript());
+}
+
+#[tokio::test]
+async fn the_questionnaires_ask_everything_in_the_file() {
+    let mut session = OperatorSession::start().await;
+    session.run(&["questionnaire", "new", "workspace"]).await;
+    session.run(&["questionnaire", "new", "data-centre"]).await;
+    assert_snapshot!("questionnaires", session.transcript());
+}
--- /dev/null
+++ b/tests/all/operators/session.rs
@@ -0,0 +1,160 @@
+//! Runs the operators' command and keeps what was typed and shown.
+
+use lagoonlift_standins::platform::PlatformStandin;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Output, Stdio};
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::process::Command;
+use tokio::time::timeout;
+
+/// A hang is a failure; no command of these sessions waits on purpose.
+const HANG_GUARD: Duration = Duration::from_secs(60);
+
+/// One operator's session against a platform of its own.
+pub(super) struct OperatorSession {
+    platform: PlatformStandin,
+    directory: TempDir,
+    transcript: String,
+    /// Texts that differ from run to run, with what stands for them.
+    replacements: Vec<(String, String)>,
+}
+
+impl OperatorSession {
+    pub(super) async fn start() -> Self {
+        let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = PlatformStandin::start(listen).await.expect("a free port");
+        let directory = TempDir::new().expect("a directory for the session");
+        let session = Self {
+            platform,
+            directory,
+            transcript: String::new(),
+            replacements: Vec::new(),
+        };
+        session.write_settings("");
+        session
+    }
+
+    pub(super) fn platform(&self) -> &PlatformStandin {
+        &self.platform
+    }
+
+    /// Writes the operator's settings; `hosts` are the sections `[admin.NAME]`.
+    pub(super) fn write_settings(&self, hosts: &str) {
+        let address = self.platform.addr();
+        let text = format!("[platform]\naddress = {address}\ntoken = operator\n{hosts}");
+        fs::write(self.settings(), text).expect("the directory is there");
+    }
+
+    /// Replaces `text` by `name` in the transcript.
+    pub(super) fn replace(&mut self, text: &str, name: &str) {
+        self.replacements.push((text.to_owned(), name.to_owned()));
+    }
+
+    /// Drops what was kept so far.
+    pub(super) fn forget(&mut self) {
+        self.transcript.clear();
+    }
+
+    /// Returns what was typed and shown.
+    pub(super) fn transcript(&self) -> String {
+        let mut transcript = self.transcript.clone();
+        for (text, name) in &self.replacements {
+            transcript = transcript.replace(text, name);
+        }
+        transcript
+    }
+
+    /// Runs a command and returns its standard output.
+    pub(super) async fn run(&mut self, arguments: &[&str]) -> String {
+        let shown = arguments.join(" ");
+        self.run_as(arguments, &shown).await
+    }
+
+    /// Proposes a questionnaire and returns the proposal's name.
+    pub(super) async fn propose(&mut self, file: &str) -> String {
+        let shown = self.run(&["propose", file]).await;
+        proposal_of(&shown)
+    }
+
+    /// Proposes a questionnaire in which one answer is changed.
+    pub(super) async fn propose_changed(&mut self, file: &str, from: &str, to: &str) -> String {
+        let shown = self.propose_copy(file, &[(from, to)]).await;
+        proposal_of(&shown)
+    }
+
+    /// Proposes a questionnaire with wrong answers.
+    pub(super) async fn propose_wrong(&mut self, file: &str, changes: &[(&str, &str)]) {
+        self.propose_copy(file, changes).await;
+    }
+
+    async fn propose_copy(&mut self, file: &str, changes: &[(&str, &str)]) -> String {
+        let mut text = fs::read_to_string(file).expect("the example is there");
+        for (from, to) in changes {
+            assert!(text.contains(from), "{file} doesn't say {from}");
+            text = text.replace(from, to);
+        }
+        let copy = self.directory.path().join("copy.ini");
+        fs::write(&copy, text).expect("the directory is there");
+        let copy = copy.to_str().expect("plain characters").to_owned();
+        self.replace(&copy, "copy.ini");
+        self.run(&["propose", &copy]).await
+    }
+
+    async fn run_as(&mut self, arguments: &[&str], shown: &str) -> String {
+        let Output {
+            status,
+            stdout,
+            stderr,
+        } = self.command(arguments).await;
+        let stdout = String::from_utf8(stdout).expect("text");
+        let stderr = String::from_utf8(stderr).expect("text");
+        self.transcript.push_str(&format!("$ lagoonlift {shown}\n"));
+        self.transcript.push_str(&stdout);
+        for line in stderr.lines() {
+            self.transcript.push_str(&format!("! {line}\n"));
+        }
+        if !status.success() {
+            self.transcript.push_str(&format!("{status}\n"));
+        }
+        if let ["key", "new", ..] = arguments {
+            self.hide_key(stdout.trim(), &stderr);
+        }
+        stdout
+    }
+
+    /// Keys and their names are random.
+    fn hide_key(&mut self, key: &str, stderr: &str) {
+        self.replace(key, "KEY");
+        if let Some(id) = stderr.split_whitespace().nth(1) {
+            self.replace(id, "KEY-NAME");
+        }
+    }
+
+    async fn command(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lagoonlift"));
+        command
+            .args(arguments)
+            .stdin(Stdio::null())
+            .kill_on_drop(true);
+        if arguments[0] != "questionnaire" {
+            command.arg("--settings").arg(self.settings());
+        }
+        let output = timeout(HANG_GUARD, command.output());
+        output.await.expect("it ends").expect("it starts")
+    }
+
+    fn settings(&self) -> PathBuf {
+        self.directory.path().join("operator.ini")
+    }
+}
+
+fn proposal_of(shown: &str) -> String {
+    let name = shown
+        .split_whitespace()
+        .nth(1)
+        .expect("a proposal is named");
+    name.to_owned()
+}
