--- /dev/null
+++ b/src/commands/local.rs
@@ -0,0 +1,186 @@
+//! A whole deployment in this process, on stand-ins and loopback.
+//!
+//! The demo and the measurements need the same thing that the tests run as
+//! processes: platform, engines, a plain service, entry hosts and a steward for
+//! each data centre. Here all parts share the process and nothing else: they
+//! talk over the same protocols.
+
+use eyre::{Result, WrapErr, bail};
+use lagoonlift::entry::Entry;
+use lagoonlift::settings::Settings;
+use lagoonlift::steward::Steward;
+use lagoonlift::telemetry::Metrics;
+use lagoonlift::types::ModelName;
+use lagoonlift_standins::engine::{EngineConfig, EngineStandin};
+use lagoonlift_standins::platform::PlatformStandin;
+use lagoonlift_standins::sample::SampleConfiguration;
+use lagoonlift_standins::service::ServiceStandin;
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::time::{Instant, sleep};
+
+/// The model that all engines of a local deployment serve.
+pub(crate) const MODEL: &str = "tide-7b";
+
+/// Time within which every entry has to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks at readiness.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+/// Key of the protocol between hosts; the deployment lives on loopback only.
+const PEER_KEY: &str = "0303030303030303030303030303030303030303030303030303030303030303";
+
+/// A deployment whose parts all run in this process.
+pub(crate) struct LocalDeployment {
+    pub(crate) platform: PlatformStandin,
+    pub(crate) engines: Vec<EngineStandin>,
+    pub(crate) service: ServiceStandin,
+    stewards: Vec<Steward>,
+    entries: Vec<Entry>,
+    entry_runtime: Handle,
+}
+
+/// Addresses of the upstreams, to be put into a configuration.
+pub(crate) struct LocalUpstreams {
+    pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) service: SocketAddr,
+}
+
+impl LocalDeployment {
+    /// Starts everything on the present runtime; see [`Self::start_on`].
+    pub(crate) async fn start(
+        engine: EngineConfig,
+        configure: impl FnOnce(&LocalUpstreams) -> SampleConfiguration,
+    ) -> Result<Self> {
+        Self::start_on(Handle::current(), engine, configure).await
+    }
+
+    /// Starts two engines and a service, two data centres with a steward each,
+    /// and three entries, these on `entry_runtime`; waits until every entry
+    /// serves the configuration.
+    pub(crate) async fn start_on(
+        entry_runtime: Handle,
+        engine: EngineConfig,
+        configure: impl FnOnce(&LocalUpstreams) -> SampleConfiguration,
+    ) -> Result<Self> {
+        let platform = PlatformStandin::start(loopback()).await?;
+        let engines = vec![
+            EngineStandin::start(loopback(), engine.clone())?,
+            EngineStandin::start(loopback(), engine)?,
+        ];
+        let service = ServiceStandin::start(loopback())?;
+        let upstreams = LocalUpstreams {
+            engines: engines.iter().map(EngineStandin::addr).collect(),
+            service: service.addr(),
+        };
+        for (key, value) in configure(&upstreams).objects() {
+            platform.put_object(&key, value);
+        }
+        let mut deployment = Self {
+            platform,
+            engines,
+            service,
+            stewards: Vec::new(),
+            entries: Vec::new(),
+            entry_runtime,
+        };
+        for (host, data_centre) in [("s1", "dc1"), ("s2", "dc2")] {
+            deployment.start_steward(host, data_centre).await?;
+        }
+        for (host, data_centre) in [("a1", "dc1"), ("a2", "dc1"), ("b1", "dc2")] {
+            deployment.start_entry(host, data_centre).await?;
+        }
+        deployment.wait_until_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Returns the callers' addresses of all entries.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Entry::caller_addr).collect()
+    }
+
+    /// Stops all daemons gracefully; the stand-ins stay.
+    pub(crate) async fn stop_daemons(&mut self) {
+        for entry in self.entries.drain(..) {
+            entry.shutdown().await;
+        }
+        for steward in self.stewards.drain(..) {
+            steward.shutdown().await;
+        }
+    }
+
+    async fn start_steward(&mut self, host: &str, data_centre: &str) -> Result<()> {
+        let settings = self.settings(host, data_centre)?;
+        let steward = Steward::start(&settings, Metrics::new()?).await?;
+        self.stewards.push(steward);
+        Ok(())
+    }
+
+    async fn start_entry(&mut self, host: &str, data_centre: &str) -> Result<()> {
+        let settings = self.settings(host, data_centre)?;
+        let metrics = Metrics::new()?;
+        let start = async move { Entry::start(&settings, metrics).await };
+        let entry = self.entry_runtime.spawn(start).await??;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    fn settings(&self, host: &str, data_centre: &str) -> Result<Settings> {
+        let mut text = format!(
+            "[host]\nname = {host}\ndata-centre = {data_centre}\n\
+             [platform]\naddress = {}\ntoken = host-token\n\
+             [peers]\nkey = {PEER_KEY}\nheartbeat = 100ms\n\
+             [usage]\nwindow = 1s\n",
+            self.platform.addr()
+        );
+        for section in ["entry", "steward"] {
+            writeln!(
+                text,
+                "[{section}]\nadmin-listen = 127.0.0.1:0\npeer-listen = 127.0.0.1:0"
+            )?;
+            if section == "entry" {
+                writeln!(text, "listen = 127.0.0.1:0")?;
+            }
+        }
+        for (index, steward) in self.stewards.iter().enumerate() {
+            let peer = steward.peer_addr();
+            writeln!(text, "[peer.s{}]\nsteward = {peer}", index + 1)?;
+        }
+        Ok(Settings::parse(Path::new("built-in settings"), &text)?)
+    }
+
+    async fn wait_until_ready(&self) -> Result<()> {
+        let client = reqwest::Client::new();
+        let deadline = Instant::now() + START_TIMEOUT;
+        for entry in &self.entries {
+            let url = format!("http://{}/ready", entry.admin_addr());
+            while !is_ready(&client, &url).await {
+                if Instant::now() > deadline {
+                    bail!("an entry was not ready within {START_TIMEOUT:?}");
+                }
+                sleep(LOOK_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns an engine that serves [`MODEL`].
+pub(crate) fn engine_config() -> Result<EngineConfig> {
+    let model = ModelName::new(MODEL).wrap_err("the model's name")?;
+    Ok(EngineConfig::new(BTreeSet::from([model])))
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn is_ready(client: &reqwest::Client, url: &str) -> bool {
+    match client.get(url).send().await {
+        Ok(response) => response.status().is_success(),
+        Err(_) => false,
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,8 +1,11 @@
 //! One module for each command: read its arguments, call the library, print.
 
 mod accept;
+mod demo;
 mod explain;
 mod key;
+mod load;
+mod local;
 mod operator;
 mod propose;
 mod questionnaire;
@@ -25,6 +28,8 @@
     explain        show what was decided about a request, upstream or workspace
 
 For trials:
+    demo           serve a mixed load on embedded stand-ins and show the outcome
+    load           send load, and measure what the system costs
     standin        run a stand-in for the platform, an engine or a plain service
 
 `lagoonlift COMMAND --help` explains a command.
@@ -52,6 +57,8 @@
         "key" => key::run(parser),
         "status" => status::run(parser),
         "explain" => explain::run(parser),
+        "demo" => demo::run(parser),
+        "load" => load::run(parser),
         "standin" => standin::run(parser),
         other => {
             let message = format!("`{other}` is not a command; see --help");
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -5,6 +5,7 @@
 use lagoonlift::daemon::StopSignal;
 use lagoonlift::types::{FencingSupport, ModelName};
 use lagoonlift_standins::engine::{EngineConfig, EngineStandin};
+use lagoonlift_standins::platform::PlatformStandin;
 use lagoonlift_standins::service::ServiceStandin;
 use lexopt::prelude::*;
 use std::collections::BTreeSet;
@@ -15,7 +16,7 @@
 const USAGE: &str = "\
 Usage: lagoonlift standin KIND [OPTIONS]
 
-KIND is `engine` or `service`. The address is printed as a JSON line when the
+KIND is `platform`, `engine` or `service`. The address is printed as a JSON line when the
 stand-in is ready; it runs until SIGTERM.
 
 Options:
@@ -29,6 +30,7 @@
 /// The outside systems that can be stood in for.
 #[derive(Clone, Copy, Debug)]
 enum StandinKind {
+    Platform,
     Engine,
     Service,
 }
@@ -80,9 +82,10 @@
 
 fn parse_kind(text: &str) -> Result<StandinKind, &'static str> {
     match text {
+        "platform" => Ok(StandinKind::Platform),
         "engine" => Ok(StandinKind::Engine),
         "service" => Ok(StandinKind::Service),
-        _ => Err("expected `engine` or `service`"),
+        _ => Err("expected `platform`, `engine` or `service`"),
     }
 }
 
@@ -98,6 +101,11 @@
 async fn serve(arguments: StandinArguments) -> Result<ExitCode> {
     let mut signal = StopSignal::listen()?;
     match arguments.kind {
+        StandinKind::Platform => {
+            let platform = PlatformStandin::start(arguments.listen).await?;
+            announce(platform.addr());
+            signal.wait().await;
+        }
         StandinKind::Engine => {
             let mut config = EngineConfig::new(arguments.models);
             config.token_interval = arguments.token_interval;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,3 +1,7 @@
 //! Tests of whole sessions and of each promise.
 
+mod arguments;
 mod operators;
+mod shutdown;
+mod support;
+mod whole_path;
--- /dev/null
+++ b/tests/all/support/mod.rs
@@ -0,0 +1,17 @@
+//! What the whole-process tests share: daemons, settings, waiting.
+
+mod caller;
+mod daemon;
+mod deployment;
+mod fleet;
+mod transcript;
+mod wait;
+
+pub(crate) use caller::Caller;
+pub(crate) use daemon::{
+    DaemonProcess, ProcessSignal, entry_program, operator_program, steward_program,
+};
+pub(crate) use deployment::{HostSettings, loopback};
+pub(crate) use fleet::Fleet;
+pub(crate) use transcript::SessionTranscript;
+pub(crate) use wait::{HANG_GUARD, eventually};
