--- /dev/null
+++ b/crates/entry/src/admission.rs
@@ -0,0 +1,310 @@
+//! The actor that owns the admission policy.
+//!
+//! Decisions about one request depend on all others, so one actor takes them
+//! in turn. It sees a request when it arrives, when it is placed again and when
+//! an attempt ends; the tokens in between pass it by.
+
+use crate::link::{UpstreamEntry, UpstreamId, UpstreamLink};
+use crate::slot::UpstreamSlot;
+use lagoonlift_policy::{
+    EntryAction, EntryEvent, EntryPolicy, PrefixHash, RequestFacts, Target, Timestamp, UpstreamKey,
+    WorkspaceFacts, WorkspaceKey,
+};
+use lagoonlift_types::{
+    Configuration, DataCentreName, NotRunReason, RequestId, Urgency, WorkspaceName,
+};
+use slotmap::SecondaryMap;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use xtra::{Context, Handler, WeakAddress};
+
+/// What the policy has to know of a request, in the entry's own terms.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacementRequest {
+    pub(crate) request: RequestId,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) urgency: Urgency,
+    pub(crate) target: Target,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) max_output_tokens: u64,
+    pub(crate) deadline: Instant,
+    pub(crate) idempotent: bool,
+    pub(crate) prefix: Option<PrefixHash>,
+}
+
+/// Where a request goes.
+#[derive(Debug)]
+pub(crate) enum Placement {
+    /// To the upstream whose slot this is.
+    Dispatch(UpstreamSlot),
+    /// Nowhere.
+    Refuse {
+        reason: NotRunReason,
+        retry_after: Duration,
+    },
+}
+
+/// Asks for a place; the reply may take as long as the request is queued.
+#[derive(Debug)]
+pub(crate) struct Place {
+    pub(crate) facts: PlacementRequest,
+    /// Upstreams that already failed the request; `None` at the first attempt.
+    pub(crate) avoid: Option<Vec<UpstreamKey>>,
+    pub(crate) reply: oneshot::Sender<Placement>,
+}
+
+/// Tells the policy what happened.
+#[derive(Debug)]
+pub(crate) struct Observe(pub(crate) EntryEvent);
+
+/// Replaces what is known of workspaces and upstreams.
+#[derive(Debug)]
+pub(crate) struct Reconfigure {
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) upstreams: BTreeMap<UpstreamId, UpstreamEntry>,
+    /// Entry processes that place work on the same upstreams.
+    pub(crate) entries: u32,
+}
+
+/// Asks for all engines, to poll them.
+#[derive(Debug)]
+pub(crate) struct ListLinks;
+
+/// Owns the admission policy.
+#[derive(Debug, xtra::Actor)]
+pub(crate) struct AdmissionActor {
+    policy: EntryPolicy,
+    start: Instant,
+    workspaces: HashMap<WorkspaceName, WorkspaceKey>,
+    upstreams: BTreeMap<UpstreamId, KnownUpstream>,
+    links: SecondaryMap<UpstreamKey, Arc<UpstreamLink>>,
+    waiting: HashMap<RequestId, oneshot::Sender<Placement>>,
+    actions: Vec<EntryAction>,
+}
+
+#[derive(Debug)]
+struct KnownUpstream {
+    key: UpstreamKey,
+    entry: UpstreamEntry,
+}
+
+impl AdmissionActor {
+    /// Creates the actor for a process in `data_centre`; `start` is zero of the
+    /// policy's time.
+    pub(crate) fn new(start: Instant, data_centre: &DataCentreName) -> Self {
+        Self {
+            policy: EntryPolicy::new()
+                .with_data_centre(data_centre)
+                .with_seed(rand::random()),
+            start,
+            workspaces: HashMap::new(),
+            upstreams: BTreeMap::new(),
+            links: SecondaryMap::new(),
+            waiting: HashMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    fn handle_event(&mut self, event: EntryEvent, address: &WeakAddress<Self>) {
+        let now = self.timestamp(Instant::now());
+        self.policy.handle(now, event, &mut self.actions);
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.carry_out(action, address);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, action: EntryAction, address: &WeakAddress<Self>) {
+        let (request, placement) = match action {
+            EntryAction::Dispatch {
+                request,
+                upstream,
+                priority,
+            } => {
+                let slot = self.slot(request, upstream, priority, address);
+                (request, slot)
+            }
+            EntryAction::Prefill { request, .. } => {
+                // Comes only from a policy that splits phases; this one doesn't.
+                tracing::error!(%request, "the policy split a request's phases");
+                return;
+            }
+            EntryAction::Refuse {
+                request,
+                reason,
+                retry_after,
+            } => (
+                request,
+                Placement::Refuse {
+                    reason,
+                    retry_after,
+                },
+            ),
+        };
+        if let Some(reply) = self.waiting.remove(&request) {
+            // If the caller has left, the slot comes back and is given up.
+            let _ = reply.send(placement);
+        }
+    }
+
+    fn slot(
+        &self,
+        request: RequestId,
+        upstream: UpstreamKey,
+        priority: u8,
+        address: &WeakAddress<Self>,
+    ) -> Placement {
+        let link = Arc::clone(&self.links[upstream]);
+        let address = address.clone();
+        Placement::Dispatch(UpstreamSlot::new(
+            request, upstream, link, priority, address,
+        ))
+    }
+
+    fn timestamp(&self, instant: Instant) -> Timestamp {
+        let since = instant.saturating_duration_since(self.start);
+        Timestamp(since.as_micros() as u64)
+    }
+
+    fn request_facts(&self, facts: PlacementRequest, workspace: WorkspaceKey) -> RequestFacts {
+        RequestFacts {
+            request: facts.request,
+            workspace,
+            urgency: facts.urgency,
+            target: facts.target,
+            prompt_tokens: facts.prompt_tokens,
+            max_output_tokens: facts.max_output_tokens,
+            deadline: self.timestamp(facts.deadline),
+            idempotent: facts.idempotent,
+            prefix: facts.prefix,
+        }
+    }
+
+    fn set_workspaces(&mut self, configuration: &Configuration) {
+        let policy = &mut self.policy;
+        self.workspaces.retain(|name, key| {
+            let kept = configuration.workspaces.contains_key(name);
+            if !kept {
+                policy.remove_workspace(*key);
+            }
+            kept
+        });
+        for (name, workspace) in &configuration.workspaces {
+            let facts = WorkspaceFacts {
+                name: name.clone(),
+                weight: workspace.weight,
+            };
+            match self.workspaces.get(name) {
+                Some(key) => self.policy.update_workspace(*key, facts),
+                None => {
+                    let key = self.policy.add_workspace(facts);
+                    self.workspaces.insert(name.clone(), key);
+                }
+            }
+        }
+    }
+
+    fn set_upstreams(&mut self, entries: BTreeMap<UpstreamId, UpstreamEntry>) {
+        let stale: Vec<UpstreamId> = self
+            .upstreams
+            .iter()
+            .filter(|(id, known)| entries.get(id).is_none_or(|new| !known.is_same(new)))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in stale {
+            if let Some(known) = self.upstreams.remove(&id) {
+                self.policy.remove_upstream(known.key);
+                self.links.remove(known.key);
+            }
+        }
+        for (id, entry) in entries {
+            match self.upstreams.get_mut(&id) {
+                Some(known) if known.entry == entry => {}
+                Some(known) => {
+                    self.policy.update_upstream(known.key, entry.facts.clone());
+                    known.entry = entry;
+                }
+                None => self.add_upstream(id, entry),
+            }
+        }
+    }
+
+    fn add_upstream(&mut self, id: UpstreamId, entry: UpstreamEntry) {
+        let link = match UpstreamLink::new(&entry) {
+            Ok(link) => Arc::new(link),
+            Err(error) => {
+                tracing::error!(upstream = %id.1, %error, "the upstream's client can't be made");
+                return;
+            }
+        };
+        let key = self.policy.add_upstream(entry.facts.clone());
+        self.links.insert(key, link);
+        self.upstreams.insert(id, KnownUpstream { key, entry });
+    }
+}
+
+impl KnownUpstream {
+    /// Returns whether its client and its work in flight can be kept.
+    fn is_same(&self, other: &UpstreamEntry) -> bool {
+        let both_engines = self.entry.facts.role.is_some() == other.facts.role.is_some();
+        self.entry.address == other.address && both_engines
+    }
+}
+
+impl Handler<Place> for AdmissionActor {
+    type Return = ();
+
+    async fn handle(&mut self, place: Place, context: &mut Context<Self>) {
+        let Some(workspace) = self.workspaces.get(&place.facts.workspace).copied() else {
+            let refusal = Placement::Refuse {
+                reason: NotRunReason::Unauthorized,
+                retry_after: Duration::ZERO,
+            };
+            let _ = place.reply.send(refusal);
+            return;
+        };
+        let facts = self.request_facts(place.facts, workspace);
+        self.waiting.insert(facts.request, place.reply);
+        let event = match place.avoid {
+            None => EntryEvent::Arrived(facts),
+            Some(avoid) => EntryEvent::Retry { facts, avoid },
+        };
+        self.handle_event(event, &context.mailbox().address());
+    }
+}
+
+impl Handler<Observe> for AdmissionActor {
+    type Return = ();
+
+    async fn handle(&mut self, observed: Observe, context: &mut Context<Self>) {
+        if let EntryEvent::Withdrawn { request } = &observed.0 {
+            self.waiting.remove(request);
+        }
+        self.handle_event(observed.0, &context.mailbox().address());
+    }
+}
+
+impl Handler<Reconfigure> for AdmissionActor {
+    type Return = ();
+
+    async fn handle(&mut self, change: Reconfigure, context: &mut Context<Self>) {
+        self.set_workspaces(&change.configuration);
+        self.set_upstreams(change.upstreams);
+        self.policy.set_peers(change.entries);
+        // Work that waits may have a place now.
+        self.handle_event(EntryEvent::Tick, &context.mailbox().address());
+    }
+}
+
+impl Handler<ListLinks> for AdmissionActor {
+    type Return = Vec<(UpstreamKey, Arc<UpstreamLink>)>;
+
+    async fn handle(&mut self, _: ListLinks, _: &mut Context<Self>) -> Self::Return {
+        let links = self.links.iter();
+        links.map(|(key, link)| (key, Arc::clone(link))).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,223 @@
+//! A chat-completions call: from its body to a job for the relay.
+
+use crate::admission::PlacementRequest;
+use crate::body::{BodyError, read_body};
+use crate::context::EntryContext;
+use crate::delivery::answer_channel;
+use crate::directory::Member;
+use crate::instruments::RequestLabels;
+use crate::relay::{ChatRelay, unauthorized_reply};
+use bytes::{Buf, Bytes};
+use futures::Stream;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use lagoonlift_callers::{
+    CLASS_HEADER, ChatChunk, ChatRequest, OutcomeReply, StreamOptions, max_output_tokens,
+    parse_chat_request, prompt_tokens, wants_stream, wants_usage,
+};
+use lagoonlift_policy::{PrefixHash, Target};
+use lagoonlift_types::{
+    Class, ClassName, KeyDigest, ModelName, NotRunReason, RequestId, WorkspaceName,
+};
+use serde_json::{Map, Value, json};
+use std::sync::Arc;
+use tokio::time::Instant;
+use warp::reply::Response;
+
+/// Class of requests that name none.
+pub(crate) const DEFAULT_CLASS: &str = "default";
+
+/// Bytes of the prompt that its prefix hash covers; engines use the same.
+const PREFIX_BYTES: usize = 1024;
+
+/// Beginning of an answer's identifier.
+const ANSWER_PREFIX: &str = "chatcmpl-";
+
+/// One accepted call.
+#[derive(Debug)]
+pub(crate) struct ChatJob {
+    pub(crate) facts: PlacementRequest,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) class: ClassName,
+    pub(crate) key: KeyDigest,
+    pub(crate) labels: RequestLabels,
+    pub(crate) arrived: Instant,
+    pub(crate) wants_stream: bool,
+    pub(crate) wants_usage: bool,
+    body: Bytes,
+}
+
+impl ChatJob {
+    /// Returns the body for an engine that is to go on after `delivered`
+    /// tokens.
+    pub(crate) fn engine_body(&self, delivered: u64) -> Bytes {
+        if delivered == 0 {
+            return self.body.clone();
+        }
+        // The text was written by `engine_text`, so it is an object.
+        let mut body: Map<String, Value> = serde_json::from_slice(&self.body).unwrap_or_default();
+        body.insert("resume_from".to_owned(), json!(delivered));
+        serde_json::to_vec(&body).unwrap_or_default().into()
+    }
+
+    /// Returns the identifier that the caller sees in every chunk.
+    pub(crate) fn answer_id(&self) -> String {
+        format!("{ANSWER_PREFIX}{}", self.facts.request)
+    }
+
+    /// Returns whether a chunk belongs to this request. Engines name an answer
+    /// after the request; a chunk named after another request has strayed.
+    pub(crate) fn owns_chunk(&self, chunk: &ChatChunk) -> bool {
+        let named = chunk.id.strip_prefix(ANSWER_PREFIX);
+        match named.and_then(|name| name.parse::<RequestId>().ok()) {
+            Some(request) => request == self.facts.request,
+            None => true,
+        }
+    }
+
+    /// Returns the fields that the protocol wants in a chunk of usage alone.
+    pub(crate) fn usage_chunk_fields(&self) -> Map<String, Value> {
+        let model = match &self.facts.target {
+            Target::Model(model) => model.as_str(),
+            Target::Service(name) => name.as_str(),
+        };
+        let mut fields = Map::new();
+        fields.insert("object".to_owned(), json!("chat.completion.chunk"));
+        fields.insert("model".to_owned(), json!(model));
+        fields
+    }
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub(crate) async fn answer_chat<B: Buf>(
+    context: Arc<EntryContext>,
+    headers: HeaderMap,
+    parts: impl Stream<Item = Result<B, warp::Error>>,
+) -> Response {
+    let arrived = Instant::now();
+    let request = RequestId::new();
+    match accept_chat(&context, request, arrived, &headers, parts).await {
+        Ok(job) => {
+            let (sender, receiver) = answer_channel(request);
+            tokio::spawn(ChatRelay::new(context, job, sender).run());
+            receiver.respond().await
+        }
+        Err(reply) => {
+            context.count_refusal(reply.outcome.kind(), arrived);
+            reply.into_response(request)
+        }
+    }
+}
+
+async fn accept_chat<B: Buf>(
+    context: &EntryContext,
+    request: RequestId,
+    arrived: Instant,
+    headers: &HeaderMap,
+    parts: impl Stream<Item = Result<B, warp::Error>>,
+) -> Result<ChatJob, OutcomeReply> {
+    // The key goes first: who has none gets no memory.
+    let key = bearer_key(headers).ok_or_else(unauthorized_reply)?;
+    let member = context.directory.load().member(&key);
+    let member = member.ok_or_else(unauthorized_reply)?;
+    let (class_name, class) = request_class(headers, &member)?;
+    let body = read_body(parts, context.max_body)
+        .await
+        .map_err(body_reply)?;
+    let call = parse_chat_request(&body).map_err(|error| bad_request(error.to_string()))?;
+    drop(body);
+    let model = permitted_model(&call, &member)?;
+    let facts = PlacementRequest {
+        request,
+        workspace: member.name.clone(),
+        urgency: class.urgency,
+        target: Target::Model(model),
+        prompt_tokens: prompt_tokens(&call),
+        max_output_tokens: max_output_tokens(&call),
+        deadline: arrived + class.deadline,
+        idempotent: class.idempotent,
+        prefix: prompt_prefix(&call),
+    };
+    Ok(ChatJob {
+        facts,
+        labels: RequestLabels::new(&member.name, &class_name),
+        workspace: member.name,
+        class: class_name,
+        key,
+        arrived,
+        wants_stream: wants_stream(&call),
+        wants_usage: wants_usage(&call),
+        body: engine_text(call)?,
+    })
+}
+
+/// Writes the call as engines get it: always streamed, always with usage.
+fn engine_text(mut call: ChatRequest) -> Result<Bytes, OutcomeReply> {
+    call.stream = Some(true);
+    let options = call.stream_options.take();
+    call.stream_options = Some(StreamOptions {
+        include_usage: true,
+        extra: options.map(|options| options.extra).unwrap_or_default(),
+    });
+    let text = serde_json::to_vec(&call).map_err(|error| bad_request(error.to_string()))?;
+    Ok(text.into())
+}
+
+/// Returns the digest of the caller's key; the key itself goes no further.
+pub(crate) fn bearer_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = text.split_once(' ')?;
+    let is_bearer = scheme.eq_ignore_ascii_case("bearer");
+    is_bearer.then(|| KeyDigest::of(key.trim()))
+}
+
+pub(crate) fn request_class(
+    headers: &HeaderMap,
+    member: &Member,
+) -> Result<(ClassName, Class), OutcomeReply> {
+    let unknown = || bad_request("the class is unknown to the workspace");
+    let text = match headers.get(CLASS_HEADER) {
+        Some(value) => value.to_str().map_err(|_| unknown())?,
+        None => DEFAULT_CLASS,
+    };
+    let name = ClassName::new(text).map_err(|_| unknown())?;
+    let class = member.workspace.classes.get(&name).ok_or_else(unknown)?;
+    let class = class.clone();
+    Ok((name, class))
+}
+
+fn permitted_model(call: &ChatRequest, member: &Member) -> Result<ModelName, OutcomeReply> {
+    let model = ModelName::new(&call.model).ok();
+    let permitted = model.filter(|model| member.workspace.models.contains(model));
+    permitted.ok_or_else(|| {
+        OutcomeReply::not_run(
+            NotRunReason::NotFound,
+            None,
+            "there is no such model for this workspace",
+        )
+    })
+}
+
+fn prompt_prefix(call: &ChatRequest) -> Option<PrefixHash> {
+    let contents = call.messages.iter().map(|message| &message.content);
+    let texts: Vec<&str> = contents
+        .map(|content| content.as_ref().and_then(Value::as_str).unwrap_or_default())
+        .collect();
+    let prompt = texts.join("\n");
+    let beginning = prompt.as_bytes().get(..PREFIX_BYTES)?;
+    let digest = blake3::hash(beginning);
+    let hash = digest.as_bytes().first_chunk().copied()?;
+    Some(PrefixHash(u64::from_be_bytes(hash)))
+}
+
+pub(crate) fn bad_request(message: impl Into<String>) -> OutcomeReply {
+    OutcomeReply::not_run(NotRunReason::BadRequest, None, message)
+}
+
+pub(crate) fn body_reply(error: BodyError) -> OutcomeReply {
+    let reason = match error {
+        BodyError::TooLarge(_) => NotRunReason::TooLarge,
+        BodyError::TooSlow | BodyError::Broken => NotRunReason::BadRequest,
+    };
+    OutcomeReply::not_run(reason, None, error.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,88 @@
+//! What all requests of one entry process share.
+
+use crate::admission::AdmissionActor;
+use crate::directory::KeyDirectory;
+use crate::instruments::{EntryInstruments, RequestLabels};
+use crate::retry::RetryBudget;
+use crate::tuning::EntryTuning;
+use arc_swap::ArcSwap;
+use lagoonlift_types::{ClassName, RequestId, UsageFigures, WorkspaceName};
+use lagoonlift_usage::UsageKeeper;
+use std::sync::{Mutex, PoisonError};
+use tokio::time::{Instant, timeout};
+use xtra::Address;
+
+/// What all requests of one entry process share.
+pub(crate) struct EntryContext {
+    pub(crate) directory: ArcSwap<KeyDirectory>,
+    pub(crate) admission: Address<AdmissionActor>,
+    pub(crate) instruments: EntryInstruments,
+    pub(crate) keeper: UsageKeeper,
+    pub(crate) budgets: Mutex<RetryBudgets>,
+    pub(crate) tuning: EntryTuning,
+    pub(crate) max_body: u64,
+}
+
+/// The budgets for repeats of two kinds.
+#[derive(Debug)]
+pub(crate) struct RetryBudgets {
+    /// Repeats that start over.
+    restarts: RetryBudget,
+    /// Repeats that go on after tokens already delivered: they add no work but
+    /// the prompt's, so their share may be larger.
+    resumes: RetryBudget,
+}
+
+impl RetryBudgets {
+    pub(crate) fn new(tuning: &EntryTuning) -> Self {
+        Self {
+            restarts: RetryBudget::new(tuning.restart_budget),
+            resumes: RetryBudget::new(tuning.resume_budget),
+        }
+    }
+}
+
+impl EntryContext {
+    /// Counts a request that is sent for the first time.
+    pub(crate) fn count_request(&self) {
+        let now = Instant::now();
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets.restarts.count_request(now);
+        budgets.resumes.count_request(now);
+    }
+
+    /// Takes one repeat from the budget; `false` when it is used up.
+    pub(crate) fn take_repeat(&self, is_resume: bool) -> bool {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = match is_resume {
+            true => &mut budgets.resumes,
+            false => &mut budgets.restarts,
+        };
+        budget.take_repeat(Instant::now())
+    }
+
+    /// Records what a request used; returns when a second copy exists, or when
+    /// waiting for one would hold the caller's last byte too long.
+    pub(crate) async fn record_usage(
+        &self,
+        request: RequestId,
+        workspace: &WorkspaceName,
+        class: &ClassName,
+        figures: UsageFigures,
+    ) {
+        let recorded = self
+            .keeper
+            .record(request, workspace.clone(), class.clone(), figures);
+        match timeout(self.tuning.usage_limit, recorded).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => self.instruments.count_uncopied(),
+        }
+    }
+
+    /// Counts a request that was refused before it had a workspace.
+    pub(crate) fn count_refusal(&self, kind: lagoonlift_types::OutcomeKind, arrived: Instant) {
+        let labels = RequestLabels::anonymous();
+        self.instruments
+            .count_outcome(&labels, kind, arrived.elapsed());
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,257 @@
+//! The entry daemon's parts, started together and stopped in order.
+
+use crate::admission::{AdmissionActor, Observe, Reconfigure};
+use crate::context::{EntryContext, RetryBudgets};
+use crate::directory::KeyDirectory;
+use crate::instruments::EntryInstruments;
+use crate::link::list_upstreams;
+use crate::poll::poll_engines;
+use crate::routes::caller_routes;
+use crate::server::serve;
+use crate::tuning::EntryTuning;
+use arc_swap::ArcSwap;
+use eyre::{OptionExt, Result, WrapErr};
+use lagoonlift_hosts::{Member, MemberState, PeerConfig, PeerNode};
+use lagoonlift_platform::PlatformClient;
+use lagoonlift_policy::EntryEvent;
+use lagoonlift_settings::{EntrySettings, Settings};
+use lagoonlift_telemetry::{Metrics, Readiness, admin_routes};
+use lagoonlift_types::{Incarnation, ProcessId, ProcessRole};
+use lagoonlift_usage::UsageKeeper;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use xtra::{Address, Mailbox};
+
+/// Time between two ticks of the admission policy.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time for the balancer to see that the host isn't ready before the listener
+/// goes.
+const UNREADY_PAUSE: Duration = Duration::from_millis(500);
+
+/// A running entry daemon.
+pub struct Entry {
+    caller_addr: SocketAddr,
+    admin_addr: SocketAddr,
+    node: PeerNode,
+    keeper: UsageKeeper,
+    readiness: Readiness,
+    stopping: watch::Sender<bool>,
+    server: JoinHandle<()>,
+    helpers: Vec<JoinHandle<()>>,
+    drain_timeout: Duration,
+}
+
+impl Entry {
+    /// Starts an entry daemon; `metrics` gets its instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings have no `[entry]` section or an address can't
+    /// be listened on.
+    pub async fn start(settings: &Settings, metrics: Metrics) -> Result<Self> {
+        Self::with_tuning(settings, metrics, EntryTuning::default()).await
+    }
+
+    /// Starts an entry daemon with other limits than those of operation.
+    ///
+    /// # Errors
+    ///
+    /// As [`Entry::start`].
+    pub async fn with_tuning(
+        settings: &Settings,
+        metrics: Metrics,
+        tuning: EntryTuning,
+    ) -> Result<Self> {
+        let entry = settings.entry.as_ref();
+        let entry = entry.ok_or_eyre("the settings have no [entry] section")?;
+        let callers = listen(entry.listen).await?;
+        let admin = listen(entry.admin_listen).await?;
+        let config = peer_config(settings, entry);
+        let (process, incarnation) = (config.process.clone(), config.incarnation);
+        let node = PeerNode::start(config).await?;
+        let platform = PlatformClient::new(
+            settings.platform.address,
+            settings.platform.token.clone(),
+            settings.platform.timeout,
+        );
+        let keeper = UsageKeeper::start(
+            node.clone(),
+            platform,
+            process,
+            incarnation,
+            settings.host.data_centre.clone(),
+            settings.usage.window,
+        );
+        let start = Instant::now();
+        let admission = AdmissionActor::new(start, &settings.host.data_centre);
+        let admission = xtra::spawn_tokio(admission, Mailbox::unbounded());
+        let context = Arc::new(EntryContext {
+            directory: ArcSwap::default(),
+            admission: admission.clone(),
+            instruments: EntryInstruments::new(&metrics),
+            keeper: keeper.clone(),
+            budgets: Mutex::new(RetryBudgets::new(&tuning)),
+            tuning,
+            max_body: entry.max_body,
+        });
+        let readiness = Readiness::new();
+        let (stopping, stop) = watch::channel(false);
+        let admin_addr = admin.local_addr()?;
+        let pages = admin_routes(metrics, readiness.clone());
+        let helpers = vec![
+            tokio::spawn(warp::serve(pages).incoming(admin).run()),
+            tokio::spawn(follow_configuration(
+                node.clone(),
+                Arc::clone(&context),
+                readiness.clone(),
+                stop.clone(),
+            )),
+            tokio::spawn(run_ticks(admission)),
+            tokio::spawn(poll_engines(Arc::clone(&context), start)),
+        ];
+        Ok(Self {
+            caller_addr: callers.local_addr()?,
+            admin_addr,
+            server: tokio::spawn(serve(callers, caller_routes(context), stop)),
+            node,
+            keeper,
+            readiness,
+            stopping,
+            helpers,
+            drain_timeout: entry.drain_timeout,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.caller_addr
+    }
+
+    /// Returns the address of the metrics and readiness pages.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.admin_addr
+    }
+
+    /// Returns the address for other processes of the system.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.node.local_addr()
+    }
+
+    /// Stops without cutting a request: readiness goes first, so that the
+    /// balancer sends no new callers; then the listener; then, after the last
+    /// stream, the usage records and the membership.
+    pub async fn shutdown(mut self) {
+        self.readiness.set(false);
+        tokio::time::sleep(UNREADY_PAUSE).await;
+        self.stopping.send_replace(true);
+        if timeout(self.drain_timeout, &mut self.server).await.is_err() {
+            self.server.abort();
+            tracing::warn!("streams were cut: the drain timeout is over");
+        }
+        if let Err(error) = self.keeper.flush().await {
+            tracing::warn!(%error, "usage windows are left to neighbours");
+        }
+        self.node.leave().await;
+        for helper in self.helpers {
+            helper.abort();
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("can't listen on {address}"))
+}
+
+fn peer_config(settings: &Settings, entry: &EntrySettings) -> PeerConfig {
+    let seeds = settings.peers.seeds.iter();
+    let own = settings.host.name.clone();
+    let addresses = seeds.flat_map(|seed| {
+        let is_self = seed.name == own;
+        let entry = seed.entry.filter(|_| !is_self);
+        [entry, seed.steward]
+    });
+    PeerConfig {
+        process: ProcessId {
+            host: settings.host.name.clone(),
+            role: ProcessRole::Entry,
+        },
+        data_centre: settings.host.data_centre.clone(),
+        incarnation: new_incarnation(),
+        listen: entry.peer_listen,
+        seeds: addresses.flatten().collect(),
+        key: settings.peers.key.0,
+        other_key: settings.peers.other_key.as_ref().map(|key| key.0),
+        heartbeat: settings.peers.heartbeat,
+    }
+}
+
+fn new_incarnation() -> Incarnation {
+    // A clock before 1970 only makes the incarnation look old.
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since.unwrap_or_default().as_millis() as u64)
+}
+
+/// Puts each configuration and fleet view into force as it comes.
+async fn follow_configuration(
+    node: PeerNode,
+    context: Arc<EntryContext>,
+    readiness: Readiness,
+    stop: watch::Receiver<bool>,
+) {
+    let mut configurations = node.store().subscribe();
+    let mut fleets = node.fleets();
+    let mut members = node.members();
+    loop {
+        let configuration = Arc::clone(&configurations.borrow_and_update());
+        let upstreams = list_upstreams(&configuration, &fleets.borrow_and_update());
+        let directory = KeyDirectory::new(Arc::clone(&configuration));
+        let has_configuration = !configuration.workspaces.is_empty();
+        let change = Reconfigure {
+            configuration,
+            upstreams,
+            entries: count_entries(&members.borrow_and_update()),
+        };
+        // The policy knows a workspace before its callers are let in.
+        if context.admission.send(change).await.is_err() {
+            return;
+        }
+        context.directory.store(Arc::new(directory));
+        readiness.set(has_configuration && !*stop.borrow());
+        let changed = tokio::select! {
+            changed = configurations.changed() => changed,
+            changed = fleets.changed() => changed,
+            changed = members.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+/// Counts the live entry processes, this one included.
+fn count_entries(members: &[Member]) -> u32 {
+    let is_live_entry = |member: &&Member| {
+        member.process.role == ProcessRole::Entry && member.state == MemberState::Alive
+    };
+    let others = members.iter().filter(is_live_entry).count();
+    u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+}
+
+async fn run_ticks(admission: Address<AdmissionActor>) {
+    let mut ticks = interval(TICK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        if admission.send(Observe(EntryEvent::Tick)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/delivery.rs
@@ -0,0 +1,183 @@
+//! The caller's side of one answer: a stream, or a whole.
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt};
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use lagoonlift_callers::{OUTCOME_HEADER, OutcomeReply, REQUEST_ID_HEADER, error_event};
+use lagoonlift_types::{OutcomeKind, RequestId};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::sync::{CancellationToken, DropGuard};
+use warp::reply::{Reply, Response};
+
+/// Parts that may wait for a slow caller.
+const PART_BUFFER: usize = 16;
+
+/// Longest time that a caller may not read; its upstream's slot is then freed.
+const STALL_LIMIT: Duration = Duration::from_secs(30);
+
+/// The caller went away, or reads nothing.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("the caller left")]
+pub(crate) struct CallerLeft;
+
+/// An answer that broke off in the middle.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("the answer broke off")]
+pub(crate) struct AnswerCut;
+
+/// The sending end of one answer.
+#[derive(Debug)]
+pub(crate) struct AnswerSender {
+    request: RequestId,
+    head: Option<oneshot::Sender<AnswerHead>>,
+    parts: mpsc::Sender<Result<Bytes, AnswerCut>>,
+    caller: CancellationToken,
+}
+
+/// The receiving end, held by the HTTP library: dropping it says that the
+/// caller left.
+#[derive(Debug)]
+pub(crate) struct AnswerReceiver {
+    request: RequestId,
+    head: oneshot::Receiver<AnswerHead>,
+    parts: mpsc::Receiver<Result<Bytes, AnswerCut>>,
+    guard: DropGuard,
+}
+
+/// What comes before the parts.
+#[derive(Debug)]
+enum AnswerHead {
+    /// Parts follow.
+    Parts {
+        status: StatusCode,
+        headers: HeaderMap,
+    },
+    /// This is all.
+    Reply(OutcomeReply),
+}
+
+/// Creates both ends of one answer.
+pub(crate) fn answer_channel(request: RequestId) -> (AnswerSender, AnswerReceiver) {
+    let (head_sender, head) = oneshot::channel();
+    let (part_sender, parts) = mpsc::channel(PART_BUFFER);
+    let caller = CancellationToken::new();
+    let guard = caller.clone().drop_guard();
+    let sender = AnswerSender {
+        request,
+        head: Some(head_sender),
+        parts: part_sender,
+        caller,
+    };
+    let receiver = AnswerReceiver {
+        request,
+        head,
+        parts,
+        guard,
+    };
+    (sender, receiver)
+}
+
+impl AnswerSender {
+    /// Returns a token that is cancelled when the caller has left.
+    pub(crate) fn caller(&self) -> CancellationToken {
+        self.caller.clone()
+    }
+
+    /// Starts an answer of several parts.
+    pub(crate) fn begin(&mut self, status: StatusCode, headers: HeaderMap) {
+        if let Some(head) = self.head.take() {
+            // A caller that left is noticed through its token.
+            let _ = head.send(AnswerHead::Parts { status, headers });
+        }
+    }
+
+    /// Starts a streamed answer, unless it has begun.
+    pub(crate) fn begin_events(&mut self) {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        self.begin(StatusCode::OK, headers);
+    }
+
+    /// Starts a whole answer in JSON.
+    pub(crate) fn begin_json(&mut self) {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(OUTCOME_HEADER, outcome_value(OutcomeKind::Answered));
+        self.begin(StatusCode::OK, headers);
+    }
+
+    /// Sends the next part.
+    pub(crate) async fn send(&mut self, part: Bytes) -> Result<(), CallerLeft> {
+        match timeout(STALL_LIMIT, self.parts.send(Ok(part))).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(CallerLeft),
+        }
+    }
+
+    /// Breaks the connection off.
+    pub(crate) async fn cut(self) {
+        // The HTTP library breaks a connection off when its body fails.
+        let _ = self.parts.send(Err(AnswerCut)).await;
+    }
+
+    /// Ends the answer with a reply: as the whole response if nothing was sent,
+    /// else as the last event of the stream.
+    pub(crate) async fn fail(mut self, reply: OutcomeReply) {
+        match self.head.take() {
+            Some(head) => {
+                let _ = head.send(AnswerHead::Reply(reply));
+            }
+            None => {
+                tracing::debug!(request = %self.request, "a stream ended early");
+                let _ = self.send(error_event(&reply)).await;
+            }
+        }
+    }
+}
+
+impl AnswerReceiver {
+    /// Waits for the head and returns the response, whose body is the parts.
+    pub(crate) async fn respond(self) -> Response {
+        let Ok(head) = self.head.await else {
+            // The task that held the sender ended without a word; it may have
+            // sent the request.
+            let outcome = lagoonlift_types::Outcome::Unknown;
+            let reply = OutcomeReply::new(outcome, "the request's task ended early");
+            return reply.into_response(self.request);
+        };
+        match head {
+            AnswerHead::Reply(reply) => reply.into_response(self.request),
+            AnswerHead::Parts { status, headers } => {
+                let parts = guarded(self.parts, self.guard);
+                let mut response = warp::reply::stream(parts).into_response();
+                *response.status_mut() = status;
+                response.headers_mut().extend(headers);
+                if let Ok(value) = HeaderValue::from_str(&self.request.to_string()) {
+                    response.headers_mut().insert(REQUEST_ID_HEADER, value);
+                }
+                response
+            }
+        }
+    }
+}
+
+/// Returns the header value that tells an outcome.
+pub(crate) fn outcome_value(kind: OutcomeKind) -> HeaderValue {
+    HeaderValue::from_static(kind.as_str())
+}
+
+fn guarded(
+    parts: mpsc::Receiver<Result<Bytes, AnswerCut>>,
+    guard: DropGuard,
+) -> impl Stream<Item = Result<Bytes, AnswerCut>> + Send + Sync + 'static {
+    ReceiverStream::new(parts).map(move |part| {
+        let _held = &guard;
+        part
+    })
+}
--- /dev/null
+++ b/crates/entry/src/directory.rs
@@ -0,0 +1,59 @@
+//! Who may call, looked up by key digest in the configuration in force.
+//!
+//! Every request reads the directory twice, at admission and at dispatch, so a
+//! lookup must cost no lock and no search through all workspaces.
+
+use lagoonlift_types::{Configuration, KeyDigest, Workspace, WorkspaceName};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// The configuration in force, indexed by key.
+#[derive(Debug, Default)]
+pub(crate) struct KeyDirectory {
+    configuration: Arc<Configuration>,
+    by_key: HashMap<KeyDigest, WorkspaceName>,
+}
+
+/// A workspace that a caller has proved to belong to.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) name: WorkspaceName,
+    pub(crate) workspace: Arc<Workspace>,
+}
+
+impl KeyDirectory {
+    pub(crate) fn new(configuration: Arc<Configuration>) -> Self {
+        let entries = configuration.workspaces.iter();
+        let by_key = entries
+            .flat_map(|(name, workspace)| workspace.keys.iter().map(|key| (*key, name.clone())))
+            .collect();
+        Self {
+            configuration,
+            by_key,
+        }
+    }
+
+    /// Returns the workspace that the key belongs to now.
+    pub(crate) fn member(&self, key: &KeyDigest) -> Option<Member> {
+        let (digest, name) = self.by_key.get_key_value(key)?;
+        // The table may have compared byte by byte; this comparison doesn't.
+        match digest.matches(key) {
+            true => self.workspace(name),
+            false => None,
+        }
+    }
+
+    /// Returns the workspace of this name.
+    pub(crate) fn workspace(&self, name: &WorkspaceName) -> Option<Member> {
+        let (name, workspace) = self.configuration.workspaces.get_key_value(name)?;
+        Some(Member {
+            name: name.clone(),
+            workspace: Arc::clone(workspace),
+        })
+    }
+
+    /// Returns whether the key belongs to the workspace now.
+    pub(crate) fn admits(&self, key: &KeyDigest, workspace: &WorkspaceName) -> bool {
+        self.by_key.get(key) == Some(workspace)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,34 @@
-//! The entry daemon.
+//! The entry daemon: admits, queues, routes, retries, streams and meters.
+//!
+//! Every host runs one. It serves on without the platform and without a
+//! steward, from the configuration and fleet views that its neighbours hold.
+//! A request meets, in this order: its key, its body, its workspace's limits,
+//! the admission policy (an actor of its own), and then a relay task that
+//! carries the answer from the upstream to the caller, token by token, through
+//! no actor. Whatever happens, the relay ends in one of the closed set of
+//! outcomes.
+
+mod admission;
+mod body;
+mod chat;
+mod context;
+mod cursor;
+mod daemon;
+mod delivery;
+mod directory;
+mod instruments;
+mod link;
+mod plain;
+mod plain_relay;
+mod poll;
+mod relay;
+mod retry;
+mod routes;
+mod server;
+mod slot;
+mod tuning;
+
+pub use cursor::{CursorStep, TokenCursor};
+pub use daemon::Entry;
+pub use retry::{BudgetShare, RetryBudget, RunEvidence, backoff};
+pub use tuning::EntryTuning;
--- /dev/null
+++ b/crates/entry/src/plain_relay.rs
@@ -0,0 +1,275 @@
+//! Relays one answer of a plain service to its caller.
+//!
+//! A service can't resume, so an answer that has begun is never repeated. Work
+//! that may not be repeated is finished even when its caller leaves: cutting it
+//! would only make its outcome unknown.
+
+use crate::admission::Placement;
+use crate::context::EntryContext;
+use crate::delivery::{AnswerSender, CallerLeft, outcome_value};
+use crate::link::UpstreamClient;
+use crate::plain::PlainJob;
+use crate::relay::unauthorized_reply;
+use crate::retry::{RunEvidence, backoff};
+use crate::slot::{UpstreamSlot, place};
+use bytes::Bytes;
+use lagoonlift_callers::{OUTCOME_HEADER, OutcomeReply};
+use lagoonlift_policy::{AttemptEnd, UpstreamKey};
+use lagoonlift_types::{NotRunReason, Outcome, OutcomeKind, UsageFigures};
+use lagoonlift_upstreams::{
+    ConnectionUse, SendError, ServiceAnswer, ServiceCall, ServiceClient, StreamError,
+};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// When a caller may come back after every attempt failed.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
+/// Relays one answer of a plain service.
+pub(crate) struct PlainRelay {
+    context: Arc<EntryContext>,
+    job: PlainJob,
+    sender: AnswerSender,
+    evidence: RunEvidence,
+    avoid: Vec<UpstreamKey>,
+    attempts: u32,
+}
+
+/// How a request ended.
+enum PlainEnd {
+    Answered(OutcomeKind),
+    Refused(OutcomeReply),
+    /// The answer had begun and broke off.
+    Cut(StreamError),
+    CallerLeft,
+}
+
+impl PlainRelay {
+    pub(crate) fn new(context: Arc<EntryContext>, job: PlainJob, sender: AnswerSender) -> Self {
+        Self {
+            context,
+            job,
+            sender,
+            evidence: RunEvidence::NotRun,
+            avoid: Vec::new(),
+            attempts: 0,
+        }
+    }
+
+    /// Runs the request to its end.
+    pub(crate) async fn run(mut self) {
+        let caller = self.sender.caller();
+        let is_idempotent = self.job.facts.idempotent;
+        let end = tokio::select! {
+            biased;
+            () = caller.cancelled(), if is_idempotent => PlainEnd::CallerLeft,
+            end = self.run_attempts() => end,
+        };
+        match end {
+            PlainEnd::Answered(kind) => self.count(kind),
+            PlainEnd::Refused(reply) => {
+                self.count(reply.outcome.kind());
+                self.sender.fail(reply).await;
+            }
+            PlainEnd::Cut(error) => {
+                // The body has no place for an error: the connection is broken
+                // off, so that the caller doesn't take the part for the whole.
+                tracing::debug!(%error, "a service's answer broke off");
+                self.count(OutcomeKind::Failed);
+                self.sender.cut().await;
+            }
+            PlainEnd::CallerLeft => self.count(OutcomeKind::Failed),
+        }
+    }
+
+    async fn run_attempts(&mut self) -> PlainEnd {
+        loop {
+            let slot = match self.next_slot().await {
+                Ok(slot) => slot,
+                Err(reply) => return PlainEnd::Refused(reply),
+            };
+            if !self.is_still_admitted() {
+                return PlainEnd::Refused(unauthorized_reply());
+            }
+            let upstream = slot.upstream();
+            let error = match self.attempt(&slot).await {
+                Ok(answer) => return self.relay(answer, slot).await,
+                Err(error) => error,
+            };
+            slot.finish(attempt_end(&error));
+            self.avoid.push(upstream);
+            if let Err(reply) = self.prepare_repeat(&error).await {
+                return PlainEnd::Refused(reply);
+            }
+        }
+    }
+
+    fn is_still_admitted(&self) -> bool {
+        let directory = self.context.directory.load();
+        let admits = |key| directory.admits(key, &self.job.workspace);
+        let is_admitted = self.job.key.as_ref().is_none_or(admits);
+        self.evidence != RunEvidence::NotRun || is_admitted
+    }
+
+    async fn next_slot(&mut self) -> Result<UpstreamSlot, OutcomeReply> {
+        // A route has one service, so there is none to go to instead.
+        let avoid = (self.attempts > 0).then(Vec::new);
+        match place(&self.context.admission, self.job.facts.clone(), avoid).await {
+            Placement::Dispatch(slot) => Ok(slot),
+            Placement::Refuse {
+                reason,
+                retry_after,
+            } => Err(self.give_up(reason, retry_after)),
+        }
+    }
+
+    async fn attempt(&mut self, slot: &UpstreamSlot) -> Result<ServiceAnswer, SendError> {
+        self.attempts += 1;
+        if self.attempts == 1 {
+            self.context.count_request();
+        }
+        let instruments = &self.context.instruments;
+        instruments.count_attempt(&self.job.labels, self.attempts == 1);
+        let link = Arc::clone(slot.link());
+        let UpstreamClient::Service(client) = &link.client else {
+            // The policy places routes on services only.
+            return Err(SendError::NotSent("the upstream is no service".to_owned()));
+        };
+        let answer = self.send(client).await;
+        if let Err(SendError::Silent(_)) = &answer {
+            link.connections().evict();
+            instruments.count_eviction();
+        }
+        answer
+    }
+
+    async fn send(&self, client: &ServiceClient) -> Result<ServiceAnswer, SendError> {
+        let job = &self.job;
+        let left = job.facts.deadline.saturating_duration_since(Instant::now());
+        let call = ServiceCall {
+            request: job.facts.request,
+            attempt: self.attempts,
+            method: job.method.clone(),
+            path: job.path.clone(),
+            headers: job.headers.clone(),
+            body: job.body.clone(),
+            connection: match job.facts.idempotent {
+                true => ConnectionUse::Pooled,
+                false => ConnectionUse::Fresh,
+            },
+            head_limit: self.context.tuning.service_limit.min(left),
+        };
+        client.send(call).await
+    }
+
+    async fn relay(&mut self, mut answer: ServiceAnswer, slot: UpstreamSlot) -> PlainEnd {
+        let kind = match answer.status().is_server_error() {
+            true => OutcomeKind::Failed,
+            false => OutcomeKind::Answered,
+        };
+        let mut headers = answer.headers();
+        headers.insert(OUTCOME_HEADER, outcome_value(kind));
+        self.sender.begin(answer.status(), headers);
+        let relayed = self.relay_parts(&mut answer).await;
+        let end = match &relayed {
+            Ok(()) => AttemptEnd::Completed { output_tokens: 0 },
+            Err(PlainEnd::Cut(_)) => AttemptEnd::UpstreamFailed,
+            Err(_) => AttemptEnd::Cancelled,
+        };
+        slot.finish(end);
+        match relayed {
+            Ok(()) => PlainEnd::Answered(kind),
+            Err(end) => end,
+        }
+    }
+
+    /// Sends each part when the next one has come, so that the last one is
+    /// held until the usage is recorded.
+    async fn relay_parts(&mut self, answer: &mut ServiceAnswer) -> Result<(), PlainEnd> {
+        let limit = self.context.tuning.service_limit;
+        let mut held: Option<Bytes> = None;
+        while let Some(part) = answer.next(limit).await.map_err(PlainEnd::Cut)? {
+            if let Some(part) = held.replace(part) {
+                self.send_part(part).await?;
+            }
+        }
+        self.record().await;
+        match held {
+            Some(part) => self.send_part(part).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn send_part(&mut self, part: Bytes) -> Result<(), PlainEnd> {
+        let sent = self.sender.send(part).await;
+        match sent {
+            Ok(()) => Ok(()),
+            // The service is still read to its end, but for nobody.
+            Err(CallerLeft) if !self.job.facts.idempotent => Ok(()),
+            Err(CallerLeft) => Err(PlainEnd::CallerLeft),
+        }
+    }
+
+    async fn record(&self) {
+        let figures = UsageFigures {
+            requests: 1,
+            ..UsageFigures::default()
+        };
+        let job = &self.job;
+        self.context
+            .record_usage(job.facts.request, &job.workspace, &job.class, figures)
+            .await;
+    }
+
+    async fn prepare_repeat(&mut self, error: &SendError) -> Result<(), OutcomeReply> {
+        let evidence = match error {
+            SendError::NotSent(_) | SendError::Busy { .. } => RunEvidence::NotRun,
+            SendError::Broken(_) | SendError::Silent(_) => RunEvidence::MayHaveRun,
+            SendError::Status { .. } => RunEvidence::Ran,
+        };
+        self.evidence = self.evidence.max(evidence);
+        let wait = backoff(self.attempts, rand::random());
+        let may_repeat = self.job.facts.idempotent || self.evidence == RunEvidence::NotRun;
+        let permitted = may_repeat
+            && Instant::now() + wait < self.job.facts.deadline
+            && self.attempts < self.context.tuning.max_attempts
+            && self.context.take_repeat(false);
+        if !permitted {
+            return Err(self.give_up(NotRunReason::NoUpstream, FAILED_RETRY));
+        }
+        tokio::time::sleep(wait).await;
+        Ok(())
+    }
+
+    fn give_up(&self, reason: NotRunReason, retry_after: Duration) -> OutcomeReply {
+        match self.evidence {
+            RunEvidence::NotRun => OutcomeReply::not_run(
+                reason,
+                Some(retry_after),
+                "the service can't be reached now; the request was not run",
+            ),
+            RunEvidence::MayHaveRun => OutcomeReply::new(
+                Outcome::Unknown,
+                "the service didn't answer; the request may have run",
+            ),
+            RunEvidence::Ran => OutcomeReply::new(Outcome::Failed, "the request ran and failed"),
+        }
+    }
+
+    fn count(&self, kind: OutcomeKind) {
+        let took = self.job.arrived.elapsed();
+        let instruments = &self.context.instruments;
+        instruments.count_outcome(&self.job.labels, kind, took);
+    }
+}
+
+fn attempt_end(error: &SendError) -> AttemptEnd {
+    match error {
+        SendError::Busy { .. } => AttemptEnd::Busy,
+        SendError::NotSent(_)
+        | SendError::Status { .. }
+        | SendError::Broken(_)
+        | SendError::Silent(_) => AttemptEnd::UpstreamFailed,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,91 @@
+//! The paths that callers may use.
+
+use crate::chat::{answer_chat, bearer_key};
+use crate::context::EntryContext;
+use crate::plain::{PlainCall, answer_plain};
+use crate::relay::unauthorized_reply;
+use http::{HeaderMap, Method};
+use lagoonlift_callers::{ModelCard, ModelList, OutcomeReply};
+use lagoonlift_types::{NotRunReason, RequestId};
+use std::convert::Infallible;
+use std::sync::Arc;
+use warp::filters::BoxedFilter;
+use warp::path::FullPath;
+use warp::reply::{self, Reply, Response};
+use warp::{Filter, Rejection};
+
+/// Returns the filter that answers every request of callers.
+pub(crate) fn caller_routes(context: Arc<EntryContext>) -> BoxedFilter<(Response,)> {
+    let context = warp::any().map(move || Arc::clone(&context));
+    let chat = warp::path!("v1" / "chat" / "completions")
+        .and(warp::post())
+        .and(context.clone())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
+        .then(answer_chat);
+    let models = warp::path!("v1" / "models")
+        .and(warp::get())
+        .and(context.clone())
+        .and(warp::header::headers_cloned())
+        .map(answer_models);
+    let plain = warp::path!("v1" / "services" / ..)
+        .and(context)
+        .and(plain_call())
+        .and(warp::body::stream())
+        .then(answer_plain);
+    chat.or(models)
+        .unify()
+        .or(plain)
+        .unify()
+        .recover(answer_rejection)
+        .unify()
+        .boxed()
+}
+
+fn plain_call() -> impl Filter<Extract = (PlainCall,), Error = Infallible> + Clone {
+    let query = warp::query::raw()
+        .map(Some)
+        .or_else(|_| async { Ok::<_, Infallible>((None,)) });
+    warp::method()
+        .and(warp::path::full())
+        .and(query)
+        .and(warp::header::headers_cloned())
+        .map(
+            |method: Method, path: FullPath, query: Option<String>, headers: HeaderMap| PlainCall {
+                method,
+                path: path.as_str().to_owned(),
+                query,
+                headers,
+            },
+        )
+}
+
+fn answer_models(context: Arc<EntryContext>, headers: HeaderMap) -> Response {
+    let key = bearer_key(&headers);
+    let member = key.and_then(|key| context.directory.load().member(&key));
+    let Some(member) = member else {
+        return unauthorized_reply().into_response(RequestId::new());
+    };
+    let models = member.workspace.models.iter();
+    let list = ModelList {
+        object: "list".to_owned(),
+        data: models
+            .map(|model| ModelCard {
+                id: model.to_string(),
+                object: "model".to_owned(),
+                created: 0,
+                owned_by: "lagoonlift".to_owned(),
+            })
+            .collect(),
+    };
+    reply::json(&list).into_response()
+}
+
+async fn answer_rejection(rejection: Rejection) -> Result<Response, Infallible> {
+    let message = match rejection.is_not_found() {
+        true => "there is no such path",
+        false => "the path doesn't permit this method",
+    };
+    let reply = OutcomeReply::not_run(NotRunReason::NotFound, None, message);
+    Ok(reply.into_response(RequestId::new()))
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,94 @@
+//! The listener for callers.
+//!
+//! The routes are warp's; the accept loop is here because two of its knobs
+//! decide promises: a slow sender of headers must not hold memory for ever, and
+//! a token must not wait in the kernel for the next one.
+
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+use warp::filters::BoxedFilter;
+use warp::reply::Response;
+
+/// Longest time that a caller may take to send a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Largest request head, in bytes; also the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Most connections at once; further callers wait in the listener's backlog.
+const MAX_CONNECTIONS: usize = 16_384;
+
+/// Wait after a failed accept, such as when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves callers until `stopping` holds `true`, then until the last request
+/// that was begun has been answered.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    routes: BoxedFilter<(Response,)>,
+    mut stopping: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    let builder = connection_builder();
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    // Owned here, so that ending this future ends every connection.
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            _ = stopping.wait_for(|stopping| *stopping) => break,
+            Some(_) = connections.join_next() => continue,
+            accepted = accept(&listener, &permits) => accepted,
+        };
+        let Some((stream, permit)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let service = TowerToHyperService::new(warp::service(routes.clone()));
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection.into_owned());
+        connections.spawn(async move {
+            // A caller that breaks the protocol ends only its own connection.
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "a caller's connection broke");
+            }
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    while connections.join_next().await.is_some() {}
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
+    let (stream, _) = listener.accept().await.ok()?;
+    // Without it, small events would be held back; serving on is still right.
+    let _ = stream.set_nodelay(true);
+    Some((stream, permit))
+}
+
+fn connection_builder() -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEAD_BYTES as u32)
+        .keep_alive_interval(HEAD_TIMEOUT);
+    builder
+}
--- /dev/null
+++ b/crates/entry/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the entry daemon, with stand-ins for everything around it.
+
+mod cursor;
+mod sessions;
+mod support;
--- /dev/null
+++ b/crates/entry/tests/all/sessions.rs
@@ -0,0 +1,127 @@
+//! Whole sessions of callers, from key to last byte.
+
+use crate::support::{
+    BenchPlan, EntryBench, HANG_GUARD, KEY, OTHER_KEY, PROMPT, chat_body, header, streamed_text,
+};
+use lagoonlift_standins::engine::answer_text;
+use serde_json::Value;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+#[tokio::test]
+async fn a_streamed_answer_is_whole_and_the_key_stays_here() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let response = bench.chat("default", true, 12).send().await.expect("sent");
+    assert_eq!(response.status(), 200);
+    assert_eq!(header(&response, "content-type"), "text/event-stream");
+    let body = response.text().await.expect("a whole body");
+    assert_eq!(streamed_text(&body), answer_text(PROMPT, 12));
+    assert!(body.ends_with("data: [DONE]\n\n"));
+    let logs = bench
+        .engines
+        .iter()
+        .flat_map(|engine| engine.log().snapshot());
+    let had_key: Vec<bool> = logs.map(|execution| execution.had_key).collect();
+    assert_eq!(had_key, [false]);
+    assert_eq!(
+        bench.metric("lagoonlift_first_token_seconds_count", "harbour"),
+        1.0
+    );
+}
+
+#[tokio::test]
+async fn a_plain_answer_is_whole() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let response = bench.chat("once", false, 5).send().await.expect("sent");
+    assert_eq!(header(&response, "lagoonlift-outcome"), "answered");
+    let answer: Value = response.json().await.expect("JSON");
+    let content = &answer["choices"][0]["message"]["content"];
+    assert_eq!(content, &Value::from(answer_text(PROMPT, 5)));
+    assert_eq!(answer["usage"]["completion_tokens"], 5);
+}
+
+#[tokio::test]
+async fn a_key_opens_its_own_workspace_only() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let unknown = bench
+        .client
+        .post(bench.url("/v1/chat/completions"))
+        .bearer_auth("wrong")
+        .json(&chat_body(false, 1));
+    let response = unknown.send().await.expect("sent");
+    assert_eq!(response.status(), 401);
+    assert_eq!(header(&response, "lagoonlift-outcome"), "not-run");
+    insta::assert_snapshot!(response.text().await.expect("a body"));
+    let foreign = bench.client.get(bench.url("/v1/services/harbour/look/1"));
+    let response = foreign.bearer_auth(OTHER_KEY).send().await.expect("sent");
+    assert_eq!(response.status(), 401);
+    assert!(bench.service.calls().is_empty());
+}
+
+#[tokio::test]
+async fn plain_routes_are_keyed_or_open() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let open = bench
+        .client
+        .get(bench.url("/v1/services/harbour/status/now?a=1"));
+    let response = open.send().await.expect("sent");
+    assert_eq!(header(&response, "lagoonlift-outcome"), "answered");
+    let keyed = bench.client.post(bench.url("/v1/services/harbour/book/7"));
+    let keyed = keyed
+        .bearer_auth(KEY)
+        .body("pump")
+        .send()
+        .await
+        .expect("sent");
+    assert_eq!(keyed.text().await.expect("a body"), "POST /book/7 pump\n");
+    // An escaped slash, because the client's URL parser resolves plain ones.
+    let escape = bench.url("/v1/services/harbour/status/..%2fbook/7");
+    let response = bench.client.get(escape).send().await.expect("sent");
+    assert_eq!(header(&response, "lagoonlift-outcome"), "not-run");
+    let calls = bench.service.calls();
+    assert!(calls.iter().all(|call| !call.had_key));
+    assert_eq!(calls.len(), 2);
+}
+
+#[tokio::test]
+async fn lists_the_workspaces_models() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let models = bench.client.get(bench.url("/v1/models")).bearer_auth(KEY);
+    let list: Value = models
+        .send()
+        .await
+        .expect("sent")
+        .json()
+        .await
+        .expect("JSON");
+    assert_eq!(list["data"][0]["id"], "tide-7b");
+}
+
+/// Seen failing with the drain timeout set to zero: the stream broke off.
+#[tokio::test]
+async fn a_graceful_shutdown_cuts_no_stream() {
+    let mut plan = BenchPlan::default();
+    for engine in &mut plan.engines {
+        engine.token_interval = Duration::from_millis(20);
+    }
+    let mut bench = EntryBench::start(plan).await;
+    let mut response = bench.chat("default", true, 60).send().await.expect("sent");
+    let first = response.chunk().await.expect("a chunk").expect("a chunk");
+    // The client keeps no idle connection that the server would wait for.
+    let entry = bench.entry.take().expect("the entry runs");
+    let addr = entry.caller_addr();
+    let shutdown = tokio::spawn(entry.shutdown());
+    let rest = response.bytes().await.expect("a whole body");
+    let body = [first, rest].concat();
+    let text = streamed_text(&String::from_utf8_lossy(&body));
+    assert_eq!(text, answer_text(PROMPT, 60));
+    timeout(HANG_GUARD, shutdown)
+        .await
+        .expect("it ends")
+        .expect("no panic");
+    assert_eq!(bench.runs(60), 1);
+    assert!(TcpStream::connect(addr).await.is_err());
+    let window = bench.platform.calls().writes;
+    assert!(window > 0, "the usage window was closed");
+}
--- /dev/null
+++ b/crates/entry/tests/all/support.rs
@@ -0,0 +1,368 @@
+//! One entry daemon with stand-ins around it.
+
+use lagoonlift_entry::{Entry, EntryTuning};
+use lagoonlift_hosts::{Offer, PeerConfig, PeerNode};
+use lagoonlift_settings::{
+    EntrySettings, HostSettings, LogFormat, LogSettings, PeerKey, PeerSeed, PeerSettings,
+    PlatformSettings, Settings, UsageSettings,
+};
+use lagoonlift_standins::engine::{EngineConfig, EngineStandin};
+use lagoonlift_standins::platform::PlatformStandin;
+use lagoonlift_standins::service::ServiceStandin;
+use lagoonlift_telemetry::Metrics;
+use lagoonlift_types::{
+    Class, ClassName, Configuration, DataCentreCapacity, DataCentreName, FencingSupport, HostName,
+    Incarnation, KeyDigest, Limits, Manifest, ModelName, PlainRoute, ProcessId, ProcessRole,
+    Revision, RouteAccess, RouteName, Supply, Upstream, UpstreamKind, UpstreamName, UpstreamRole,
+    Urgency, Workspace, WorkspaceName,
+};
+use reqwest::{Client, RequestBuilder, Response};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Key of the workspace `harbour`.
+pub(crate) const KEY: &str = "key-of-harbour";
+/// Key of the workspace `reef`.
+pub(crate) const OTHER_KEY: &str = "key-of-reef";
+/// The only model.
+pub(crate) const MODEL: &str = "tide-7b";
+/// A test that takes longer hangs.
+pub(crate) const HANG_GUARD: Duration = Duration::from_secs(30);
+
+const PEER_KEY: [u8; 32] = [7; 32];
+const HEARTBEAT: Duration = Duration::from_millis(20);
+
+/// An entry daemon, its engines and service, and a neighbour that holds the
+/// configuration and the copies of usage records.
+pub(crate) struct EntryBench {
+    pub(crate) entry: Option<Entry>,
+    pub(crate) engines: Vec<EngineStandin>,
+    pub(crate) service: ServiceStandin,
+    pub(crate) platform: PlatformStandin,
+    pub(crate) neighbour: PeerNode,
+    pub(crate) metrics: Metrics,
+    pub(crate) configuration: Configuration,
+    pub(crate) client: Client,
+}
+
+/// What a bench is made of.
+pub(crate) struct BenchPlan {
+    pub(crate) engines: Vec<EngineConfig>,
+    pub(crate) tuning: EntryTuning,
+    pub(crate) limits: Limits,
+    pub(crate) max_body: u64,
+}
+
+impl Default for BenchPlan {
+    fn default() -> Self {
+        Self {
+            engines: vec![engine_config(), engine_config()],
+            tuning: quick_tuning(),
+            limits: wide_limits(),
+            max_body: 64 * 1024,
+        }
+    }
+}
+
+/// Limits on waits that are short enough for tests, long enough for a busy
+/// machine.
+pub(crate) fn quick_tuning() -> EntryTuning {
+    EntryTuning {
+        first_token_limit: Duration::from_millis(800),
+        token_gap_limit: Duration::from_millis(600),
+        service_limit: Duration::from_millis(800),
+        poll_interval: Duration::from_millis(50),
+        poll_limit: Duration::from_millis(300),
+        ..EntryTuning::default()
+    }
+}
+
+pub(crate) fn wide_limits() -> Limits {
+    Limits {
+        requests_per_second: 100_000.0,
+        tokens_per_second: 100_000_000.0,
+        burst_seconds: 2.0,
+    }
+}
+
+pub(crate) fn engine_config() -> EngineConfig {
+    EngineConfig::new(BTreeSet::from([model()]))
+}
+
+fn model() -> ModelName {
+    ModelName::new(MODEL).expect("a valid name")
+}
+
+pub(crate) fn data_centre() -> DataCentreName {
+    DataCentreName::new("north").expect("a valid name")
+}
+
+pub(crate) fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("a valid address")
+}
+
+impl EntryBench {
+    pub(crate) async fn start(plan: BenchPlan) -> Self {
+        let engines: Vec<EngineStandin> = plan
+            .engines
+            .into_iter()
+            .map(|config| EngineStandin::start(loopback(), config).expect("a free port"))
+            .collect();
+        let service = ServiceStandin::start(loopback()).expect("a free port");
+        let platform = PlatformStandin::start(loopback())
+            .await
+            .expect("a free port");
+        let neighbour = neighbour(Vec::new()).await;
+        let settings = settings("a", &platform, neighbour.local_addr(), plan.max_body);
+        let metrics = Metrics::new().expect("new metrics");
+        let entry = Entry::with_tuning(&settings, metrics.clone(), plan.tuning)
+            .await
+            .expect("the entry starts");
+        let configuration = configuration(&engines, service.addr(), plan.limits);
+        let mut bench = Self {
+            entry: Some(entry),
+            engines,
+            service,
+            platform,
+            neighbour,
+            metrics,
+            configuration: Configuration::default(),
+            client: Client::builder().build().expect("a client"),
+        };
+        bench.accept(configuration).await;
+        bench.wait_ready().await;
+        bench
+    }
+
+    /// Puts a configuration into force at the neighbour, as its next revision.
+    pub(crate) async fn accept(&mut self, mut configuration: Configuration) {
+        configuration.revision = self.configuration.revision.next();
+        let (manifest, chunks) = Manifest::cut(&configuration).expect("it can be written");
+        let offer = self.neighbour.store().offer(manifest, chunks);
+        assert_eq!(offer, Offer::Accepted);
+        self.configuration = configuration;
+    }
+
+    async fn wait_ready(&self) {
+        let url = format!("http://{}/ready", self.entry().admin_addr());
+        let ready = async {
+            loop {
+                let answer = self.client.get(&url).send().await;
+                if answer.is_ok_and(|answer| answer.status().is_success()) {
+                    return;
+                }
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout(HANG_GUARD, ready)
+            .await
+            .expect("the entry is ready");
+    }
+
+    pub(crate) fn entry(&self) -> &Entry {
+        self.entry.as_ref().expect("the entry runs")
+    }
+
+    pub(crate) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.entry().caller_addr())
+    }
+
+    pub(crate) fn chat(&self, class: &str, stream: bool, tokens: u64) -> RequestBuilder {
+        let body = chat_body(stream, tokens);
+        self.client
+            .post(self.url("/v1/chat/completions"))
+            .bearer_auth(KEY)
+            .header("lagoonlift-class", class)
+            .json(&body)
+    }
+
+    /// Requests in the engines' logs that ran at least `tokens` tokens.
+    pub(crate) fn runs(&self, tokens: u64) -> usize {
+        let logs = self.engines.iter().map(|engine| engine.log().snapshot());
+        logs.flatten()
+            .filter(|execution| execution.tokens >= tokens)
+            .count()
+    }
+
+    /// Returns the value of a counter, summed over labels that hold `label`.
+    pub(crate) fn metric(&self, name: &str, label: &str) -> f64 {
+        let text = self.metrics.render().expect("metrics can be rendered");
+        text.lines()
+            .filter(|line| line.starts_with(name) && line.contains(label))
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+}
+
+/// The prompt of every chat of these tests.
+pub(crate) const PROMPT: &str = "which pipe failed before";
+
+pub(crate) fn chat_body(stream: bool, tokens: u64) -> Value {
+    json!({
+        "model": MODEL,
+        "messages": [{"role": "user", "content": PROMPT}],
+        "max_tokens": tokens,
+        "stream": stream,
+    })
+}
+
+/// Joins the texts of a streamed body's chunks.
+pub(crate) fn streamed_text(body: &str) -> String {
+    let chunks = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    chunks
+        .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+        .filter_map(|chunk| Some(chunk["choices"][0]["delta"]["content"].as_str()?.to_owned()))
+        .collect()
+}
+
+pub(crate) fn header<'a>(response: &'a Response, name: &str) -> &'a str {
+    let value = response.headers().get(name);
+    value.map_or("", |value| value.to_str().expect("a text"))
+}
+
+/// Starts a process of the system that only holds what others send.
+pub(crate) async fn neighbour(seeds: Vec<SocketAddr>) -> PeerNode {
+    let config = PeerConfig {
+        process: ProcessId {
+            host: HostName::new("neighbour").expect("a valid name"),
+            role: ProcessRole::Entry,
+        },
+        data_centre: data_centre(),
+        incarnation: Incarnation(1),
+        listen: loopback(),
+        seeds,
+        key: PEER_KEY,
+        other_key: None,
+        heartbeat: HEARTBEAT,
+    };
+    PeerNode::start(config).await.expect("a free port")
+}
+
+pub(crate) fn settings(
+    name: &str,
+    platform: &PlatformStandin,
+    seed: SocketAddr,
+    max_body: u64,
+) -> Settings {
+    Settings {
+        host: HostSettings {
+            name: HostName::new(name).expect("a valid name"),
+            data_centre: data_centre(),
+        },
+        platform: PlatformSettings {
+            address: platform.addr(),
+            token: "token".to_owned(),
+            timeout: Duration::from_millis(500),
+        },
+        peers: PeerSettings {
+            key: PeerKey(PEER_KEY),
+            other_key: None,
+            heartbeat: HEARTBEAT,
+            seeds: vec![PeerSeed {
+                name: HostName::new("neighbour").expect("a valid name"),
+                entry: Some(seed),
+                steward: None,
+            }],
+        },
+        entry: Some(EntrySettings {
+            listen: loopback(),
+            admin_listen: loopback(),
+            peer_listen: loopback(),
+            max_body,
+            drain_timeout: Duration::from_secs(20),
+        }),
+        steward: None,
+        usage: UsageSettings {
+            window: Duration::from_secs(60),
+        },
+        log: LogSettings {
+            format: LogFormat::Plain,
+            filter: "info".to_owned(),
+        },
+    }
+}
+
+pub(crate) fn configuration(
+    engines: &[EngineStandin],
+    service: SocketAddr,
+    limits: Limits,
+) -> Configuration {
+    let name = |index| UpstreamName::new(&format!("engine-{index}")).expect("a valid name");
+    let engines = engines.iter().enumerate().map(|(index, engine)| {
+        let kind = UpstreamKind::Engine {
+            models: BTreeSet::from([model()]),
+            role: UpstreamRole::Mixed,
+            fencing: FencingSupport::Checked,
+        };
+        (name(index), upstream(engine.addr(), kind))
+    });
+    let mut upstreams: BTreeMap<UpstreamName, Upstream> = engines.collect();
+    upstreams.insert(service_name(), upstream(service, UpstreamKind::Service));
+    let capacity = DataCentreCapacity {
+        upstreams,
+        order_limit: 0,
+    };
+    let workspaces = [("harbour", KEY), ("reef", OTHER_KEY)].map(|(name, key)| {
+        let name = WorkspaceName::new(name).expect("a valid name");
+        (name, Arc::new(workspace(key, limits)))
+    });
+    Configuration {
+        revision: Revision(0),
+        workspaces: workspaces.into(),
+        data_centres: [(data_centre(), Arc::new(capacity))].into(),
+    }
+}
+
+fn service_name() -> UpstreamName {
+    UpstreamName::new("bookings").expect("a valid name")
+}
+
+fn upstream(address: SocketAddr, kind: UpstreamKind) -> Upstream {
+    Upstream {
+        address,
+        kind,
+        supply: Supply::Reserved,
+    }
+}
+
+fn workspace(key: &str, limits: Limits) -> Workspace {
+    let class = |urgency, idempotent| Class {
+        urgency,
+        idempotent,
+        deadline: Duration::from_secs(20),
+    };
+    let classes = [
+        ("default", class(Urgency::Normal, true)),
+        ("once", class(Urgency::Urgent, false)),
+    ];
+    let routes = [
+        ("book", "once", RouteAccess::Keyed),
+        ("look", "default", RouteAccess::Keyed),
+        ("status", "default", RouteAccess::Open),
+    ];
+    Workspace {
+        keys: BTreeSet::from([KeyDigest::of(key)]),
+        models: BTreeSet::from([model()]),
+        classes: classes
+            .map(|(name, class)| (ClassName::new(name).expect("a valid name"), class))
+            .into(),
+        routes: routes
+            .map(|(name, class, access)| {
+                let route = PlainRoute {
+                    upstream: service_name(),
+                    path: format!("/{name}"),
+                    methods: ["GET", "POST"].map(str::to_owned).into(),
+                    access,
+                    class: ClassName::new(class).expect("a valid name"),
+                };
+                (RouteName::new(name).expect("a valid name"), route)
+            })
+            .into(),
+        limits,
+        weight: 1,
+    }
+}
