--- a/crates/operators/src/questionnaire/workspace.rs
+++ b/crates/operators/src/questionnaire/workspace.rs
@@ -108,8 +108,10 @@
     let name: Option<Name<WorkspaceName>> = reader.required("workspace", "name");
     let models = read_models(reader, known);
     let weight = read_weight(reader);
-    let (classes, traffic) = read_classes(reader);
-    let routes = read_routes(reader, &classes, known);
+    let sections = reader.sections::<ClassName>("class");
+    let names: BTreeSet<ClassName> = sections.iter().map(|(_, name)| name.clone()).collect();
+    let (classes, traffic) = read_classes(reader, sections);
+    let routes = read_routes(reader, &names, known);
     let limits = read_limits(reader, traffic);
     let Name(name) = name?;
     let reasons = reasons(&classes, &routes, traffic);
@@ -142,8 +144,10 @@
     weight
 }
 
-fn read_classes(reader: &mut AnswerReader<'_>) -> (BTreeMap<ClassName, Class>, Traffic) {
-    let sections = reader.sections::<ClassName>("class");
+fn read_classes(
+    reader: &mut AnswerReader<'_>,
+    sections: Vec<(String, ClassName)>,
+) -> (BTreeMap<ClassName, Class>, Traffic) {
     if !sections
         .iter()
         .any(|(_, name)| name.as_str() == DEFAULT_CLASS)
@@ -231,7 +235,7 @@
 
 fn read_routes(
     reader: &mut AnswerReader<'_>,
-    classes: &BTreeMap<ClassName, Class>,
+    classes: &BTreeSet<ClassName>,
     known: &KnownUpstreams,
 ) -> BTreeMap<RouteName, PlainRoute> {
     let mut routes = BTreeMap::new();
@@ -245,7 +249,7 @@
 fn read_route(
     reader: &mut AnswerReader<'_>,
     section: &str,
-    classes: &BTreeMap<ClassName, Class>,
+    classes: &BTreeSet<ClassName>,
     known: &KnownUpstreams,
 ) -> Option<PlainRoute> {
     let upstream = reader.required(section, "service");
@@ -257,8 +261,8 @@
         Some(Name(class)) => class,
         None => ClassName::new(DEFAULT_CLASS).ok()?,
     };
-    if !classes.contains_key(&class) {
-        let text = format!("there is no valid section [class.{class}]");
+    if !classes.contains(&class) {
+        let text = format!("there is no section [class.{class}]");
         reader.problem(&format!("{section}.class"), text);
     }
     let Name(upstream) = upstream?;
--- a/tests/all/operators/session.rs
+++ b/tests/all/operators/session.rs
@@ -27,12 +27,13 @@
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
         let platform = PlatformStandin::start(listen).await.expect("a free port");
         let directory = TempDir::new().expect("a directory for the session");
-        let session = Self {
+        let mut session = Self {
             platform,
             directory,
             transcript: String::new(),
             replacements: Vec::new(),
         };
+        session.replace(&session.platform.addr().to_string(), "PLATFORM");
         session.write_settings("");
         session
     }
