--- a/src/bin/lagoonlift-entry.rs
+++ b/src/bin/lagoonlift-entry.rs
@@ -1,3 +1,40 @@
-//! Command `lagoonlift-entry`.
+//! The entry daemon.
 
-fn main() {}
+use eyre::Result;
+use lagoonlift::daemon::{self, DaemonSection, ReadyLine, StopSignal};
+use lagoonlift::entry::Entry;
+use lagoonlift::settings::Settings;
+use lagoonlift::telemetry::Metrics;
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+Usage: lagoonlift-entry --settings FILE [--check]
+
+Options:
+    --settings FILE  the host's settings, see docs/SETTINGS.md
+    --check          check the settings and stop
+    -h, --help       print this help
+    -V, --version    print the version";
+
+fn main() -> Result<ExitCode> {
+    match daemon::prepare(USAGE, DaemonSection::Entry) {
+        Ok(settings) => run(settings),
+        Err(status) => Ok(status),
+    }
+}
+
+#[tokio::main]
+async fn run(settings: Settings) -> Result<ExitCode> {
+    daemon::start_logs(&settings)?;
+    let mut signal = StopSignal::listen()?;
+    let entry = Entry::start(&settings, Metrics::new()?).await?;
+    let line = ReadyLine {
+        callers: Some(entry.caller_addr()),
+        admin: entry.admin_addr(),
+        peers: entry.peer_addr(),
+    };
+    line.print()?;
+    signal.wait().await;
+    entry.shutdown().await;
+    Ok(ExitCode::SUCCESS)
+}
--- a/src/commands/local.rs
+++ b/src/commands/local.rs
@@ -37,7 +37,7 @@
 pub(crate) struct LocalDeployment {
     pub(crate) platform: PlatformStandin,
     pub(crate) engines: Vec<EngineStandin>,
-    pub(crate) service: ServiceStandin,
+    _service: ServiceStandin,
     stewards: Vec<Steward>,
     entries: Vec<Entry>,
     entry_runtime: Handle,
@@ -82,7 +82,7 @@
         let mut deployment = Self {
             platform,
             engines,
-            service,
+            _service: service,
             stewards: Vec::new(),
             entries: Vec::new(),
             entry_runtime,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod operators;
+mod serving;
 mod shutdown;
 mod support;
 mod whole_path;
