Count latencies up to ten minutes in the load generator

Cause: the histogram was made without bounds and recorded with saturation, so every latency counted as two microseconds. Seen failing in the new test first.

--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -11,6 +11,9 @@
 /// Significant figures that histograms keep.
 const SIGNIFICANT_FIGURES: u8 = 3;
 
+/// Longest latency that is told apart, in microseconds: ten minutes.
+const LONGEST_LATENCY_US: u64 = 600_000_000;
+
 /// A latency's distribution, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct LatencySummary {
@@ -53,7 +56,10 @@
 
 impl LoadResult {
     pub(crate) fn new(plan: &LoadPlan) -> Self {
-        let histogram = || Histogram::new(SIGNIFICANT_FIGURES).expect("3 figures are permitted");
+        let histogram = || {
+            Histogram::new_with_bounds(1, LONGEST_LATENCY_US, SIGNIFICANT_FIGURES)
+                .expect("the bounds are constants that are permitted")
+        };
         Self {
             seed: plan.seed,
             sent: 0,
--- a/crates/load/tests/all/main.rs
+++ b/crates/load/tests/all/main.rs
@@ -30,6 +30,17 @@
     assert_eq!(result.tokens(), generated);
 }
 
+/// Seen failing with a histogram that saturated at two microseconds.
+#[tokio::test]
+async fn a_delay_shows_in_the_first_token() {
+    let (engine, target) = start_engine();
+    let delay = Duration::from_millis(50);
+    engine.faults().set_always(Some(EngineFault::Delay(delay)));
+    let plan = LoadPlan::new(7, 100.0, Duration::from_millis(100));
+    let result = run_load(&plan, &target).await;
+    assert!(result.first_token().p50_ms >= 50.0, "{result}");
+}
+
 #[tokio::test]
 async fn a_cut_answer_is_not_complete() {
     let (engine, target) = start_engine();
