--- a/crates/upstreams/src/engine.rs
+++ b/crates/upstreams/src/engine.rs
@@ -140,7 +140,7 @@
         self.get(&client, &path, limit).await
     }
 
-    async fn get<T: DeserializeOwned>(
+    pub(crate) async fn get<T: DeserializeOwned>(
         &self,
         client: &Client,
         path: &str,
