--- a/crates/steward/tests/all/configuration.rs
+++ b/crates/steward/tests/all/configuration.rs
@@ -1,30 +1,16 @@
 //! A steward brings the configuration in force, and never takes one back.
 
-use crate::support::{GUARD, settings, start_platform, start_steward, wait_until};
+use crate::support::{self, GUARD, settings, start_platform, start_steward, wait_until};
 use lagoonlift_standins::platform::PlatformStandin;
-use lagoonlift_types::{Configuration, DataCentreCapacity, DataCentreName, Manifest, Revision};
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use lagoonlift_types::{DataCentreCapacity, DataCentreName, Revision};
 use tokio::time::timeout;
 
 fn publish(platform: &PlatformStandin, revision: u64, order_limit: u32) {
     let capacity = DataCentreCapacity {
-        upstreams: BTreeMap::new(),
         order_limit,
+        ..DataCentreCapacity::default()
     };
-    let name = DataCentreName::new("dc1").expect("a valid name");
-    let configuration = Configuration {
-        revision: Revision(revision),
-        workspaces: BTreeMap::new(),
-        data_centres: BTreeMap::from([(name, Arc::new(capacity))]),
-    };
-    let (manifest, chunks) = Manifest::cut(&configuration).expect("plain values");
-    for (digest, text) in chunks {
-        let value = serde_json::from_slice(&text).expect("JSON text");
-        platform.put_object(&Manifest::chunk_key(digest), value);
-    }
-    let manifest = serde_json::to_value(&manifest).expect("plain values");
-    platform.put_object(Manifest::KEY, manifest);
+    support::publish(platform, revision, capacity);
 }
 
 #[tokio::test]
--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod configuration;
 mod lease;
+mod orders;
 mod support;
--- a/crates/steward/tests/all/support.rs
+++ b/crates/steward/tests/all/support.rs
@@ -4,8 +4,14 @@
 use lagoonlift_standins::platform::PlatformStandin;
 use lagoonlift_steward::Steward;
 use lagoonlift_telemetry::Metrics;
+use lagoonlift_types::{
+    Configuration, DataCentreCapacity, DataCentreName, FencingSupport, Manifest, ModelName,
+    Revision, Supply, Upstream, UpstreamKind, UpstreamName, UpstreamRole,
+};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -53,3 +59,47 @@
         .await
         .expect("the condition holds in time");
 }
+
+/// The only engine of `dc1`.
+pub(crate) fn upstream_name() -> UpstreamName {
+    UpstreamName::new("e1").expect("a valid name")
+}
+
+/// Publishes a configuration, revision 1, with one engine in `dc1`.
+pub(crate) fn publish_engine(
+    platform: &PlatformStandin,
+    address: SocketAddr,
+    fencing: FencingSupport,
+) {
+    let engine = Upstream {
+        address,
+        kind: UpstreamKind::Engine {
+            models: BTreeSet::from([ModelName::new("large").expect("a valid name")]),
+            role: UpstreamRole::Mixed,
+            fencing,
+        },
+        supply: Supply::Reserved,
+    };
+    let capacity = DataCentreCapacity {
+        upstreams: BTreeMap::from([(upstream_name(), engine)]),
+        order_limit: 0,
+    };
+    publish(platform, 1, capacity);
+}
+
+/// Publishes a configuration with these upstreams in `dc1`.
+pub(crate) fn publish(platform: &PlatformStandin, revision: u64, capacity: DataCentreCapacity) {
+    let name = DataCentreName::new("dc1").expect("a valid name");
+    let configuration = Configuration {
+        revision: Revision(revision),
+        workspaces: BTreeMap::new(),
+        data_centres: BTreeMap::from([(name, Arc::new(capacity))]),
+    };
+    let (manifest, chunks) = Manifest::cut(&configuration).expect("plain values");
+    for (digest, text) in chunks {
+        let value = serde_json::from_slice(&text).expect("JSON text");
+        platform.put_object(&Manifest::chunk_key(digest), value);
+    }
+    let manifest = serde_json::to_value(&manifest).expect("plain values");
+    platform.put_object(Manifest::KEY, manifest);
+}
