--- a/crates/experiments/src/driver/fleets.rs
+++ b/crates/experiments/src/driver/fleets.rs
@@ -4,20 +4,18 @@
 use crate::contender::Contender;
 use crate::deployment::{DATA_CENTRES, EnginePlace};
 use crate::driver::{DELIVERY_DELAY, FLEET_TICK, Run, RunKey};
-use crate::engine_slot::SlotState;
+use crate::engine_slot::{EngineSlot, SlotState};
 use crate::schedule::Occurrence;
 use crate::series::SeriesPoint;
 use crate::traffic::Arrival;
 use lagoonlift_policy::{
     DemandReport, EngineFacts, EngineRates, FleetAction, FleetEvent, FleetLimits, FleetPolicy,
-    LoadReport, OrderEnd, Target, Timestamp, UpstreamKey,
+    LoadReport, OrderEnd, QueuedWork, Target, Timestamp, UpstreamKey,
 };
 use lagoonlift_types::{DataCentreName, ModelName, Supply, UpstreamName, UpstreamRole};
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// How far the oracle looks ahead for roles.
-const ORACLE_ROLE_HORIZON: Duration = Duration::from_secs(5);
 /// How far the oracle looks ahead for upstreams.
 const ORACLE_FLEET_HORIZON: Duration = Duration::from_secs(30);
 /// Time over which the follower takes the mix.
@@ -256,11 +254,53 @@
 
     fn plan_with_foresight(&mut self) {
         self.buy_with_foresight();
-        let demand = self.coming(ORACLE_ROLE_HORIZON);
-        let changes = baselines::oracle(&self.engines, &self.models[0], demand);
-        for (engine, role) in changes {
-            self.engines[engine].model.set_role(role);
-            self.show_engine(engine);
+        let demand = self.coming(self.key.oracle.horizon);
+        let target = Target::Model(self.models[0].clone());
+        let mut queued = QueuedWork::default();
+        for host in &self.hosts {
+            let work = host.queued(&target);
+            queued.prompt_tokens += work.prompt_tokens;
+            queued.output_tokens += work.output_tokens;
+        }
+        let changes = baselines::oracle(
+            &self.engines,
+            &self.models[0],
+            demand,
+            queued,
+            self.key.oracle,
+        );
+        for (engine, role) in &changes {
+            self.engines[*engine].next_role = *role;
+            self.engines[*engine].model.set_role(*role);
+            self.show_engine(*engine);
+        }
+        for (engine, _) in changes {
+            self.move_work(engine);
+        }
+    }
+
+    /// Moves all work of an engine that changed its role to those that still
+    /// have the old one, at no cost.
+    fn move_work(&mut self, engine: usize) {
+        let role = self.engines[engine].model.role();
+        let jobs = self.engines[engine].model.take_jobs();
+        for progress in jobs {
+            let takes_over = |slot: &EngineSlot| {
+                slot.state == SlotState::Serving
+                    && slot.place.model == self.models[0]
+                    && slot.model.role() != role
+            };
+            let load = |index: &usize| {
+                let load = self.engines[*index].model.load();
+                (load.active_streams, load.prefill_backlog_tokens)
+            };
+            let target = (0..self.engines.len())
+                .filter(|index| takes_over(&self.engines[*index]))
+                .min_by_key(load)
+                .unwrap_or(engine);
+            self.engines[target].model.put_job(self.now, progress);
+            self.schedule_engine(target);
+            self.note_move(progress.job.id as usize, target);
         }
     }
 
@@ -281,7 +321,7 @@
     /// Has as many upstreams as the coming work needs, from now on.
     fn buy_with_foresight(&mut self) {
         let demand = self.coming(ORACLE_FLEET_HORIZON);
-        let serving = |engine: &crate::engine_slot::EngineSlot| {
+        let serving = |engine: &EngineSlot| {
             engine.state == SlotState::Serving && engine.place.model == self.models[0]
         };
         let count = self.engines.iter().filter(|engine| serving(engine)).count();
