--- /dev/null
+++ b/tests/all/support/hosts.rs
@@ -0,0 +1,119 @@
+//! Hosts of one data centre as processes, before stand-ins within the test.
+
+use super::{DaemonProcess, HostSettings, entry_program, eventually, loopback, steward_program};
+use lagoonlift::hosts::{PeerConfig, PeerNode};
+use lagoonlift::types::{HostName, Incarnation, ProcessId, ProcessRole};
+use lagoonlift::usage::UsageWindow;
+use lagoonlift_standins::engine::{EngineConfig, EngineStandin};
+use lagoonlift_standins::platform::PlatformStandin;
+use lagoonlift_standins::sample::SampleConfiguration;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The key of the protocol between hosts, as bytes.
+pub(crate) const PEER_KEY_BYTES: [u8; 32] = [7; 32];
+
+const MODEL: &str = "tide-7b";
+
+/// A steward and some entries of `dc1`, a platform and an engine.
+pub(crate) struct HostGroup {
+    pub(crate) platform: PlatformStandin,
+    engine: EngineStandin,
+    steward: DaemonProcess,
+    pub(crate) entries: Vec<DaemonProcess>,
+}
+
+impl HostGroup {
+    /// Starts the group with entries `a1`, `a2`, .. and waits until all serve.
+    pub(crate) async fn start(entries: usize) -> Self {
+        let platform = PlatformStandin::start(loopback()).await;
+        let platform = platform.expect("loopback has ports");
+        let models = BTreeSet::from([MODEL.parse().expect("a valid name")]);
+        let engine = EngineStandin::start(loopback(), EngineConfig::new(models));
+        let engine = engine.expect("loopback has ports");
+        let settings = HostSettings::new("s1", "dc1", platform.addr());
+        let steward = DaemonProcess::start(steward_program(), &settings.text());
+        let mut group = Self {
+            platform,
+            engine,
+            steward,
+            entries: Vec::new(),
+        };
+        group.publish(1, "key-of-the-plumbers");
+        for index in 1..=entries {
+            group.start_entry(&format!("a{index}"), &[]).await;
+        }
+        group
+    }
+
+    /// Starts a further entry, with more seeds, and waits until it serves.
+    pub(crate) async fn start_entry(&mut self, name: &str, seeds: &[(&str, SocketAddr)]) {
+        let mut settings = HostSettings::new(name, "dc1", self.platform.addr())
+            .with_lines("[usage]\nwindow = 2s")
+            .with_seed("s1", &self.steward);
+        for (seed, address) in seeds {
+            settings = settings.with_lines(&format!("[peer.{seed}]\nentry = {address}"));
+        }
+        let entry = DaemonProcess::start(entry_program(), &settings.text());
+        let url = format!("{}/ready", entry.admin_url());
+        self.entries.push(entry);
+        eventually("an entry to be ready", || async {
+            let response = reqwest::get(&url).await.ok()?;
+            response.status().is_success().then_some(())
+        })
+        .await;
+    }
+
+    /// Writes a configuration whose only key is `key` to the platform.
+    pub(crate) fn publish(&self, revision: u64, key: &str) {
+        let sample = SampleConfiguration::new()
+            .with_revision(revision)
+            .with_workspace("plumbers", key, MODEL)
+            .with_engine("dc1", "engine-1", self.engine.addr(), MODEL);
+        for (key, value) in sample.objects() {
+            self.platform.put_object(&key, value);
+        }
+    }
+
+    /// Joins the group as a node within the test.
+    pub(crate) async fn observe(&self, name: &str, key: [u8; 32]) -> PeerNode {
+        let config = PeerConfig {
+            process: ProcessId {
+                host: HostName::new(name).expect("a valid name"),
+                role: ProcessRole::Steward,
+            },
+            data_centre: "dc9".parse().expect("a valid name"),
+            incarnation: Incarnation(1),
+            listen: loopback(),
+            seeds: vec![self.steward.ready().peers],
+            key,
+            other_key: None,
+            heartbeat: Duration::from_millis(100),
+        };
+        PeerNode::start(config).await.expect("loopback has ports")
+    }
+
+    /// Returns the windows that the platform holds.
+    pub(crate) fn windows(&self) -> Vec<UsageWindow> {
+        let objects = self.platform.objects("usage/windows/");
+        let parse = |value| serde_json::from_value(value).expect("a window");
+        let values = objects.into_iter().map(|object| object.value);
+        values.map(parse).collect()
+    }
+
+    /// Returns the requests in all windows.
+    pub(crate) fn billed(&self) -> u64 {
+        let windows = self.windows();
+        let lines = windows.iter().flat_map(|window| &window.lines);
+        lines.map(|line| line.figures.requests).sum()
+    }
+
+    /// Waits until the windows hold this many requests.
+    pub(crate) async fn wait_for_billed(&self, requests: u64) {
+        eventually("the windows", || async {
+            (self.billed() >= requests).then_some(())
+        })
+        .await;
+    }
+}
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod deployment;
 mod fleet;
+mod hosts;
 mod transcript;
 mod wait;
 
@@ -13,5 +14,6 @@
 };
 pub(crate) use deployment::{HostSettings, loopback};
 pub(crate) use fleet::Fleet;
+pub(crate) use hosts::{HostGroup, PEER_KEY_BYTES};
 pub(crate) use transcript::SessionTranscript;
 pub(crate) use wait::{HANG_GUARD, eventually};
