Send fleet views as changes, and fewer facts in a datagram

A view of a data centre with hundreds of upstreams is large, and a change concerns few of them; a process that held the last view gets the changes.

--- a/crates/hosts/src/fleets.rs
+++ b/crates/hosts/src/fleets.rs
@@ -1,18 +1,43 @@
 //! The latest fleet view of each data centre.
 //!
 //! A view replaces an earlier one only by epoch and version, so views may
-//! arrive in any order and over any path.
+//! arrive in any order and over any path. A data centre has hundreds of
+//! upstreams and one change concerns few of them, so a process that holds a
+//! view that was held here lately is sent what changed since.
 
 use crate::wire::FleetVersion;
-use lagoonlift_types::{DataCentreName, Epoch, FleetView};
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use lagoonlift_types::{DataCentreName, Epoch, FleetView, UpstreamName, UpstreamStatus};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
+/// Steps that are remembered for each data centre.
+const MAX_STEPS: usize = 64;
+
+/// What changed in one data centre's view.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetDelta {
+    /// The version that it starts from.
+    pub from: FleetVersion,
+    /// The version that it leads to.
+    pub to: FleetVersion,
+    /// Upstreams that changed, or none where one is gone.
+    pub changes: Vec<(UpstreamName, Option<UpstreamStatus>)>,
+}
+
 /// Holds the latest fleet view of each data centre.
 #[derive(Debug, Default)]
 pub struct FleetBoard {
     views: watch::Sender<Arc<BTreeMap<DataCentreName, FleetView>>>,
+    steps: Mutex<BTreeMap<DataCentreName, VecDeque<FleetStep>>>,
+}
+
+/// Which upstreams differ between a view held here and the next one.
+#[derive(Debug)]
+struct FleetStep {
+    from: FleetVersion,
+    names: Vec<UpstreamName>,
 }
 
 impl FleetBoard {
@@ -23,16 +48,59 @@
 
     /// Takes a view if it replaces the one held; returns whether it did.
     pub fn offer(&self, view: FleetView) -> bool {
+        let mut steps = self.lock_steps();
         self.views.send_if_modified(|views| {
             let held = views.get(&view.data_centre);
             if held.is_some_and(|held| !view.replaces(held)) {
                 return false;
             }
+            if let Some(held) = held {
+                record_step(
+                    steps.entry(view.data_centre.clone()).or_default(),
+                    held,
+                    &view,
+                );
+            }
             Arc::make_mut(views).insert(view.data_centre.clone(), view);
             true
         })
     }
 
+    /// Takes in changes; returns whether they started from the view held.
+    pub fn apply(&self, delta: FleetDelta) -> bool {
+        let views = self.current();
+        let held = views.get(&delta.from.data_centre);
+        let Some(held) = held.filter(|held| FleetVersion::of(held) == delta.from) else {
+            return false;
+        };
+        let mut view = held.clone();
+        (view.epoch, view.version) = delta.to.rank();
+        for (name, status) in delta.changes {
+            match status {
+                Some(status) => view.upstreams.insert(name, status),
+                None => view.upstreams.remove(&name),
+            };
+        }
+        self.offer(view)
+    }
+
+    /// Returns what changed since a version that was held here lately.
+    pub fn delta(&self, from: &FleetVersion) -> Option<FleetDelta> {
+        let steps = self.lock_steps();
+        let views = self.current();
+        let view = views.get(&from.data_centre)?;
+        let steps = steps.get(&from.data_centre)?;
+        let start = steps.iter().position(|step| step.from == *from)?;
+        let names: BTreeSet<&UpstreamName> =
+            steps.range(start..).flat_map(|step| &step.names).collect();
+        let change = |name: &UpstreamName| (name.clone(), view.upstreams.get(name).cloned());
+        Some(FleetDelta {
+            from: from.clone(),
+            to: FleetVersion::of(view),
+            changes: names.into_iter().map(change).collect(),
+        })
+    }
+
     /// Returns the views held.
     pub fn current(&self) -> Arc<BTreeMap<DataCentreName, FleetView>> {
         Arc::clone(&self.views.borrow())
@@ -55,6 +123,23 @@
             None => true,
         }
     }
+
+    fn lock_steps(&self) -> MutexGuard<'_, BTreeMap<DataCentreName, VecDeque<FleetStep>>> {
+        // Nothing that may panic runs between two writes to the steps.
+        self.steps.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn record_step(steps: &mut VecDeque<FleetStep>, from: &FleetView, to: &FleetView) {
+    let differs = |name: &&UpstreamName| from.upstreams.get(*name) != to.upstreams.get(*name);
+    let names: BTreeSet<&UpstreamName> = from.upstreams.keys().chain(to.upstreams.keys()).collect();
+    steps.push_back(FleetStep {
+        from: FleetVersion::of(from),
+        names: names.into_iter().filter(differs).cloned().collect(),
+    });
+    if steps.len() > MAX_STEPS {
+        steps.pop_front();
+    }
 }
 
 impl FleetVersion {
--- a/crates/hosts/src/lib.rs
+++ b/crates/hosts/src/lib.rs
@@ -36,7 +36,7 @@
 pub use copy_queue::{CopyError, CopyQueue, PendingCopy};
 pub use counters::{PeerCounter, PeerCounters};
 pub use datagram::{DatagramCodec, DatagramError};
-pub use fleets::FleetBoard;
+pub use fleets::{FleetBoard, FleetDelta};
 pub use history::ManifestDelta;
 pub use keys::PeerKeys;
 pub use membership::{
--- a/crates/hosts/src/membership/rumours.rs
+++ b/crates/hosts/src/membership/rumours.rs
@@ -10,11 +10,11 @@
 use std::collections::BTreeMap;
 
 /// Bytes of one datagram that facts may take.
-const BUDGET_BYTES: usize = 480;
+const BUDGET_BYTES: usize = 320;
 /// Bytes of a fact besides its names.
 const FACT_BYTES: usize = 28;
 /// Times that a fact is passed on for each doubling of the membership.
-const REPEATS_PER_DOUBLING: u32 = 3;
+const REPEATS_PER_DOUBLING: u32 = 2;
 
 /// Facts that are still to be passed on, with how often they were.
 #[derive(Debug, Default)]
--- a/crates/hosts/src/node.rs
+++ b/crates/hosts/src/node.rs
@@ -11,7 +11,7 @@
 use crate::fleets::FleetBoard;
 use crate::heartbeat::{End, HeartbeatActor, Incoming, Leave, Round, Spread};
 use crate::membership::{Member, Membership, MembershipConfig};
-use crate::puller::{Attach, PullActor};
+use crate::puller::{Attach, PullActor, pull_configuration};
 use crate::server::PeerServer;
 use crate::store::ConfigurationStore;
 use crate::wire::{Fact, FactState};
@@ -47,6 +47,14 @@
     /// Others can't be told to send to an address that stands for all.
     #[error("{0} isn't the address of one interface")]
     Unspecified(SocketAddr),
+    /// Another process's configuration couldn't be fetched.
+    #[error("the configuration can't be fetched from {address}: {detail}")]
+    Fetch {
+        /// The other process.
+        address: SocketAddr,
+        /// Why not.
+        detail: String,
+    },
 }
 
 /// One process's part in the protocol between the system's own processes.
@@ -171,6 +179,20 @@
         Arc::clone(&self.shared.context.counters)
     }
 
+    /// Fetches the configuration from the process at `address` now, without
+    /// waiting for its heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that process can't be reached or what it holds is malformed.
+    pub async fn fetch_configuration(&self, address: SocketAddr) -> Result<(), PeerError> {
+        let fetched = pull_configuration(&self.shared.context, address).await;
+        fetched.map_err(|error| PeerError::Fetch {
+            address,
+            detail: error.to_string(),
+        })
+    }
+
     /// Publishes a fleet view to all processes.
     pub fn publish_fleet(&self, view: FleetView) {
         self.shared.context.fleets.offer(view);
--- a/crates/hosts/src/puller.rs
+++ b/crates/hosts/src/puller.rs
@@ -8,7 +8,7 @@
 use crate::heartbeat::{HeartbeatActor, Merge};
 use crate::store::Offer;
 use crate::stream::{PeerStream, StreamError};
-use crate::wire::{Fact, Request, Response};
+use crate::wire::{Fact, FleetAnswer, Request, Response};
 use lagoonlift_types::{ChunkDigest, Manifest, Revision};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -174,7 +174,11 @@
     Ok(timeout(ANSWER_TIMEOUT, exchange).await??)
 }
 
-async fn pull_configuration(context: &PeerContext, address: SocketAddr) -> Result<(), PullError> {
+/// Fetches the configuration that the process at `address` holds.
+pub(crate) async fn pull_configuration(
+    context: &PeerContext,
+    address: SocketAddr,
+) -> Result<(), PullError> {
     let store = &context.store;
     let mut stream = connect(context, address).await?;
     let manifest = pull_manifest(context, &mut stream).await?;
@@ -235,12 +239,12 @@
     loop {
         let request = Request::Fleets(context.fleets.versions());
         match ask(&mut stream, &request).await? {
-            Response::Fleet { view: None, .. } => return Ok(()),
-            Response::Fleet {
-                view: Some(view),
-                more,
-            } => {
-                let taken = context.fleets.offer(Arc::unwrap_or_clone(view));
+            Response::Fleet { news, more } => {
+                let taken = match news {
+                    FleetAnswer::None => false,
+                    FleetAnswer::View(view) => context.fleets.offer(view),
+                    FleetAnswer::Delta(delta) => context.fleets.apply(delta),
+                };
                 if !(taken && more) {
                     return Ok(());
                 }
--- a/crates/hosts/src/server.rs
+++ b/crates/hosts/src/server.rs
@@ -5,8 +5,8 @@
 use crate::counters::PeerCounter;
 use crate::heartbeat::{HeartbeatActor, ListFacts};
 use crate::stream::{PeerStream, StreamError};
-use crate::wire::{CopyBatch, FleetVersion, Request, Response};
-use lagoonlift_types::{ChunkDigest, Revision};
+use crate::wire::{CopyBatch, FleetAnswer, FleetVersion, Request, Response};
+use lagoonlift_types::{ChunkDigest, FleetView, Revision};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -125,16 +125,25 @@
 
     fn answer_fleets(&self, versions: &[FleetVersion]) -> Response {
         let held = self.context.fleets.current();
-        let replaces = |view: &&lagoonlift_types::FleetView| {
-            let theirs = versions
-                .iter()
-                .find(|version| version.data_centre == view.data_centre);
-            theirs.is_none_or(|theirs| (view.epoch, view.version) > theirs.rank())
+        let theirs = |view: &FleetView| {
+            let mut versions = versions.iter();
+            versions.find(|version| version.data_centre == view.data_centre)
+        };
+        let is_news = |view: &&FleetView| {
+            theirs(view).is_none_or(|theirs| FleetVersion::of(view).rank() > theirs.rank())
+        };
+        let mut later = held.values().filter(is_news);
+        let Some(view) = later.next() else {
+            let news = FleetAnswer::None;
+            return Response::Fleet { news, more: false };
+        };
+        let delta = theirs(view).and_then(|theirs| self.context.fleets.delta(theirs));
+        let news = match delta {
+            Some(delta) => FleetAnswer::Delta(delta),
+            None => FleetAnswer::View(view.clone()),
         };
-        let mut later = held.values().filter(replaces);
-        let view = later.next().cloned().map(Arc::new);
         let more = later.next().is_some();
-        Response::Fleet { view, more }
+        Response::Fleet { news, more }
     }
 
     fn hold(&self, batch: CopyBatch) -> Result<Response, StreamError> {
--- a/crates/hosts/src/wire.rs
+++ b/crates/hosts/src/wire.rs
@@ -1,6 +1,7 @@
 //! What processes say to each other, in datagrams and on streams.
 
 use crate::copies::UsagePosition;
+use crate::fleets::FleetDelta;
 use crate::history::ManifestDelta;
 use lagoonlift_types::{
     ChunkDigest, DataCentreName, Epoch, FleetView, Incarnation, Manifest, ProcessId, Revision,
@@ -163,10 +164,11 @@
     Manifest(Manifest),
     /// Answers [`Request::Chunks`] with those that fit one frame, in order.
     Chunks(Vec<Arc<[u8]>>),
-    /// Answers [`Request::Fleets`] with one view; `more` tells of others.
+    /// Answers [`Request::Fleets`] with one data centre's news; `more` tells of
+    /// others.
     Fleet {
-        /// A view that replaces the opener's, if there is one.
-        view: Option<Arc<FleetView>>,
+        /// What is new.
+        news: FleetAnswer,
         /// Whether the opener should ask again.
         more: bool,
     },
@@ -174,6 +176,17 @@
     Copied,
 }
 
+/// What is new about one data centre's fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum FleetAnswer {
+    /// Nothing.
+    None,
+    /// The whole view.
+    View(FleetView),
+    /// What changed since the opener's view.
+    Delta(FleetDelta),
+}
+
 /// Usage records for a neighbour to keep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyBatch {
--- a/crates/hosts/tests/all/main.rs
+++ b/crates/hosts/tests/all/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the protocol between the system's own processes.
 
 mod datagrams;
+mod fleets;
 mod memberships;
 mod nodes;
 mod stores;
+mod streams;
 mod support;
