Honour Idempotency-Key across hosts by claims in the object API

The repeat of an ended request gets what became of the first; with the store away the answer is a true 'not run'. A claim whose write may still hold is given back before its object takes new ones, so that an outage can't grow the list.

Ruled out: one object for each claim (two writes a request), and a permit redeemed by its issuer (a host that is lost takes its permits with it).

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -2,6 +2,8 @@
 
 use crate::admission::PlacementRequest;
 use crate::body::{BodyError, read_body};
+use crate::claim::ContentDigest;
+use crate::claim_hold::{ClaimHold, ClaimWish, idempotency_key};
 use crate::context::EntryContext;
 use crate::delivery::answer_channel;
 use crate::directory::Member;
@@ -34,7 +36,6 @@
 const ANSWER_PREFIX: &str = "chatcmpl-";
 
 /// One accepted call.
-#[derive(Debug)]
 pub(crate) struct ChatJob {
     pub(crate) facts: PlacementRequest,
     pub(crate) workspace: WorkspaceName,
@@ -44,6 +45,8 @@
     pub(crate) arrived: Instant,
     pub(crate) wants_stream: bool,
     pub(crate) wants_usage: bool,
+    /// Held by requests that may not be repeated and name a key.
+    pub(crate) claim: Option<ClaimHold>,
     body: Bytes,
 }
 
@@ -125,8 +128,19 @@
         .await
         .map_err(body_reply)?;
     let call = parse_chat_request(&body).map_err(|error| bad_request(error.to_string()))?;
-    drop(body);
     let model = permitted_model(&call, &member)?;
+    let claim = match idempotency_key(headers)? {
+        Some(idempotency_key) if !class.idempotent => {
+            let wish = ClaimWish {
+                workspace: member.name.clone(),
+                idempotency_key,
+                content: ContentDigest::of(&[class_name.as_str().as_bytes(), &body]),
+            };
+            Some(context.claim(wish, request).await?)
+        }
+        _ => None,
+    };
+    drop(body);
     let facts = PlacementRequest {
         request,
         workspace: member.name.clone(),
@@ -147,6 +161,7 @@
         arrived,
         wants_stream: wants_stream(&call),
         wants_usage: wants_usage(&call),
+        claim,
         body: engine_text(call)?,
     })
 }
--- /dev/null
+++ b/crates/entry/src/claim_actor.rs
@@ -0,0 +1,290 @@
+//! Writes claims to the platform, many with one write.
+//!
+//! For each object of claims one write is on its way at most; what arrives
+//! meanwhile goes with the next. The actor never waits for the platform itself:
+//! a task does, and sends the actor what came of it.
+
+use crate::claim::{ClaimChange, ClaimKey, ClaimResult, ClaimShard, ClaimTable};
+use lagoonlift_platform::{PlatformClient, PlatformError, Version, Versioned};
+use std::collections::HashMap;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+use xtra::{Context, Handler, WeakAddress};
+
+/// Attempts at one batch before its requests are told that the store is away.
+const MAX_WRITES: u32 = 8;
+
+/// Wait before a batch is tried again after the platform failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Changes one claim.
+#[derive(Debug)]
+pub(crate) struct ChangeClaim {
+    pub(crate) shard: ClaimShard,
+    pub(crate) key: ClaimKey,
+    pub(crate) change: ClaimChange,
+    pub(crate) reply: oneshot::Sender<Result<ClaimResult, StoreAway>>,
+}
+
+/// The platform's store can't be asked now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the platform's store is away")]
+pub(crate) struct StoreAway {
+    /// Whether the change may be in force, or come into force, nevertheless.
+    pub(crate) may_hold: bool,
+}
+
+/// What came of a write or read.
+#[derive(Debug)]
+struct BatchEnded {
+    shard: ClaimShard,
+    batch: Vec<ChangeClaim>,
+    writes: u32,
+    end: BatchEnd,
+}
+
+#[derive(Debug)]
+enum BatchEnd {
+    /// The table is what the object holds.
+    Written(ClaimTable, Option<Version>),
+    /// The object holds something else; the batch has to be applied to that.
+    Stale(ClaimTable, Option<Version>),
+    /// The platform can't be asked.
+    Away(StoreAway),
+}
+
+/// Owns what this process knows of the claims.
+#[derive(xtra::Actor)]
+pub(crate) struct ClaimActor {
+    platform: PlatformClient,
+    shards: HashMap<ClaimShard, ShardState>,
+}
+
+#[derive(Debug, Default)]
+struct ShardState {
+    table: ClaimTable,
+    version: Option<Version>,
+    waiting: Vec<ChangeClaim>,
+    is_writing: bool,
+    /// A write may have taken effect, and what it claimed in vain has not been
+    /// given back. New claims wait for that: the list of what is to be given
+    /// back must not grow with the length of an outage.
+    is_unsettled: bool,
+}
+
+impl ClaimActor {
+    pub(crate) fn new(platform: PlatformClient) -> Self {
+        Self {
+            platform,
+            shards: HashMap::new(),
+        }
+    }
+
+    /// Starts a write for what waits, unless one is on its way.
+    fn start_batch(&mut self, shard: ClaimShard, writes: u32, address: &WeakAddress<Self>) {
+        let Some(state) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        // Requests whose callers have left are not worth a write.
+        state.waiting.retain(|change| change.is_wanted());
+        if state.is_writing || state.waiting.is_empty() {
+            return;
+        }
+        state.is_writing = true;
+        let write = BatchWrite {
+            platform: self.platform.clone(),
+            key: shard.object_key(),
+            table: state.table.clone(),
+            version: state.version,
+        };
+        let batch = std::mem::take(&mut state.waiting);
+        let address = address.clone();
+        tokio::spawn(async move {
+            let (batch, end) = write.run(batch).await;
+            let ended = BatchEnded {
+                shard,
+                batch,
+                writes: writes + 1,
+                end,
+            };
+            if let Some(address) = address.try_upgrade() {
+                // The actor ends only with the process.
+                let _ = address.send(ended).await;
+            }
+        });
+    }
+}
+
+impl ChangeClaim {
+    /// A claim that nobody waits for needn't be made; other changes must be.
+    fn is_wanted(&self) -> bool {
+        !matches!(self.change, ClaimChange::Open(_)) || !self.reply.is_closed()
+    }
+}
+
+/// One conditional write of a batch.
+struct BatchWrite {
+    platform: PlatformClient,
+    key: String,
+    table: ClaimTable,
+    version: Option<Version>,
+}
+
+impl BatchWrite {
+    async fn run(mut self, batch: Vec<ChangeClaim>) -> (Vec<ChangeClaim>, BatchEnd) {
+        let before = self.table.clone();
+        self.table.forget_old(unix_seconds());
+        let results: Vec<ClaimResult> = batch
+            .iter()
+            .map(|change| self.table.apply(&change.key, &change.change))
+            .collect();
+        let is_refused = results.iter().any(|result| *result != ClaimResult::Done);
+        // A refusal is told only on what the object holds now, not on what this
+        // process remembers of it.
+        let end = match is_refused || self.table == before {
+            true => self.confirm(&before).await,
+            false => self.write().await,
+        };
+        (batch, end)
+    }
+
+    async fn write(self) -> BatchEnd {
+        let written = match self.version {
+            Some(version) => self.platform.update(&self.key, &self.table, version).await,
+            None => self.platform.create(&self.key, &self.table).await,
+        };
+        match written {
+            Ok(version) => BatchEnd::Written(self.table, Some(version)),
+            Err(PlatformError::Conflict { current }) => stale(current.map(|current| *current)),
+            // What the object holds now shows whether the write took effect.
+            Err(error) if error.is_ambiguous() => match self.platform.get(&self.key).await {
+                Ok(current) => stale(current),
+                Err(_) => BatchEnd::Away(StoreAway { may_hold: true }),
+            },
+            Err(_) => BatchEnd::Away(StoreAway { may_hold: false }),
+        }
+    }
+
+    /// Reads the object; if it is as remembered, the refusals stand, and the
+    /// others of the batch are written.
+    async fn confirm(self, before: &ClaimTable) -> BatchEnd {
+        let Ok(current) = self.platform.get(&self.key).await else {
+            return BatchEnd::Away(StoreAway { may_hold: false });
+        };
+        let version = current.as_ref().map(|current| current.version);
+        match version == self.version {
+            true if self.table == *before => BatchEnd::Written(self.table, version),
+            true => self.write().await,
+            false => stale(current),
+        }
+    }
+}
+
+fn stale(current: Option<Versioned>) -> BatchEnd {
+    let Some(current) = current else {
+        return BatchEnd::Stale(ClaimTable::new(), None);
+    };
+    match current.parse() {
+        Ok(table) => BatchEnd::Stale(table, Some(current.version)),
+        Err(error) => {
+            tracing::error!(%error, "an object of claims can't be read");
+            BatchEnd::Away(StoreAway { may_hold: false })
+        }
+    }
+}
+
+impl Handler<ChangeClaim> for ClaimActor {
+    type Return = ();
+
+    async fn handle(&mut self, change: ChangeClaim, context: &mut Context<Self>) {
+        let shard = change.shard.clone();
+        let state = self.shards.entry(shard.clone()).or_default();
+        if state.is_unsettled && matches!(change.change, ClaimChange::Open(_)) {
+            // The caller may have left; then nobody needs to know.
+            let _ = change.reply.send(Err(StoreAway { may_hold: false }));
+            return;
+        }
+        state.waiting.push(change);
+        self.start_batch(shard, 0, &context.mailbox().address());
+    }
+}
+
+impl Handler<BatchEnded> for ClaimActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: BatchEnded, context: &mut Context<Self>) {
+        let address = context.mailbox().address();
+        let state = self.shards.entry(ended.shard.clone()).or_default();
+        state.is_writing = false;
+        let mut writes = 0;
+        match ended.end {
+            BatchEnd::Written(table, version) => {
+                answer(ended.batch, &table);
+                state.table = table;
+                state.version = version;
+                state.is_unsettled = false;
+            }
+            BatchEnd::Stale(table, version) => {
+                state.table = table;
+                state.version = version;
+                if ended.writes < MAX_WRITES {
+                    state.waiting.splice(0..0, ended.batch);
+                    writes = ended.writes;
+                } else {
+                    refuse(ended.batch, StoreAway { may_hold: false }, &address);
+                }
+            }
+            BatchEnd::Away(away) => {
+                state.is_unsettled |= away.may_hold;
+                refuse(ended.batch, away, &address);
+            }
+        }
+        self.start_batch(ended.shard, writes, &address);
+    }
+}
+
+/// Answers each change with what the written table says of it.
+fn answer(batch: Vec<ChangeClaim>, table: &ClaimTable) {
+    let mut table = table.clone();
+    for change in batch {
+        // Applied once more, a change that is in force changes nothing.
+        let result = table.apply(&change.key, &change.change);
+        // Whoever claims for a caller that left gives the claim back itself.
+        let _ = change.reply.send(Ok(result));
+    }
+}
+
+/// Tells that the store is away. What became of a request, and keys given back,
+/// must come into force nevertheless, so these changes are tried again.
+fn refuse(batch: Vec<ChangeClaim>, away: StoreAway, address: &WeakAddress<ClaimActor>) {
+    let mut kept = Vec::new();
+    for change in batch {
+        // Whoever waits is told now; the rest goes on without it.
+        let _ = change.reply.send(Err(away));
+        if !matches!(change.change, ClaimChange::Open(_)) {
+            let (reply, _) = oneshot::channel();
+            kept.push(ChangeClaim { reply, ..change });
+        }
+    }
+    if !kept.is_empty() {
+        retry_later(kept, address);
+    }
+}
+
+fn retry_later(changes: Vec<ChangeClaim>, address: &WeakAddress<ClaimActor>) {
+    let address = address.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(RETRY_PAUSE).await;
+        for change in changes {
+            if let Some(address) = address.try_upgrade() {
+                let _ = address.send(change).await;
+            }
+        }
+    });
+}
+
+/// Returns the time by which claims are forgotten.
+pub(crate) fn unix_seconds() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_secs()
+}
--- /dev/null
+++ b/crates/entry/src/claim_hold.rs
@@ -0,0 +1,192 @@
+//! A claim in the hands of the request that made it.
+//!
+//! However a request ends, its claim must end with it: given back if nothing
+//! ran, else marked with what became of it. Dropping the hold does the one that
+//! is true at that moment, so that a caller that leaves changes nothing.
+
+use crate::claim::{
+    Claim, ClaimChange, ClaimKey, ClaimResult, ClaimShard, ClaimState, ContentDigest,
+};
+use crate::claim_actor::{ChangeClaim, ClaimActor, StoreAway, unix_seconds};
+use futures::FutureExt;
+use http::{HeaderMap, HeaderValue};
+use lagoonlift_callers::{IDEMPOTENCY_HEADER, OutcomeReply};
+use lagoonlift_types::{NotRunReason, Outcome, RequestId, WorkspaceName};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use xtra::Address;
+
+/// When a caller may come back after the store was away.
+const STORE_RETRY: Duration = Duration::from_secs(2);
+
+/// Longest `Idempotency-Key`, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Returns the caller's `Idempotency-Key`, if there is one.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<Vec<u8>>, OutcomeReply> {
+    match headers.get(IDEMPOTENCY_HEADER).map(HeaderValue::as_bytes) {
+        None => Ok(None),
+        Some(key) if key.is_empty() || key.len() > MAX_KEY_BYTES => Err(OutcomeReply::not_run(
+            NotRunReason::BadRequest,
+            None,
+            "the idempotency key must have between 1 and 255 bytes",
+        )),
+        Some(key) => Ok(Some(key.to_vec())),
+    }
+}
+
+/// What a caller's `Idempotency-Key` stands for.
+#[derive(Clone, Debug)]
+pub(crate) struct ClaimWish {
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) idempotency_key: Vec<u8>,
+    pub(crate) content: ContentDigest,
+}
+
+/// A claim that is held.
+pub(crate) struct ClaimHold {
+    actor: Address<ClaimActor>,
+    shard: ClaimShard,
+    key: ClaimKey,
+    request: RequestId,
+    limit: Duration,
+    /// What dropping the hold does.
+    on_drop: Option<ClaimChange>,
+}
+
+impl ClaimHold {
+    /// Claims the key for `request`.
+    ///
+    /// The error says why the request is not to run.
+    pub(crate) async fn acquire(
+        actor: Address<ClaimActor>,
+        wish: ClaimWish,
+        request: RequestId,
+        limit: Duration,
+    ) -> Result<Self, OutcomeReply> {
+        let (shard, key) = ClaimKey::locate(&wish.workspace, &wish.idempotency_key);
+        let mut hold = Self {
+            actor,
+            shard,
+            key,
+            request,
+            limit,
+            on_drop: Some(ClaimChange::Release { request }),
+        };
+        let claim = Claim {
+            request,
+            content: wish.content.clone(),
+            state: ClaimState::Open,
+            made_at: unix_seconds(),
+        };
+        let refusal = match hold.change(ClaimChange::Open(claim)).await {
+            Ok(ClaimResult::Done) => return Ok(hold),
+            Ok(ClaimResult::Taken(claim)) => taken_reply(&claim, &wish.content),
+            Ok(ClaimResult::Full) => store_away_reply(),
+            // Whatever may be in force is given back by dropping the hold.
+            Err(StoreAway { may_hold: true }) => return Err(store_away_reply()),
+            Err(StoreAway { may_hold: false }) => store_away_reply(),
+        };
+        hold.on_drop = None;
+        Err(refusal)
+    }
+
+    /// Says that the request is about to be sent: from now on it may have run.
+    pub(crate) fn note_sending(&mut self) {
+        self.on_drop = Some(ClaimChange::Finish {
+            request: self.request,
+            state: ClaimState::Unknown,
+        });
+    }
+
+    /// Says that what was about to be sent certainly didn't run.
+    pub(crate) fn note_not_run(&mut self) {
+        let request = self.request;
+        self.on_drop = Some(ClaimChange::Release { request });
+    }
+
+    /// Ends the claim as the request ended.
+    pub(crate) async fn end(mut self, outcome: &Outcome) {
+        let request = self.request;
+        let finish = |state| ClaimChange::Finish { request, state };
+        let change = match outcome {
+            Outcome::NotRun { .. } => ClaimChange::Release { request },
+            Outcome::Answered => finish(ClaimState::Answered),
+            Outcome::Failed => finish(ClaimState::Failed),
+            Outcome::Unknown => finish(ClaimState::Unknown),
+        };
+        self.on_drop = Some(change.clone());
+        match self.change(change).await {
+            // The actor goes on trying by itself.
+            Ok(_) | Err(_) => self.on_drop = None,
+        }
+    }
+
+    async fn change(&self, change: ClaimChange) -> Result<ClaimResult, StoreAway> {
+        let (reply, result) = oneshot::channel();
+        self.send(change, reply);
+        let result = timeout(self.limit, result).await;
+        match result {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(StoreAway { may_hold: true }),
+        }
+    }
+
+    fn send(&self, change: ClaimChange, reply: oneshot::Sender<Result<ClaimResult, StoreAway>>) {
+        let message = ChangeClaim {
+            shard: self.shard.clone(),
+            key: self.key.clone(),
+            change,
+            reply,
+        };
+        // The mailbox is unbounded, so the first poll puts the message into it.
+        let _ = self.actor.send(message).detach().now_or_never();
+    }
+}
+
+impl Drop for ClaimHold {
+    fn drop(&mut self) {
+        if let Some(change) = self.on_drop.take() {
+            let (reply, _) = oneshot::channel();
+            self.send(change, reply);
+        }
+    }
+}
+
+fn store_away_reply() -> OutcomeReply {
+    OutcomeReply::not_run(
+        NotRunReason::StoreUnavailable,
+        Some(STORE_RETRY),
+        "the idempotency key can't be checked now; the request was not run",
+    )
+}
+
+fn taken_reply(claim: &Claim, content: &ContentDigest) -> OutcomeReply {
+    if claim.content != *content {
+        return OutcomeReply::not_run(
+            NotRunReason::BadRequest,
+            None,
+            "the idempotency key was used for another request",
+        );
+    }
+    let (outcome, message) = match claim.state {
+        ClaimState::Open => (
+            Outcome::Unknown,
+            "a request with this idempotency key is running, or was lost while it ran",
+        ),
+        ClaimState::Answered => (
+            Outcome::Answered,
+            "the request with this idempotency key already ran and was answered",
+        ),
+        ClaimState::Failed => (
+            Outcome::Failed,
+            "the request with this idempotency key already ran and failed",
+        ),
+        ClaimState::Unknown => (
+            Outcome::Unknown,
+            "the request with this idempotency key may have run",
+        ),
+    };
+    OutcomeReply::already_ran(outcome, message)
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,11 +1,14 @@
 //! What all requests of one entry process share.
 
 use crate::admission::AdmissionActor;
+use crate::claim_actor::ClaimActor;
+use crate::claim_hold::{ClaimHold, ClaimWish};
 use crate::directory::KeyDirectory;
 use crate::instruments::{EntryInstruments, RequestLabels};
 use crate::retry::RetryBudget;
 use crate::tuning::EntryTuning;
 use arc_swap::ArcSwap;
+use lagoonlift_callers::OutcomeReply;
 use lagoonlift_types::{ClassName, RequestId, UsageFigures, WorkspaceName};
 use lagoonlift_usage::UsageKeeper;
 use std::sync::{Mutex, PoisonError};
@@ -18,6 +21,7 @@
     pub(crate) admission: Address<AdmissionActor>,
     pub(crate) instruments: EntryInstruments,
     pub(crate) keeper: UsageKeeper,
+    pub(crate) claims: Address<ClaimActor>,
     pub(crate) budgets: Mutex<RetryBudgets>,
     pub(crate) tuning: EntryTuning,
     pub(crate) max_body: u64,
@@ -79,6 +83,16 @@
         }
     }
 
+    /// Claims the caller's `Idempotency-Key` for a request.
+    pub(crate) async fn claim(
+        &self,
+        wish: ClaimWish,
+        request: RequestId,
+    ) -> Result<ClaimHold, OutcomeReply> {
+        let limit = self.tuning.claim_limit;
+        ClaimHold::acquire(self.claims.clone(), wish, request, limit).await
+    }
+
     /// Counts a request that was refused before it had a workspace.
     pub(crate) fn count_refusal(&self, kind: lagoonlift_types::OutcomeKind, arrived: Instant) {
         let labels = RequestLabels::anonymous();
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The entry daemon's parts, started together and stopped in order.
 
 use crate::admission::{AdmissionActor, Observe, Reconfigure};
+use crate::claim_actor::ClaimActor;
 use crate::context::{EntryContext, RetryBudgets};
 use crate::directory::KeyDirectory;
 use crate::instruments::EntryInstruments;
@@ -80,6 +81,7 @@
             settings.platform.token.clone(),
             settings.platform.timeout,
         );
+        let claims = ClaimActor::new(platform.clone());
         let keeper = UsageKeeper::start(
             node.clone(),
             platform,
@@ -96,6 +98,7 @@
             admission: admission.clone(),
             instruments: EntryInstruments::new(&metrics),
             keeper: keeper.clone(),
+            claims: xtra::spawn_tokio(claims, Mailbox::unbounded()),
             budgets: Mutex::new(RetryBudgets::new(&tuning)),
             tuning,
             max_body: entry.max_body,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,9 @@
 mod admission;
 mod body;
 mod chat;
+mod claim;
+mod claim_actor;
+mod claim_hold;
 mod context;
 mod cursor;
 mod daemon;
@@ -28,6 +31,9 @@
 mod slot;
 mod tuning;
 
+pub use claim::{
+    Claim, ClaimChange, ClaimKey, ClaimResult, ClaimShard, ClaimState, ClaimTable, ContentDigest,
+};
 pub use cursor::{CursorStep, TokenCursor};
 pub use daemon::Entry;
 pub use retry::{BudgetShare, RetryBudget, RunEvidence, backoff};
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -3,6 +3,8 @@
 use crate::admission::PlacementRequest;
 use crate::body::read_body;
 use crate::chat::{bad_request, bearer_key, body_reply};
+use crate::claim::ContentDigest;
+use crate::claim_hold::{ClaimHold, ClaimWish, idempotency_key};
 use crate::context::EntryContext;
 use crate::delivery::answer_channel;
 use crate::directory::Member;
@@ -35,7 +37,6 @@
 }
 
 /// One accepted call.
-#[derive(Debug)]
 pub(crate) struct PlainJob {
     pub(crate) facts: PlacementRequest,
     pub(crate) workspace: WorkspaceName,
@@ -48,6 +49,8 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Held by requests that may not be repeated and name a key.
+    pub(crate) claim: Option<ClaimHold>,
 }
 
 /// A path cut into its parts.
@@ -97,6 +100,19 @@
     let body = read_body(parts, context.max_body)
         .await
         .map_err(body_reply)?;
+    let path_at_service = service_path(route, path.rest, call.query.as_deref());
+    let claim = match idempotency_key(&call.headers)? {
+        Some(idempotency_key) if !class.idempotent => {
+            let method = call.method.as_str().as_bytes();
+            let wish = ClaimWish {
+                workspace: member.name.clone(),
+                idempotency_key,
+                content: ContentDigest::of(&[method, path_at_service.as_bytes(), &body]),
+            };
+            Some(context.claim(wish, request).await?)
+        }
+        _ => None,
+    };
     let facts = PlacementRequest {
         request,
         workspace: member.name.clone(),
@@ -114,11 +130,12 @@
         class: route.class.clone(),
         key,
         arrived,
-        path: service_path(route, path.rest, call.query.as_deref()),
+        path: path_at_service,
         workspace: member.name,
         method: call.method,
         headers: call.headers,
         body,
+        claim,
     })
 }
 
--- a/crates/entry/src/plain_relay.rs
+++ b/crates/entry/src/plain_relay.rs
@@ -69,6 +69,7 @@
         match end {
             PlainEnd::Answered(kind) => self.count(kind),
             PlainEnd::Refused(reply) => {
+                self.end_claim(&reply.outcome).await;
                 self.count(reply.outcome.kind());
                 self.sender.fail(reply).await;
             }
@@ -76,6 +77,7 @@
                 // The body has no place for an error: the connection is broken
                 // off, so that the caller doesn't take the part for the whole.
                 tracing::debug!(%error, "a service's answer broke off");
+                self.end_claim(&Outcome::Failed).await;
                 self.count(OutcomeKind::Failed);
                 self.sender.cut().await;
             }
@@ -136,6 +138,9 @@
             // The policy places routes on services only.
             return Err(SendError::NotSent("the upstream is no service".to_owned()));
         };
+        if let Some(claim) = &mut self.job.claim {
+            claim.note_sending();
+        }
         let answer = self.send(client).await;
         if let Err(SendError::Silent(_)) = &answer {
             link.connections().evict();
@@ -171,7 +176,7 @@
         let mut headers = answer.headers();
         headers.insert(OUTCOME_HEADER, outcome_value(kind));
         self.sender.begin(answer.status(), headers);
-        let relayed = self.relay_parts(&mut answer).await;
+        let relayed = self.relay_parts(&mut answer, kind).await;
         let end = match &relayed {
             Ok(()) => AttemptEnd::Completed { output_tokens: 0 },
             Err(PlainEnd::Cut(_)) => AttemptEnd::UpstreamFailed,
@@ -186,7 +191,11 @@
 
     /// Sends each part when the next one has come, so that the last one is
     /// held until the usage is recorded.
-    async fn relay_parts(&mut self, answer: &mut ServiceAnswer) -> Result<(), PlainEnd> {
+    async fn relay_parts(
+        &mut self,
+        answer: &mut ServiceAnswer,
+        kind: OutcomeKind,
+    ) -> Result<(), PlainEnd> {
         let limit = self.context.tuning.service_limit;
         let mut held: Option<Bytes> = None;
         while let Some(part) = answer.next(limit).await.map_err(PlainEnd::Cut)? {
@@ -195,6 +204,11 @@
             }
         }
         self.record().await;
+        self.end_claim(match kind {
+            OutcomeKind::Answered => &Outcome::Answered,
+            _ => &Outcome::Failed,
+        })
+        .await;
         match held {
             Some(part) => self.send_part(part).await,
             None => Ok(()),
@@ -229,6 +243,9 @@
             SendError::Status { .. } => RunEvidence::Ran,
         };
         self.evidence = self.evidence.max(evidence);
+        if let (RunEvidence::NotRun, Some(claim)) = (self.evidence, &mut self.job.claim) {
+            claim.note_not_run();
+        }
         let wait = backoff(self.attempts, rand::random());
         let may_repeat = self.job.facts.idempotent || self.evidence == RunEvidence::NotRun;
         let permitted = may_repeat
@@ -257,6 +274,12 @@
         }
     }
 
+    async fn end_claim(&mut self, outcome: &Outcome) {
+        if let Some(claim) = self.job.claim.take() {
+            claim.end(outcome).await;
+        }
+    }
+
     fn count(&self, kind: OutcomeKind) {
         let took = self.job.arrived.elapsed();
         let instruments = &self.context.instruments;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -163,6 +163,9 @@
                 "the upstream is no engine".to_owned(),
             )));
         };
+        if let Some(claim) = &mut self.job.claim {
+            claim.note_sending();
+        }
         let result = match client.send_chat(self.call(&slot)).await {
             Ok(mut stream) => self.relay_stream(&mut stream).await,
             Err(error) => Err(AttemptFailure::Send(error)),
@@ -288,6 +291,7 @@
     async fn finish(&mut self) -> Result<(), AttemptFailure> {
         let usage = self.usage();
         self.record(&usage).await;
+        self.end_claim(&Outcome::Answered).await;
         self.count(&Outcome::Answered);
         match self.job.wants_stream {
             true => self.finish_stream(usage).await?,
@@ -353,6 +357,9 @@
 
     async fn prepare_repeat(&mut self, failure: &AttemptFailure) -> Result<(), OutcomeReply> {
         self.evidence = self.evidence.max(evidence_of(failure));
+        if let (RunEvidence::NotRun, Some(claim)) = (self.evidence, &mut self.job.claim) {
+            claim.note_not_run();
+        }
         let reason = match failure {
             AttemptFailure::Send(SendError::Busy { .. }) => NotRunReason::Overloaded,
             _ => NotRunReason::NoUpstream,
@@ -397,8 +404,15 @@
         }
     }
 
-    async fn refuse(self, reply: OutcomeReply) {
+    async fn end_claim(&mut self, outcome: &Outcome) {
+        if let Some(claim) = self.job.claim.take() {
+            claim.end(outcome).await;
+        }
+    }
+
+    async fn refuse(mut self, reply: OutcomeReply) {
         self.record_partial().await;
+        self.end_claim(&reply.outcome).await;
         self.count(&reply.outcome);
         self.sender.fail(reply).await;
     }
--- a/crates/entry/src/tuning.rs
+++ b/crates/entry/src/tuning.rs
@@ -14,6 +14,8 @@
     pub service_limit: Duration,
     /// Longest wait for the second copy of a usage record.
     pub usage_limit: Duration,
+    /// Longest wait for a claim to be made or ended.
+    pub claim_limit: Duration,
     /// Most attempts at one request.
     pub max_attempts: u32,
     /// Repeats that start over.
@@ -33,6 +35,7 @@
             token_gap_limit: Duration::from_secs(2),
             service_limit: Duration::from_secs(30),
             usage_limit: Duration::from_secs(1),
+            claim_limit: Duration::from_secs(1),
             max_attempts: 4,
             restart_budget: BudgetShare {
                 share: 0.2,
--- /dev/null
+++ b/crates/entry/tests/all/claims.rs
@@ -0,0 +1,218 @@
+//! Requests that may not be repeated run once, whoever repeats them where.
+
+use crate::support::{BenchPlan, EntryBench, HANG_GUARD, header};
+use futures::future::join_all;
+use lagoonlift_entry::{
+    Claim, ClaimChange, ClaimKey, ClaimResult, ClaimState, ClaimTable, ContentDigest,
+};
+use lagoonlift_standins::platform::{FaultEffect, FaultRule};
+use lagoonlift_standins::service::ServiceFault;
+use lagoonlift_types::{RequestId, WorkspaceName};
+use quickcheck::quickcheck;
+use reqwest::{RequestBuilder, Response};
+use tokio::time::timeout;
+
+async fn send(request: RequestBuilder) -> Response {
+    let response = timeout(HANG_GUARD, request.send()).await;
+    response.expect("it is answered").expect("sent")
+}
+
+/// Returns status, outcome and error code.
+async fn told(response: Response) -> (u16, String, String) {
+    let status = response.status().as_u16();
+    let outcome = header(&response, "lagoonlift-outcome").to_owned();
+    let body = response.text().await.expect("a body");
+    let code = serde_json::from_str::<serde_json::Value>(&body)
+        .ok()
+        .and_then(|body| Some(body["error"]["code"].as_str()?.to_owned()));
+    (status, outcome, code.unwrap_or_default())
+}
+
+fn is(expected: (u16, &str, &str)) -> (u16, String, String) {
+    (expected.0, expected.1.to_owned(), expected.2.to_owned())
+}
+
+const ANSWERED: (u16, &str, &str) = (200, "answered", "");
+
+/// Seen failing with claims that always succeed: the service had 24 calls.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_key_runs_once_over_all_hosts() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let others = [
+        bench.start_another("b").await,
+        bench.start_another("c").await,
+    ];
+    let entries = [bench.entry(), &others[0], &others[1]];
+    let requests = (0..24).map(|index| send(bench.book(entries[index % 3], "booking-1")));
+    let responses = join_all(requests).await;
+    let answered = responses.iter().filter(|response| response.status() == 200);
+    assert_eq!(answered.count(), 1);
+    assert_eq!(bench.service.calls().len(), 1);
+    assert!(
+        responses
+            .iter()
+            .all(|response| matches!(response.status().as_u16(), 200 | 409))
+    );
+}
+
+/// Many keys at once share writes: the platform's budget doesn't grow with
+/// requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_claims_share_writes() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    bench
+        .platform
+        .faults()
+        .set_delay(std::time::Duration::from_millis(20));
+    let before = bench.platform.calls().writes;
+    let keys: Vec<String> = (0..400).map(|index| format!("booking-{index}")).collect();
+    let requests = keys.iter().map(|key| send(bench.book(bench.entry(), key)));
+    let responses = join_all(requests).await;
+    assert!(responses.iter().all(|response| response.status() == 200));
+    assert_eq!(bench.service.calls().len(), 400);
+    let writes = bench.platform.calls().writes - before;
+    // Alone, 400 requests would take 800 writes.
+    assert!(writes < 200, "{writes} writes");
+}
+
+/// A write that may still hold blocks new claims of its object only until what
+/// it claimed has been given back.
+#[tokio::test]
+async fn a_claim_that_may_hold_is_given_back() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let rule = FaultRule::new("/objects/claims", FaultEffect::LoseAnswer);
+    bench.platform.faults().add(rule.with_reads());
+    let book = || send(bench.book(bench.entry(), "booking-1"));
+    let refused = is((503, "not-run", "store_unavailable"));
+    assert_eq!(told(book().await).await, refused);
+    assert!(bench.service.calls().is_empty());
+    bench.platform.faults().clear();
+    let answered = async {
+        loop {
+            match told(book().await).await {
+                told if told == refused => tokio::task::yield_now().await,
+                told => return told,
+            }
+        }
+    };
+    let last = timeout(HANG_GUARD, answered).await.expect("it is settled");
+    assert_eq!(last, is(ANSWERED));
+    assert_eq!(bench.service.calls().len(), 1);
+}
+
+#[tokio::test]
+async fn a_repeat_is_told_what_became_of_the_first() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let book = || send(bench.book(bench.entry(), "booking-1"));
+    assert_eq!(told(book().await).await, is(ANSWERED));
+    assert_eq!(
+        told(book().await).await,
+        is((409, "answered", "already_ran"))
+    );
+    let other_body = bench.book(bench.entry(), "booking-1").body("drill");
+    assert_eq!(
+        told(send(other_body).await).await,
+        is((400, "not-run", "bad_request"))
+    );
+    bench.service.push_fault(ServiceFault::LoseAnswer);
+    let lose = || send(bench.book(bench.entry(), "booking-2"));
+    assert_eq!(
+        told(lose().await).await,
+        is((504, "unknown", "outcome_unknown"))
+    );
+    assert_eq!(
+        told(lose().await).await,
+        is((409, "unknown", "already_ran"))
+    );
+    assert_eq!(bench.service.calls().len(), 2);
+}
+
+#[tokio::test]
+async fn without_the_store_nothing_runs() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    bench.platform.faults().set_down(true);
+    let response = send(bench.book(bench.entry(), "booking-1")).await;
+    assert_eq!(header(&response, "retry-after"), "2");
+    assert_eq!(
+        told(response).await,
+        is((503, "not-run", "store_unavailable"))
+    );
+    assert!(bench.service.calls().is_empty());
+    bench.platform.faults().set_down(false);
+    let response = send(bench.book(bench.entry(), "booking-1")).await;
+    assert_eq!(told(response).await, is(ANSWERED));
+}
+
+/// Seen failing without reading back after a lost answer: the request was
+/// refused with `store_unavailable` although its claim stood.
+#[tokio::test]
+async fn a_claim_whose_answer_was_lost_is_found_again() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let rule = FaultRule::new("/objects/claims", FaultEffect::LoseAnswer).with_remaining(1);
+    bench.platform.faults().add(rule);
+    let response = send(bench.book(bench.entry(), "booking-1")).await;
+    assert_eq!(told(response).await, is(ANSWERED));
+    assert_eq!(bench.service.calls().len(), 1);
+}
+
+/// Seen failing without the release of claims: the repeat was told 409 and
+/// "unknown", though nothing had run.
+#[tokio::test]
+async fn a_claim_is_given_back_when_nothing_ran() {
+    let mut bench = EntryBench::start(BenchPlan::default()).await;
+    bench.engines.iter_mut().for_each(|engine| engine.crash());
+    let ask = |bench: &EntryBench| {
+        let request = bench.chat("once", false, 3);
+        send(request.header("idempotency-key", "booking-1"))
+    };
+    assert_eq!(
+        told(ask(&bench).await).await,
+        is((503, "not-run", "no_upstream"))
+    );
+    for engine in &mut bench.engines {
+        engine.restart().expect("the port is free");
+    }
+    assert_eq!(told(ask(&bench).await).await, is(ANSWERED));
+    assert_eq!(bench.runs(1), 1);
+}
+
+quickcheck! {
+    /// Whatever is claimed, finished and given back in whatever order, a key is
+    /// never held by two requests, and what ran is never claimed again.
+    fn a_key_has_one_holder(steps: Vec<(u8, u8)>) -> bool {
+        let workspace = WorkspaceName::new("harbour").expect("a valid name");
+        let (_, key) = ClaimKey::locate(&workspace, b"booking-1");
+        let requests: Vec<RequestId> = (0..4).map(|_| RequestId::new()).collect();
+        let mut table = ClaimTable::new();
+        let mut holder: Option<(RequestId, bool)> = None;
+        steps.into_iter().all(|(who, what)| {
+            let request = requests[usize::from(who % 4)];
+            let holds = holder.is_some_and(|(held, _)| held == request);
+            match what % 3 {
+                0 => {
+                    let claim = Claim {
+                        request,
+                        content: ContentDigest::of(&[]),
+                        state: ClaimState::Open,
+                        made_at: 0,
+                    };
+                    let result = table.apply(&key, &ClaimChange::Open(claim));
+                    let expected = holder.is_none() || holds;
+                    holder.get_or_insert((request, false));
+                    (result == ClaimResult::Done) == expected
+                }
+                1 => {
+                    let state = ClaimState::Answered;
+                    table.apply(&key, &ClaimChange::Finish { request, state });
+                    holder = holder.map(|(held, done)| (held, done || holds));
+                    true
+                }
+                _ => {
+                    table.apply(&key, &ClaimChange::Release { request });
+                    holder = holder.filter(|(_, done)| !holds || *done);
+                    true
+                }
+            }
+        })
+    }
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry daemon, with stand-ins for everything around it.
 
+mod claims;
 mod cursor;
 mod fault_matrix;
 mod sessions;
--- a/crates/entry/tests/all/support.rs
+++ b/crates/entry/tests/all/support.rs
@@ -134,7 +134,7 @@
             client: Client::builder().build().expect("a client"),
         };
         bench.accept(configuration).await;
-        bench.wait_ready().await;
+        bench.wait_ready(bench.entry()).await;
         bench
     }
 
@@ -147,8 +147,19 @@
         self.configuration = configuration;
     }
 
-    async fn wait_ready(&self) {
-        let url = format!("http://{}/ready", self.entry().admin_addr());
+    /// Starts an entry daemon on another host.
+    pub(crate) async fn start_another(&self, name: &str) -> Entry {
+        let seed = self.neighbour.local_addr();
+        let settings = settings(name, &self.platform, seed, 64 * 1024);
+        let metrics = Metrics::new().expect("new metrics");
+        let entry = Entry::with_tuning(&settings, metrics, quick_tuning()).await;
+        let entry = entry.expect("the entry starts");
+        self.wait_ready(&entry).await;
+        entry
+    }
+
+    async fn wait_ready(&self, entry: &Entry) {
+        let url = format!("http://{}/ready", entry.admin_addr());
         let ready = async {
             loop {
                 let answer = self.client.get(&url).send().await;
@@ -171,6 +182,13 @@
         format!("http://{}{path}", self.entry().caller_addr())
     }
 
+    /// Books through the plain route whose calls may not be repeated.
+    pub(crate) fn book(&self, entry: &Entry, key: &str) -> RequestBuilder {
+        let url = format!("http://{}/v1/services/harbour/book/7", entry.caller_addr());
+        let request = self.client.post(url).bearer_auth(KEY);
+        request.header("idempotency-key", key).body("pump")
+    }
+
     pub(crate) fn chat(&self, class: &str, stream: bool, tokens: u64) -> RequestBuilder {
         let body = chat_body(stream, tokens);
         self.client
