--- a/crates/policy/src/entry/attempts.rs
+++ b/crates/policy/src/entry/attempts.rs
@@ -42,10 +42,10 @@
         if attempt.part == Part::Answer {
             record.stream_ended(now);
         }
-        if record.facts.supply == Supply::Reclaimable {
-            if let Some(count) = self.cheap_requests.get_mut(record.site) {
-                *count = count.saturating_sub(1);
-            }
+        if record.facts.supply == Supply::Reclaimable
+            && let Some(count) = self.cheap_requests.get_mut(record.site)
+        {
+            *count = count.saturating_sub(1);
         }
     }
 
@@ -62,6 +62,13 @@
         }
     }
 
+    pub(super) fn note_move(&mut self, now: Timestamp, request: RequestId, upstream: UpstreamKey) {
+        if let Some(attempt) = self.attempts.remove(&request) {
+            self.release(now, &attempt);
+            self.send(now, attempt, upstream);
+        }
+    }
+
     pub(super) fn finish_reading(
         &mut self,
         now: Timestamp,
