Record the entry's placements and ends, and serve status and explain

Cause: explain had a log and a page, but no daemon recorded into it. The admission actor remembers each engine's last report, so a placement names its age. Placement facts are kept only while a request waits.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -4,14 +4,15 @@
 //! in turn. It sees a request when it arrives, when it is placed again and when
 //! an attempt ends; the tokens in between pass it by.
 
+use crate::explain::{DecisionRecorder, LastReport, PlacementFacts};
 use crate::link::{UpstreamEntry, UpstreamId, UpstreamLink};
 use crate::slot::UpstreamSlot;
 use lagoonlift_policy::{
-    EntryAction, EntryEvent, EntryPolicy, PrefixHash, RequestFacts, Target, Timestamp, UpstreamKey,
-    WorkspaceFacts, WorkspaceKey,
+    EntryAction, EntryEvent, EntryPolicy, LoadReport, PrefixHash, RequestFacts, Target, Timestamp,
+    UpstreamKey, WorkspaceFacts, WorkspaceKey,
 };
 use lagoonlift_types::{
-    Configuration, DataCentreName, NotRunReason, RequestId, Urgency, WorkspaceName,
+    Configuration, DataCentreName, NotRunReason, RequestId, UpstreamName, Urgency, WorkspaceName,
 };
 use slotmap::SecondaryMap;
 use std::collections::{BTreeMap, HashMap};
@@ -81,10 +82,19 @@
     workspaces: HashMap<WorkspaceName, WorkspaceKey>,
     upstreams: BTreeMap<UpstreamId, KnownUpstream>,
     links: SecondaryMap<UpstreamKey, Arc<UpstreamLink>>,
-    waiting: HashMap<RequestId, oneshot::Sender<Placement>>,
+    waiting: HashMap<RequestId, WaitingRequest>,
+    reports: SecondaryMap<UpstreamKey, LastReport>,
+    recorder: DecisionRecorder,
     actions: Vec<EntryAction>,
 }
 
+/// A request that asked for a place.
+#[derive(Debug)]
+struct WaitingRequest {
+    facts: PlacementFacts,
+    reply: oneshot::Sender<Placement>,
+}
+
 #[derive(Debug)]
 struct KnownUpstream {
     key: UpstreamKey,
@@ -94,7 +104,11 @@
 impl AdmissionActor {
     /// Creates the actor for a process in `data_centre`; `start` is zero of the
     /// policy's time.
-    pub(crate) fn new(start: Instant, data_centre: &DataCentreName) -> Self {
+    pub(crate) fn new(
+        start: Instant,
+        data_centre: &DataCentreName,
+        recorder: DecisionRecorder,
+    ) -> Self {
         Self {
             policy: EntryPolicy::new()
                 .with_data_centre(data_centre)
@@ -104,6 +118,8 @@
             upstreams: BTreeMap::new(),
             links: SecondaryMap::new(),
             waiting: HashMap::new(),
+            reports: SecondaryMap::new(),
+            recorder,
             actions: Vec::new(),
         }
     }
@@ -125,6 +141,7 @@
                 upstream,
                 priority,
             } => {
+                self.record_dispatch(request, upstream, priority);
                 let slot = self.slot(request, upstream, priority, address);
                 (request, slot)
             }
@@ -137,17 +154,34 @@
                 request,
                 reason,
                 retry_after,
-            } => (
-                request,
-                Placement::Refuse {
+            } => {
+                self.record_refusal(request, reason);
+                let refusal = Placement::Refuse {
                     reason,
                     retry_after,
-                },
-            ),
+                };
+                (request, refusal)
+            }
         };
-        if let Some(reply) = self.waiting.remove(&request) {
+        if let Some(waiting) = self.waiting.remove(&request) {
             // If the caller has left, the slot comes back and is given up.
-            let _ = reply.send(placement);
+            let _ = waiting.reply.send(placement);
+        }
+    }
+
+    fn record_dispatch(&self, request: RequestId, upstream: UpstreamKey, priority: u8) {
+        let now = self.timestamp(Instant::now());
+        let load = self.reports.get(upstream).map(|report| (*report, now));
+        if let Some(waiting) = self.waiting.get(&request) {
+            let name = &self.links[upstream].name;
+            self.recorder
+                .dispatched(request, &waiting.facts, name, priority, load);
+        }
+    }
+
+    fn record_refusal(&self, request: RequestId, reason: NotRunReason) {
+        if let Some(waiting) = self.waiting.get(&request) {
+            self.recorder.refused(request, &waiting.facts, reason);
         }
     }
 
@@ -165,6 +199,21 @@
         ))
     }
 
+    fn keep_report(&mut self, upstream: UpstreamKey, measured_at: Timestamp, report: LoadReport) {
+        if self.links.contains_key(upstream) {
+            let last = LastReport {
+                measured_at,
+                report,
+            };
+            self.reports.insert(upstream, last);
+        }
+    }
+
+    fn names(&self, upstreams: &[UpstreamKey]) -> Vec<UpstreamName> {
+        let links = upstreams.iter().filter_map(|key| self.links.get(*key));
+        links.map(|link| link.name.clone()).collect()
+    }
+
     fn timestamp(&self, instant: Instant) -> Timestamp {
         let since = instant.saturating_duration_since(self.start);
         Timestamp(since.as_micros() as u64)
@@ -236,6 +285,7 @@
             if let Some(known) = self.upstreams.remove(&id) {
                 self.policy.remove_upstream(known.key);
                 self.links.remove(known.key);
+                self.reports.remove(known.key);
             }
         }
         for (id, entry) in entries {
@@ -284,9 +334,14 @@
             let _ = place.reply.send(refusal);
             return;
         };
+        let tried = place.avoid.clone().unwrap_or_default();
         let avoid = place.avoid.map(|avoid| self.reachable(avoid, &place.facts));
+        let waiting = WaitingRequest {
+            facts: PlacementFacts::new(&place.facts, self.names(&tried)),
+            reply: place.reply,
+        };
         let facts = self.request_facts(place.facts, workspace);
-        self.waiting.insert(facts.request, place.reply);
+        self.waiting.insert(facts.request, waiting);
         let event = match avoid {
             None => EntryEvent::Arrived(facts),
             Some(avoid) => EntryEvent::Retry { facts, avoid },
@@ -299,8 +354,16 @@
     type Return = ();
 
     async fn handle(&mut self, observed: Observe, context: &mut Context<Self>) {
-        if let EntryEvent::Withdrawn { request } = &observed.0 {
-            self.waiting.remove(request);
+        match observed.0 {
+            EntryEvent::Withdrawn { request } => {
+                self.waiting.remove(&request);
+            }
+            EntryEvent::Loaded {
+                upstream,
+                measured_at,
+                report,
+            } => self.keep_report(upstream, measured_at, report),
+            _ => {}
         }
         self.handle_event(observed.0, &context.mailbox().address());
     }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,15 +1,16 @@
 //! What all requests of one entry process share.
 
-use crate::admission::AdmissionActor;
+use crate::admission::{AdmissionActor, PlacementRequest};
 use crate::claim_actor::ClaimActor;
 use crate::claim_hold::{ClaimHold, ClaimWish};
 use crate::directory::KeyDirectory;
+use crate::explain::DecisionRecorder;
 use crate::instruments::{EntryInstruments, RequestLabels};
 use crate::retry::RetryBudget;
 use crate::tuning::EntryTuning;
 use arc_swap::ArcSwap;
 use lagoonlift_callers::OutcomeReply;
-use lagoonlift_types::{ClassName, RequestId, UsageFigures, WorkspaceName};
+use lagoonlift_types::{ClassName, OutcomeKind, RequestId, UsageFigures, WorkspaceName};
 use lagoonlift_usage::UsageKeeper;
 use std::sync::{Mutex, PoisonError};
 use tokio::time::{Instant, timeout};
@@ -20,6 +21,7 @@
     pub(crate) directory: ArcSwap<KeyDirectory>,
     pub(crate) admission: Address<AdmissionActor>,
     pub(crate) instruments: EntryInstruments,
+    pub(crate) recorder: DecisionRecorder,
     pub(crate) keeper: UsageKeeper,
     pub(crate) claims: Address<ClaimActor>,
     pub(crate) budgets: Mutex<RetryBudgets>,
@@ -93,8 +95,21 @@
         ClaimHold::acquire(self.claims.clone(), wish, request, limit).await
     }
 
+    /// Counts a request that ended, and records how.
+    pub(crate) fn count_end(
+        &self,
+        facts: &PlacementRequest,
+        labels: &RequestLabels,
+        kind: OutcomeKind,
+        arrived: Instant,
+    ) {
+        self.instruments
+            .count_outcome(labels, kind, arrived.elapsed());
+        self.recorder.ended(facts.request, &facts.workspace, kind);
+    }
+
     /// Counts a request that was refused before it had a workspace.
-    pub(crate) fn count_refusal(&self, kind: lagoonlift_types::OutcomeKind, arrived: Instant) {
+    pub(crate) fn count_refusal(&self, kind: OutcomeKind, arrived: Instant) {
         let labels = RequestLabels::anonymous();
         self.instruments
             .count_outcome(&labels, kind, arrived.elapsed());
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -4,6 +4,7 @@
 use crate::claim_actor::ClaimActor;
 use crate::context::{EntryContext, RetryBudgets};
 use crate::directory::KeyDirectory;
+use crate::explain::DecisionRecorder;
 use crate::instruments::EntryInstruments;
 use crate::link::list_upstreams;
 use crate::poll::poll_engines;
@@ -13,6 +14,7 @@
 use arc_swap::ArcSwap;
 use eyre::{OptionExt, Result, WrapErr};
 use lagoonlift_hosts::{Member, MemberState, PeerConfig, PeerNode};
+use lagoonlift_operators::{ProcessStatus, operator_routes};
 use lagoonlift_platform::PlatformClient;
 use lagoonlift_policy::EntryEvent;
 use lagoonlift_settings::{EntrySettings, Settings};
@@ -26,6 +28,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use warp::Filter;
 use xtra::{Address, Mailbox};
 
 /// Time between two ticks of the admission policy.
@@ -75,6 +78,7 @@
         let admin = listen(entry.admin_listen).await?;
         let config = peer_config(settings, entry);
         let (process, incarnation) = (config.process.clone(), config.incarnation);
+        let recorder = DecisionRecorder::new(process.clone());
         let node = PeerNode::start(config).await?;
         let platform = PlatformClient::new(
             settings.platform.address,
@@ -85,18 +89,19 @@
         let keeper = UsageKeeper::start(
             node.clone(),
             platform,
-            process,
+            process.clone(),
             incarnation,
             settings.host.data_centre.clone(),
             settings.usage.window,
         );
         let start = Instant::now();
-        let admission = AdmissionActor::new(start, &settings.host.data_centre);
+        let admission = AdmissionActor::new(start, &settings.host.data_centre, recorder.clone());
         let admission = xtra::spawn_tokio(admission, Mailbox::unbounded());
         let context = Arc::new(EntryContext {
             directory: ArcSwap::default(),
             admission: admission.clone(),
             instruments: EntryInstruments::new(&metrics),
+            recorder: recorder.clone(),
             keeper: keeper.clone(),
             claims: xtra::spawn_tokio(claims, Mailbox::unbounded()),
             budgets: Mutex::new(RetryBudgets::new(&tuning)),
@@ -106,7 +111,9 @@
         let readiness = Readiness::new();
         let (stopping, stop) = watch::channel(false);
         let admin_addr = admin.local_addr()?;
-        let pages = admin_routes(metrics, readiness.clone());
+        let about = process_status(&node, process, incarnation, settings, &readiness);
+        let pages =
+            admin_routes(metrics, readiness.clone()).or(operator_routes(recorder.log(), about));
         let helpers = vec![
             tokio::spawn(warp::serve(pages).incoming(admin).run()),
             tokio::spawn(follow_configuration(
@@ -167,6 +174,27 @@
     }
 }
 
+/// Returns what the process says of itself whenever it is asked.
+fn process_status(
+    node: &PeerNode,
+    process: ProcessId,
+    incarnation: Incarnation,
+    settings: &Settings,
+    readiness: &Readiness,
+) -> impl Fn() -> ProcessStatus + Clone + use<> {
+    let store = node.store();
+    let data_centre = settings.host.data_centre.clone();
+    let readiness = readiness.clone();
+    move || ProcessStatus {
+        process: process.clone(),
+        incarnation,
+        data_centre: data_centre.clone(),
+        revision: store.revision(),
+        ready: readiness.get(),
+        epoch: None,
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -216,6 +244,7 @@
         let configuration = Arc::clone(&configurations.borrow_and_update());
         let upstreams = list_upstreams(&configuration, &fleets.borrow_and_update());
         let directory = KeyDirectory::new(Arc::clone(&configuration));
+        let revision = configuration.revision;
         let has_configuration = !configuration.workspaces.is_empty();
         let change = Reconfigure {
             configuration,
@@ -226,6 +255,7 @@
         if context.admission.send(change).await.is_err() {
             return;
         }
+        context.recorder.set_revision(revision);
         context.directory.store(Arc::new(directory));
         readiness.set(has_configuration && !*stop.borrow());
         let changed = tokio::select! {
--- /dev/null
+++ b/crates/entry/src/explain.rs
@@ -0,0 +1,135 @@
+//! Records why each request went where it went, for operators.
+
+use crate::admission::PlacementRequest;
+use lagoonlift_operators::{
+    Decision, DecisionAuthority, DecisionLog, DecisionStep, DecisionSubject, Evidence,
+};
+use lagoonlift_policy::{LoadReport, Timestamp};
+use lagoonlift_types::{
+    NotRunReason, OutcomeKind, ProcessId, RequestId, Revision, UpstreamName, WorkspaceName,
+};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::time::Instant;
+
+/// Records the decisions of one entry process. Clones share the same log.
+#[derive(Clone, Debug)]
+pub(crate) struct DecisionRecorder {
+    log: DecisionLog,
+    process: ProcessId,
+    /// Revision in force; only shown, so it orders nothing.
+    revision: Arc<AtomicU64>,
+}
+
+/// What is remembered of a request while it waits for a place.
+#[derive(Clone, Debug)]
+pub(crate) struct PlacementFacts {
+    workspace: WorkspaceName,
+    deadline: Instant,
+    idempotent: bool,
+    avoided: Vec<UpstreamName>,
+}
+
+/// What an engine last said of itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LastReport {
+    pub(crate) measured_at: Timestamp,
+    pub(crate) report: LoadReport,
+}
+
+impl PlacementFacts {
+    pub(crate) fn new(request: &PlacementRequest, avoided: Vec<UpstreamName>) -> Self {
+        Self {
+            workspace: request.workspace.clone(),
+            deadline: request.deadline,
+            idempotent: request.idempotent,
+            avoided,
+        }
+    }
+
+    fn evidence(&self) -> Vec<Evidence> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let mut evidence = vec![
+            Evidence::TimeLeft(left),
+            Evidence::Idempotent(self.idempotent),
+        ];
+        evidence.extend(self.avoided.iter().cloned().map(Evidence::Avoided));
+        evidence
+    }
+}
+
+impl DecisionRecorder {
+    pub(crate) fn new(process: ProcessId) -> Self {
+        Self {
+            log: DecisionLog::new(),
+            process,
+            revision: Arc::default(),
+        }
+    }
+
+    pub(crate) fn log(&self) -> DecisionLog {
+        self.log.clone()
+    }
+
+    pub(crate) fn set_revision(&self, revision: Revision) {
+        self.revision.store(revision.0, Ordering::Relaxed);
+    }
+
+    /// Records that a request was sent to an upstream.
+    pub(crate) fn dispatched(
+        &self,
+        request: RequestId,
+        facts: &PlacementFacts,
+        upstream: &UpstreamName,
+        priority: u8,
+        load: Option<(LastReport, Timestamp)>,
+    ) {
+        let mut evidence = facts.evidence();
+        evidence.extend(load.map(|(last, now)| Evidence::Load {
+            prefill_backlog_tokens: last.report.prefill_backlog_tokens,
+            active_streams: last.report.active_streams,
+            age: now.since(last.measured_at),
+        }));
+        let attempt = u32::try_from(facts.avoided.len()).unwrap_or(u32::MAX);
+        let step = DecisionStep::Dispatched {
+            attempt: attempt.saturating_add(1),
+            priority,
+        };
+        let mut subject = subject(request, &facts.workspace);
+        subject.upstream = Some(upstream.clone());
+        self.record(subject, step, evidence);
+    }
+
+    /// Records that a request got no place.
+    pub(crate) fn refused(&self, request: RequestId, facts: &PlacementFacts, reason: NotRunReason) {
+        let step = DecisionStep::Refused { reason };
+        self.record(subject(request, &facts.workspace), step, facts.evidence());
+    }
+
+    /// Records what became of a request.
+    pub(crate) fn ended(&self, request: RequestId, workspace: &WorkspaceName, kind: OutcomeKind) {
+        let step = DecisionStep::Ended { outcome: kind };
+        self.record(subject(request, workspace), step, Vec::new());
+    }
+
+    fn record(&self, subject: DecisionSubject, step: DecisionStep, evidence: Vec<Evidence>) {
+        self.log.record(Decision {
+            subject,
+            step,
+            evidence,
+            authority: DecisionAuthority {
+                holder: self.process.clone(),
+                epoch: None,
+                revision: Revision(self.revision.load(Ordering::Relaxed)),
+            },
+        });
+    }
+}
+
+fn subject(request: RequestId, workspace: &WorkspaceName) -> DecisionSubject {
+    DecisionSubject {
+        request: Some(request),
+        workspace: Some(workspace.clone()),
+        upstream: None,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod daemon;
 mod delivery;
 mod directory;
+mod explain;
 mod instruments;
 mod link;
 mod plain;
--- a/crates/entry/src/plain_relay.rs
+++ b/crates/entry/src/plain_relay.rs
@@ -281,9 +281,9 @@
     }
 
     fn count(&self, kind: OutcomeKind) {
-        let took = self.job.arrived.elapsed();
-        let instruments = &self.context.instruments;
-        instruments.count_outcome(&self.job.labels, kind, took);
+        let job = &self.job;
+        self.context
+            .count_end(&job.facts, &job.labels, kind, job.arrived);
     }
 }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -426,9 +426,9 @@
     }
 
     fn count(&self, outcome: &Outcome) {
-        let took = self.job.arrived.elapsed();
-        let instruments = &self.context.instruments;
-        instruments.count_outcome(&self.job.labels, outcome.kind(), took);
+        let job = &self.job;
+        self.context
+            .count_end(&job.facts, &job.labels, outcome.kind(), job.arrived);
     }
 }
 
