--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the steward.
 
 mod configuration;
+mod lease;
+mod orders;
 mod support;
