--- a/crates/operators/src/decision.rs
+++ b/crates/operators/src/decision.rs
@@ -56,6 +56,16 @@
         /// The model.
         model: ModelName,
     },
+    /// The engine is to load an adapter.
+    AdapterLoad {
+        /// The adapter.
+        adapter: String,
+    },
+    /// The engine is to load another version of its model.
+    VersionLoad {
+        /// The version.
+        version: String,
+    },
     /// The engine stays as it is, although a change was weighed.
     Held {
         /// Why.
--- a/crates/operators/src/decision_text.rs
+++ b/crates/operators/src/decision_text.rs
@@ -50,6 +50,8 @@
             Self::Ended { outcome } => write!(f, "ended as {outcome}"),
             Self::RoleChange { role } => write!(f, "ordered to become {}", role_name(*role)),
             Self::ModelLoad { model } => write!(f, "ordered to load {model}"),
+            Self::AdapterLoad { adapter } => write!(f, "ordered to load adapter {adapter}"),
+            Self::VersionLoad { version } => write!(f, "ordered to load version {version}"),
             Self::Held { reason } => write!(f, "left as it is ({reason})"),
             Self::OrderEnded { succeeded: true } => f.write_str("order done"),
             Self::OrderEnded { succeeded: false } => f.write_str("order failed"),
--- /dev/null
+++ b/crates/steward/src/explain.rs
@@ -0,0 +1,112 @@
+//! Records what this steward decided, and under which epoch, for operators.
+
+use crate::lease::Authority;
+use crate::orders::{OrderRecord, OrderResult};
+use lagoonlift_hosts::{ConfigurationStore, PeerNode};
+use lagoonlift_operators::{
+    Decision, DecisionAuthority, DecisionLog, DecisionStep, DecisionSubject, ProcessStatus,
+};
+use lagoonlift_telemetry::Readiness;
+use lagoonlift_types::{DataCentreName, Epoch, Incarnation, ProcessId, UpstreamName};
+use lagoonlift_upstreams::EngineChange;
+use std::sync::Arc;
+
+/// Records the decisions of one steward. Clones share the same log.
+#[derive(Clone)]
+pub(crate) struct DecisionRecorder {
+    log: DecisionLog,
+    process: ProcessId,
+    store: Arc<ConfigurationStore>,
+}
+
+impl DecisionRecorder {
+    pub(crate) fn new(process: ProcessId, node: &PeerNode) -> Self {
+        Self {
+            log: DecisionLog::new(),
+            process,
+            store: node.store(),
+        }
+    }
+
+    pub(crate) fn log(&self) -> DecisionLog {
+        self.log.clone()
+    }
+
+    /// Records that an engine is to be ordered to change.
+    pub(crate) fn order_wanted(
+        &self,
+        upstream: &UpstreamName,
+        epoch: Option<Epoch>,
+        change: &EngineChange,
+    ) {
+        let step = match change.clone() {
+            EngineChange::ChangeRole(role) => DecisionStep::RoleChange { role },
+            EngineChange::LoadModel(model) => DecisionStep::ModelLoad { model },
+            EngineChange::LoadAdapter(adapter) => DecisionStep::AdapterLoad { adapter },
+            EngineChange::LoadVersion(version) => DecisionStep::VersionLoad { version },
+        };
+        self.record(subject_of(upstream), epoch, step);
+    }
+
+    /// Records how an order ended.
+    pub(crate) fn order_ended(&self, upstream: &UpstreamName, record: &OrderRecord) {
+        let succeeded = record.result == Some(OrderResult::Done);
+        let step = DecisionStep::OrderEnded { succeeded };
+        self.record(subject_of(upstream), Some(record.epoch), step);
+    }
+
+    /// Records when the lease is gained and when it ends.
+    pub(crate) async fn follow_lease(self, mut authority: Authority) {
+        loop {
+            let epoch = authority.granted().await;
+            let subject = DecisionSubject::default();
+            self.record(subject.clone(), Some(epoch), DecisionStep::LeaseTaken);
+            authority.ended(epoch).await;
+            self.record(subject, Some(epoch), DecisionStep::LeaseLost);
+        }
+    }
+
+    fn record(&self, subject: DecisionSubject, epoch: Option<Epoch>, step: DecisionStep) {
+        self.log.record(Decision {
+            subject,
+            step,
+            evidence: Vec::new(),
+            authority: DecisionAuthority {
+                holder: self.process.clone(),
+                epoch,
+                revision: self.store.revision(),
+            },
+        });
+    }
+}
+
+fn subject_of(upstream: &UpstreamName) -> DecisionSubject {
+    DecisionSubject {
+        upstream: Some(upstream.clone()),
+        ..DecisionSubject::default()
+    }
+}
+
+/// What a steward says of itself.
+#[derive(Clone)]
+pub(crate) struct StatusSource {
+    pub(crate) process: ProcessId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) store: Arc<ConfigurationStore>,
+    pub(crate) readiness: Readiness,
+    pub(crate) authority: Authority,
+}
+
+impl StatusSource {
+    pub(crate) fn status(&self) -> ProcessStatus {
+        ProcessStatus {
+            process: self.process.clone(),
+            incarnation: self.incarnation,
+            data_centre: self.data_centre.clone(),
+            revision: self.store.revision(),
+            ready: self.readiness.get(),
+            epoch: self.authority.epoch(),
+        }
+    }
+}
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod configuration;
 mod counters;
+mod explain;
 mod fleet;
 mod handover;
 mod lease;
--- a/crates/steward/src/orders/runner.rs
+++ b/crates/steward/src/orders/runner.rs
@@ -5,6 +5,7 @@
     OrderRecord, OrderResult, OrderSent, SendLedger, StoredOrder,
 };
 use crate::counters::StewardCounters;
+use crate::explain::DecisionRecorder;
 use crate::fleet::{FleetActor, Hold, Observe};
 use crate::lease::Authority;
 use lagoonlift_platform::{PlatformClient, PlatformError, Version};
@@ -47,6 +48,7 @@
     /// How long the news that an engine drains takes to reach every entry.
     pub(crate) spread_time: Duration,
     pub(crate) counters: StewardCounters,
+    pub(crate) recorder: DecisionRecorder,
 }
 
 /// Runs the orders to one engine.
@@ -133,6 +135,7 @@
             sleep(STEP_INTERVAL).await;
         }
         if let Some(record) = self.journal.take_ended() {
+            self.parts.recorder.order_ended(&self.upstream, &record);
             self.observe().await;
             // The desk ends only with the process.
             let _ = self.parts.ended.send((self.upstream.clone(), record)).await;
@@ -237,6 +240,8 @@
         tokio::select! {
             Some(wanted) = self.wanted.recv() => {
                 let WantedChange { id, change } = wanted;
+                let epoch = self.parts.authority.epoch();
+                self.parts.recorder.order_wanted(&self.upstream, epoch, &change);
                 self.journal.handle(JournalEvent::Wanted { id, change });
             }
             _ = handover.changed() => {}
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -3,6 +3,7 @@
 use crate::candidate::{CandidateFlag, run_candidacy};
 use crate::configuration::ConfigurationReader;
 use crate::counters::StewardCounters;
+use crate::explain::{DecisionRecorder, StatusSource};
 use crate::fleet::{FleetActor, FleetParts, FleetReader, follow_configuration};
 use crate::handover::{HandoverResolver, StepDownWriter};
 use crate::lease::{
@@ -11,6 +12,7 @@
 use crate::orders::{OrderDesk, RunnerParts, SendLedger};
 use eyre::{OptionExt, WrapErr};
 use lagoonlift_hosts::{PeerConfig, PeerNode};
+use lagoonlift_operators::operator_routes;
 use lagoonlift_platform::PlatformClient;
 use lagoonlift_settings::{PeerSettings, Settings, StewardSettings};
 use lagoonlift_telemetry::{Metrics, Readiness, admin_routes};
@@ -25,6 +27,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
+use warp::Filter;
 use xtra::{Address, Mailbox};
 
 /// Longest time that a shutdown waits for its orders and for the platform.
@@ -65,6 +68,7 @@
     authority: Authority,
     ledger: SendLedger,
     counters: StewardCounters,
+    recorder: DecisionRecorder,
 }
 
 impl Steward {
@@ -82,8 +86,18 @@
             .await
             .wrap_err("the admin address can't be listened on")?;
         let admin_addr = listener.local_addr()?;
-        let admin = warp::serve(admin_routes(metrics, readiness.clone())).incoming(listener);
+        let source = status_source(&common, &readiness);
+        let pages = admin_routes(metrics, readiness.clone())
+            .or(operator_routes(common.recorder.log(), move || {
+                source.status()
+            }));
+        let admin = warp::serve(pages).incoming(listener);
         let mut tasks = vec![tokio::spawn(admin.run()).abort_handle()];
+        let follow = common
+            .recorder
+            .clone()
+            .follow_lease(common.authority.clone());
+        tasks.push(tokio::spawn(follow).abort_handle());
         start_configuration(&common, &mut tasks);
         start_orders(settings, own, &common, &mut tasks);
         readiness.set(true);
@@ -185,6 +199,7 @@
         grants: publish,
         counters: counters.clone(),
     });
+    let recorder = DecisionRecorder::new(identity.process.clone(), &node);
     Ok(Common {
         data_centre: settings.host.data_centre.clone(),
         identity,
@@ -194,9 +209,21 @@
         authority: Authority::new(grants),
         ledger: SendLedger::new(),
         counters,
+        recorder,
     })
 }
 
+fn status_source(common: &Common, readiness: &Readiness) -> StatusSource {
+    StatusSource {
+        process: common.identity.process.clone(),
+        incarnation: common.identity.incarnation,
+        data_centre: common.data_centre.clone(),
+        store: common.node.store(),
+        readiness: readiness.clone(),
+        authority: common.authority.clone(),
+    }
+}
+
 fn start_configuration(common: &Common, tasks: &mut Vec<AbortHandle>) {
     let (raise, candidate) = watch::channel(false);
     let candidacy = run_candidacy(
@@ -266,6 +293,7 @@
         ended: ended_sender,
         spread_time: settings.peers.heartbeat * SPREAD_HEARTBEATS,
         counters: common.counters.clone(),
+        recorder: common.recorder.clone(),
     };
     let desk = OrderDesk::new(parts, upstreams, ended);
     let follow = follow_configuration(common.node.store().subscribe(), fleet);
