--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,11 +11,15 @@
 mod admission;
 mod body;
 mod chat;
+mod claim;
+mod claim_actor;
+mod claim_hold;
 mod context;
 mod cursor;
 mod daemon;
 mod delivery;
 mod directory;
+mod explain;
 mod instruments;
 mod link;
 mod plain;
@@ -28,6 +32,9 @@
 mod slot;
 mod tuning;
 
+pub use claim::{
+    Claim, ClaimChange, ClaimKey, ClaimResult, ClaimShard, ClaimState, ClaimTable, ContentDigest,
+};
 pub use cursor::{CursorStep, TokenCursor};
 pub use daemon::Entry;
 pub use retry::{BudgetShare, RetryBudget, RunEvidence, backoff};
