Share workspace limits among hosts by their parts of the demand

Each host lets through the part of a limit that its demand has in the demand everywhere; no request waits for another host. The hosts' protocol gets one additive request, Demand: workspaces fall into 16 groups, one entry process of each data centre adds a group up, and the adders of a group exchange their data centres' totals.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -8,6 +8,7 @@
 use crate::delivery::answer_channel;
 use crate::directory::Member;
 use crate::instruments::RequestLabels;
+use crate::limit_table::HeldCharge;
 use crate::relay::{ChatRelay, unauthorized_reply};
 use bytes::{Buf, Bytes};
 use futures::Stream;
@@ -45,6 +46,8 @@
     pub(crate) arrived: Instant,
     pub(crate) wants_stream: bool,
     pub(crate) wants_usage: bool,
+    /// Given back if nothing runs.
+    pub(crate) charge: Option<HeldCharge>,
     /// Held by requests that may not be repeated and name a key.
     pub(crate) claim: Option<ClaimHold>,
     body: Bytes,
@@ -129,6 +132,8 @@
         .map_err(body_reply)?;
     let call = parse_chat_request(&body).map_err(|error| bad_request(error.to_string()))?;
     let model = permitted_model(&call, &member)?;
+    let (prompt_tokens, max_output_tokens) = (prompt_tokens(&call), max_output_tokens(&call));
+    let charge = context.charge(&member.name, prompt_tokens, max_output_tokens)?;
     let claim = match idempotency_key(headers)? {
         Some(idempotency_key) if !class.idempotent => {
             let wish = ClaimWish {
@@ -146,8 +151,8 @@
         workspace: member.name.clone(),
         urgency: class.urgency,
         target: Target::Model(model),
-        prompt_tokens: prompt_tokens(&call),
-        max_output_tokens: max_output_tokens(&call),
+        prompt_tokens,
+        max_output_tokens,
         deadline: arrived + class.deadline,
         idempotent: class.idempotent,
         prefix: prompt_prefix(&call),
@@ -161,6 +166,7 @@
         arrived,
         wants_stream: wants_stream(&call),
         wants_usage: wants_usage(&call),
+        charge: Some(charge),
         claim,
         body: engine_text(call)?,
     })
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -5,13 +5,14 @@
 use crate::claim_hold::{ClaimHold, ClaimWish};
 use crate::directory::KeyDirectory;
 use crate::instruments::{EntryInstruments, RequestLabels};
+use crate::limit_table::{HeldCharge, LimitTable};
 use crate::retry::RetryBudget;
 use crate::tuning::EntryTuning;
 use arc_swap::ArcSwap;
 use lagoonlift_callers::OutcomeReply;
-use lagoonlift_types::{ClassName, RequestId, UsageFigures, WorkspaceName};
+use lagoonlift_types::{ClassName, NotRunReason, RequestId, UsageFigures, WorkspaceName};
 use lagoonlift_usage::UsageKeeper;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::{Instant, timeout};
 use xtra::Address;
 
@@ -22,6 +23,7 @@
     pub(crate) instruments: EntryInstruments,
     pub(crate) keeper: UsageKeeper,
     pub(crate) claims: Address<ClaimActor>,
+    pub(crate) limits: Arc<LimitTable>,
     pub(crate) budgets: Mutex<RetryBudgets>,
     pub(crate) tuning: EntryTuning,
     pub(crate) max_body: u64,
@@ -83,6 +85,25 @@
         }
     }
 
+    /// Charges a request to its workspace's limits.
+    pub(crate) fn charge(
+        &self,
+        workspace: &WorkspaceName,
+        prompt_tokens: u64,
+        max_output_tokens: u64,
+    ) -> Result<HeldCharge, OutcomeReply> {
+        let charge = self
+            .limits
+            .admit(workspace, prompt_tokens, max_output_tokens);
+        charge.map_err(|wait| {
+            OutcomeReply::not_run(
+                NotRunReason::LimitReached,
+                Some(wait),
+                "the workspace's limit is reached",
+            )
+        })
+    }
+
     /// Claims the caller's `Idempotency-Key` for a request.
     pub(crate) async fn claim(
         &self,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::context::{EntryContext, RetryBudgets};
 use crate::directory::KeyDirectory;
 use crate::instruments::EntryInstruments;
+use crate::limit_table::exchange_demand;
 use crate::link::list_upstreams;
 use crate::poll::poll_engines;
 use crate::routes::caller_routes;
@@ -99,6 +100,7 @@
             instruments: EntryInstruments::new(&metrics),
             keeper: keeper.clone(),
             claims: xtra::spawn_tokio(claims, Mailbox::unbounded()),
+            limits: Arc::default(),
             budgets: Mutex::new(RetryBudgets::new(&tuning)),
             tuning,
             max_body: entry.max_body,
@@ -116,6 +118,7 @@
                 stop.clone(),
             )),
             tokio::spawn(run_ticks(admission)),
+            tokio::spawn(exchange_demand(Arc::clone(&context.limits), node.clone())),
             tokio::spawn(poll_engines(Arc::clone(&context), start)),
         ];
         Ok(Self {
@@ -217,10 +220,14 @@
         let upstreams = list_upstreams(&configuration, &fleets.borrow_and_update());
         let directory = KeyDirectory::new(Arc::clone(&configuration));
         let has_configuration = !configuration.workspaces.is_empty();
+        let hosts = count_entries(&members.borrow_and_update());
+        let workspaces = configuration.workspaces.iter();
+        let limits = workspaces.map(|(name, workspace)| (name, workspace.limits));
+        context.limits.set_limits(limits, hosts);
         let change = Reconfigure {
             configuration,
             upstreams,
-            entries: count_entries(&members.borrow_and_update()),
+            entries: hosts,
         };
         // The policy knows a workspace before its callers are let in.
         if context.admission.send(change).await.is_err() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,8 @@
 mod delivery;
 mod directory;
 mod instruments;
+mod limit;
+mod limit_table;
 mod link;
 mod plain;
 mod plain_relay;
@@ -36,5 +38,6 @@
 };
 pub use cursor::{CursorStep, TokenCursor};
 pub use daemon::Entry;
+pub use limit::{OfferedLoad, TokenCharge, WorkspaceLimiter};
 pub use retry::{BudgetShare, RetryBudget, RunEvidence, backoff};
 pub use tuning::EntryTuning;
--- /dev/null
+++ b/crates/entry/src/limit_table.rs
@@ -0,0 +1,139 @@
+//! The limiters of all workspaces, and their exchange with other hosts.
+
+use crate::limit::{OfferedLoad, TokenCharge, WorkspaceLimiter};
+use lagoonlift_hosts::{Demand, DemandMap, PeerNode};
+use lagoonlift_types::{Limits, WorkspaceName};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+/// Time between two exchanges with other hosts.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The limiters of all workspaces. Each request takes its lock for a moment.
+#[derive(Debug, Default)]
+pub(crate) struct LimitTable {
+    limiters: Mutex<BTreeMap<WorkspaceName, WorkspaceLimiter>>,
+}
+
+/// A charge that is given back when dropped, unless it has been settled.
+#[derive(Debug)]
+pub(crate) struct HeldCharge {
+    table: Arc<LimitTable>,
+    workspace: WorkspaceName,
+    charge: Option<TokenCharge>,
+}
+
+impl LimitTable {
+    /// Puts the limits of all workspaces into force.
+    pub(crate) fn set_limits<'a>(
+        &self,
+        limits: impl Iterator<Item = (&'a WorkspaceName, Limits)>,
+        hosts: u32,
+    ) {
+        let now = Instant::now();
+        let mut limiters = self.lock();
+        let mut kept = BTreeMap::new();
+        for (workspace, limits) in limits {
+            let limiter = match limiters.remove(workspace) {
+                Some(mut limiter) => {
+                    limiter.update(now, limits, hosts);
+                    limiter
+                }
+                None => WorkspaceLimiter::new(now, limits, hosts),
+            };
+            kept.insert(workspace.clone(), limiter);
+        }
+        *limiters = kept;
+    }
+
+    /// Lets a request through, or says when to come back.
+    pub(crate) fn admit(
+        self: &Arc<Self>,
+        workspace: &WorkspaceName,
+        prompt_tokens: u64,
+        max_output_tokens: u64,
+    ) -> Result<HeldCharge, Duration> {
+        let mut limiters = self.lock();
+        // A workspace that has just been removed is refused for its key.
+        let charge = match limiters.get_mut(workspace) {
+            Some(limiter) => {
+                Some(limiter.admit(Instant::now(), prompt_tokens, max_output_tokens)?)
+            }
+            None => None,
+        };
+        Ok(HeldCharge {
+            table: Arc::clone(self),
+            workspace: workspace.clone(),
+            charge,
+        })
+    }
+
+    fn offered(&self) -> DemandMap {
+        let now = Instant::now();
+        let limiters = self.lock();
+        let offered = limiters.iter().map(|(workspace, limiter)| {
+            let offered = limiter.offered(now);
+            let demand = Demand {
+                requests_per_second: offered.requests,
+                tokens_per_second: offered.tokens,
+            };
+            (workspace.clone(), demand)
+        });
+        offered
+            .filter(|(_, demand)| *demand != Demand::default())
+            .collect()
+    }
+
+    fn set_elsewhere(&self, elsewhere: &DemandMap) {
+        let now = Instant::now();
+        for (workspace, limiter) in self.lock().iter_mut() {
+            let demand = elsewhere.get(workspace).copied().unwrap_or_default();
+            let load = OfferedLoad {
+                requests: demand.requests_per_second,
+                tokens: demand.tokens_per_second,
+            };
+            limiter.set_elsewhere(now, load);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<WorkspaceName, WorkspaceLimiter>> {
+        // Nothing that may panic runs between two writes to a limiter.
+        self.limiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HeldCharge {
+    /// Settles the charge with what was used.
+    pub(crate) fn settle(mut self, prompt_tokens: u64, output_tokens: u64) {
+        if let Some(charge) = self.charge.take()
+            && let Some(limiter) = self.table.lock().get_mut(&self.workspace)
+        {
+            limiter.settle(charge, prompt_tokens, output_tokens);
+        }
+    }
+}
+
+impl Drop for HeldCharge {
+    fn drop(&mut self) {
+        if let Some(charge) = self.charge.take()
+            && let Some(limiter) = self.table.lock().get_mut(&self.workspace)
+        {
+            limiter.refund(charge);
+        }
+    }
+}
+
+/// Tells other hosts what is asked here, and learns what is asked there.
+pub(crate) async fn exchange_demand(table: Arc<LimitTable>, node: PeerNode) {
+    let elsewhere = node.demand_elsewhere();
+    let mut ticks = interval(EXCHANGE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        node.set_demand(table.offered());
+        let elsewhere = Arc::clone(&elsewhere.borrow());
+        table.set_elsewhere(&elsewhere);
+    }
+}
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -9,6 +9,7 @@
 use crate::delivery::answer_channel;
 use crate::directory::Member;
 use crate::instruments::RequestLabels;
+use crate::limit_table::HeldCharge;
 use crate::plain_relay::PlainRelay;
 use crate::relay::unauthorized_reply;
 use bytes::{Buf, Bytes};
@@ -49,6 +50,8 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Given back if nothing runs.
+    pub(crate) charge: Option<HeldCharge>,
     /// Held by requests that may not be repeated and name a key.
     pub(crate) claim: Option<ClaimHold>,
 }
@@ -100,6 +103,7 @@
     let body = read_body(parts, context.max_body)
         .await
         .map_err(body_reply)?;
+    let charge = context.charge(&member.name, 0, 0)?;
     let path_at_service = service_path(route, path.rest, call.query.as_deref());
     let claim = match idempotency_key(&call.headers)? {
         Some(idempotency_key) if !class.idempotent => {
@@ -135,6 +139,7 @@
         method: call.method,
         headers: call.headers,
         body,
+        charge: Some(charge),
         claim,
     })
 }
--- a/crates/entry/src/plain_relay.rs
+++ b/crates/entry/src/plain_relay.rs
@@ -225,7 +225,10 @@
         }
     }
 
-    async fn record(&self) {
+    async fn record(&mut self) {
+        if let Some(charge) = self.job.charge.take() {
+            charge.settle(0, 0);
+        }
         let figures = UsageFigures {
             requests: 1,
             ..UsageFigures::default()
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -336,7 +336,10 @@
         ChatUsage::new(prompt_tokens, self.cursor.delivered())
     }
 
-    async fn record(&self, usage: &ChatUsage) {
+    async fn record(&mut self, usage: &ChatUsage) {
+        if let Some(charge) = self.job.charge.take() {
+            charge.settle(usage.prompt_tokens, usage.completion_tokens);
+        }
         let figures = UsageFigures {
             requests: 1,
             prompt_tokens: usage.prompt_tokens,
@@ -349,9 +352,10 @@
     }
 
     /// Records the tokens of an answer that wasn't finished.
-    async fn record_partial(&self) {
+    async fn record_partial(&mut self) {
         if self.cursor.delivered() > 0 {
-            self.record(&self.usage()).await;
+            let usage = self.usage();
+            self.record(&usage).await;
         }
     }
 
--- /dev/null
+++ b/crates/entry/tests/all/limiter.rs
@@ -0,0 +1,205 @@
+//! A limit shared among hosts lets through what it says, wherever the traffic
+//! comes in.
+//!
+//! Simulated hosts with random arrivals tell each other their demand with the
+//! lag that the exchange has; the clock is the simulation's own.
+
+use lagoonlift_entry::{OfferedLoad, WorkspaceLimiter};
+use lagoonlift_types::Limits;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Requests a second that all hosts together may let through.
+const LIMIT: f64 = 300.0;
+
+/// Seconds' worth that may be used at once.
+const BURST_SECONDS: f64 = 0.5;
+
+/// Time between two steps of the simulation.
+const STEP: Duration = Duration::from_millis(5);
+
+/// Time until a host knows the others' demand.
+const LAG: Duration = Duration::from_millis(300);
+
+/// Time for which a dead host's demand still counts.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// Length of the windows in which the error is measured.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Most that a window's count may differ from the limit.
+const TOLERANCE: f64 = 0.1;
+
+/// Requests a second that arrive at each host, at a time.
+type Traffic = fn(Duration) -> Vec<f64>;
+
+struct Simulation {
+    limiters: Vec<WorkspaceLimiter>,
+    told: Vec<OfferedLoad>,
+    /// When the first host dies, if it does.
+    death: Option<Duration>,
+    random: StdRng,
+    start: Instant,
+}
+
+impl Simulation {
+    fn new(hosts: u32, seed: u64) -> Self {
+        let limits = Limits {
+            requests_per_second: LIMIT,
+            tokens_per_second: LIMIT * 1_000.0,
+            burst_seconds: BURST_SECONDS,
+        };
+        let start = Instant::now();
+        Self {
+            limiters: (0..hosts)
+                .map(|_| WorkspaceLimiter::new(start, limits, hosts))
+                .collect(),
+            told: vec![OfferedLoad::default(); hosts as usize],
+            death: None,
+            random: StdRng::seed_from_u64(seed),
+            start,
+        }
+    }
+
+    /// Returns how many requests were let through in each window.
+    fn run(&mut self, windows: u32, traffic: Traffic) -> Vec<f64> {
+        let steps = WINDOW.as_millis() / STEP.as_millis();
+        let mut elapsed = Duration::ZERO;
+        let mut counts = Vec::new();
+        for _ in 0..windows {
+            let mut admitted = 0.0;
+            for _ in 0..steps {
+                elapsed += STEP;
+                admitted += f64::from(self.step(elapsed, traffic(elapsed)));
+            }
+            counts.push(admitted / WINDOW.as_secs_f64());
+        }
+        counts
+    }
+
+    fn step(&mut self, elapsed: Duration, traffic: Vec<f64>) -> u32 {
+        let now = self.start + elapsed;
+        if elapsed.as_millis().is_multiple_of(LAG.as_millis()) {
+            self.exchange(now, elapsed);
+        }
+        let mut admitted = 0;
+        for (limiter, rate) in self.limiters.iter_mut().zip(traffic) {
+            let expected = rate * STEP.as_secs_f64();
+            let extra = self.random.random_bool(expected.fract());
+            for _ in 0..expected as u32 + u32::from(extra) {
+                admitted += u32::from(limiter.admit(now, 100, 0).is_ok());
+            }
+        }
+        admitted
+    }
+
+    fn exchange(&mut self, now: Instant, elapsed: Duration) {
+        let hosts = self.limiters.iter().zip(&mut self.told).enumerate();
+        for (host, (limiter, told)) in hosts {
+            // What a dead host told last counts until it is too old.
+            match self.death {
+                Some(death) if host == 0 && elapsed > death + FRESH => {
+                    *told = OfferedLoad::default()
+                }
+                Some(death) if host == 0 && elapsed > death => {}
+                _ => *told = limiter.offered(now),
+            }
+        }
+        let offered = &self.told;
+        let total = |part: fn(&OfferedLoad) -> f64| offered.iter().map(part).sum::<f64>();
+        let requests = total(|load| load.requests);
+        let tokens = total(|load| load.tokens);
+        for (limiter, own) in self.limiters.iter_mut().zip(offered) {
+            let elsewhere = OfferedLoad {
+                requests: requests - own.requests,
+                tokens: tokens - own.tokens,
+            };
+            limiter.set_elsewhere(now, elsewhere);
+        }
+    }
+}
+
+fn steady(_: Duration) -> Vec<f64> {
+    vec![100.0, 200.0, 50.0, 400.0, 10.0, 90.0]
+}
+
+/// Every three seconds all traffic moves to the next host.
+fn moving(elapsed: Duration) -> Vec<f64> {
+    let busy = (elapsed.as_secs() / 3 % 6) as usize;
+    (0..6)
+        .map(|host| if host == busy { 800.0 } else { 0.0 })
+        .collect()
+}
+
+/// When the busiest host dies.
+const DEATH: Duration = Duration::from_secs(15);
+
+/// The traffic of the host that dies goes elsewhere.
+fn dying(elapsed: Duration) -> Vec<f64> {
+    match elapsed < DEATH {
+        true => vec![500.0, 100.0, 100.0],
+        false => vec![0.0, 350.0, 350.0],
+    }
+}
+
+fn below(_: Duration) -> Vec<f64> {
+    vec![40.0, 0.0, 160.0, 20.0]
+}
+
+fn check(name: &str, hosts: u32, traffic: Traffic, expected: f64) {
+    let seed: u64 = rand::random();
+    let mut simulation = Simulation::new(hosts, seed);
+    simulation.death = (name == "dying").then_some(DEATH);
+    let counts = simulation.run(4, traffic);
+    // The first window holds the burst; it is left out.
+    let errors = counts[1..].iter().map(|count| count / expected - 1.0);
+    let errors: Vec<f64> = errors.collect();
+    println!("{name}: seed {seed}, errors {errors:.3?}");
+    let worst = errors
+        .iter()
+        .fold(0.0, |worst: f64, error| worst.max(error.abs()));
+    assert!(
+        worst <= TOLERANCE,
+        "{name}: seed {seed}, errors {errors:.3?}"
+    );
+}
+
+#[test]
+fn steady_traffic_gets_the_limit() {
+    check("steady", 6, steady, LIMIT);
+}
+
+/// Seen failing with equal parts for all hosts: errors of -0.81, and of -0.13 to
+/// -0.40 in the other tests.
+#[test]
+fn moving_traffic_gets_the_limit() {
+    check("moving", 6, moving, LIMIT);
+}
+
+#[test]
+fn a_dead_hosts_part_goes_to_the_others() {
+    check("dying", 3, dying, LIMIT);
+}
+
+#[test]
+fn traffic_below_the_limit_is_not_held_back() {
+    check("below", 4, below, 220.0);
+}
+
+#[test]
+fn tokens_are_settled_by_what_was_used() {
+    let now = Instant::now();
+    let limits = Limits {
+        requests_per_second: 1_000.0,
+        tokens_per_second: 1_000.0,
+        burst_seconds: 1.0,
+    };
+    let mut limiter = WorkspaceLimiter::new(now, limits, 1);
+    let charge = limiter.admit(now, 900, 4_000).expect("the bucket is full");
+    assert!(limiter.admit(now, 1, 0).is_err(), "the charge is a debt");
+    limiter.settle(charge, 900, 50);
+    assert!(limiter.admit(now, 1, 0).is_ok(), "little was used");
+    limiter.refund(charge);
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod claims;
 mod cursor;
 mod fault_matrix;
+mod limiter;
 mod sessions;
 mod support;
--- a/crates/hosts/src/context.rs
+++ b/crates/hosts/src/context.rs
@@ -1,6 +1,7 @@
 //! What the parts of a node share.
 
 use crate::counters::PeerCounters;
+use crate::demand_exchange::DemandParts;
 use crate::fleets::FleetBoard;
 use crate::keys::PeerKeys;
 use crate::store::ConfigurationStore;
@@ -24,4 +25,5 @@
     pub(crate) store: Arc<ConfigurationStore>,
     pub(crate) fleets: FleetBoard,
     pub(crate) counters: Arc<PeerCounters>,
+    pub(crate) demand: Arc<DemandParts>,
 }
--- a/crates/hosts/src/node.rs
+++ b/crates/hosts/src/node.rs
@@ -7,6 +7,8 @@
 use crate::copy_queue::{CopyError, PendingCopy};
 use crate::counters::{PeerCounter, PeerCounters};
 use crate::datagram::{DatagramCodec, DatagramError};
+use crate::demand::DemandMap;
+use crate::demand_exchange::DemandExchange;
 use crate::fleet_news::FleetNews;
 use crate::fleets::FleetBoard;
 use crate::heartbeat::{End, HeartbeatActor, Incoming, Leave, Round, Spread};
@@ -16,7 +18,7 @@
 use crate::store::ConfigurationStore;
 use crate::wire::{Fact, FactState};
 use lagoonlift_types::{DataCentreName, FleetView, Incarnation, ProcessId, UsageRecord};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -95,6 +97,7 @@
             store: Arc::new(ConfigurationStore::new()),
             fleets: FleetBoard::new(),
             counters: Arc::new(PeerCounters::default()),
+            demand: Arc::default(),
         });
         Ok(Self::assemble(config, context, address, listener, socket))
     }
@@ -125,6 +128,11 @@
             heartbeat: heartbeat.downgrade(),
             copies: Arc::clone(&copies),
         };
+        let exchange = DemandExchange {
+            context: Arc::clone(&context),
+            members: members.clone(),
+            streams: HashMap::new(),
+        };
         let attach = puller.send(Attach(heartbeat.downgrade()));
         let tasks = vec![
             abort_handle(async move {
@@ -136,6 +144,7 @@
             abort_handle(run_rounds(config.heartbeat, heartbeat.clone())),
             abort_handle(spread_news(Arc::clone(&context), heartbeat.clone())),
             abort_handle(Arc::clone(&copier).run(members.clone())),
+            abort_handle(exchange.run()),
         ];
         let shared = Shared {
             context,
@@ -181,6 +190,19 @@
         self.shared.context.fleets.subscribe()
     }
 
+    /// Says what is asked of workspaces' limits at this process; others learn
+    /// of it within about a second. Workspaces that aren't listed aren't asked
+    /// for.
+    pub fn set_demand(&self, demands: DemandMap) {
+        self.shared.context.demand.set_own(demands);
+    }
+
+    /// Returns a receiver of what is asked of the same workspaces' limits at
+    /// all other processes together.
+    pub fn demand_elsewhere(&self) -> watch::Receiver<Arc<DemandMap>> {
+        self.shared.context.demand.others()
+    }
+
     /// Copies a usage record of this process to another host of its data
     /// centre, and returns when that holds it.
     ///
--- a/crates/hosts/src/server.rs
+++ b/crates/hosts/src/server.rs
@@ -88,6 +88,10 @@
             Request::Chunks(digests) => Ok(self.answer_chunks(&digests)),
             Request::Fleets(versions) => Ok(self.answer_fleets(&versions)),
             Request::CopyUsage(batch) => self.hold(batch),
+            Request::Demand { source, demands } => {
+                let totals = self.context.demand.answer(&source, &demands);
+                Ok(Response::Demand(totals))
+            }
         }
     }
 
--- a/crates/hosts/src/wire.rs
+++ b/crates/hosts/src/wire.rs
@@ -1,6 +1,7 @@
 //! What processes say to each other, in datagrams and on streams.
 
 use crate::copies::UsagePosition;
+use crate::demand::{DemandMap, DemandSource};
 use crate::history::ManifestDelta;
 use lagoonlift_types::{
     ChunkDigest, DataCentreName, Epoch, FleetView, Incarnation, Manifest, ProcessId, Revision,
@@ -150,6 +151,13 @@
     Fleets(Vec<FleetVersion>),
     /// Keep copies of usage records.
     CopyUsage(CopyBatch),
+    /// Count this demand.
+    Demand {
+        /// Whose demand it is.
+        source: DemandSource,
+        /// The demand.
+        demands: DemandMap,
+    },
 }
 
 /// What the acceptor of a stream answers.
@@ -172,6 +180,8 @@
     },
     /// Answers [`Request::CopyUsage`]: every record of the batch is held.
     Copied,
+    /// Answers [`Request::Demand`]; see [`DemandSource`].
+    Demand(DemandMap),
 }
 
 /// Usage records for a neighbour to keep.
--- a/crates/hosts/tests/all/main.rs
+++ b/crates/hosts/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the protocol between the system's own processes.
 
 mod datagrams;
+mod demands;
 mod memberships;
 mod nodes;
 mod stores;
