--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -1,7 +1,8 @@
 //! A chat-completions call: from its body to a job for the relay.
 
 use crate::admission::PlacementRequest;
-use crate::body::{BodyError, read_body};
+use crate::answer::AnswerShape;
+use crate::body::read_body;
 use crate::claim::ContentDigest;
 use crate::claim_hold::{ClaimHold, ClaimWish, idempotency_key};
 use crate::context::EntryContext;
@@ -9,19 +10,18 @@
 use crate::directory::Member;
 use crate::instruments::RequestLabels;
 use crate::limit_table::HeldCharge;
-use crate::relay::{ChatRelay, unauthorized_reply};
+use crate::refusal::{bad_request, body_reply, not_found, unauthorized_reply};
+use crate::relay::ChatRelay;
 use bytes::{Buf, Bytes};
 use futures::Stream;
 use http::HeaderMap;
 use http::header::AUTHORIZATION;
 use lagoonlift_callers::{
-    CLASS_HEADER, ChatChunk, ChatRequest, OutcomeReply, StreamOptions, max_output_tokens,
-    parse_chat_request, prompt_tokens, wants_stream, wants_usage,
+    CLASS_HEADER, ChatRequest, OutcomeReply, StreamOptions, max_output_tokens, parse_chat_request,
+    prompt_tokens, wants_stream, wants_usage,
 };
 use lagoonlift_policy::{PrefixHash, Target};
-use lagoonlift_types::{
-    Class, ClassName, KeyDigest, ModelName, NotRunReason, RequestId, WorkspaceName,
-};
+use lagoonlift_types::{Class, ClassName, KeyDigest, ModelName, RequestId};
 use serde_json::{Map, Value, json};
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -33,19 +33,14 @@
 /// Bytes of the prompt that its prefix hash covers; engines use the same.
 const PREFIX_BYTES: usize = 1024;
 
-/// Beginning of an answer's identifier.
-const ANSWER_PREFIX: &str = "chatcmpl-";
-
 /// One accepted call.
 pub(crate) struct ChatJob {
     pub(crate) facts: PlacementRequest,
-    pub(crate) workspace: WorkspaceName,
+    pub(crate) shape: AnswerShape,
     pub(crate) class: ClassName,
     pub(crate) key: KeyDigest,
     pub(crate) labels: RequestLabels,
     pub(crate) arrived: Instant,
-    pub(crate) wants_stream: bool,
-    pub(crate) wants_usage: bool,
     /// Given back if nothing runs.
     pub(crate) charge: Option<HeldCharge>,
     /// Held by requests that may not be repeated and name a key.
@@ -65,33 +60,6 @@
         body.insert("resume_from".to_owned(), json!(delivered));
         serde_json::to_vec(&body).unwrap_or_default().into()
     }
-
-    /// Returns the identifier that the caller sees in every chunk.
-    pub(crate) fn answer_id(&self) -> String {
-        format!("{ANSWER_PREFIX}{}", self.facts.request)
-    }
-
-    /// Returns whether a chunk belongs to this request. Engines name an answer
-    /// after the request; a chunk named after another request has strayed.
-    pub(crate) fn owns_chunk(&self, chunk: &ChatChunk) -> bool {
-        let named = chunk.id.strip_prefix(ANSWER_PREFIX);
-        match named.and_then(|name| name.parse::<RequestId>().ok()) {
-            Some(request) => request == self.facts.request,
-            None => true,
-        }
-    }
-
-    /// Returns the fields that the protocol wants in a chunk of usage alone.
-    pub(crate) fn usage_chunk_fields(&self) -> Map<String, Value> {
-        let model = match &self.facts.target {
-            Target::Model(model) => model.as_str(),
-            Target::Service(name) => name.as_str(),
-        };
-        let mut fields = Map::new();
-        fields.insert("object".to_owned(), json!("chat.completion.chunk"));
-        fields.insert("model".to_owned(), json!(model));
-        fields
-    }
 }
 
 /// Answers `POST /v1/chat/completions`.
@@ -146,6 +114,13 @@
         _ => None,
     };
     drop(body);
+    let shape = AnswerShape {
+        request,
+        model: model.clone(),
+        wants_stream: wants_stream(&call),
+        wants_usage: wants_usage(&call),
+        prompt_tokens,
+    };
     let facts = PlacementRequest {
         request,
         workspace: member.name.clone(),
@@ -160,12 +135,10 @@
     Ok(ChatJob {
         facts,
         labels: RequestLabels::new(&member.name, &class_name),
-        workspace: member.name,
+        shape,
         class: class_name,
         key,
         arrived,
-        wants_stream: wants_stream(&call),
-        wants_usage: wants_usage(&call),
         charge: Some(charge),
         claim,
         body: engine_text(call)?,
@@ -210,13 +183,7 @@
 fn permitted_model(call: &ChatRequest, member: &Member) -> Result<ModelName, OutcomeReply> {
     let model = ModelName::new(&call.model).ok();
     let permitted = model.filter(|model| member.workspace.models.contains(model));
-    permitted.ok_or_else(|| {
-        OutcomeReply::not_run(
-            NotRunReason::NotFound,
-            None,
-            "there is no such model for this workspace",
-        )
-    })
+    permitted.ok_or_else(|| not_found("there is no such model for this workspace"))
 }
 
 fn prompt_prefix(call: &ChatRequest) -> Option<PrefixHash> {
@@ -230,15 +197,3 @@
     let hash = digest.as_bytes().first_chunk().copied()?;
     Some(PrefixHash(u64::from_be_bytes(hash)))
 }
-
-pub(crate) fn bad_request(message: impl Into<String>) -> OutcomeReply {
-    OutcomeReply::not_run(NotRunReason::BadRequest, None, message)
-}
-
-pub(crate) fn body_reply(error: BodyError) -> OutcomeReply {
-    let reason = match error {
-        BodyError::TooLarge(_) => NotRunReason::TooLarge,
-        BodyError::TooSlow | BodyError::Broken => NotRunReason::BadRequest,
-    };
-    OutcomeReply::not_run(reason, None, error.to_string())
-}
--- /dev/null
+++ b/crates/entry/src/history.rs
@@ -0,0 +1,109 @@
+//! The attempts at one request, and whether another may follow.
+//!
+//! Only two things permit another attempt: the class says that the request is
+//! idempotent, or no attempt so far can have run. Then the budget, the number of
+//! attempts and the deadline must permit it, too.
+
+use crate::admission::PlacementRequest;
+use crate::context::EntryContext;
+use crate::refusal::give_up_reply;
+use crate::retry::{RunEvidence, backoff};
+use lagoonlift_callers::OutcomeReply;
+use lagoonlift_policy::UpstreamKey;
+use lagoonlift_types::NotRunReason;
+use lagoonlift_upstreams::SendError;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// When a caller may come back after every attempt failed.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
+/// The attempts at one request.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptHistory {
+    attempts: u32,
+    evidence: RunEvidence,
+    avoid: Vec<UpstreamKey>,
+}
+
+impl AttemptHistory {
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts another attempt; returns its number, from 1.
+    pub(crate) fn begin(&mut self) -> u32 {
+        self.attempts += 1;
+        self.attempts
+    }
+
+    /// Returns the number of attempts begun.
+    pub(crate) fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Returns what is known about whether the request ran.
+    pub(crate) fn evidence(&self) -> RunEvidence {
+        self.evidence
+    }
+
+    /// Notes what an attempt shows about whether the request ran.
+    pub(crate) fn note(&mut self, evidence: RunEvidence) {
+        self.evidence = self.evidence.max(evidence);
+    }
+
+    /// Notes an upstream that failed the request.
+    pub(crate) fn avoid(&mut self, upstream: UpstreamKey) {
+        self.avoid.push(upstream);
+    }
+
+    /// Returns the upstreams that failed the request; `None` before the first
+    /// attempt.
+    pub(crate) fn avoided(&self) -> Option<Vec<UpstreamKey>> {
+        (self.attempts > 0).then(|| self.avoid.clone())
+    }
+
+    /// Returns how long to wait before another attempt, if one may follow, and
+    /// takes it from the budget. A resumption doesn't wait: its caller is
+    /// looking at half an answer.
+    pub(crate) fn next_wait(
+        &self,
+        context: &EntryContext,
+        facts: &PlacementRequest,
+        is_resume: bool,
+    ) -> Option<Duration> {
+        let wait = match is_resume {
+            true => Duration::ZERO,
+            false => backoff(self.attempts, rand::random()),
+        };
+        let may_repeat = facts.idempotent || self.evidence == RunEvidence::NotRun;
+        let permitted = may_repeat
+            && Instant::now() + wait < facts.deadline
+            && self.attempts < context.tuning.max_attempts
+            && context.take_repeat(is_resume);
+        permitted.then_some(wait)
+    }
+
+    /// Returns what the caller is told when no other attempt follows.
+    pub(crate) fn give_up(&self, reason: NotRunReason, retry_after: Duration) -> OutcomeReply {
+        give_up_reply(self.evidence, reason, retry_after)
+    }
+
+    /// As [`AttemptHistory::give_up`], after an attempt that failed to be sent.
+    pub(crate) fn give_up_after(&self, error: Option<&SendError>) -> OutcomeReply {
+        let (reason, retry_after) = match error {
+            Some(SendError::Busy { retry_after }) => (NotRunReason::Overloaded, *retry_after),
+            _ => (NotRunReason::NoUpstream, None),
+        };
+        self.give_up(reason, retry_after.unwrap_or(FAILED_RETRY))
+    }
+}
+
+/// Returns what a failure to send shows about whether the request ran.
+pub(crate) fn evidence_of(error: &SendError) -> RunEvidence {
+    match error {
+        SendError::NotSent(_) | SendError::Busy { .. } => RunEvidence::NotRun,
+        SendError::Broken(_) | SendError::Silent(_) => RunEvidence::MayHaveRun,
+        SendError::Status { .. } => RunEvidence::Ran,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! outcomes.
 
 mod admission;
+mod answer;
 mod body;
 mod chat;
 mod claim;
@@ -19,6 +20,7 @@
 mod daemon;
 mod delivery;
 mod directory;
+mod history;
 mod instruments;
 mod limit;
 mod limit_table;
@@ -26,6 +28,7 @@
 mod plain;
 mod plain_relay;
 mod poll;
+mod refusal;
 mod relay;
 mod retry;
 mod routes;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::PlacementRequest;
 use crate::body::read_body;
-use crate::chat::{bad_request, bearer_key, body_reply};
+use crate::chat::bearer_key;
 use crate::claim::ContentDigest;
 use crate::claim_hold::{ClaimHold, ClaimWish, idempotency_key};
 use crate::context::EntryContext;
@@ -11,15 +11,14 @@
 use crate::instruments::RequestLabels;
 use crate::limit_table::HeldCharge;
 use crate::plain_relay::PlainRelay;
-use crate::relay::unauthorized_reply;
+use crate::refusal::{bad_request, body_reply, not_found, unauthorized_reply};
 use bytes::{Buf, Bytes};
 use futures::Stream;
 use http::{HeaderMap, Method};
 use lagoonlift_callers::OutcomeReply;
 use lagoonlift_policy::Target;
 use lagoonlift_types::{
-    ClassName, KeyDigest, NotRunReason, PlainRoute, RequestId, RouteAccess, RouteName,
-    WorkspaceName,
+    ClassName, KeyDigest, PlainRoute, RequestId, RouteAccess, RouteName, WorkspaceName,
 };
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -206,5 +205,5 @@
 }
 
 fn no_route() -> OutcomeReply {
-    OutcomeReply::not_run(NotRunReason::NotFound, None, "there is no such route")
+    not_found("there is no such route")
 }
--- a/crates/entry/src/plain_relay.rs
+++ b/crates/entry/src/plain_relay.rs
@@ -7,33 +7,28 @@
 use crate::admission::Placement;
 use crate::context::EntryContext;
 use crate::delivery::{AnswerSender, CallerLeft, outcome_value};
+use crate::history::{AttemptHistory, evidence_of};
 use crate::link::UpstreamClient;
 use crate::plain::PlainJob;
-use crate::relay::unauthorized_reply;
-use crate::retry::{RunEvidence, backoff};
+use crate::refusal::unauthorized_reply;
+use crate::retry::RunEvidence;
 use crate::slot::{UpstreamSlot, place};
 use bytes::Bytes;
 use lagoonlift_callers::{OUTCOME_HEADER, OutcomeReply};
-use lagoonlift_policy::{AttemptEnd, UpstreamKey};
-use lagoonlift_types::{NotRunReason, Outcome, OutcomeKind, UsageFigures};
+use lagoonlift_policy::AttemptEnd;
+use lagoonlift_types::{Outcome, OutcomeKind, UsageFigures};
 use lagoonlift_upstreams::{
     ConnectionUse, SendError, ServiceAnswer, ServiceCall, ServiceClient, StreamError,
 };
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::Instant;
 
-/// When a caller may come back after every attempt failed.
-const FAILED_RETRY: Duration = Duration::from_secs(1);
-
 /// Relays one answer of a plain service.
 pub(crate) struct PlainRelay {
     context: Arc<EntryContext>,
     job: PlainJob,
     sender: AnswerSender,
-    evidence: RunEvidence,
-    avoid: Vec<UpstreamKey>,
-    attempts: u32,
+    history: AttemptHistory,
 }
 
 /// How a request ended.
@@ -51,9 +46,7 @@
             context,
             job,
             sender,
-            evidence: RunEvidence::NotRun,
-            avoid: Vec::new(),
-            attempts: 0,
+            history: AttemptHistory::new(),
         }
     }
 
@@ -94,13 +87,11 @@
             if !self.is_still_admitted() {
                 return PlainEnd::Refused(unauthorized_reply());
             }
-            let upstream = slot.upstream();
             let error = match self.attempt(&slot).await {
                 Ok(answer) => return self.relay(answer, slot).await,
                 Err(error) => error,
             };
             slot.finish(attempt_end(&error));
-            self.avoid.push(upstream);
             if let Err(reply) = self.prepare_repeat(&error).await {
                 return PlainEnd::Refused(reply);
             }
@@ -111,28 +102,28 @@
         let directory = self.context.directory.load();
         let admits = |key| directory.admits(key, &self.job.workspace);
         let is_admitted = self.job.key.as_ref().is_none_or(admits);
-        self.evidence != RunEvidence::NotRun || is_admitted
+        self.history.evidence() != RunEvidence::NotRun || is_admitted
     }
 
     async fn next_slot(&mut self) -> Result<UpstreamSlot, OutcomeReply> {
         // A route has one service, so there is none to go to instead.
-        let avoid = (self.attempts > 0).then(Vec::new);
+        let avoid = self.history.avoided();
         match place(&self.context.admission, self.job.facts.clone(), avoid).await {
             Placement::Dispatch(slot) => Ok(slot),
             Placement::Refuse {
                 reason,
                 retry_after,
-            } => Err(self.give_up(reason, retry_after)),
+            } => Err(self.history.give_up(reason, retry_after)),
         }
     }
 
     async fn attempt(&mut self, slot: &UpstreamSlot) -> Result<ServiceAnswer, SendError> {
-        self.attempts += 1;
-        if self.attempts == 1 {
+        let attempt = self.history.begin();
+        if attempt == 1 {
             self.context.count_request();
         }
         let instruments = &self.context.instruments;
-        instruments.count_attempt(&self.job.labels, self.attempts == 1);
+        instruments.count_attempt(&self.job.labels, attempt == 1);
         let link = Arc::clone(slot.link());
         let UpstreamClient::Service(client) = &link.client else {
             // The policy places routes on services only.
@@ -154,7 +145,7 @@
         let left = job.facts.deadline.saturating_duration_since(Instant::now());
         let call = ServiceCall {
             request: job.facts.request,
-            attempt: self.attempts,
+            attempt: self.history.attempts(),
             method: job.method.clone(),
             path: job.path.clone(),
             headers: job.headers.clone(),
@@ -240,43 +231,18 @@
     }
 
     async fn prepare_repeat(&mut self, error: &SendError) -> Result<(), OutcomeReply> {
-        let evidence = match error {
-            SendError::NotSent(_) | SendError::Busy { .. } => RunEvidence::NotRun,
-            SendError::Broken(_) | SendError::Silent(_) => RunEvidence::MayHaveRun,
-            SendError::Status { .. } => RunEvidence::Ran,
-        };
-        self.evidence = self.evidence.max(evidence);
-        if let (RunEvidence::NotRun, Some(claim)) = (self.evidence, &mut self.job.claim) {
+        self.history.note(evidence_of(error));
+        if let (RunEvidence::NotRun, Some(claim)) = (self.history.evidence(), &mut self.job.claim) {
             claim.note_not_run();
         }
-        let wait = backoff(self.attempts, rand::random());
-        let may_repeat = self.job.facts.idempotent || self.evidence == RunEvidence::NotRun;
-        let permitted = may_repeat
-            && Instant::now() + wait < self.job.facts.deadline
-            && self.attempts < self.context.tuning.max_attempts
-            && self.context.take_repeat(false);
-        if !permitted {
-            return Err(self.give_up(NotRunReason::NoUpstream, FAILED_RETRY));
-        }
+        let wait = self
+            .history
+            .next_wait(&self.context, &self.job.facts, false);
+        let wait = wait.ok_or_else(|| self.history.give_up_after(Some(error)))?;
         tokio::time::sleep(wait).await;
         Ok(())
     }
 
-    fn give_up(&self, reason: NotRunReason, retry_after: Duration) -> OutcomeReply {
-        match self.evidence {
-            RunEvidence::NotRun => OutcomeReply::not_run(
-                reason,
-                Some(retry_after),
-                "the service can't be reached now; the request was not run",
-            ),
-            RunEvidence::MayHaveRun => OutcomeReply::new(
-                Outcome::Unknown,
-                "the service didn't answer; the request may have run",
-            ),
-            RunEvidence::Ran => OutcomeReply::new(Outcome::Failed, "the request ran and failed"),
-        }
-    }
-
     async fn end_claim(&mut self, outcome: &Outcome) {
         if let Some(claim) = self.job.claim.take() {
             claim.end(outcome).await;
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -3,10 +3,10 @@
 use crate::chat::{answer_chat, bearer_key};
 use crate::context::EntryContext;
 use crate::plain::{PlainCall, answer_plain};
-use crate::relay::unauthorized_reply;
+use crate::refusal::{not_found, unauthorized_reply};
 use http::{HeaderMap, Method};
-use lagoonlift_callers::{ModelCard, ModelList, OutcomeReply};
-use lagoonlift_types::{NotRunReason, RequestId};
+use lagoonlift_callers::{ModelCard, ModelList};
+use lagoonlift_types::RequestId;
 use std::convert::Infallible;
 use std::sync::Arc;
 use warp::filters::BoxedFilter;
@@ -86,6 +86,5 @@
         true => "there is no such path",
         false => "the path doesn't permit this method",
     };
-    let reply = OutcomeReply::not_run(NotRunReason::NotFound, None, message);
-    Ok(reply.into_response(RequestId::new()))
+    Ok(not_found(message).into_response(RequestId::new()))
 }
