--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -2,23 +2,23 @@
 
 use crate::admission::PlacementRequest;
 use crate::body::read_body;
-use crate::chat::{bad_request, bearer_key, body_reply};
+use crate::chat::bearer_key;
 use crate::claim::ContentDigest;
 use crate::claim_hold::{ClaimHold, ClaimWish, idempotency_key};
 use crate::context::EntryContext;
 use crate::delivery::answer_channel;
 use crate::directory::Member;
 use crate::instruments::RequestLabels;
+use crate::limit_table::HeldCharge;
 use crate::plain_relay::PlainRelay;
-use crate::relay::unauthorized_reply;
+use crate::refusal::{bad_request, body_reply, not_found, unauthorized_reply};
 use bytes::{Buf, Bytes};
 use futures::Stream;
 use http::{HeaderMap, Method};
 use lagoonlift_callers::OutcomeReply;
 use lagoonlift_policy::Target;
 use lagoonlift_types::{
-    ClassName, KeyDigest, NotRunReason, PlainRoute, RequestId, RouteAccess, RouteName,
-    WorkspaceName,
+    ClassName, KeyDigest, PlainRoute, RequestId, RouteAccess, RouteName, WorkspaceName,
 };
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -49,6 +49,8 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Given back if nothing runs.
+    pub(crate) charge: Option<HeldCharge>,
     /// Held by requests that may not be repeated and name a key.
     pub(crate) claim: Option<ClaimHold>,
 }
@@ -100,6 +102,7 @@
     let body = read_body(parts, context.max_body)
         .await
         .map_err(body_reply)?;
+    let charge = context.charge(&member.name, 0, 0)?;
     let path_at_service = service_path(route, path.rest, call.query.as_deref());
     let claim = match idempotency_key(&call.headers)? {
         Some(idempotency_key) if !class.idempotent => {
@@ -135,6 +138,7 @@
         method: call.method,
         headers: call.headers,
         body,
+        charge: Some(charge),
         claim,
     })
 }
@@ -201,5 +205,5 @@
 }
 
 fn no_route() -> OutcomeReply {
-    OutcomeReply::not_run(NotRunReason::NotFound, None, "there is no such route")
+    not_found("there is no such route")
 }
