--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,199 @@
+//! A chat-completions call: from its body to a job for the relay.
+
+use crate::admission::PlacementRequest;
+use crate::answer::AnswerShape;
+use crate::body::read_body;
+use crate::claim::ContentDigest;
+use crate::claim_hold::{ClaimHold, ClaimWish, idempotency_key};
+use crate::context::EntryContext;
+use crate::delivery::answer_channel;
+use crate::directory::Member;
+use crate::instruments::RequestLabels;
+use crate::limit_table::HeldCharge;
+use crate::refusal::{bad_request, body_reply, not_found, unauthorized_reply};
+use crate::relay::ChatRelay;
+use bytes::{Buf, Bytes};
+use futures::Stream;
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+use lagoonlift_callers::{
+    CLASS_HEADER, ChatRequest, OutcomeReply, StreamOptions, max_output_tokens, parse_chat_request,
+    prompt_tokens, wants_stream, wants_usage,
+};
+use lagoonlift_policy::{PrefixHash, Target};
+use lagoonlift_types::{Class, ClassName, KeyDigest, ModelName, RequestId};
+use serde_json::{Map, Value, json};
+use std::sync::Arc;
+use tokio::time::Instant;
+use warp::reply::Response;
+
+/// Class of requests that name none.
+pub(crate) const DEFAULT_CLASS: &str = "default";
+
+/// Bytes of the prompt that its prefix hash covers; engines use the same.
+const PREFIX_BYTES: usize = 1024;
+
+/// One accepted call.
+pub(crate) struct ChatJob {
+    pub(crate) facts: PlacementRequest,
+    pub(crate) shape: AnswerShape,
+    pub(crate) class: ClassName,
+    pub(crate) key: KeyDigest,
+    pub(crate) labels: RequestLabels,
+    pub(crate) arrived: Instant,
+    /// Given back if nothing runs.
+    pub(crate) charge: Option<HeldCharge>,
+    /// Held by requests that may not be repeated and name a key.
+    pub(crate) claim: Option<ClaimHold>,
+    body: Bytes,
+}
+
+impl ChatJob {
+    /// Returns the body for an engine that is to go on after `delivered`
+    /// tokens.
+    pub(crate) fn engine_body(&self, delivered: u64) -> Bytes {
+        if delivered == 0 {
+            return self.body.clone();
+        }
+        // The text was written by `engine_text`, so it is an object.
+        let mut body: Map<String, Value> = serde_json::from_slice(&self.body).unwrap_or_default();
+        body.insert("resume_from".to_owned(), json!(delivered));
+        serde_json::to_vec(&body).unwrap_or_default().into()
+    }
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub(crate) async fn answer_chat<B: Buf>(
+    context: Arc<EntryContext>,
+    headers: HeaderMap,
+    parts: impl Stream<Item = Result<B, warp::Error>>,
+) -> Response {
+    let arrived = Instant::now();
+    let request = RequestId::new();
+    match accept_chat(&context, request, arrived, &headers, parts).await {
+        Ok(job) => {
+            let (sender, receiver) = answer_channel(request);
+            tokio::spawn(ChatRelay::new(context, job, sender).run());
+            receiver.respond().await
+        }
+        Err(reply) => {
+            context.count_refusal(reply.outcome.kind(), arrived);
+            reply.into_response(request)
+        }
+    }
+}
+
+async fn accept_chat<B: Buf>(
+    context: &EntryContext,
+    request: RequestId,
+    arrived: Instant,
+    headers: &HeaderMap,
+    parts: impl Stream<Item = Result<B, warp::Error>>,
+) -> Result<ChatJob, OutcomeReply> {
+    // The key goes first: who has none gets no memory.
+    let key = bearer_key(headers).ok_or_else(unauthorized_reply)?;
+    let member = context.directory.load().member(&key);
+    let member = member.ok_or_else(unauthorized_reply)?;
+    let (class_name, class) = request_class(headers, &member)?;
+    let body = read_body(parts, context.max_body)
+        .await
+        .map_err(body_reply)?;
+    let call = parse_chat_request(&body).map_err(|error| bad_request(error.to_string()))?;
+    let model = permitted_model(&call, &member)?;
+    let (prompt_tokens, max_output_tokens) = (prompt_tokens(&call), max_output_tokens(&call));
+    let charge = context.charge(&member.name, prompt_tokens, max_output_tokens)?;
+    let claim = match idempotency_key(headers)? {
+        Some(idempotency_key) if !class.idempotent => {
+            let wish = ClaimWish {
+                workspace: member.name.clone(),
+                idempotency_key,
+                content: ContentDigest::of(&[class_name.as_str().as_bytes(), &body]),
+            };
+            Some(context.claim(wish, request).await?)
+        }
+        _ => None,
+    };
+    drop(body);
+    let shape = AnswerShape {
+        request,
+        model: model.clone(),
+        wants_stream: wants_stream(&call),
+        wants_usage: wants_usage(&call),
+        prompt_tokens,
+    };
+    let facts = PlacementRequest {
+        request,
+        workspace: member.name.clone(),
+        urgency: class.urgency,
+        target: Target::Model(model),
+        prompt_tokens,
+        max_output_tokens,
+        deadline: arrived + class.deadline,
+        idempotent: class.idempotent,
+        prefix: prompt_prefix(&call),
+    };
+    Ok(ChatJob {
+        facts,
+        labels: RequestLabels::new(&member.name, &class_name),
+        shape,
+        class: class_name,
+        key,
+        arrived,
+        charge: Some(charge),
+        claim,
+        body: engine_text(call)?,
+    })
+}
+
+/// Writes the call as engines get it: always streamed, always with usage.
+fn engine_text(mut call: ChatRequest) -> Result<Bytes, OutcomeReply> {
+    call.stream = Some(true);
+    let options = call.stream_options.take();
+    call.stream_options = Some(StreamOptions {
+        include_usage: true,
+        extra: options.map(|options| options.extra).unwrap_or_default(),
+    });
+    let text = serde_json::to_vec(&call).map_err(|error| bad_request(error.to_string()))?;
+    Ok(text.into())
+}
+
+/// Returns the digest of the caller's key; the key itself goes no further.
+pub(crate) fn bearer_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = text.split_once(' ')?;
+    let is_bearer = scheme.eq_ignore_ascii_case("bearer");
+    is_bearer.then(|| KeyDigest::of(key.trim()))
+}
+
+pub(crate) fn request_class(
+    headers: &HeaderMap,
+    member: &Member,
+) -> Result<(ClassName, Class), OutcomeReply> {
+    let unknown = || bad_request("the class is unknown to the workspace");
+    let text = match headers.get(CLASS_HEADER) {
+        Some(value) => value.to_str().map_err(|_| unknown())?,
+        None => DEFAULT_CLASS,
+    };
+    let name = ClassName::new(text).map_err(|_| unknown())?;
+    let class = member.workspace.classes.get(&name).ok_or_else(unknown)?;
+    let class = class.clone();
+    Ok((name, class))
+}
+
+fn permitted_model(call: &ChatRequest, member: &Member) -> Result<ModelName, OutcomeReply> {
+    let model = ModelName::new(&call.model).ok();
+    let permitted = model.filter(|model| member.workspace.models.contains(model));
+    permitted.ok_or_else(|| not_found("there is no such model for this workspace"))
+}
+
+fn prompt_prefix(call: &ChatRequest) -> Option<PrefixHash> {
+    let contents = call.messages.iter().map(|message| &message.content);
+    let texts: Vec<&str> = contents
+        .map(|content| content.as_ref().and_then(Value::as_str).unwrap_or_default())
+        .collect();
+    let prompt = texts.join("\n");
+    let beginning = prompt.as_bytes().get(..PREFIX_BYTES)?;
+    let digest = blake3::hash(beginning);
+    let hash = digest.as_bytes().first_chunk().copied()?;
+    Some(PrefixHash(u64::from_be_bytes(hash)))
+}
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,1 +1,37 @@
 //! The steward daemon.
+//!
+//! Every host runs a steward, and in each data centre one of them holds the
+//! lease. Only the holder gives orders to engines, orders upstreams and reports
+//! usage; a process that has lost the lease can do none of that any more,
+//! however late it notices. All that a steward knows it can read again from the
+//! platform, so any other can take its place.
+
+mod candidate;
+mod clock;
+mod configuration;
+mod counters;
+mod explain;
+mod fleet;
+mod handover;
+mod lease;
+mod orders;
+mod purchases;
+mod sealing;
+mod steward;
+
+pub use clock::BootTime;
+pub use fleet::FleetComposer;
+pub use lease::{
+    Authority, CallFailure, Grant, LeaseAction, LeaseConfig, LeaseEvent, LeaseIdentity,
+    LeaseKeeper, LeaseRecord, Predecessor, StoredLease,
+};
+pub use orders::{
+    EngineRequest, JournalAction, JournalConfig, JournalEvent, JournalFailure, OrderJournal,
+    OrderLook, OrderRecord, OrderResult, OrderSent, StoredOrder,
+};
+pub use purchases::{PurchaseRecord, PurchaseRequest, PurchaseState};
+pub use sealing::{
+    CallFailed, SealAction, SealCollection, SealCreated, SealCursor, SealEvent, SealJournal,
+    SealRecord, StoredCursor,
+};
+pub use steward::Steward;
