Spend role changes from a budget

A data centre whose turn it isn't acts after a patience only if the role keeps an engine even when every data centre does so.

--- /dev/null
+++ b/crates/policy/src/budget.rs
@@ -0,0 +1,30 @@
+//! A budget of role changes.
+//!
+//! A mix that swings back before a change has paid would cost a change each
+//! way, for ever. Changes are therefore spent from a budget that refills
+//! slowly: one shift finds it full, an oscillation soon runs on what refills,
+//! and prompts that overflow to generating engines do the rest.
+
+use crate::{FleetLimits, Timestamp};
+
+/// Changes that may still be made now.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ChangeBudget {
+    spent: f64,
+    updated_at: Timestamp,
+}
+
+impl ChangeBudget {
+    /// Refills up to `now` and takes out `changes` that were seen.
+    pub(crate) fn update(&mut self, now: Timestamp, changes: u32, limits: &FleetLimits) {
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        let refilled = elapsed / limits.change_interval.as_secs_f64();
+        self.spent = (self.spent - refilled).max(0.0) + f64::from(changes);
+        self.updated_at = now;
+    }
+
+    /// Returns whether one more change may be made beside `pending` ones.
+    pub(crate) fn permits(&self, pending: usize, limits: &FleetLimits) -> bool {
+        self.spent + pending as f64 + 1.0 <= f64::from(limits.change_burst)
+    }
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -9,6 +9,7 @@
 //! own. All of them rank the same engines in the same way and only the owner of
 //! the first one acts, so that data centres don't change roles in step.
 
+use crate::budget::ChangeBudget;
 use crate::forecast::WorkForecast;
 use crate::purchase::{PurchaseChoice, PurchasePlanner};
 use crate::split::{self, RoleCounts};
@@ -18,7 +19,7 @@
 };
 use lagoonlift_types::{DataCentreName, ModelName, Supply, UpstreamRole};
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Time over which work that waits at the entry is to be caught up with.
@@ -50,6 +51,10 @@
     pub gain_factor: f64,
     /// Least time between two changes of one engine.
     pub dwell: Duration,
+    /// Role changes of one model that may be made at once, over time.
+    pub change_burst: u32,
+    /// Time in which one more change becomes permitted.
+    pub change_interval: Duration,
     /// Engines of one model, out of which one may be away at once.
     pub engines_per_absence: usize,
     /// Age at which a report no longer counts.
@@ -74,6 +79,8 @@
             away: Duration::from_secs(8),
             gain_factor: 2.0,
             dwell: Duration::from_secs(20),
+            change_burst: 6,
+            change_interval: Duration::from_secs(30),
             engines_per_absence: 6,
             stale_after: Duration::from_secs(10),
             loads_per_minute: 2,
@@ -84,6 +91,8 @@
         match weighting {
             FleetWeighting::Goodput => goodput,
             FleetWeighting::WorstServed => Self {
+                change_burst: 4,
+                change_interval: Duration::from_secs(60),
                 order_above: 0.8,
                 release_below: 0.6,
                 ..goodput
@@ -105,6 +114,9 @@
 struct ModelRecord {
     forecast: WorkForecast,
     purchases: PurchasePlanner,
+    budget: ChangeBudget,
+    /// Changes seen since the last plan.
+    changes_seen: u32,
     /// The other data centre's engine whose turn it is, and since when.
     awaited: Option<(UpstreamKey, Timestamp)>,
 }
@@ -144,8 +156,9 @@
 
     /// Replaces what is known of an engine.
     pub fn update_engine(&mut self, key: UpstreamKey, facts: EngineFacts) {
-        self.models.entry(facts.model.clone()).or_default();
+        let record = self.models.entry(facts.model.clone()).or_default();
         if let Some(engine) = self.engines.get_mut(key) {
+            record.changes_seen += u32::from(engine.facts.role != facts.role);
             engine.facts = facts;
         }
     }
@@ -198,6 +211,10 @@
     fn plan(&mut self, now: Timestamp, actions: &mut Vec<FleetAction>) {
         let models: Vec<ModelName> = self.models.keys().cloned().collect();
         for model in models {
+            if let Some(record) = self.models.get_mut(&model) {
+                let seen = std::mem::take(&mut record.changes_seen);
+                record.budget.update(now, seen, &self.limits);
+            }
             let Some(work) = self.expected_work(now, &model) else {
                 continue;
             };
@@ -265,7 +282,9 @@
         let Some(step) = split::best_step(counts, work, &self.limits) else {
             return;
         };
-        if self.away(model) >= permitted_away {
+        let away = self.away(model);
+        let budget = &self.models[model].budget;
+        if away >= permitted_away || !budget.permits(away, &self.limits) {
             return;
         }
         let Some(engine) = self.turn(now, model, step.from) else {
@@ -288,13 +307,20 @@
         role: UpstreamRole,
     ) -> Option<UpstreamKey> {
         let first = self.ranked(now, model, role, |_| true)?;
+        let has_role = |engine: &&EngineRecord| engine.facts.role == role;
+        let in_role = self.serving(model).filter(has_role).count();
+        let data_centres = self.data_centres();
         let record = self.models.get_mut(model)?;
         if self.engines[first].facts.data_centre == self.data_centre {
             record.awaited = None;
             return Some(first);
         }
         match record.awaited {
-            Some((key, since)) if key == first && now.since(since) >= TURN_PATIENCE => {
+            // Every other data centre may lose its patience, too: each takes one
+            // engine at most, so one must be left after all have.
+            Some((key, since))
+                if key == first && now.since(since) >= TURN_PATIENCE && in_role > data_centres =>
+            {
                 let own = self.data_centre.clone();
                 self.ranked(now, model, role, |engine| engine.facts.data_centre == own)
             }
@@ -306,6 +332,14 @@
         }
     }
 
+    fn data_centres(&self) -> usize {
+        let names = self
+            .engines
+            .values()
+            .map(|engine| &engine.facts.data_centre);
+        names.collect::<BTreeSet<_>>().len()
+    }
+
     /// Returns the engine that should leave `role` first: from the data centre
     /// with the most of that role, then the least loaded.
     fn ranked(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 //!   placement, shedding.
 //! * [`FleetPolicy`] runs in every steward: roles, models, purchases.
 
+mod budget;
 mod entry;
 mod event;
 mod fleet;
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -8,7 +8,7 @@
 const FULL_BATCH: f64 = 64.0;
 
 /// How much slower an engine that generates reads prompts besides.
-const OVERFLOW_EFFICIENCY: f64 = 0.6;
+const OVERFLOW_EFFICIENCY: f64 = 0.5;
 
 /// Serving engines of one model by role.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
