--- a/crates/experiments/examples/experiment.rs
+++ b/crates/experiments/examples/experiment.rs
@@ -1,10 +1,12 @@
 //! Runs experiments and prints the table; for work on the policy.
 //!
 //! `experiment [tuning|report] [PROFILE|all] [DEPLOYMENT|all] [CONTENDERS|all] [JSON-FILE]`
+//!
+//! Plots go beside the JSON file.
 
 use lagoonlift_experiments::{
-    Deployment, ExperimentError, ExperimentPlan, Profile, REPORT_SEEDS, TUNING_SEEDS, render_table,
-    run,
+    Deployment, ExperimentError, ExperimentPlan, Profile, REPORT_SEEDS, TUNING_SEEDS,
+    render_report, render_table, run,
 };
 
 fn main() -> Result<(), ExperimentError> {
@@ -25,6 +27,10 @@
     println!("{}", render_table(&result));
     if let Some(path) = arguments.get(4) {
         std::fs::write(path, result.to_json()?).map_err(serde_json::Error::io)?;
+        for plot in render_report(&result)? {
+            let plot_path = std::path::Path::new(path).with_file_name(plot.name + ".svg");
+            std::fs::write(plot_path, plot.svg).map_err(serde_json::Error::io)?;
+        }
     }
     Ok(())
 }
--- a/crates/policy/tests/all/entry.rs
+++ b/crates/policy/tests/all/entry.rs
@@ -292,8 +292,9 @@
     /// goes only to upstreams that take it, serve its model and, unless it
     /// survives their loss, can't be reclaimed; the queue stays bounded.
     ///
-    /// Seen failing with the supply check of placement removed ("place.supply"),
-    /// with `accepts_work` ignored by the pools, and without `expire`.
+    /// Seen failing with the supply check of placement removed, with
+    /// `accepts_work` not checked for the holder of a prefix, and without
+    /// `expire`.
     fn decides_each_request_once_and_places_it_where_it_may_run(
         steps: Vec<Step>,
         splits: bool
@@ -342,11 +343,15 @@
 fn spreads_the_work_of_several_processes() {
     let mut counts = BTreeMap::new();
     for process in 0..6 {
-        let mut policy = EntryPolicy::new().with_seed(process);
+        let mut policy = EntryPolicy::new()
+            .with_seed(process)
+            .with_data_centre(&data_centre(0));
         policy.set_peers(6);
         let payer = policy.add_workspace(workspace(0, 1));
-        for index in 0..12 {
-            policy.add_upstream(upstream(index, UpstreamRole::Mixed));
+        for index in 0..8 {
+            let mut facts = upstream(index, UpstreamRole::Mixed);
+            facts.data_centre = data_centre(0);
+            policy.add_upstream(facts);
         }
         let mut actions = Vec::new();
         for _ in 0..4 {
@@ -361,12 +366,13 @@
     }
     let most = counts.values().copied().max().unwrap_or(0);
     assert_eq!(counts.values().sum::<i32>(), 24);
-    assert!(most <= 6, "24 requests, {most} on one of 12 engines");
+    assert!(most <= 5, "24 requests, {most} on one of 8 engines");
+    assert!(counts.len() >= 7, "only {} engines got work", counts.len());
 }
 
 /// A prefix is followed to its engine, but not into overload.
 ///
-/// Seen failing, in both halves, with an affinity slack of 0 and of 10.
+/// Seen failing with an affinity slack of -1 and of 10.
 #[test]
 fn follows_a_prefix_within_bounds() {
     let mut policy = EntryPolicy::new().with_seed(3);
@@ -398,8 +404,7 @@
         [keys[4], keys[4]],
         "first ones follow the prefix"
     );
-    let others = places.iter().filter(|key| **key != keys[4]).count();
-    assert!(others > 0, "later ones go elsewhere");
+    assert_ne!(places[2], keys[4], "the third goes elsewhere");
 }
 
 /// A plain service is found by its name, and its absence is a true refusal.
--- a/crates/policy/tests/all/fleet.rs
+++ b/crates/policy/tests/all/fleet.rs
@@ -126,8 +126,7 @@
     /// serving engine, no more engines are away than permitted, and only own
     /// engines get orders, one at a time.
     ///
-    /// Seen failing with `counts.decode > 0` for `> 1` in the split, and with
-    /// the check of engines away removed.
+    /// Seen failing with the check of engines away removed.
     fn keeps_an_engine_in_each_role(demands: Vec<Option<(u8, u8)>>) -> bool {
         let mut fleet = Fleet::new(limits(), &halves());
         for (second, work) in demands.iter().cycle().take(300).enumerate() {
@@ -141,6 +140,18 @@
     }
 }
 
+/// A mix that is all prompts still leaves an engine that generates.
+///
+/// Seen failing with `counts.decode > 0` for `> 1` in the split.
+#[test]
+fn keeps_the_last_engine_of_a_role() {
+    let mut fleet = Fleet::new(limits(), &halves());
+    for second in 1..=400 {
+        fleet.second(second, Some((30.0, 0.0)));
+    }
+    assert_eq!(fleet.count(UpstreamRole::Decode), 1);
+}
+
 /// A lasting shift moves roles to where the work is, and then they rest.
 #[test]
 fn follows_a_lasting_shift_and_rests() {
@@ -177,12 +188,16 @@
 #[test]
 fn holds_on_stale_reports() {
     let mut fleet = Fleet::new(limits(), &halves());
-    for second in 1..=8 {
-        fleet.second(second, Some((5.0, 5.0)));
+    // Far more changes are needed than may be made before the demand is stale.
+    for second in 1..=3 {
+        fleet.second(second, Some((0.5, 11.5)));
+    }
+    for second in 4..=14 {
+        fleet.second(second, None);
     }
-    fleet.second(9, Some((0.5, 11.5)));
     let changes = fleet.changes;
-    for second in 20..=120 {
+    assert!(changes > 0);
+    for second in 15..=120 {
         fleet.second(second, None);
     }
     assert_eq!(fleet.changes, changes);
@@ -212,7 +227,8 @@
         };
         policy.handle(at(second), event, &mut actions);
         policy.handle(at(second), FleetEvent::Tick, &mut actions);
-        if !actions.is_empty() {
+        let changes_role = |action: &FleetAction| matches!(action, FleetAction::ChangeRole { .. });
+        if actions.iter().any(changes_role) {
             first_action.get_or_insert(second);
         }
     }
@@ -237,7 +253,7 @@
     }
     policy.add_engine(engine(30, UpstreamRole::Mixed));
     let mut loads = Vec::new();
-    for second in 1..=120 {
+    for second in 1..=400 {
         let now: Timestamp = at(second);
         let mut actions = Vec::new();
         for report in [demand("m", 20.0, 20.0), demand("idle", 0.0, 0.0)] {
@@ -261,6 +277,10 @@
             }
         }
     }
+    let engines_left = idle
+        .iter()
+        .filter(|(_, facts)| facts.model == model("idle"));
+    assert_eq!(engines_left.count(), 1, "{loads:?}");
     let in_first_minute = loads.iter().filter(|second| **second <= 60).count();
     assert_eq!(in_first_minute, 2, "{loads:?}");
     assert!(loads.len() <= 5, "the last engine stays: {loads:?}");
