Count engines on their way to a role, and let patience end in turn

Cause: while three changes were carried out none of them counted as coming, so the same need was met again, and two data centres lost their patience in the same second. Changing engines now count in their next role, data centres lose patience one after the other, and a role seen to change starts the engine's dwell in every steward.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::purchase::{PurchaseChoice, PurchasePlanner};
 use crate::split::{self, RoleCounts};
 use crate::{
-    EngineFacts, EngineRates, EngineState, FleetAction, FleetEvent, LoadReport, PhaseWork,
+    EngineFacts, EngineState, FleetAction, FleetEvent, FleetLimits, LoadReport, PhaseWork,
     Timestamp, UpstreamKey,
 };
 use lagoonlift_types::{DataCentreName, ModelName, Supply, UpstreamRole};
@@ -27,80 +27,6 @@
 /// Time that another data centre gets for a change that is its turn.
 const TURN_PATIENCE: Duration = Duration::from_secs(6);
 
-/// What a deployment weighs most.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FleetWeighting {
-    /// Goodput through shifts: change roles readily, buy late.
-    Goodput,
-    /// The worst-served workspace: keep slack, change roles less, buy early.
-    WorstServed,
-}
-
-/// The numbers that the fleet policy weighs with.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FleetLimits {
-    /// How fast an engine works.
-    pub rates: EngineRates,
-    /// Utilisation of a role above which its work counts as unserved.
-    pub full_utilisation: f64,
-    /// Over how long a change has to pay.
-    pub horizon: Duration,
-    /// Seconds that a change takes the engine away, draining included.
-    pub away: Duration,
-    /// A change must save this many times what it costs.
-    pub gain_factor: f64,
-    /// Least time between two changes of one engine.
-    pub dwell: Duration,
-    /// Role changes of one model that may be made at once, over time.
-    pub change_burst: u32,
-    /// Time in which one more change becomes permitted.
-    pub change_interval: Duration,
-    /// Engines of one model, out of which one may be away at once.
-    pub engines_per_absence: usize,
-    /// Age at which a report no longer counts.
-    pub stale_after: Duration,
-    /// Model loads that the weight store permits in a minute.
-    pub loads_per_minute: u32,
-    /// Long-term utilisation above which upstreams are ordered.
-    pub order_above: f64,
-    /// Long-term utilisation, after the release, below which one is released.
-    pub release_below: f64,
-    /// Most upstreams that may be on order or ordered at once.
-    pub order_limit: u32,
-}
-
-impl FleetLimits {
-    /// Creates the limits of a weighting.
-    pub fn new(weighting: FleetWeighting) -> Self {
-        let goodput = Self {
-            rates: EngineRates::default(),
-            full_utilisation: 0.8,
-            horizon: Duration::from_secs(45),
-            away: Duration::from_secs(8),
-            gain_factor: 2.0,
-            dwell: Duration::from_secs(20),
-            change_burst: 6,
-            change_interval: Duration::from_secs(30),
-            engines_per_absence: 6,
-            stale_after: Duration::from_secs(10),
-            loads_per_minute: 2,
-            order_above: 0.9,
-            release_below: 0.7,
-            order_limit: 4,
-        };
-        match weighting {
-            FleetWeighting::Goodput => goodput,
-            FleetWeighting::WorstServed => Self {
-                change_burst: 4,
-                change_interval: Duration::from_secs(60),
-                order_above: 0.8,
-                release_below: 0.6,
-                ..goodput
-            },
-        }
-    }
-}
-
 #[derive(Debug)]
 pub(crate) struct EngineRecord {
     pub(crate) facts: EngineFacts,
@@ -108,6 +34,8 @@
     changed_at: Option<Timestamp>,
     /// An order of ours that hasn't ended.
     ordered_change: bool,
+    /// Its role was seen to change since the last plan.
+    role_changed: bool,
 }
 
 #[derive(Debug, Default)]
@@ -151,6 +79,7 @@
             load: None,
             changed_at: None,
             ordered_change: false,
+            role_changed: false,
         })
     }
 
@@ -158,7 +87,9 @@
     pub fn update_engine(&mut self, key: UpstreamKey, facts: EngineFacts) {
         let record = self.models.entry(facts.model.clone()).or_default();
         if let Some(engine) = self.engines.get_mut(key) {
-            record.changes_seen += u32::from(engine.facts.role != facts.role);
+            let changed = engine.facts.role != facts.role;
+            record.changes_seen += u32::from(changed);
+            engine.role_changed |= changed;
             engine.facts = facts;
         }
     }
@@ -209,6 +140,11 @@
     }
 
     fn plan(&mut self, now: Timestamp, actions: &mut Vec<FleetAction>) {
+        for engine in self.engines.values_mut() {
+            if std::mem::take(&mut engine.role_changed) {
+                engine.changed_at = Some(now);
+            }
+        }
         let models: Vec<ModelName> = self.models.keys().cloned().collect();
         for model in models {
             if let Some(record) = self.models.get_mut(&model) {
@@ -261,12 +197,16 @@
         })
     }
 
-    fn away(&self, model: &ModelName) -> usize {
-        let is_away = |engine: &&EngineRecord| {
+    /// Returns the engines that drain for an order or carry one out.
+    fn changing(&self, model: &ModelName) -> impl Iterator<Item = &EngineRecord> {
+        self.engines.values().filter(move |engine| {
             engine.facts.model == *model
                 && (engine.ordered_change || engine.facts.state == EngineState::Changing)
-        };
-        self.engines.values().filter(is_away).count()
+        })
+    }
+
+    fn away(&self, model: &ModelName) -> usize {
+        self.changing(model).count()
     }
 
     fn plan_role(
@@ -276,10 +216,18 @@
         work: PhaseWork,
         actions: &mut Vec<FleetAction>,
     ) {
-        let counts = RoleCounts::of(self.serving(model).map(|engine| engine.facts.role));
-        let total = counts.total() + self.away(model);
+        let serving = RoleCounts::of(self.serving(model).map(|engine| engine.facts.role));
+        // Counted where they will be; otherwise the same need would be met twice.
+        let coming = self.changing(model).map(|engine| match engine.facts.role {
+            UpstreamRole::Prefill => UpstreamRole::Decode,
+            UpstreamRole::Decode => UpstreamRole::Prefill,
+            UpstreamRole::Mixed => UpstreamRole::Mixed,
+        });
+        let counts = serving.plus(RoleCounts::of(coming));
+        let total = counts.total();
         let permitted_away = total.div_ceil(self.limits.engines_per_absence).max(1);
-        let Some(step) = split::best_step(counts, work, &self.limits) else {
+        let step = split::best_step(counts, work, &self.limits);
+        let Some(step) = step.filter(|step| self.spares(model, step.from)) else {
             return;
         };
         let away = self.away(model);
@@ -310,6 +258,7 @@
         let has_role = |engine: &&EngineRecord| engine.facts.role == role;
         let in_role = self.serving(model).filter(has_role).count();
         let data_centres = self.data_centres();
+        let patience = TURN_PATIENCE * self.place_in_turn();
         let record = self.models.get_mut(model)?;
         if self.engines[first].facts.data_centre == self.data_centre {
             record.awaited = None;
@@ -319,7 +268,7 @@
             // Every other data centre may lose its patience, too: each takes one
             // engine at most, so one must be left after all have.
             Some((key, since))
-                if key == first && now.since(since) >= TURN_PATIENCE && in_role > data_centres =>
+                if key == first && now.since(since) >= patience && in_role > data_centres =>
             {
                 let own = self.data_centre.clone();
                 self.ranked(now, model, role, |engine| engine.facts.data_centre == own)
@@ -332,6 +281,17 @@
         }
     }
 
+    /// Returns 1 for the first data centre by name, 2 for the second and so on:
+    /// one after the other loses its patience, not all at once.
+    fn place_in_turn(&self) -> u32 {
+        let names = self
+            .engines
+            .values()
+            .map(|engine| &engine.facts.data_centre);
+        let earlier: BTreeSet<_> = names.filter(|name| **name < self.data_centre).collect();
+        earlier.len() as u32 + 1
+    }
+
     fn data_centres(&self) -> usize {
         let names = self
             .engines
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 mod event;
 mod fleet;
 mod fleet_event;
+mod fleet_limits;
 mod forecast;
 mod purchase;
 mod split;
@@ -25,7 +26,8 @@
     AttemptEnd, EntryAction, EntryEvent, LoadReport, PrefixHash, QueuedWork, RequestFacts, Target,
     UpstreamFacts, UpstreamKey, WorkspaceFacts, WorkspaceKey,
 };
-pub use fleet::{FleetLimits, FleetPolicy, FleetWeighting};
+pub use fleet::FleetPolicy;
 pub use fleet_event::{DemandReport, EngineFacts, EngineState, FleetAction, FleetEvent, OrderEnd};
+pub use fleet_limits::{FleetLimits, FleetWeighting};
 pub use forecast::{EngineRates, PhaseWork};
 pub use time::Timestamp;
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -31,6 +31,14 @@
         counts
     }
 
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            prefill: self.prefill + other.prefill,
+            decode: self.decode + other.decode,
+            mixed: self.mixed + other.mixed,
+        }
+    }
+
     pub(crate) fn total(self) -> usize {
         self.prefill + self.decode + self.mixed
     }
