Serve and bill both deployments from their questionnaires, as golden sessions

Two hosts with steward and entry as processes of their own; the operator puts the data centre and the workspace in force, a caller's request is answered and explained, and its usage reported. Redacted: keys, times, identifiers, and which of several upstreams was chosen.

--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -1,8 +1,11 @@
 //! Operators' sessions at the command line, as golden files.
 
+mod path;
 mod session;
 
 use insta::assert_snapshot;
+use path::{PathProcesses, PathUpstreams, ask, usage_lines};
+use serde_json::Value;
 use session::OperatorSession;
 
 /// A deployment's questionnaires.
@@ -87,3 +90,82 @@
     session.run(&["questionnaire", "new", "data-centre"]).await;
     assert_snapshot!("questionnaires", session.transcript());
 }
+
+/// Requests of a class for a model that a deployment's session sends.
+struct PathRequest {
+    class: &'static str,
+    model: &'static str,
+}
+
+/// From the questionnaires to the answers and to the usage report.
+async fn serve(deployment: &Deployment, requests: &[PathRequest]) -> OperatorSession {
+    let mut session = OperatorSession::start().await;
+    let file = format!("{}/dc1.ini", deployment.directory);
+    let upstreams = PathUpstreams::start(&file);
+    let id = upstreams.propose(&mut session, &file).await;
+    session.forget();
+    session.run(&["accept", &id]).await;
+    let file = format!("{}/{}.ini", deployment.directory, deployment.workspace);
+    let id = session.propose(&file).await;
+    session.forget();
+    session.run(&["accept", &id]).await;
+    let key = session.run(&["key", "new", deployment.workspace]).await;
+
+    let processes = PathProcesses::start(&mut session);
+    let caller = processes.caller(key.trim()).await;
+    session.wait_for_status().await;
+    for request in requests {
+        let id = ask(&caller, request.class, request.model).await;
+        session.replace(&id, "REQUEST");
+        session.note(&format!(
+            "# answered: {} by {}",
+            request.class, request.model
+        ));
+        session.explain(&id).await;
+    }
+    let lines = usage_lines(&session, requests.len() as u64).await;
+    session.note("# usage reported to the platform");
+    for line in sorted(lines) {
+        session.note(&line);
+    }
+    processes.end();
+    session
+}
+
+fn sorted(lines: Vec<Value>) -> Vec<String> {
+    let mut lines: Vec<String> = lines.iter().map(Value::to_string).collect();
+    lines.sort();
+    lines
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn destapes_is_served_and_billed_as_its_questionnaires_ask() {
+    let requests = [
+        PathRequest {
+            class: "triage",
+            model: "triage",
+        },
+        PathRequest {
+            class: "summary",
+            model: "dispatch",
+        },
+    ];
+    let session = serve(&DESTAPES, &requests).await;
+    assert_snapshot!("destapes-served", session.transcript());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn solar_watch_is_served_and_billed_as_its_questionnaires_ask() {
+    let requests = [
+        PathRequest {
+            class: "review",
+            model: "forecast",
+        },
+        PathRequest {
+            class: "radio",
+            model: "alert",
+        },
+    ];
+    let session = serve(&SOLAR_WATCH, &requests).await;
+    assert_snapshot!("solar-watch-served", session.transcript());
+}
--- a/tests/all/operators/session.rs
+++ b/tests/all/operators/session.rs
@@ -86,6 +86,48 @@
         proposal_of(&shown)
     }
 
+    /// Proposes a questionnaire in which some answers are changed.
+    pub(super) async fn propose_with(&mut self, file: &str, changes: &[(&str, &str)]) -> String {
+        let shown = self.propose_copy(file, changes).await;
+        proposal_of(&shown)
+    }
+
+    /// Asks for the decisions about a request until its end is among them: a
+    /// caller may have its last byte a moment before. Times, which of several
+    /// upstreams was chosen and what it last reported differ from run to run.
+    pub(super) async fn explain(&mut self, request: &str) {
+        let before = self.transcript.len();
+        loop {
+            self.transcript.truncate(before);
+            if self.run(&["explain", request]).await.contains("ended as") {
+                break;
+            }
+        }
+        let explained = redact_decisions(&self.transcript[before..]);
+        self.transcript.truncate(before);
+        self.transcript.push_str(&explained);
+    }
+
+    /// Asks for the status until the accepted revision is in force. Which
+    /// steward is in charge differs from run to run.
+    pub(super) async fn wait_for_status(&mut self) {
+        let before = self.transcript.len();
+        self.run(&["status", "--wait"]).await;
+        let lines = self.transcript[before..].lines().map(|line| {
+            let shown = line.split(", in charge").next().unwrap_or(line);
+            format!("{shown}\n")
+        });
+        let shown: String = lines.collect();
+        self.transcript.truncate(before);
+        self.transcript.push_str(&shown);
+    }
+
+    /// Adds a line to the transcript.
+    pub(super) fn note(&mut self, line: &str) {
+        self.transcript.push_str(line);
+        self.transcript.push('\n');
+    }
+
     /// Proposes a questionnaire with wrong answers.
     pub(super) async fn propose_wrong(&mut self, file: &str, changes: &[(&str, &str)]) {
         self.propose_copy(file, changes).await;
@@ -152,6 +194,23 @@
     }
 }
 
+fn redact_decisions(text: &str) -> String {
+    let lines = text.lines().map(|line| {
+        let line = line.split(", 0 tokens waiting").next().unwrap_or(line);
+        let mut words: Vec<&str> = line.split(' ').collect();
+        for i in 0..words.len() {
+            match words[i] {
+                word if i == 0 && word.ends_with('Z') => words[i] = "TIME",
+                "ms" if i > 0 => words[i - 1] = "N",
+                "at" if i + 1 < words.len() => words[i + 1] = "UPSTREAM",
+                _ => {}
+            }
+        }
+        format!("{}\n", words.join(" "))
+    });
+    lines.collect()
+}
+
 fn proposal_of(shown: &str) -> String {
     let name = shown
         .split_whitespace()
