--- a/examples/capacity/configuration.rs
+++ b/examples/capacity/configuration.rs
@@ -1,10 +1,11 @@
 //! Bytes, memory and time of a configuration as it grows.
 
 use crate::{median_time, report, resident_bytes};
+use lagoonlift::platform::PlatformClient;
 use lagoonlift::types::{
     Chunk, ChunkDigest, Class, ClassName, Configuration, DataCentreCapacity, DataCentreName,
-    FencingSupport, KeyDigest, Limits, Manifest, ModelName, Supply, Upstream, UpstreamKind,
-    UpstreamName, UpstreamRole, Urgency, Workspace, WorkspaceName,
+    FencingSupport, KeyDigest, Limits, Manifest, ModelName, Revision, Supply, Upstream,
+    UpstreamKind, UpstreamName, UpstreamRole, Urgency, Workspace, WorkspaceName,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
@@ -24,6 +25,8 @@
 const CLASSES: usize = 6;
 /// Valid keys of a workspace.
 const KEYS: usize = 20;
+/// Time after which a call counts as lost.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Kilobytes are counted by thousands.
 const KILOBYTE: f64 = 1_000.0;
 
@@ -33,6 +36,21 @@
     measure_manifest()
 }
 
+/// Puts a configuration of the target size in force.
+#[tokio::main(flavor = "current_thread")]
+pub(crate) async fn publish(platform: SocketAddr) -> eyre::Result<()> {
+    let client = PlatformClient::new(platform, "operator".to_owned(), CALL_TIMEOUT);
+    let mut whole = configuration(WORKSPACES, DATA_CENTRES, ENGINES_PER_DATA_CENTRE)?;
+    whole.revision = Revision(1);
+    let (manifest, texts) = Manifest::cut(&whole)?;
+    for (digest, text) in texts {
+        let value: serde_json::Value = serde_json::from_slice(&text)?;
+        client.create(&Manifest::chunk_key(digest), &value).await?;
+    }
+    client.create(Manifest::KEY, &manifest).await?;
+    Ok(())
+}
+
 fn measure_chunks() -> eyre::Result<()> {
     let workspace = Chunk::Workspace(Arc::new(workspace(0)?));
     let text = Manifest::chunk_text(&workspace)?;
--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -2,7 +2,9 @@
 //! `docs/CAPACITY.md` multiplies up to the target size.
 //!
 //! Run it with `cargo run --release --example capacity -- PART`, where PART is
-//! `configuration`, `decisions` or `operators`. Memory is what the process holds
+//! `configuration`, `decisions` or `operators`. `publish ADDRESS` puts a
+//! configuration of the target size in force at a platform without one, so that
+//! daemons can be measured under it. Memory is what the process holds
 //! more than before, so each part has a process of its own. Each line is one
 //! figure: its name, its value and its unit.
 
@@ -20,9 +22,11 @@
         Some("configuration") => configuration::measure(),
         Some("decisions") => decisions::measure(),
         Some("operators") => operator_calls::measure(),
-        _ => Err(eyre::eyre!(
-            "expected `configuration`, `decisions` or `operators`"
-        )),
+        Some("publish") => {
+            let address = std::env::args().nth(2).unwrap_or_default();
+            configuration::publish(address.parse()?)
+        }
+        _ => Err(eyre::eyre!("there is no such part")),
     }
 }
 
--- a/tests/all/operators/session.rs
+++ b/tests/all/operators/session.rs
@@ -97,12 +97,12 @@
     /// upstreams was chosen and what it last reported differ from run to run.
     pub(super) async fn explain(&mut self, request: &str) {
         let before = self.transcript.len();
-        loop {
-            self.transcript.truncate(before);
-            if self.run(&["explain", request]).await.contains("ended as") {
-                break;
+        let explained = timeout(HANG_GUARD, async {
+            while !self.run(&["explain", request]).await.contains("ended as") {
+                self.transcript.truncate(before);
             }
-        }
+        });
+        explained.await.expect("the request's end is recorded");
         let explained = redact_decisions(&self.transcript[before..]);
         self.transcript.truncate(before);
         self.transcript.push_str(&explained);
