--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::directory::KeyDirectory;
 use crate::explain::DecisionRecorder;
 use crate::instruments::EntryInstruments;
+use crate::limit_table::exchange_demand;
 use crate::link::list_upstreams;
 use crate::poll::poll_engines;
 use crate::routes::caller_routes;
@@ -104,6 +105,7 @@
             recorder: recorder.clone(),
             keeper: keeper.clone(),
             claims: xtra::spawn_tokio(claims, Mailbox::unbounded()),
+            limits: Arc::default(),
             budgets: Mutex::new(RetryBudgets::new(&tuning)),
             tuning,
             max_body: entry.max_body,
@@ -123,6 +125,7 @@
                 stop.clone(),
             )),
             tokio::spawn(run_ticks(admission)),
+            tokio::spawn(exchange_demand(Arc::clone(&context.limits), node.clone())),
             tokio::spawn(poll_engines(Arc::clone(&context), start)),
         ];
         Ok(Self {
@@ -246,10 +249,14 @@
         let directory = KeyDirectory::new(Arc::clone(&configuration));
         let revision = configuration.revision;
         let has_configuration = !configuration.workspaces.is_empty();
+        let hosts = count_entries(&members.borrow_and_update());
+        let workspaces = configuration.workspaces.iter();
+        let limits = workspaces.map(|(name, workspace)| (name, workspace.limits));
+        context.limits.set_limits(limits, hosts);
         let change = Reconfigure {
             configuration,
             upstreams,
-            entries: count_entries(&members.borrow_and_update()),
+            entries: hosts,
         };
         // The policy knows a workspace before its callers are let in.
         if context.admission.send(change).await.is_err() {
--- a/crates/hosts/src/lib.rs
+++ b/crates/hosts/src/lib.rs
@@ -17,6 +17,8 @@
 mod copy_queue;
 mod counters;
 mod datagram;
+mod demand;
+mod demand_exchange;
 mod fleet_news;
 mod fleets;
 mod heartbeat;
@@ -36,7 +38,8 @@
 pub use copy_queue::{CopyError, CopyQueue, PendingCopy};
 pub use counters::{PeerCounter, PeerCounters};
 pub use datagram::{DatagramCodec, DatagramError};
-pub use fleets::FleetBoard;
+pub use demand::{Demand, DemandBoard, DemandMap, DemandSource};
+pub use fleets::{FleetBoard, FleetDelta};
 pub use history::ManifestDelta;
 pub use keys::PeerKeys;
 pub use membership::{
--- a/crates/hosts/src/wire.rs
+++ b/crates/hosts/src/wire.rs
@@ -1,6 +1,8 @@
 //! What processes say to each other, in datagrams and on streams.
 
 use crate::copies::UsagePosition;
+use crate::demand::{DemandMap, DemandSource};
+use crate::fleets::FleetDelta;
 use crate::history::ManifestDelta;
 use lagoonlift_types::{
     ChunkDigest, DataCentreName, Epoch, FleetView, Incarnation, Manifest, ProcessId, Revision,
@@ -150,6 +152,13 @@
     Fleets(Vec<FleetVersion>),
     /// Keep copies of usage records.
     CopyUsage(CopyBatch),
+    /// Count this demand.
+    Demand {
+        /// Whose demand it is.
+        source: DemandSource,
+        /// The demand.
+        demands: DemandMap,
+    },
 }
 
 /// What the acceptor of a stream answers.
@@ -163,15 +172,29 @@
     Manifest(Manifest),
     /// Answers [`Request::Chunks`] with those that fit one frame, in order.
     Chunks(Vec<Arc<[u8]>>),
-    /// Answers [`Request::Fleets`] with one view; `more` tells of others.
+    /// Answers [`Request::Fleets`] with one data centre's news; `more` tells of
+    /// others.
     Fleet {
-        /// A view that replaces the opener's, if there is one.
-        view: Option<Arc<FleetView>>,
+        /// What is new.
+        news: FleetAnswer,
         /// Whether the opener should ask again.
         more: bool,
     },
     /// Answers [`Request::CopyUsage`]: every record of the batch is held.
     Copied,
+    /// Answers [`Request::Demand`]; see [`DemandSource`].
+    Demand(DemandMap),
+}
+
+/// What is new about one data centre's fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum FleetAnswer {
+    /// Nothing.
+    None,
+    /// The whole view.
+    View(FleetView),
+    /// What changed since the opener's view.
+    Delta(FleetDelta),
 }
 
 /// Usage records for a neighbour to keep.
