--- /dev/null
+++ b/tests/all/docs.rs
@@ -0,0 +1,80 @@
+//! The pages say what the code does.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+fn root() -> &'static Path {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn read(path: &str) -> String {
+    fs::read_to_string(root().join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// The texts that a settings reader asks for: the literals in calls of `require`
+/// and `take`.
+fn asked_keys(source: &str) -> BTreeSet<String> {
+    let mut keys = BTreeSet::new();
+    for call in ["require", "take", "take_all"] {
+        for part in source.split(&format!(".{call}")).skip(1) {
+            let arguments = part.split_once('(').map_or("", |(_, arguments)| arguments);
+            let literal = arguments.trim_start().strip_prefix('"');
+            let key = literal.and_then(|literal| literal.split('"').next());
+            keys.extend(key.map(str::to_owned));
+        }
+    }
+    keys
+}
+
+/// Seen failing while `other-key` was left out of the page.
+#[test]
+fn every_setting_is_on_its_page() {
+    let page = read("docs/SETTINGS.md");
+    let load = read("crates/settings/src/load.rs");
+    let operator = read("crates/settings/src/operator.rs");
+    let mut keys = asked_keys(&load);
+    keys.extend(asked_keys(&operator));
+    assert!(keys.len() > 20, "only {keys:?} were found");
+    for key in keys {
+        let named = match key.strip_suffix('.') {
+            Some(section) => page.contains(&format!("`[{section}.NAME]`")),
+            None => page.contains(&format!("`{key}`")) || page.contains(&format!("`[{key}]`")),
+        };
+        assert!(named, "docs/SETTINGS.md doesn't say `{key}`");
+    }
+}
+
+/// Names in the table of proofs are tests that exist.
+#[test]
+fn every_proof_names_a_test() {
+    let proofs = read("docs/PROOFS.md");
+    let names = proofs.split('`').skip(1).step_by(2);
+    let tests: Vec<&str> = names.filter(|name| name.starts_with("test ")).collect();
+    assert!(!tests.is_empty(), "the page names no test");
+    let mut sources = String::new();
+    for directory in ["tests", "crates"] {
+        read_sources(&root().join(directory), &mut sources);
+    }
+    for test in tests {
+        let name = test.trim_start_matches("test ");
+        let is_there = sources.contains(&format!("fn {name}("));
+        assert!(
+            is_there,
+            "docs/PROOFS.md names `{name}`, which isn't a test"
+        );
+    }
+}
+
+fn read_sources(directory: &Path, sources: &mut String) {
+    for entry in fs::read_dir(directory).expect("the directory is there") {
+        let path = entry.expect("an entry").path();
+        match path.extension() {
+            _ if path.is_dir() => read_sources(&path, sources),
+            Some(end) if end == "rs" => {
+                sources.push_str(&fs::read_to_string(&path).expect("a source"));
+            }
+            _ => {}
+        }
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod configuration;
+mod docs;
 mod membership;
 mod operators;
 mod peer_authentication;
