--- a/examples/capacity/configuration.rs
+++ b/examples/capacity/configuration.rs
@@ -38,9 +38,10 @@
 
 /// Puts a configuration of the target size in force.
 #[tokio::main(flavor = "current_thread")]
-pub(crate) async fn publish(platform: SocketAddr) -> eyre::Result<()> {
+pub(crate) async fn publish(platform: SocketAddr, engines: Option<usize>) -> eyre::Result<()> {
     let client = PlatformClient::new(platform, "operator".to_owned(), CALL_TIMEOUT);
-    let mut whole = configuration(WORKSPACES, DATA_CENTRES, ENGINES_PER_DATA_CENTRE)?;
+    let engines = engines.unwrap_or(ENGINES_PER_DATA_CENTRE);
+    let mut whole = configuration(WORKSPACES, DATA_CENTRES, engines)?;
     whole.revision = Revision(1);
     let (manifest, texts) = Manifest::cut(&whole)?;
     for (digest, text) in texts {
--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -2,9 +2,10 @@
 //! `docs/CAPACITY.md` multiplies up to the target size.
 //!
 //! Run it with `cargo run --release --example capacity -- PART`, where PART is
-//! `configuration`, `decisions` or `operators`. `publish ADDRESS` puts a
-//! configuration of the target size in force at a platform without one, so that
-//! daemons can be measured under it. Memory is what the process holds
+//! `configuration`, `decisions` or `operators`. `publish ADDRESS [ENGINES]`
+//! puts a configuration of the target size, or with that many engines in each
+//! data centre, in force at a platform without one, so that daemons can be
+//! measured under it. Memory is what the process holds
 //! more than before, so each part has a process of its own. Each line is one
 //! figure: its name, its value and its unit.
 
@@ -24,7 +25,9 @@
         Some("operators") => operator_calls::measure(),
         Some("publish") => {
             let address = std::env::args().nth(2).unwrap_or_default();
-            configuration::publish(address.parse()?)
+            let engines = std::env::args().nth(3);
+            let engines = engines.map(|engines| engines.parse()).transpose()?;
+            configuration::publish(address.parse()?, engines)
         }
         _ => Err(eyre::eyre!("there is no such part")),
     }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod demo;
+mod engine;
 mod explain;
 mod key;
 mod load;
@@ -24,6 +25,7 @@
     propose        store what a questionnaire asks for, and show the change
     accept         put a proposal in force
     key            give, withdraw and list callers' keys
+    engine         ask for a change of an engine
     status         show which revision is in force where
     explain        show what was decided about a request, upstream or workspace
 
@@ -55,6 +57,7 @@
         "propose" => propose::run(parser),
         "accept" => accept::run(parser),
         "key" => key::run(parser),
+        "engine" => engine::run(parser),
         "status" => status::run(parser),
         "explain" => explain::run(parser),
         "demo" => demo::run(parser),
--- a/src/commands/operator.rs
+++ b/src/commands/operator.rs
@@ -52,9 +52,18 @@
 
     /// Returns the editor with the operator's own token.
     pub(crate) fn editor(&self) -> Result<ConfigurationEditor> {
+        Ok(ConfigurationEditor::new(self.client()?))
+    }
+
+    /// Returns the platform's client with the operator's own token.
+    pub(crate) fn client(&self) -> Result<PlatformClient> {
         let platform = load(&self.settings)?.platform;
-        let client = PlatformClient::new(platform.address, platform.token, platform.timeout);
-        Ok(ConfigurationEditor::new(client))
+        let address = platform.address;
+        Ok(PlatformClient::new(
+            address,
+            platform.token,
+            platform.timeout,
+        ))
     }
 
     /// Returns the client of all hosts that the settings name.
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -97,8 +97,15 @@
     model: &'static str,
 }
 
-/// From the questionnaires to the answers and to the usage report.
-async fn serve(deployment: &Deployment, requests: &[PathRequest]) -> OperatorSession {
+/// A deployment's first data centre and its workspace, in force on two hosts.
+struct RunningDeployment {
+    session: OperatorSession,
+    processes: PathProcesses,
+    key: String,
+    _upstreams: PathUpstreams,
+}
+
+async fn start(deployment: &Deployment) -> RunningDeployment {
     let mut session = OperatorSession::start().await;
     let file = format!("{}/dc1.ini", deployment.directory);
     let upstreams = PathUpstreams::start(&file);
@@ -110,9 +117,24 @@
     session.forget();
     session.run(&["accept", &id]).await;
     let key = session.run(&["key", "new", deployment.workspace]).await;
+    RunningDeployment {
+        processes: PathProcesses::start(&mut session),
+        session,
+        key: key.trim().to_owned(),
+        _upstreams: upstreams,
+    }
+}
 
-    let processes = PathProcesses::start(&mut session);
-    let caller = processes.caller(key.trim()).await;
+/// From the questionnaires to the answers and to the usage report.
+async fn serve(deployment: &Deployment, requests: &[PathRequest]) -> OperatorSession {
+    let running = start(deployment).await;
+    let RunningDeployment {
+        mut session,
+        processes,
+        key,
+        _upstreams,
+    } = running;
+    let caller = processes.caller(&key).await;
     session.wait_for_status().await;
     for request in requests {
         let id = ask(&caller, request.class, request.model).await;
@@ -169,3 +191,20 @@
     let session = serve(&SOLAR_WATCH, &requests).await;
     assert_snapshot!("solar-watch-served", session.transcript());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_role_change_is_asked_for_carried_out_and_explained() {
+    let mut running = start(&DESTAPES).await;
+    let session = &mut running.session;
+    session.wait_for_status().await;
+    let change = ["engine", "dc1", "triage-14", "role", "decode"];
+    let shown = session.run(&change).await;
+    assert_eq!(shown, "triage-14 in dc1 is asked for: role decode\n");
+    let explained = session.explain_until("triage-14", "order done").await;
+    let ordered = explained
+        .lines()
+        .find(|line| line.contains("ordered to become decode"));
+    let ordered = ordered.expect("the order is recorded");
+    assert!(ordered.contains(".steward at epoch 1"), "{ordered}");
+    assert!(!explained.contains(&running.key), "a key is explained");
+}
--- a/tests/all/operators/session.rs
+++ b/tests/all/operators/session.rs
@@ -96,16 +96,26 @@
     /// caller may have its last byte a moment before. Times, which of several
     /// upstreams was chosen and what it last reported differ from run to run.
     pub(super) async fn explain(&mut self, request: &str) {
+        let before = self.transcript.len();
+        self.explain_until(request, "ended as").await;
+        let explained = redact_decisions(&self.transcript[before..]);
+        self.transcript.truncate(before);
+        self.transcript.push_str(&explained);
+    }
+
+    /// Asks for the decisions about a subject until `text` is among them.
+    pub(super) async fn explain_until(&mut self, subject: &str, text: &str) -> String {
         let before = self.transcript.len();
         let explained = timeout(HANG_GUARD, async {
-            while !self.run(&["explain", request]).await.contains("ended as") {
+            loop {
+                let explained = self.run(&["explain", subject]).await;
+                if explained.contains(text) {
+                    return explained;
+                }
                 self.transcript.truncate(before);
             }
         });
-        explained.await.expect("the request's end is recorded");
-        let explained = redact_decisions(&self.transcript[before..]);
-        self.transcript.truncate(before);
-        self.transcript.push_str(&explained);
+        explained.await.expect("the decision is recorded")
     }
 
     /// Asks for the status until the accepted revision is in force. Which
