--- a/crates/operators/src/admin.rs
+++ b/crates/operators/src/admin.rs
@@ -68,6 +68,15 @@
         Ok(Self { client, addresses })
     }
 
+    /// Returns those of `hosts` of which no process is asked.
+    pub fn unasked(&self, hosts: &[String]) -> Vec<String> {
+        let asked = |host: &String| {
+            let mut addresses = self.addresses.iter();
+            addresses.any(|address| address.process.host.as_str() == host)
+        };
+        hosts.iter().filter(|host| !asked(host)).cloned().collect()
+    }
+
     /// Asks every process for its status.
     pub async fn status(&self, expected: Revision) -> StatusReport {
         let (statuses, unreachable) = self.ask("status").await;
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -13,8 +13,8 @@
 Usage: lagoonlift status --settings FILE [--wait]
 
 Asks every process that the settings name which revision it goes by. Ends with
-status 1 if one can't be reached or goes by an older revision than the one that
-is accepted.
+status 1 if one can't be reached, goes by an older revision than the one that is
+accepted, or if the platform lists a host that the settings don't name.
 
 Options:
     --settings FILE  the operator's settings
@@ -49,13 +49,27 @@
         }
     };
     print!("{report}");
-    let complete = accepted.is_ok() && report.in_force() && report.unreachable.is_empty();
+    let unasked = unasked_hosts(arguments, &client).await?;
+    for host in &unasked {
+        println!("  {host}: not asked, the settings don't name it");
+    }
+    let all_asked = report.unreachable.is_empty() && unasked.is_empty();
+    let complete = accepted.is_ok() && report.in_force() && all_asked;
     match complete {
         true => Ok(ExitCode::SUCCESS),
         false => Ok(ExitCode::FAILURE),
     }
 }
 
+/// Returns the hosts on the platform's list that the settings don't name; none
+/// when the list can't be read.
+async fn unasked_hosts(arguments: &OperatorArguments, client: &AdminClient) -> Result<Vec<String>> {
+    let fleet = arguments.client()?.fleet().await;
+    let hosts = fleet.map(|fleet| fleet.hosts).unwrap_or_default();
+    let names: Vec<String> = hosts.into_iter().map(|host| host.name).collect();
+    Ok(client.unasked(&names))
+}
+
 async fn wait(client: &AdminClient, revision: Revision) -> StatusReport {
     let deadline = Instant::now() + WAIT_LIMIT;
     loop {
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -4,6 +4,7 @@
 mod session;
 
 use insta::assert_snapshot;
+use lagoonlift_standins::platform::FleetEntry;
 use path::{PathProcesses, PathUpstreams, ask, usage_lines};
 use serde_json::Value;
 use session::OperatorSession;
@@ -193,10 +194,14 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_role_change_is_asked_for_carried_out_and_explained() {
+async fn a_role_change_is_carried_out_and_explained() {
     let mut running = start(&DESTAPES).await;
     let session = &mut running.session;
     session.wait_for_status().await;
+    let forgotten = FleetEntry::live("dc1");
+    session.platform().set_host("a3", forgotten);
+    let shown = session.run(&["status"]).await;
+    assert!(shown.contains("a3: not asked"), "{shown}");
     let change = ["engine", "dc1", "triage-14", "role", "decode"];
     let shown = session.run(&change).await;
     assert_eq!(shown, "triage-14 in dc1 is asked for: role decode\n");
