Let an entry find the steward of its own host

Cause: a host's own daemons were no seeds of each other, so a fleet of one host, or a first host whose peers aren't up, never became ready: seen in a measurement with one host, where the entry stayed at revision 0 while its steward was at 1.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -220,13 +220,20 @@
         data_centre: settings.host.data_centre.clone(),
         incarnation: new_incarnation(),
         listen: entry.peer_listen,
-        seeds: addresses.flatten().collect(),
+        seeds: addresses.flatten().chain(own_steward(settings)).collect(),
         key: settings.peers.key.0,
         other_key: settings.peers.other_key.as_ref().map(|key| key.0),
         heartbeat: settings.peers.heartbeat,
     }
 }
 
+/// Returns where the steward of this host listens, unless the system picks its
+/// port. A host that starts first, or alone, has no other seed that answers.
+fn own_steward(settings: &Settings) -> Option<SocketAddr> {
+    let steward = settings.steward.as_ref()?;
+    Some(steward.peer_listen).filter(|address| address.port() != 0)
+}
+
 fn new_incarnation() -> Incarnation {
     // A clock before 1970 only makes the incarnation look old.
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/tests/all/configuration.rs
+++ b/tests/all/configuration.rs
@@ -1,7 +1,12 @@
 //! An accepted configuration is in force everywhere within seconds and never
 //! reverts.
 
-use crate::support::{Caller, HostGroup, eventually};
+use crate::support::{
+    Caller, DaemonProcess, HostGroup, HostSettings, entry_program, eventually, loopback,
+    steward_program,
+};
+use lagoonlift_standins::platform::PlatformStandin;
+use lagoonlift_standins::sample::SampleConfiguration;
 use std::time::{Duration, Instant};
 
 /// What "within seconds" means here.
@@ -15,7 +20,7 @@
 
 fn callers(group: &HostGroup, key: &str) -> Vec<Caller> {
     let entries = group.entries.iter();
-    let caller = |entry: &crate::support::DaemonProcess| Caller::new(entry.callers_url(), key);
+    let caller = |entry: &DaemonProcess| Caller::new(entry.callers_url(), key);
     entries.map(caller).collect()
 }
 
@@ -67,3 +72,20 @@
     wait_for_status(&callers(&group, "key-of-the-plumbers"), 200).await;
     wait_for_status(&callers(&group, "no-such-key"), 401).await;
 }
+
+/// Seen failing while only the hosts in `[peer.NAME]` were contacted first.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_single_host_gets_its_configuration_from_its_own_steward() {
+    let platform = PlatformStandin::start(loopback()).await;
+    let platform = platform.expect("loopback has ports");
+    let sample = SampleConfiguration::new().with_workspace("plumbers", "key", "tide-7b");
+    for (key, value) in sample.objects() {
+        platform.put_object(&key, value);
+    }
+    let settings = HostSettings::new("a1", "dc1", platform.addr()).text();
+    let steward = DaemonProcess::start(steward_program(), &settings);
+    let section = format!("peer-listen = {}\nlease-term", steward.ready().peers);
+    let settings = settings.replace("peer-listen = 127.0.0.1:0\nlease-term", &section);
+    let entry = DaemonProcess::start(entry_program(), &settings);
+    wait_for_status(&[Caller::new(entry.callers_url(), "key")], 200).await;
+}
