Measure overhead with the target's number of engines behind an entry

With two engines the policy's bound of 64 streams an engine queued 816 streams and refused 62 of 318 requests as overloaded; that measured the policy, not the entry. At the target one host has 15.8 engines.

--- a/crates/load/src/exchange.rs
+++ b/crates/load/src/exchange.rs
@@ -16,6 +16,8 @@
 pub(crate) struct ExchangeRecord {
     /// Status of the response; 0 if none came.
     pub(crate) status: u16,
+    /// The error's code, of a refusal.
+    pub(crate) refusal: Option<String>,
     /// Whether the end marker came.
     pub(crate) complete: bool,
     /// Time to the first event.
@@ -79,13 +81,19 @@
         let start = Instant::now();
         let response = request.send().await?;
         record.status = response.status().as_u16();
-        if response.status().is_success() {
-            read_stream(response, start, record).await?;
+        match response.status().is_success() {
+            true => read_stream(response, start, record).await,
+            false => read_refusal(response, record).await,
         }
-        Ok(())
     }
 }
 
+async fn read_refusal(response: Response, record: &mut ExchangeRecord) -> reqwest::Result<()> {
+    let body: Value = response.json().await?;
+    record.refusal = body["error"]["code"].as_str().map(str::to_owned);
+    Ok(())
+}
+
 async fn read_stream(
     response: Response,
     start: Instant,
--- a/crates/load/src/result.rs
+++ b/crates/load/src/result.rs
@@ -35,6 +35,7 @@
     complete: u64,
     tokens: u64,
     statuses: BTreeMap<u16, u64>,
+    refusals: BTreeMap<String, u64>,
     first_token: Histogram<u64>,
     token_gap: Histogram<u64>,
     elapsed: Duration,
@@ -48,6 +49,7 @@
     complete: u64,
     tokens: u64,
     statuses: &'a BTreeMap<u16, u64>,
+    refusals: &'a BTreeMap<String, u64>,
     elapsed_seconds: f64,
     tokens_per_second: f64,
     first_token: LatencySummary,
@@ -66,6 +68,7 @@
             complete: 0,
             tokens: 0,
             statuses: BTreeMap::new(),
+            refusals: BTreeMap::new(),
             first_token: histogram(),
             token_gap: histogram(),
             elapsed: Duration::ZERO,
@@ -77,6 +80,9 @@
         self.complete += u64::from(record.complete);
         self.tokens += record.tokens;
         *self.statuses.entry(record.status).or_default() += 1;
+        if let Some(code) = &record.refusal {
+            *self.refusals.entry(code.clone()).or_default() += 1;
+        }
         if let Some(latency) = record.first_token {
             self.first_token
                 .saturating_record(latency.as_micros() as u64);
@@ -137,6 +143,7 @@
             complete: self.complete,
             tokens: self.tokens,
             statuses: &self.statuses,
+            refusals: &self.refusals,
             elapsed_seconds: self.elapsed.as_secs_f64(),
             tokens_per_second: self.tokens as f64 / self.elapsed.as_secs_f64(),
             first_token: self.first_token(),
@@ -149,7 +156,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (first, gap) = (self.first_token(), self.token_gap());
         writeln!(f, "sent {}, complete {}", self.sent, self.complete)?;
-        writeln!(f, "statuses {:?}", self.statuses)?;
+        writeln!(
+            f,
+            "statuses {:?}, refusals {:?}",
+            self.statuses, self.refusals
+        )?;
         let rate = self.tokens as f64 / self.elapsed.as_secs_f64();
         writeln!(f, "tokens {} ({rate:.0} a second)", self.tokens)?;
         writeln!(
--- a/src/commands/demo/mod.rs
+++ b/src/commands/demo/mod.rs
@@ -46,7 +46,8 @@
     println!("starting platform, 2 engines, 1 service, 2 stewards, 3 entries");
     let mut engine = engine_config()?;
     engine.token_interval = TOKEN_INTERVAL;
-    let mut deployment = LocalDeployment::start(engine, configuration).await?;
+    let mut deployment =
+        LocalDeployment::start(vec![engine.clone(), engine], configuration).await?;
     let mut ledger = DemoLedger::new();
     traffic::send_all(&deployment.callers(), &mut ledger).await?;
     let complete = wait_for_bill(&deployment, &ledger).await;
--- a/src/commands/load/overhead.rs
+++ b/src/commands/load/overhead.rs
@@ -26,6 +26,7 @@
     --output-tokens N   tokens in each answer [default: 432]
     --token-interval N  milliseconds between two tokens [default: 51]
     --seconds N         time during which requests are sent [default: 20]
+    --engines N         engines behind the entry [default: 16]
     --seed N            seed of arrival times [default: 1]
     -h, --help          print this help";
 
@@ -40,6 +41,7 @@
 struct OverheadArguments {
     plan: LoadPlan,
     token_interval: Duration,
+    engines: usize,
 }
 
 /// Runs the command.
@@ -54,6 +56,7 @@
     let mut arguments = OverheadArguments {
         plan: LoadPlan::new(1, 37.0, Duration::from_secs(20)).with_output_tokens(432),
         token_interval: Duration::from_millis(51),
+        engines: 16,
     };
     let plan = &mut arguments.plan;
     while let Some(argument) = parser.next()? {
@@ -65,6 +68,7 @@
                 arguments.token_interval = Duration::from_millis(parser.value()?.parse()?);
             }
             Long("seconds") => plan.duration = Duration::from_secs(parser.value()?.parse()?),
+            Long("engines") => arguments.engines = parser.value()?.parse()?,
             Long("seed") => plan.seed = parser.value()?.parse()?,
             other => return Err(other.unexpected()),
         }
@@ -87,8 +91,9 @@
     let mut engine = engine_config()?;
     engine.max_streams = u32::MAX;
     engine.token_interval = arguments.token_interval;
+    let engines = vec![engine; arguments.engines];
     let handle = entries.handle().clone();
-    let mut deployment = LocalDeployment::start_on(handle, engine, configuration).await?;
+    let mut deployment = LocalDeployment::start_on(handle, engines, configuration).await?;
     let idle = idle_share().await?;
 
     let direct = LoadTarget {
@@ -112,10 +117,11 @@
 }
 
 fn configuration(upstreams: &LocalUpstreams) -> SampleConfiguration {
-    SampleConfiguration::new()
-        .with_workspace("measured", KEY, MODEL)
-        .with_engine("dc1", "engine-1", upstreams.engines[0], MODEL)
-        .with_engine("dc1", "engine-2", upstreams.engines[1], MODEL)
+    let mut sample = SampleConfiguration::new().with_workspace("measured", KEY, MODEL);
+    for (index, address) in upstreams.engines.iter().enumerate() {
+        sample = sample.with_engine("dc1", &format!("engine-{index}"), *address, MODEL);
+    }
+    sample
 }
 
 /// Returns the share of a core that all idle entries use together.
--- a/src/commands/local.rs
+++ b/src/commands/local.rs
@@ -17,6 +17,7 @@
 use lagoonlift_standins::service::ServiceStandin;
 use std::collections::BTreeSet;
 use std::fmt::Write;
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -52,25 +53,26 @@
 impl LocalDeployment {
     /// Starts everything on the present runtime; see [`Self::start_on`].
     pub(crate) async fn start(
-        engine: EngineConfig,
+        engines: Vec<EngineConfig>,
         configure: impl FnOnce(&LocalUpstreams) -> SampleConfiguration,
     ) -> Result<Self> {
-        Self::start_on(Handle::current(), engine, configure).await
+        Self::start_on(Handle::current(), engines, configure).await
     }
 
-    /// Starts two engines and a service, two data centres with a steward each,
+    /// Starts the engines and a service, two data centres with a steward each,
     /// and three entries, these on `entry_runtime`; waits until every entry
     /// serves the configuration.
     pub(crate) async fn start_on(
         entry_runtime: Handle,
-        engine: EngineConfig,
+        engines: Vec<EngineConfig>,
         configure: impl FnOnce(&LocalUpstreams) -> SampleConfiguration,
     ) -> Result<Self> {
         let platform = PlatformStandin::start(loopback()).await?;
-        let engines = vec![
-            EngineStandin::start(loopback(), engine.clone())?,
-            EngineStandin::start(loopback(), engine)?,
-        ];
+        let start = |config| EngineStandin::start(loopback(), config);
+        let engines = engines
+            .into_iter()
+            .map(start)
+            .collect::<io::Result<Vec<_>>>()?;
         let service = ServiceStandin::start(loopback())?;
         let upstreams = LocalUpstreams {
             engines: engines.iter().map(EngineStandin::addr).collect(),
