--- a/crates/steward/tests/all/schedules/mod.rs
+++ b/crates/steward/tests/all/schedules/mod.rs
@@ -7,6 +7,8 @@
 
 mod lease;
 mod network;
+mod orders;
+mod sealing;
 
 use quickcheck::QuickCheck;
 
--- a/crates/steward/tests/all/schedules/network.rs
+++ b/crates/steward/tests/all/schedules/network.rs
@@ -70,6 +70,14 @@
             .map(|(_, message)| message)
             .collect()
     }
+
+    pub(crate) fn retain(&mut self, keep: impl Fn(&M) -> bool) {
+        self.messages.retain(|(_, message)| keep(message));
+    }
+
+    pub(crate) fn any(&self, matches: impl Fn(&M) -> bool) -> bool {
+        self.messages.iter().any(|(_, message)| matches(message))
+    }
 }
 
 /// Versioned objects with conditional writes, and every write that took effect.
@@ -88,10 +96,18 @@
         }
     }
 
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     pub(crate) fn get(&self, key: &str) -> Option<(V, u64)> {
         self.objects.get(key).cloned()
     }
 
+    pub(crate) fn all(&self) -> impl Iterator<Item = &(V, u64)> {
+        self.objects.values()
+    }
+
     /// Writes if the object has this version, or doesn't exist if `None`.
     pub(crate) fn put(
         &mut self,
