--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,14 +1,21 @@
 //! What all requests of one entry process share.
 
-use crate::admission::AdmissionActor;
+use crate::admission::{AdmissionActor, PlacementRequest};
+use crate::claim_actor::ClaimActor;
+use crate::claim_hold::{ClaimHold, ClaimWish};
 use crate::directory::KeyDirectory;
+use crate::explain::DecisionRecorder;
 use crate::instruments::{EntryInstruments, RequestLabels};
+use crate::limit_table::{HeldCharge, LimitTable};
 use crate::retry::RetryBudget;
 use crate::tuning::EntryTuning;
 use arc_swap::ArcSwap;
-use lagoonlift_types::{ClassName, RequestId, UsageFigures, WorkspaceName};
+use lagoonlift_callers::OutcomeReply;
+use lagoonlift_types::{
+    ClassName, NotRunReason, OutcomeKind, RequestId, UsageFigures, WorkspaceName,
+};
 use lagoonlift_usage::UsageKeeper;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::{Instant, timeout};
 use xtra::Address;
 
@@ -17,7 +24,10 @@
     pub(crate) directory: ArcSwap<KeyDirectory>,
     pub(crate) admission: Address<AdmissionActor>,
     pub(crate) instruments: EntryInstruments,
+    pub(crate) recorder: DecisionRecorder,
     pub(crate) keeper: UsageKeeper,
+    pub(crate) claims: Address<ClaimActor>,
+    pub(crate) limits: Arc<LimitTable>,
     pub(crate) budgets: Mutex<RetryBudgets>,
     pub(crate) tuning: EntryTuning,
     pub(crate) max_body: u64,
@@ -79,8 +89,50 @@
         }
     }
 
+    /// Charges a request to its workspace's limits.
+    pub(crate) fn charge(
+        &self,
+        workspace: &WorkspaceName,
+        prompt_tokens: u64,
+        max_output_tokens: u64,
+    ) -> Result<HeldCharge, OutcomeReply> {
+        let charge = self
+            .limits
+            .admit(workspace, prompt_tokens, max_output_tokens);
+        charge.map_err(|wait| {
+            OutcomeReply::not_run(
+                NotRunReason::LimitReached,
+                Some(wait),
+                "the workspace's limit is reached",
+            )
+        })
+    }
+
+    /// Claims the caller's `Idempotency-Key` for a request.
+    pub(crate) async fn claim(
+        &self,
+        wish: ClaimWish,
+        request: RequestId,
+    ) -> Result<ClaimHold, OutcomeReply> {
+        let limit = self.tuning.claim_limit;
+        ClaimHold::acquire(self.claims.clone(), wish, request, limit).await
+    }
+
+    /// Counts a request that ended, and records how.
+    pub(crate) fn count_end(
+        &self,
+        facts: &PlacementRequest,
+        labels: &RequestLabels,
+        kind: OutcomeKind,
+        arrived: Instant,
+    ) {
+        self.instruments
+            .count_outcome(labels, kind, arrived.elapsed());
+        self.recorder.ended(facts.request, &facts.workspace, kind);
+    }
+
     /// Counts a request that was refused before it had a workspace.
-    pub(crate) fn count_refusal(&self, kind: lagoonlift_types::OutcomeKind, arrived: Instant) {
+    pub(crate) fn count_refusal(&self, kind: OutcomeKind, arrived: Instant) {
         let labels = RequestLabels::anonymous();
         self.instruments
             .count_outcome(&labels, kind, arrived.elapsed());
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,9 +1,12 @@
 //! The entry daemon's parts, started together and stopped in order.
 
 use crate::admission::{AdmissionActor, Observe, Reconfigure};
+use crate::claim_actor::ClaimActor;
 use crate::context::{EntryContext, RetryBudgets};
 use crate::directory::KeyDirectory;
+use crate::explain::DecisionRecorder;
 use crate::instruments::EntryInstruments;
+use crate::limit_table::exchange_demand;
 use crate::link::list_upstreams;
 use crate::poll::poll_engines;
 use crate::routes::caller_routes;
@@ -12,6 +15,7 @@
 use arc_swap::ArcSwap;
 use eyre::{OptionExt, Result, WrapErr};
 use lagoonlift_hosts::{Member, MemberState, PeerConfig, PeerNode};
+use lagoonlift_operators::{ProcessStatus, operator_routes};
 use lagoonlift_platform::PlatformClient;
 use lagoonlift_policy::EntryEvent;
 use lagoonlift_settings::{EntrySettings, Settings};
@@ -25,6 +29,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use warp::Filter;
 use xtra::{Address, Mailbox};
 
 /// Time between two ticks of the admission policy.
@@ -74,28 +79,33 @@
         let admin = listen(entry.admin_listen).await?;
         let config = peer_config(settings, entry);
         let (process, incarnation) = (config.process.clone(), config.incarnation);
+        let recorder = DecisionRecorder::new(process.clone());
         let node = PeerNode::start(config).await?;
         let platform = PlatformClient::new(
             settings.platform.address,
             settings.platform.token.clone(),
             settings.platform.timeout,
         );
+        let claims = ClaimActor::new(platform.clone());
         let keeper = UsageKeeper::start(
             node.clone(),
             platform,
-            process,
+            process.clone(),
             incarnation,
             settings.host.data_centre.clone(),
             settings.usage.window,
         );
         let start = Instant::now();
-        let admission = AdmissionActor::new(start, &settings.host.data_centre);
+        let admission = AdmissionActor::new(start, &settings.host.data_centre, recorder.clone());
         let admission = xtra::spawn_tokio(admission, Mailbox::unbounded());
         let context = Arc::new(EntryContext {
             directory: ArcSwap::default(),
             admission: admission.clone(),
             instruments: EntryInstruments::new(&metrics),
+            recorder: recorder.clone(),
             keeper: keeper.clone(),
+            claims: xtra::spawn_tokio(claims, Mailbox::unbounded()),
+            limits: Arc::default(),
             budgets: Mutex::new(RetryBudgets::new(&tuning)),
             tuning,
             max_body: entry.max_body,
@@ -103,7 +113,9 @@
         let readiness = Readiness::new();
         let (stopping, stop) = watch::channel(false);
         let admin_addr = admin.local_addr()?;
-        let pages = admin_routes(metrics, readiness.clone());
+        let about = process_status(&node, process, incarnation, settings, &readiness);
+        let pages =
+            admin_routes(metrics, readiness.clone()).or(operator_routes(recorder.log(), about));
         let helpers = vec![
             tokio::spawn(warp::serve(pages).incoming(admin).run()),
             tokio::spawn(follow_configuration(
@@ -113,6 +125,7 @@
                 stop.clone(),
             )),
             tokio::spawn(run_ticks(admission)),
+            tokio::spawn(exchange_demand(Arc::clone(&context.limits), node.clone())),
             tokio::spawn(poll_engines(Arc::clone(&context), start)),
         ];
         Ok(Self {
@@ -164,6 +177,27 @@
     }
 }
 
+/// Returns what the process says of itself whenever it is asked.
+fn process_status(
+    node: &PeerNode,
+    process: ProcessId,
+    incarnation: Incarnation,
+    settings: &Settings,
+    readiness: &Readiness,
+) -> impl Fn() -> ProcessStatus + Clone + use<> {
+    let store = node.store();
+    let data_centre = settings.host.data_centre.clone();
+    let readiness = readiness.clone();
+    move || ProcessStatus {
+        process: process.clone(),
+        incarnation,
+        data_centre: data_centre.clone(),
+        revision: store.revision(),
+        ready: readiness.get(),
+        epoch: None,
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -213,16 +247,22 @@
         let configuration = Arc::clone(&configurations.borrow_and_update());
         let upstreams = list_upstreams(&configuration, &fleets.borrow_and_update());
         let directory = KeyDirectory::new(Arc::clone(&configuration));
+        let revision = configuration.revision;
         let has_configuration = !configuration.workspaces.is_empty();
+        let hosts = count_entries(&members.borrow_and_update());
+        let workspaces = configuration.workspaces.iter();
+        let limits = workspaces.map(|(name, workspace)| (name, workspace.limits));
+        context.limits.set_limits(limits, hosts);
         let change = Reconfigure {
             configuration,
             upstreams,
-            entries: count_entries(&members.borrow_and_update()),
+            entries: hosts,
         };
         // The policy knows a workspace before its callers are let in.
         if context.admission.send(change).await.is_err() {
             return;
         }
+        context.recorder.set_revision(revision);
         context.directory.store(Arc::new(directory));
         readiness.set(has_configuration && !*stop.borrow());
         let changed = tokio::select! {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,18 +9,27 @@
 //! outcomes.
 
 mod admission;
+mod answer;
 mod body;
 mod chat;
+mod claim;
+mod claim_actor;
+mod claim_hold;
 mod context;
 mod cursor;
 mod daemon;
 mod delivery;
 mod directory;
+mod explain;
+mod history;
 mod instruments;
+mod limit;
+mod limit_table;
 mod link;
 mod plain;
 mod plain_relay;
 mod poll;
+mod refusal;
 mod relay;
 mod retry;
 mod routes;
@@ -28,7 +37,11 @@
 mod slot;
 mod tuning;
 
+pub use claim::{
+    Claim, ClaimChange, ClaimKey, ClaimResult, ClaimShard, ClaimState, ClaimTable, ContentDigest,
+};
 pub use cursor::{CursorStep, TokenCursor};
 pub use daemon::Entry;
+pub use limit::{OfferedLoad, TokenCharge, WorkspaceLimiter};
 pub use retry::{BudgetShare, RetryBudget, RunEvidence, backoff};
 pub use tuning::EntryTuning;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -2,21 +2,23 @@
 
 use crate::admission::PlacementRequest;
 use crate::body::read_body;
-use crate::chat::{bad_request, bearer_key, body_reply};
+use crate::chat::bearer_key;
+use crate::claim::ContentDigest;
+use crate::claim_hold::{ClaimHold, ClaimWish, idempotency_key};
 use crate::context::EntryContext;
 use crate::delivery::answer_channel;
 use crate::directory::Member;
 use crate::instruments::RequestLabels;
+use crate::limit_table::HeldCharge;
 use crate::plain_relay::PlainRelay;
-use crate::relay::unauthorized_reply;
+use crate::refusal::{bad_request, body_reply, not_found, unauthorized_reply};
 use bytes::{Buf, Bytes};
 use futures::Stream;
 use http::{HeaderMap, Method};
 use lagoonlift_callers::OutcomeReply;
 use lagoonlift_policy::Target;
 use lagoonlift_types::{
-    ClassName, KeyDigest, NotRunReason, PlainRoute, RequestId, RouteAccess, RouteName,
-    WorkspaceName,
+    ClassName, KeyDigest, PlainRoute, RequestId, RouteAccess, RouteName, WorkspaceName,
 };
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -35,7 +37,6 @@
 }
 
 /// One accepted call.
-#[derive(Debug)]
 pub(crate) struct PlainJob {
     pub(crate) facts: PlacementRequest,
     pub(crate) workspace: WorkspaceName,
@@ -48,6 +49,10 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Given back if nothing runs.
+    pub(crate) charge: Option<HeldCharge>,
+    /// Held by requests that may not be repeated and name a key.
+    pub(crate) claim: Option<ClaimHold>,
 }
 
 /// A path cut into its parts.
@@ -97,6 +102,20 @@
     let body = read_body(parts, context.max_body)
         .await
         .map_err(body_reply)?;
+    let charge = context.charge(&member.name, 0, 0)?;
+    let path_at_service = service_path(route, path.rest, call.query.as_deref());
+    let claim = match idempotency_key(&call.headers)? {
+        Some(idempotency_key) if !class.idempotent => {
+            let method = call.method.as_str().as_bytes();
+            let wish = ClaimWish {
+                workspace: member.name.clone(),
+                idempotency_key,
+                content: ContentDigest::of(&[method, path_at_service.as_bytes(), &body]),
+            };
+            Some(context.claim(wish, request).await?)
+        }
+        _ => None,
+    };
     let facts = PlacementRequest {
         request,
         workspace: member.name.clone(),
@@ -114,11 +133,13 @@
         class: route.class.clone(),
         key,
         arrived,
-        path: service_path(route, path.rest, call.query.as_deref()),
+        path: path_at_service,
         workspace: member.name,
         method: call.method,
         headers: call.headers,
         body,
+        charge: Some(charge),
+        claim,
     })
 }
 
@@ -184,5 +205,5 @@
 }
 
 fn no_route() -> OutcomeReply {
-    OutcomeReply::not_run(NotRunReason::NotFound, None, "there is no such route")
+    not_found("there is no such route")
 }
--- a/crates/hosts/src/node.rs
+++ b/crates/hosts/src/node.rs
@@ -7,16 +7,18 @@
 use crate::copy_queue::{CopyError, PendingCopy};
 use crate::counters::{PeerCounter, PeerCounters};
 use crate::datagram::{DatagramCodec, DatagramError};
+use crate::demand::DemandMap;
+use crate::demand_exchange::DemandExchange;
 use crate::fleet_news::FleetNews;
 use crate::fleets::FleetBoard;
 use crate::heartbeat::{End, HeartbeatActor, Incoming, Leave, Round, Spread};
 use crate::membership::{Member, Membership, MembershipConfig};
-use crate::puller::{Attach, PullActor};
+use crate::puller::{Attach, PullActor, pull_configuration};
 use crate::server::PeerServer;
 use crate::store::ConfigurationStore;
 use crate::wire::{Fact, FactState};
 use lagoonlift_types::{DataCentreName, FleetView, Incarnation, ProcessId, UsageRecord};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -47,6 +49,14 @@
     /// Others can't be told to send to an address that stands for all.
     #[error("{0} isn't the address of one interface")]
     Unspecified(SocketAddr),
+    /// Another process's configuration couldn't be fetched.
+    #[error("the configuration can't be fetched from {address}: {detail}")]
+    Fetch {
+        /// The other process.
+        address: SocketAddr,
+        /// Why not.
+        detail: String,
+    },
 }
 
 /// One process's part in the protocol between the system's own processes.
@@ -95,6 +105,7 @@
             store: Arc::new(ConfigurationStore::new()),
             fleets: FleetBoard::new(),
             counters: Arc::new(PeerCounters::default()),
+            demand: Arc::default(),
         });
         Ok(Self::assemble(config, context, address, listener, socket))
     }
@@ -125,6 +136,11 @@
             heartbeat: heartbeat.downgrade(),
             copies: Arc::clone(&copies),
         };
+        let exchange = DemandExchange {
+            context: Arc::clone(&context),
+            members: members.clone(),
+            streams: HashMap::new(),
+        };
         let attach = puller.send(Attach(heartbeat.downgrade()));
         let tasks = vec![
             abort_handle(async move {
@@ -136,6 +152,7 @@
             abort_handle(run_rounds(config.heartbeat, heartbeat.clone())),
             abort_handle(spread_news(Arc::clone(&context), heartbeat.clone())),
             abort_handle(Arc::clone(&copier).run(members.clone())),
+            abort_handle(exchange.run()),
         ];
         let shared = Shared {
             context,
@@ -171,6 +188,20 @@
         Arc::clone(&self.shared.context.counters)
     }
 
+    /// Fetches the configuration from the process at `address` now, without
+    /// waiting for its heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that process can't be reached or what it holds is malformed.
+    pub async fn fetch_configuration(&self, address: SocketAddr) -> Result<(), PeerError> {
+        let fetched = pull_configuration(&self.shared.context, address).await;
+        fetched.map_err(|error| PeerError::Fetch {
+            address,
+            detail: error.to_string(),
+        })
+    }
+
     /// Publishes a fleet view to all processes.
     pub fn publish_fleet(&self, view: FleetView) {
         self.shared.context.fleets.offer(view);
@@ -181,6 +212,19 @@
         self.shared.context.fleets.subscribe()
     }
 
+    /// Says what is asked of workspaces' limits at this process; others learn
+    /// of it within about a second. Workspaces that aren't listed aren't asked
+    /// for.
+    pub fn set_demand(&self, demands: DemandMap) {
+        self.shared.context.demand.set_own(demands);
+    }
+
+    /// Returns a receiver of what is asked of the same workspaces' limits at
+    /// all other processes together.
+    pub fn demand_elsewhere(&self) -> watch::Receiver<Arc<DemandMap>> {
+        self.shared.context.demand.others()
+    }
+
     /// Copies a usage record of this process to another host of its data
     /// centre, and returns when that holds it.
     ///
