Let sealing schedules run until everything is settled

Schedule had 80 of 87 windows reported when the fixed number of steps ran out; run until a window sealed after the last closing is reported, it reports 87.

--- a/crates/steward/tests/all/schedules/sealing.rs
+++ b/crates/steward/tests/all/schedules/sealing.rs
@@ -14,9 +14,10 @@
 use lagoonlift_usage::{UsageLine, UsageWindow};
 use std::collections::BTreeMap;
 
-const STEPS: u64 = 1_600;
-/// Steps with faults; afterwards everything may settle.
+/// Steps in which holders change and windows are closed.
 const FAULT_STEPS: u64 = 500;
+/// Hang guard of the time after that, in which everything settles.
+const MAX_STEPS: u64 = 20_000;
 /// Steps after which a call counts as lost.
 const TIMEOUT: u64 = 20;
 /// Length of a window in steps.
@@ -106,9 +107,11 @@
 
     fn run(&mut self) {
         self.replace(0);
-        for now in 0..STEPS {
-            if now < FAULT_STEPS {
-                self.disturb(now);
+        for now in 0..MAX_STEPS {
+            match now {
+                0..FAULT_STEPS => self.disturb(now),
+                _ if self.is_settled() => return,
+                _ => {}
             }
             for message in self.network.arrived(now) {
                 self.deliver(now, message);
@@ -121,6 +124,14 @@
         }
     }
 
+    /// Returns whether a window is reported that was sealed after the last
+    /// window of a process was closed.
+    fn is_settled(&self) -> bool {
+        let last = (FAULT_STEPS + WINDOW) / WINDOW;
+        let reported = self.cursor().map(|stored| stored.cursor.window);
+        reported > Some(WindowId(last))
+    }
+
     fn disturb(&mut self, now: u64) {
         match self.chooser.below(100) {
             0 => self.replace(now),
