--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,9 +2,13 @@
 
 mod arguments;
 mod configuration;
+mod lease;
 mod membership;
 mod operators;
+mod orders;
 mod peer_authentication;
+mod purchases;
+mod sealing;
 mod serving;
 mod shutdown;
 mod support;
--- a/tests/all/support/mod.rs
+++ b/tests/all/support/mod.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod fleet;
 mod hosts;
+pub(crate) mod stewards;
 mod transcript;
 mod wait;
 
