--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! outcomes.
 
 mod admission;
+mod answer;
 mod body;
 mod chat;
 mod claim;
@@ -20,11 +21,15 @@
 mod delivery;
 mod directory;
 mod explain;
+mod history;
 mod instruments;
+mod limit;
+mod limit_table;
 mod link;
 mod plain;
 mod plain_relay;
 mod poll;
+mod refusal;
 mod relay;
 mod retry;
 mod routes;
@@ -37,5 +42,6 @@
 };
 pub use cursor::{CursorStep, TokenCursor};
 pub use daemon::Entry;
+pub use limit::{OfferedLoad, TokenCharge, WorkspaceLimiter};
 pub use retry::{BudgetShare, RetryBudget, RunEvidence, backoff};
 pub use tuning::EntryTuning;
--- a/crates/hosts/src/wire.rs
+++ b/crates/hosts/src/wire.rs
@@ -1,6 +1,7 @@
 //! What processes say to each other, in datagrams and on streams.
 
 use crate::copies::UsagePosition;
+use crate::demand::{DemandMap, DemandSource};
 use crate::fleets::FleetDelta;
 use crate::history::ManifestDelta;
 use lagoonlift_types::{
@@ -151,6 +152,13 @@
     Fleets(Vec<FleetVersion>),
     /// Keep copies of usage records.
     CopyUsage(CopyBatch),
+    /// Count this demand.
+    Demand {
+        /// Whose demand it is.
+        source: DemandSource,
+        /// The demand.
+        demands: DemandMap,
+    },
 }
 
 /// What the acceptor of a stream answers.
@@ -174,6 +182,8 @@
     },
     /// Answers [`Request::CopyUsage`]: every record of the batch is held.
     Copied,
+    /// Answers [`Request::Demand`]; see [`DemandSource`].
+    Demand(DemandMap),
 }
 
 /// What is new about one data centre's fleet.
