Announce leaving at the start of a shutdown; keep copying past a suspicion

An entry said that it was leaving only after its last stream, so neighbours went on choosing it as the holder of their copies. And a mere suspicion made a process send every uncovered record to another neighbour, or say that there is none.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -163,6 +163,8 @@
     /// stream, the usage records and the membership.
     pub async fn shutdown(mut self) {
         self.readiness.set(false);
+        // Neighbours whose usage copies are here look for another holder.
+        self.node.leave().await;
         tokio::time::sleep(UNREADY_PAUSE).await;
         self.stopping.send_replace(true);
         if timeout(self.drain_timeout, &mut self.server).await.is_err() {
@@ -172,7 +174,7 @@
         if let Err(error) = self.keeper.flush().await {
             tracing::warn!(%error, "usage windows are left to neighbours");
         }
-        self.node.leave().await;
+        self.node.end().await;
         for helper in self.helpers {
             helper.abort();
         }
--- a/crates/hosts/src/copier.rs
+++ b/crates/hosts/src/copier.rs
@@ -9,7 +9,7 @@
 use crate::copies::UsagePosition;
 use crate::copy_queue::{CopyError, CopyQueue, PendingCopy};
 use crate::counters::PeerCounter;
-use crate::membership::Member;
+use crate::membership::{Member, MemberState};
 use crate::stream::{PeerStream, StreamError};
 use crate::wire::{CopyBatch, Request, Response};
 use lagoonlift_types::{ProcessId, Sequence, UsageRecord};
@@ -115,7 +115,8 @@
                 .get(&member.process)
                 .is_some_and(|at| at.elapsed() < AVOID_AFTER_FAILURE);
             let pair = format!("{} {}", context.process, member.process);
-            (failed, *blake3::hash(pair.as_bytes()).as_bytes())
+            let doubted = member.state != MemberState::Alive;
+            (failed, doubted, *blake3::hash(pair.as_bytes()).as_bytes())
         };
         let eligible =
             |member: &&Member| member.takes_copies_of(&context.process, &context.data_centre);
@@ -139,7 +140,7 @@
             tokio::select! {
                 () = self.wake.notified() => {}
                 _ = members.changed() => {
-                    if !members.borrow_and_update().contains(neighbour) {
+                    if !stays(neighbour, &members.borrow_and_update()) {
                         return Ok(());
                     }
                 }
@@ -177,6 +178,16 @@
     }
 }
 
+/// Returns whether the neighbour still takes part and isn't about to end. A
+/// suspicion alone is no reason to send everything to another one.
+fn stays(neighbour: &Member, members: &[Member]) -> bool {
+    members.iter().any(|member| {
+        member.process == neighbour.process
+            && member.incarnation == neighbour.incarnation
+            && member.state != MemberState::Leaving
+    })
+}
+
 /// Why copying to one neighbour ended.
 #[derive(Debug, Error)]
 enum CopyFailure {
--- a/crates/hosts/src/membership/mod.rs
+++ b/crates/hosts/src/membership/mod.rs
@@ -70,7 +70,7 @@
 
 impl Member {
     /// Returns whether the member is an entry process on another host of
-    /// `data_centre` and takes new work.
+    /// `data_centre` and will stay, as far as is known.
     pub(crate) fn takes_copies_of(
         &self,
         process: &ProcessId,
@@ -79,7 +79,7 @@
         self.process.role == ProcessRole::Entry
             && self.process.host != process.host
             && self.data_centre == *data_centre
-            && self.state == MemberState::Alive
+            && self.state != MemberState::Leaving
     }
 }
 
--- a/crates/hosts/src/server.rs
+++ b/crates/hosts/src/server.rs
@@ -17,7 +17,7 @@
 /// Streams that may be open at a time.
 const MAX_STREAMS: usize = 256;
 /// Time after which a stream without requests is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(600);
 /// Bytes of chunks in one answer, unless its first chunk is larger.
 const MAX_CHUNK_BYTES: usize = 256 * 1024;
 /// Pause after the system refused to accept a connection.
