Survive absurd numbers from a process that knows the key

Quickcheck found additions that overflow: a refutation number at its limit and records numbered up to the largest sequence. Such messages need a valid key, but a panic in an actor would end a process's part in the protocol.

--- a/crates/hosts/src/copies.rs
+++ b/crates/hosts/src/copies.rs
@@ -52,9 +52,8 @@
 
     /// Keeps a batch; returns whether the batch was well formed and is kept.
     pub fn hold(&mut self, batch: CopyBatch) -> bool {
-        let numbers = (batch.first.0..).map(Sequence);
-        let well_formed = batch.records.iter().zip(numbers).all(|(record, sequence)| {
-            record.sequence == sequence
+        let well_formed = (0..).zip(&batch.records).all(|(index, record)| {
+            record.sequence.0.checked_sub(batch.first.0) == Some(index)
                 && record.process == batch.process
                 && record.incarnation == batch.incarnation
         });
@@ -127,12 +126,11 @@
     }
 
     fn contiguous(&self) -> Vec<UsageRecord> {
-        let numbers = (self.position.covered_to.0..).map(Sequence);
-        self.records
-            .values()
-            .zip(numbers)
-            .take_while(|(record, sequence)| record.sequence == *sequence)
-            .map(|(record, _)| record.clone())
+        let start = self.position.covered_to.0;
+        (0..)
+            .zip(self.records.values())
+            .take_while(|(index, record)| record.sequence.0.checked_sub(start) == Some(*index))
+            .map(|(_, record)| record.clone())
             .collect()
     }
 }
--- a/crates/hosts/src/membership/receive.rs
+++ b/crates/hosts/src/membership/receive.rs
@@ -142,7 +142,7 @@
                 actions.push(MembershipAction::Superseded(fact.incarnation));
             }
             std::cmp::Ordering::Equal if doubted && fact.refutation >= self.own.refutation => {
-                self.own.refutation = fact.refutation + 1;
+                self.own.refutation = fact.refutation.saturating_add(1);
                 self.spread(actions);
             }
             _ => {}
--- /dev/null
+++ b/crates/hosts/tests/all/extremes.rs
@@ -0,0 +1,133 @@
+//! Well-formed messages with absurd content, from a process that knows the key.
+
+use crate::support::{data_centre, print_seed, process, record};
+use lagoonlift_hosts::{
+    CopyBatch, CopyLedger, Datagram, Fact, FactState, Identity, Kind, Membership, MembershipConfig,
+    UsagePosition,
+};
+use lagoonlift_types::{Incarnation, Revision, Sequence, WindowId};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::time::Duration;
+
+const CASES: u64 = 2_000;
+const LENGTH: usize = 30;
+const OWN_INCARNATION: Incarnation = Incarnation(5);
+
+/// A number that is small, or close to the largest.
+#[derive(Clone, Copy, Debug)]
+struct Extreme(u64);
+
+impl Arbitrary for Extreme {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let near = u64::from(u8::arbitrary(random) % 8);
+        Self(match bool::arbitrary(random) {
+            true => near,
+            false => u64::MAX - near,
+        })
+    }
+}
+
+/// What a datagram is made from.
+type Parts = (u8, Extreme, Extreme, Extreme);
+
+fn fact(host: u8, incarnation: Extreme, refutation: Extreme) -> Fact {
+    let states = [
+        FactState::Alive,
+        FactState::Leaving,
+        FactState::Suspect,
+        FactState::Left,
+    ];
+    Fact {
+        process: process(&format!("h{}", host % 4)),
+        data_centre: data_centre("dc1"),
+        address: ([127, 0, 0, 1], u16::from(host)).into(),
+        incarnation: Incarnation(incarnation.0),
+        refutation: refutation.0 as u32,
+        state: states[usize::from(host / 4 % 4)],
+    }
+}
+
+fn datagram((host, incarnation, refutation, sequence): Parts) -> Datagram {
+    let target = Identity::of(&process("h0"), OWN_INCARNATION);
+    let kinds = [
+        Kind::Ping { probe: sequence.0 },
+        Kind::Ack { probe: sequence.0 },
+        Kind::Relay {
+            probe: sequence.0,
+            target,
+            address: ([127, 0, 0, 1], 9).into(),
+        },
+        Kind::Notice,
+    ];
+    Datagram {
+        sender: fact(host, incarnation, refutation),
+        to: target,
+        sequence: sequence.0,
+        kind: kinds[usize::from(host / 16 % 4)],
+        revision: Revision(sequence.0),
+        fleets: Vec::new(),
+        facts: vec![fact(host / 2, incarnation, refutation)],
+    }
+}
+
+/// Seen failing with a refutation number that is raised without a limit.
+#[test]
+fn absurd_datagrams_never_panic() {
+    fn holds(arrivals: Vec<(Parts, bool)>) -> bool {
+        let own = fact(0, Extreme(OWN_INCARNATION.0), Extreme(0));
+        let config = MembershipConfig {
+            own,
+            heartbeat: Duration::from_secs(1),
+            seeds: Vec::new(),
+            random_seed: 1,
+        };
+        let mut now = Duration::ZERO;
+        let mut membership = Membership::new(config, now);
+        for (parts, round) in arrivals {
+            let from = ([127, 0, 0, 1], 1).into();
+            let mut actions = Vec::new();
+            // Most of them are refused.
+            let _ = membership.receive(now, from, datagram(parts), &mut actions);
+            if round {
+                now += Duration::from_secs(1);
+                membership.tick(now, &mut actions);
+            }
+        }
+        membership.own().incarnation == OWN_INCARNATION
+    }
+    let random = Gen::from_size_and_seed(LENGTH, print_seed());
+    QuickCheck::new()
+        .rng(random)
+        .tests(CASES)
+        .quickcheck(holds as fn(Vec<(Parts, bool)>) -> bool);
+}
+
+/// Seen failing with sequences counted up without a limit.
+#[test]
+fn absurd_copies_never_panic() {
+    fn holds(batches: Vec<(Extreme, Extreme, Extreme)>) -> bool {
+        let mut ledger = CopyLedger::new();
+        for (window, covered, first) in batches {
+            let position = UsagePosition {
+                next_window: WindowId(window.0),
+                covered_to: Sequence(covered.0),
+            };
+            ledger.hold(CopyBatch {
+                process: process("h0"),
+                incarnation: Incarnation(1),
+                position,
+                first: Sequence(first.0),
+                records: (0..3)
+                    .map(|index| record("h0", first.0.wrapping_add(index)))
+                    .collect(),
+            });
+            ledger.records(&process("h0"), Incarnation(1));
+        }
+        true
+    }
+    let random = Gen::from_size_and_seed(LENGTH, print_seed());
+    QuickCheck::new()
+        .rng(random)
+        .tests(CASES)
+        .quickcheck(holds as fn(Vec<(Extreme, Extreme, Extreme)>) -> bool);
+}
--- a/crates/hosts/tests/all/main.rs
+++ b/crates/hosts/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod datagrams;
 mod demands;
+mod extremes;
 mod fleets;
 mod memberships;
 mod nodes;
--- a/crates/usage/src/neighbours.rs
+++ b/crates/usage/src/neighbours.rs
@@ -92,5 +92,5 @@
 }
 
 fn is_overdue(held: &HeldCopies, current: WindowId) -> bool {
-    held.position.next_window.0 + OVERDUE_WINDOWS < current.0
+    held.position.next_window.0.saturating_add(OVERDUE_WINDOWS) < current.0
 }
