Wait in the entry's tests until a crashed engine has stopped listening

Its runtime ends in the background; a request sent meanwhile was reset, which is 'unknown', not 'not run'. Seen once in a dozen runs of claims.

--- a/crates/entry/tests/all/claims.rs
+++ b/crates/entry/tests/all/claims.rs
@@ -1,6 +1,6 @@
 //! Requests that may not be repeated run once, whoever repeats them where.
 
-use crate::support::{BenchPlan, EntryBench, HANG_GUARD, header};
+use crate::support::{BenchPlan, EntryBench, HANG_GUARD, crash, header};
 use futures::future::join_all;
 use lagoonlift_entry::{
     Claim, ClaimChange, ClaimKey, ClaimResult, ClaimState, ClaimTable, ContentDigest,
@@ -160,7 +160,9 @@
 #[tokio::test]
 async fn a_claim_is_given_back_when_nothing_ran() {
     let mut bench = EntryBench::start(BenchPlan::default()).await;
-    bench.engines.iter_mut().for_each(|engine| engine.crash());
+    for engine in &mut bench.engines {
+        crash(engine).await;
+    }
     let ask = |bench: &EntryBench| {
         let request = bench.chat("once", false, 3);
         send(request.header("idempotency-key", "booking-1"))
--- a/crates/entry/tests/all/fault_matrix.rs
+++ b/crates/entry/tests/all/fault_matrix.rs
@@ -4,7 +4,7 @@
 //! (streamed or plain). The engines' execution logs are the oracle for "ran"
 //! and "not run", whatever the outcome says.
 
-use crate::support::{BenchPlan, EntryBench, HANG_GUARD, PROMPT, header, streamed_text};
+use crate::support::{BenchPlan, EntryBench, HANG_GUARD, PROMPT, crash, header, streamed_text};
 use futures::future::join_all;
 use lagoonlift_standins::engine::{EngineFault, Execution, ExecutionEnd, answer_text};
 use lagoonlift_types::WorkspaceName;
@@ -137,8 +137,12 @@
                 engine.faults().set_always(Some(fault.clone()));
             }
         }
-        Fault::FirstGone => bench.engines[0].crash(),
-        Fault::AllGone => bench.engines.iter_mut().for_each(|engine| engine.crash()),
+        Fault::FirstGone => crash(&mut bench.engines[0]).await,
+        Fault::AllGone => {
+            for engine in &mut bench.engines {
+                crash(engine).await;
+            }
+        }
         Fault::PlatformAway => bench.platform.faults().set_down(true),
         Fault::KeyWithdrawn => withdraw_key(bench).await,
     }
--- a/crates/entry/tests/all/support.rs
+++ b/crates/entry/tests/all/support.rs
@@ -22,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Key of the workspace `harbour`.
@@ -216,6 +217,20 @@
     }
 }
 
+/// Crashes an engine, and waits until nothing listens on its address: its
+/// runtime ends in the background.
+pub(crate) async fn crash(engine: &mut EngineStandin) {
+    engine.crash();
+    let refused = async {
+        while TcpStream::connect(engine.addr()).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(HANG_GUARD, refused)
+        .await
+        .expect("it stops listening");
+}
+
 /// The prompt of every chat of these tests.
 pub(crate) const PROMPT: &str = "which pipe failed before";
 
