Prove bad input, planned changes and outcomes at the entry

Golden sessions for each outcome; bad input spoken over plain sockets; streams across draining, withdrawal, a vanished data centre and silence; callers that leave or read nothing free their engine. The goldens showed that the chunk of usage lacked its empty list of choices, which client libraries count on. Limits on callers' heads, bodies and reading are part of the tuning now.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -194,6 +194,8 @@
     /// Returns the fields that the protocol wants in a chunk of usage alone.
     fn usage_chunk_fields(&self) -> Map<String, Value> {
         let mut fields = Map::new();
+        // The generated type leaves an empty list out; clients count on it.
+        fields.insert("choices".to_owned(), json!([]));
         fields.insert("object".to_owned(), json!("chat.completion.chunk"));
         fields.insert("model".to_owned(), json!(self.shape.model.as_str()));
         fields
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -7,11 +7,16 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-/// Longest time that a caller may take for a whole body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// Longest time between two parts of a body.
-const PART_TIMEOUT: Duration = Duration::from_secs(5);
+/// Limits on one body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BodyLimits {
+    /// Largest body, in bytes.
+    pub(crate) bytes: u64,
+    /// Longest time for the whole body.
+    pub(crate) whole: Duration,
+    /// Longest time between two parts.
+    pub(crate) part: Duration,
+}
 
 /// A body that wasn't read to its end.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -24,29 +29,29 @@
     Broken,
 }
 
-/// Reads a body of at most `limit` bytes.
+/// Reads a body within `limits`.
 pub(crate) async fn read_body<B: Buf>(
     parts: impl Stream<Item = Result<B, warp::Error>>,
-    limit: u64,
+    limits: BodyLimits,
 ) -> Result<Bytes, BodyError> {
-    let body = timeout(BODY_TIMEOUT, read_parts(parts, limit)).await;
+    let body = timeout(limits.whole, read_parts(parts, limits)).await;
     body.unwrap_or(Err(BodyError::TooSlow))
 }
 
 async fn read_parts<B: Buf>(
     parts: impl Stream<Item = Result<B, warp::Error>>,
-    limit: u64,
+    limits: BodyLimits,
 ) -> Result<Bytes, BodyError> {
     let mut parts = pin!(parts);
     let mut body = BytesMut::new();
     loop {
-        let part = timeout(PART_TIMEOUT, parts.next()).await;
+        let part = timeout(limits.part, parts.next()).await;
         match part.map_err(|_| BodyError::TooSlow)? {
             None => return Ok(body.freeze()),
             Some(Err(_)) => return Err(BodyError::Broken),
             Some(Ok(mut part)) => {
-                if (body.len() + part.remaining()) as u64 > limit {
-                    return Err(BodyError::TooLarge(limit));
+                if (body.len() + part.remaining()) as u64 > limits.bytes {
+                    return Err(BodyError::TooLarge(limits.bytes));
                 }
                 let bytes = part.copy_to_bytes(part.remaining());
                 body.extend_from_slice(&bytes);
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -72,7 +72,7 @@
     let request = RequestId::new();
     match accept_chat(&context, request, arrived, &headers, parts).await {
         Ok(job) => {
-            let (sender, receiver) = answer_channel(request);
+            let (sender, receiver) = answer_channel(request, context.tuning.caller_stall_limit);
             tokio::spawn(ChatRelay::new(context, job, sender).run());
             receiver.respond().await
         }
@@ -95,7 +95,7 @@
     let member = context.directory.load().member(&key);
     let member = member.ok_or_else(unauthorized_reply)?;
     let (class_name, class) = request_class(headers, &member)?;
-    let body = read_body(parts, context.max_body)
+    let body = read_body(parts, context.body_limits)
         .await
         .map_err(body_reply)?;
     let call = parse_chat_request(&body).map_err(|error| bad_request(error.to_string()))?;
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,6 +1,7 @@
 //! What all requests of one entry process share.
 
 use crate::admission::AdmissionActor;
+use crate::body::BodyLimits;
 use crate::claim_actor::ClaimActor;
 use crate::claim_hold::{ClaimHold, ClaimWish};
 use crate::directory::KeyDirectory;
@@ -26,7 +27,7 @@
     pub(crate) limits: Arc<LimitTable>,
     pub(crate) budgets: Mutex<RetryBudgets>,
     pub(crate) tuning: EntryTuning,
-    pub(crate) max_body: u64,
+    pub(crate) body_limits: BodyLimits,
 }
 
 /// The budgets for repeats of two kinds.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The entry daemon's parts, started together and stopped in order.
 
 use crate::admission::{AdmissionActor, Observe, Reconfigure};
+use crate::body::BodyLimits;
 use crate::claim_actor::ClaimActor;
 use crate::context::{EntryContext, RetryBudgets};
 use crate::directory::KeyDirectory;
@@ -92,6 +93,7 @@
             settings.usage.window,
         );
         let start = Instant::now();
+        let head_limit = tuning.head_limit;
         let admission = AdmissionActor::new(start, &settings.host.data_centre);
         let admission = xtra::spawn_tokio(admission, Mailbox::unbounded());
         let context = Arc::new(EntryContext {
@@ -102,8 +104,12 @@
             claims: xtra::spawn_tokio(claims, Mailbox::unbounded()),
             limits: Arc::default(),
             budgets: Mutex::new(RetryBudgets::new(&tuning)),
+            body_limits: BodyLimits {
+                bytes: entry.max_body,
+                whole: tuning.body_limit,
+                part: tuning.body_part_limit,
+            },
             tuning,
-            max_body: entry.max_body,
         });
         let readiness = Readiness::new();
         let (stopping, stop) = watch::channel(false);
@@ -124,7 +130,7 @@
         Ok(Self {
             caller_addr: callers.local_addr()?,
             admin_addr,
-            server: tokio::spawn(serve(callers, caller_routes(context), stop)),
+            server: tokio::spawn(serve(callers, caller_routes(context), head_limit, stop)),
             node,
             keeper,
             readiness,
--- a/crates/entry/src/delivery.rs
+++ b/crates/entry/src/delivery.rs
@@ -17,9 +17,6 @@
 /// Parts that may wait for a slow caller.
 const PART_BUFFER: usize = 16;
 
-/// Longest time that a caller may not read; its upstream's slot is then freed.
-const STALL_LIMIT: Duration = Duration::from_secs(30);
-
 /// The caller went away, or reads nothing.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[error("the caller left")]
@@ -37,6 +34,9 @@
     head: Option<oneshot::Sender<AnswerHead>>,
     parts: mpsc::Sender<Result<Bytes, AnswerCut>>,
     caller: CancellationToken,
+    /// Longest time that the caller may not read; its upstream's slot is then
+    /// freed.
+    stall_limit: Duration,
 }
 
 /// The receiving end, held by the HTTP library: dropping it says that the
@@ -62,7 +62,10 @@
 }
 
 /// Creates both ends of one answer.
-pub(crate) fn answer_channel(request: RequestId) -> (AnswerSender, AnswerReceiver) {
+pub(crate) fn answer_channel(
+    request: RequestId,
+    stall_limit: Duration,
+) -> (AnswerSender, AnswerReceiver) {
     let (head_sender, head) = oneshot::channel();
     let (part_sender, parts) = mpsc::channel(PART_BUFFER);
     let caller = CancellationToken::new();
@@ -72,6 +75,7 @@
         head: Some(head_sender),
         parts: part_sender,
         caller,
+        stall_limit,
     };
     let receiver = AnswerReceiver {
         request,
@@ -114,7 +118,7 @@
 
     /// Sends the next part.
     pub(crate) async fn send(&mut self, part: Bytes) -> Result<(), CallerLeft> {
-        match timeout(STALL_LIMIT, self.parts.send(Ok(part))).await {
+        match timeout(self.stall_limit, self.parts.send(Ok(part))).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(CallerLeft),
         }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -72,7 +72,7 @@
     let request = RequestId::new();
     match accept_plain(&context, request, arrived, call, parts).await {
         Ok(job) => {
-            let (sender, receiver) = answer_channel(request);
+            let (sender, receiver) = answer_channel(request, context.tuning.caller_stall_limit);
             tokio::spawn(PlainRelay::new(context, job, sender).run());
             receiver.respond().await
         }
@@ -99,7 +99,7 @@
     }
     let class = member.workspace.classes.get(&route.class);
     let class = class.ok_or_else(no_route)?;
-    let body = read_body(parts, context.max_body)
+    let body = read_body(parts, context.body_limits)
         .await
         .map_err(body_reply)?;
     let charge = context.charge(&member.name, 0, 0)?;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -16,8 +16,8 @@
 use warp::filters::BoxedFilter;
 use warp::reply::Response;
 
-/// Longest time that a caller may take to send a request's head.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two pings of an HTTP/2 connection.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Largest request head, in bytes; also the read buffer of a connection.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -33,10 +33,11 @@
 pub(crate) async fn serve(
     listener: TcpListener,
     routes: BoxedFilter<(Response,)>,
+    head_limit: Duration,
     mut stopping: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
-    let builder = connection_builder();
+    let builder = connection_builder(head_limit);
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     // Owned here, so that ending this future ends every connection.
     let mut connections = JoinSet::new();
@@ -78,17 +79,17 @@
     Some((stream, permit))
 }
 
-fn connection_builder() -> Builder<TokioExecutor> {
+fn connection_builder(head_limit: Duration) -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(head_limit)
         .max_buf_size(MAX_HEAD_BYTES);
     builder
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(MAX_HEAD_BYTES as u32)
-        .keep_alive_interval(HEAD_TIMEOUT);
+        .keep_alive_interval(PING_INTERVAL);
     builder
 }
--- a/crates/entry/src/tuning.rs
+++ b/crates/entry/src/tuning.rs
@@ -6,6 +6,14 @@
 /// Limits on waits and repeats.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntryTuning {
+    /// Longest time that a caller may take to send a request's head.
+    pub head_limit: Duration,
+    /// Longest time between two parts of a caller's body.
+    pub body_part_limit: Duration,
+    /// Longest time that a caller may take for a whole body.
+    pub body_limit: Duration,
+    /// Longest time that a caller may read nothing of its answer.
+    pub caller_stall_limit: Duration,
     /// Longest wait for an engine's first token.
     pub first_token_limit: Duration,
     /// Longest wait between two tokens; a longer gap counts as a dead path.
@@ -31,6 +39,10 @@
 impl Default for EntryTuning {
     fn default() -> Self {
         Self {
+            head_limit: Duration::from_secs(10),
+            body_part_limit: Duration::from_secs(5),
+            body_limit: Duration::from_secs(60),
+            caller_stall_limit: Duration::from_secs(30),
             first_token_limit: Duration::from_secs(10),
             token_gap_limit: Duration::from_secs(2),
             service_limit: Duration::from_secs(30),
--- /dev/null
+++ b/crates/entry/tests/all/changes.rs
@@ -0,0 +1,198 @@
+//! Planned changes and silent connections cut nobody's answer.
+
+use crate::support::{
+    BenchPlan, EntryBench, HANG_GUARD, KEY, PROMPT, crash, data_centre, header, quick_tuning,
+    streamed_text,
+};
+use lagoonlift_entry::EntryTuning;
+use lagoonlift_standins::engine::{EngineFault, ExecutionEnd, answer_text};
+use lagoonlift_types::{
+    Availability, Epoch, FleetView, UpstreamName, UpstreamStatus, WorkspaceName,
+};
+use reqwest::Response;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Tokens of a long answer.
+const TOKENS: u64 = 80;
+
+fn slow_plan() -> BenchPlan {
+    let mut plan = BenchPlan::default();
+    for engine in &mut plan.engines {
+        engine.token_interval = Duration::from_millis(15);
+    }
+    plan
+}
+
+/// Starts a stream and waits for its first chunk.
+async fn start_stream(bench: &EntryBench, class: &str) -> (Response, Vec<u8>) {
+    let request = bench.chat(class, true, TOKENS);
+    let mut response = request.send().await.expect("sent");
+    assert_eq!(
+        response.status(),
+        200,
+        "{}",
+        header(&response, "lagoonlift-outcome")
+    );
+    let first = response.chunk().await.expect("a chunk").expect("a chunk");
+    (response, first.to_vec())
+}
+
+async fn finish_stream((response, mut body): (Response, Vec<u8>)) -> String {
+    let rest = timeout(HANG_GUARD, response.bytes()).await;
+    body.extend_from_slice(&rest.expect("it ends").expect("a whole body"));
+    let body = String::from_utf8(body).expect("UTF-8");
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+    streamed_text(&body)
+}
+
+/// Publishes a fleet view in which the first engine has this availability.
+fn set_first_engine(bench: &EntryBench, version: u64, availability: Availability) {
+    let capacity = &bench.configuration.data_centres[&data_centre()];
+    let name = UpstreamName::new("engine-0").expect("a valid name");
+    let status = UpstreamStatus {
+        upstream: capacity.upstreams[&name].clone(),
+        availability,
+    };
+    bench.neighbour.publish_fleet(FleetView {
+        data_centre: data_centre(),
+        epoch: Epoch(1),
+        version,
+        upstreams: [(name, status)].into(),
+    });
+}
+
+async fn eventually(what: &str, condition: impl AsyncFn() -> bool) {
+    let holds = async {
+        while !condition().await {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(HANG_GUARD, holds).await.expect(what);
+}
+
+/// Seen failing with `accepts_work` always true: the draining engine went on
+/// getting requests.
+#[tokio::test]
+async fn a_draining_engine_finishes_its_streams_and_gets_no_new_work() {
+    let bench = EntryBench::start(slow_plan()).await;
+    let stream = start_stream(&bench, "once").await;
+    let runs_at_first = || bench.engines[0].log().snapshot().len();
+    assert_eq!(runs_at_first(), 1);
+    set_first_engine(&bench, 1, Availability::Draining);
+    eventually("new work goes elsewhere", async || {
+        let before = runs_at_first();
+        let response = bench.chat("default", false, 1).send().await.expect("sent");
+        assert_eq!(header(&response, "lagoonlift-outcome"), "answered");
+        runs_at_first() == before
+    })
+    .await;
+    let runs = runs_at_first();
+    for _ in 0..5 {
+        let response = bench.chat("default", false, 1).send().await.expect("sent");
+        assert_eq!(header(&response, "lagoonlift-outcome"), "answered");
+    }
+    assert_eq!(runs_at_first(), runs);
+    assert_eq!(finish_stream(stream).await, answer_text(PROMPT, TOKENS));
+}
+
+/// A new configuration that withdraws the key lets admitted work finish, and
+/// nothing else in.
+#[tokio::test]
+async fn a_withdrawn_key_lets_its_streams_finish() {
+    let mut bench = EntryBench::start(slow_plan()).await;
+    let stream = start_stream(&bench, "once").await;
+    let mut configuration = bench.configuration.clone();
+    let name = WorkspaceName::new("harbour").expect("a valid name");
+    let workspace = configuration.workspaces.get_mut(&name);
+    Arc::make_mut(workspace.expect("the workspace"))
+        .keys
+        .clear();
+    bench.accept(configuration).await;
+    eventually("the key opens nothing", async || {
+        let models = bench.client.get(bench.url("/v1/models")).bearer_auth(KEY);
+        models.send().await.expect("sent").status() == 401
+    })
+    .await;
+    assert_eq!(finish_stream(stream).await, answer_text(PROMPT, TOKENS));
+}
+
+/// A plain answer shows nothing to its caller until its end, so only the closed
+/// connection tells that the caller left. Seen failing without the branch
+/// `caller.cancelled()` in the relay: the engine went on to the last token.
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_engine() {
+    let bench = EntryBench::start(slow_plan()).await;
+    let request = tokio::spawn(bench.chat("default", false, TOKENS).send());
+    eventually("the engine runs", async || bench.runs(1) == 1).await;
+    request.abort();
+    let first_run = || bench.engines[0].log().snapshot()[0].clone();
+    eventually("the engine stops", async || {
+        first_run().end != ExecutionEnd::Running
+    })
+    .await;
+    assert_eq!(
+        first_run().end,
+        ExecutionEnd::Cancelled,
+        "{:?}",
+        first_run()
+    );
+}
+
+/// All engines of a data centre vanish at once; what can be resumed goes on in
+/// the other one.
+#[tokio::test]
+async fn streams_of_a_vanished_data_centre_go_on_elsewhere() {
+    let mut bench = EntryBench::start(slow_plan()).await;
+    let mut streams = Vec::new();
+    for _ in 0..8 {
+        streams.push(start_stream(&bench, "default").await);
+    }
+    assert_eq!(bench.engines[0].log().snapshot().len(), 8);
+    crash(&mut bench.engines[0]).await;
+    for stream in streams {
+        assert_eq!(finish_stream(stream).await, answer_text(PROMPT, TOKENS));
+    }
+    assert_eq!(bench.metric("lagoonlift_resumes", "harbour"), 8.0);
+}
+
+/// An engine that stops sending without closing is given up long before the
+/// operating system would, and its pool with it.
+#[tokio::test]
+async fn a_silent_stream_is_resumed_within_the_token_gap_limit() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    bench.engines[0]
+        .faults()
+        .push(EngineFault::SilentAfterTokens(5));
+    let started = tokio::time::Instant::now();
+    let stream = start_stream(&bench, "default").await;
+    assert_eq!(finish_stream(stream).await, answer_text(PROMPT, TOKENS));
+    assert!(
+        started.elapsed() < HANG_GUARD / 3,
+        "{:?}",
+        started.elapsed()
+    );
+    assert!(bench.metric("lagoonlift_pool_evictions", "") >= 1.0);
+}
+
+/// A caller that reads nothing holds its engine only for so long.
+#[tokio::test]
+async fn a_caller_that_stops_reading_frees_its_engine() {
+    let mut plan = BenchPlan::default();
+    plan.tuning = EntryTuning {
+        caller_stall_limit: Duration::from_millis(300),
+        ..quick_tuning()
+    };
+    let bench = EntryBench::start(plan).await;
+    // More than all buffers between engine and caller hold.
+    let request = bench.chat("default", true, 200_000);
+    let response = request.send().await.expect("sent");
+    eventually("the engine stops", async || {
+        let log = bench.engines[0].log().snapshot();
+        log.first()
+            .is_some_and(|run| run.end == ExecutionEnd::Cancelled)
+    })
+    .await;
+    drop(response);
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -1,8 +1,11 @@
 //! Tests of the entry daemon, with stand-ins for everything around it.
 
+mod bad_input;
+mod changes;
 mod claims;
 mod cursor;
 mod fault_matrix;
 mod limiter;
+mod outcomes;
 mod sessions;
 mod support;
--- /dev/null
+++ b/crates/entry/tests/all/outcomes.rs
@@ -0,0 +1,159 @@
+//! Golden sessions: how each outcome looks on the wire.
+
+use crate::support::{BenchPlan, EntryBench, KEY, crash, wide_limits};
+use lagoonlift_standins::engine::EngineFault;
+use lagoonlift_types::Limits;
+use reqwest::{RequestBuilder, Response};
+use std::fmt::Write;
+
+/// Headers that are part of the protocol.
+const SHOWN: [&str; 5] = [
+    "content-type",
+    "lagoonlift-outcome",
+    "retry-after",
+    "www-authenticate",
+    "x-should-retry",
+];
+
+/// Writes a response as text, without what changes from run to run.
+async fn transcript(request: RequestBuilder) -> String {
+    let response: Response = request.send().await.expect("sent");
+    let mut text = format!("{}\n", response.status());
+    for name in SHOWN {
+        if let Some(value) = response.headers().get(name) {
+            let value = value.to_str().expect("a text");
+            writeln!(text, "{name}: {value}").expect("writing to a string");
+        }
+    }
+    let id = response.headers().get("lagoonlift-request-id");
+    let id = id
+        .expect("an identifier")
+        .to_str()
+        .expect("a text")
+        .to_owned();
+    let body = response.text().await.expect("a body");
+    format!("{text}\n{}", body.replace(&id, "[id]"))
+}
+
+async fn start() -> EntryBench {
+    let mut plan = BenchPlan::default();
+    for engine in &mut plan.engines {
+        engine.token_interval = std::time::Duration::from_millis(5);
+    }
+    EntryBench::start(plan).await
+}
+
+#[tokio::test]
+async fn answered() {
+    let bench = start().await;
+    insta::assert_snapshot!(
+        "answered_stream",
+        transcript(bench.chat("once", true, 2)).await
+    );
+    insta::assert_snapshot!(
+        "answered_whole",
+        transcript(bench.chat("once", false, 2)).await
+    );
+}
+
+#[tokio::test]
+async fn answered_with_usage() {
+    let bench = start().await;
+    let request = bench.chat("default", true, 1).json(&serde_json::json!({
+        "model": crate::support::MODEL,
+        "messages": [{"role": "user", "content": "a b c"}],
+        "max_tokens": 1,
+        "stream": true,
+        "stream_options": {"include_usage": true},
+    }));
+    insta::assert_snapshot!(transcript(request).await);
+}
+
+#[tokio::test]
+async fn failed() {
+    let bench = start().await;
+    // A crash may take tokens with it that are on their way; silence doesn't.
+    let fault = EngineFault::SilentAfterTokens(2);
+    bench.engines[0].faults().push(fault.clone());
+    insta::assert_snapshot!(
+        "failed_stream",
+        transcript(bench.chat("once", true, 6)).await
+    );
+    bench.engines[0].faults().push(fault);
+    insta::assert_snapshot!(
+        "failed_whole",
+        transcript(bench.chat("once", false, 6)).await
+    );
+}
+
+#[tokio::test]
+async fn unknown() {
+    let bench = start().await;
+    bench.engines[0]
+        .faults()
+        .push(EngineFault::CrashBeforeHeaders);
+    insta::assert_snapshot!(transcript(bench.chat("once", true, 2)).await);
+}
+
+#[tokio::test]
+async fn not_run_for_want_of_an_upstream() {
+    let mut bench = start().await;
+    for engine in &mut bench.engines {
+        crash(engine).await;
+    }
+    insta::assert_snapshot!(transcript(bench.chat("once", true, 2)).await);
+}
+
+#[tokio::test]
+async fn not_run_because_all_are_busy() {
+    let bench = start().await;
+    for engine in &bench.engines {
+        engine.faults().set_always(Some(EngineFault::Busy));
+    }
+    insta::assert_snapshot!(transcript(bench.chat("once", true, 2)).await);
+}
+
+#[tokio::test]
+async fn not_run_for_the_limit() {
+    let limits = Limits {
+        requests_per_second: 0.2,
+        burst_seconds: 1.0,
+        ..wide_limits()
+    };
+    let plan = BenchPlan {
+        limits,
+        ..BenchPlan::default()
+    };
+    let bench = EntryBench::start(plan).await;
+    transcript(bench.chat("once", false, 1)).await;
+    let response = bench.chat("once", false, 1).send().await.expect("sent");
+    let wait = response.headers().get("retry-after").expect("a wait");
+    let wait: u64 = wait.to_str().expect("a text").parse().expect("seconds");
+    assert!((4..=10).contains(&wait), "{wait}");
+    assert_eq!(response.status(), 429);
+    insta::assert_snapshot!(response.text().await.expect("a body"));
+}
+
+#[tokio::test]
+async fn not_run_without_the_store() {
+    let bench = start().await;
+    bench.platform.faults().set_down(true);
+    let request = bench.chat("once", true, 2).header("idempotency-key", "a");
+    insta::assert_snapshot!(transcript(request).await);
+}
+
+#[tokio::test]
+async fn already_ran() {
+    let bench = start().await;
+    let request = || bench.chat("once", false, 2).header("idempotency-key", "a");
+    transcript(request()).await;
+    insta::assert_snapshot!(transcript(request()).await);
+}
+
+#[tokio::test]
+async fn not_run_for_the_key() {
+    let bench = start().await;
+    let request = bench.client.post(bench.url("/v1/chat/completions"));
+    let request = request.bearer_auth(format!("{KEY}x")).body("{}");
+    insta::assert_snapshot!(transcript(request).await);
+}
--- a/crates/entry/tests/all/support.rs
+++ b/crates/entry/tests/all/support.rs
@@ -73,6 +73,9 @@
 /// machine.
 pub(crate) fn quick_tuning() -> EntryTuning {
     EntryTuning {
+        head_limit: Duration::from_millis(700),
+        body_part_limit: Duration::from_millis(500),
+        caller_stall_limit: Duration::from_millis(700),
         first_token_limit: Duration::from_millis(800),
         token_gap_limit: Duration::from_millis(600),
         service_limit: Duration::from_millis(800),
