--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod daemon;
 mod delivery;
 mod directory;
+mod explain;
 mod history;
 mod instruments;
 mod limit;
--- a/crates/entry/tests/all/changes.rs
+++ b/crates/entry/tests/all/changes.rs
@@ -179,11 +179,14 @@
 /// A caller that reads nothing holds its engine only for so long.
 #[tokio::test]
 async fn a_caller_that_stops_reading_frees_its_engine() {
-    let mut plan = BenchPlan::default();
-    plan.tuning = EntryTuning {
+    let tuning = EntryTuning {
         caller_stall_limit: Duration::from_millis(300),
         ..quick_tuning()
     };
+    let plan = BenchPlan {
+        tuning,
+        ..BenchPlan::default()
+    };
     let bench = EntryBench::start(plan).await;
     // More than all buffers between engine and caller hold.
     let request = bench.chat("default", true, 200_000);
--- a/crates/hosts/src/lib.rs
+++ b/crates/hosts/src/lib.rs
@@ -39,7 +39,7 @@
 pub use counters::{PeerCounter, PeerCounters};
 pub use datagram::{DatagramCodec, DatagramError};
 pub use demand::{Demand, DemandBoard, DemandMap, DemandSource};
-pub use fleets::FleetBoard;
+pub use fleets::{FleetBoard, FleetDelta};
 pub use history::ManifestDelta;
 pub use keys::PeerKeys;
 pub use membership::{
--- a/crates/hosts/src/wire.rs
+++ b/crates/hosts/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::copies::UsagePosition;
 use crate::demand::{DemandMap, DemandSource};
+use crate::fleets::FleetDelta;
 use crate::history::ManifestDelta;
 use lagoonlift_types::{
     ChunkDigest, DataCentreName, Epoch, FleetView, Incarnation, Manifest, ProcessId, Revision,
@@ -171,10 +172,11 @@
     Manifest(Manifest),
     /// Answers [`Request::Chunks`] with those that fit one frame, in order.
     Chunks(Vec<Arc<[u8]>>),
-    /// Answers [`Request::Fleets`] with one view; `more` tells of others.
+    /// Answers [`Request::Fleets`] with one data centre's news; `more` tells of
+    /// others.
     Fleet {
-        /// A view that replaces the opener's, if there is one.
-        view: Option<Arc<FleetView>>,
+        /// What is new.
+        news: FleetAnswer,
         /// Whether the opener should ask again.
         more: bool,
     },
@@ -184,6 +186,17 @@
     Demand(DemandMap),
 }
 
+/// What is new about one data centre's fleet.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum FleetAnswer {
+    /// Nothing.
+    None,
+    /// The whole view.
+    View(FleetView),
+    /// What changed since the opener's view.
+    Delta(FleetDelta),
+}
+
 /// Usage records for a neighbour to keep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyBatch {
--- a/crates/hosts/tests/all/main.rs
+++ b/crates/hosts/tests/all/main.rs
@@ -2,7 +2,9 @@
 
 mod datagrams;
 mod demands;
+mod fleets;
 mod memberships;
 mod nodes;
 mod stores;
+mod streams;
 mod support;
--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -1,4 +1,8 @@
 //! Tests of the steward.
 
 mod configuration;
+mod lease;
+mod orders;
+mod purchases;
+mod sealing;
 mod support;
--- a/tests/all/support/fleet.rs
+++ b/tests/all/support/fleet.rs
@@ -7,7 +7,8 @@
 use lagoonlift_standins::sample::SampleConfiguration;
 use reqwest::Client;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -143,6 +144,21 @@
         self.platform.stop();
     }
 
+    /// Waits until this many requests are in the platform's usage reports;
+    /// returns their figures by workspace.
+    pub(crate) async fn wait_for_billed_requests(&self, count: u64) -> Value {
+        eventually("the usage reports", || async {
+            let figures = sum_reports(
+                &self
+                    .get(self.platform.addr(), "/standin/usage-reports")
+                    .await,
+            );
+            let requests: u64 = figures.values().map(|sums| sums[0]).sum();
+            (requests >= count).then(|| json!(figures))
+        })
+        .await
+    }
+
     /// Returns how many tokens each execution of any engine generated.
     pub(crate) async fn executions(&self) -> Vec<u64> {
         let mut tokens = Vec::new();
@@ -204,3 +220,25 @@
             .expect("the platform is up");
     }
 }
+
+/// Sums requests, prompt tokens and output tokens by workspace and class.
+fn sum_reports(reports: &Value) -> BTreeMap<String, [u64; 3]> {
+    let mut sums = BTreeMap::<String, [u64; 3]>::new();
+    let reports = reports.as_array().map_or(&[][..], Vec::as_slice);
+    for line in reports
+        .iter()
+        .filter_map(|report| report["lines"].as_array())
+        .flatten()
+    {
+        let text = |name: &str| line[name].as_str().unwrap_or_default();
+        let name = format!("{}/{}", text("workspace"), text("class"));
+        let sum = sums.entry(name).or_default();
+        for (index, figure) in ["requests", "prompt_tokens", "output_tokens"]
+            .iter()
+            .enumerate()
+        {
+            sum[index] += line[*figure].as_u64().unwrap_or_default();
+        }
+    }
+    sums
+}
