--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -229,7 +229,9 @@
                 let prompt = self.search(now, &waiting.facts, &waiting.avoid, Part::Prompt, 1.0);
                 match prompt {
                     Choice::Nowhere => (Part::Answer, answer),
-                    Choice::Full if load < self.limits.overflow_share => (Part::Answer, answer),
+                    Choice::Full if load < self.limits.overflow_share => {
+                        (Part::Prompt, self.search_overflow(now, waiting))
+                    }
                     prompt => (Part::Prompt, prompt),
                 }
             }
@@ -238,6 +240,31 @@
         }
     }
 
+    /// Looks for an engine that generates to read a prompt, too. Streams there
+    /// slow down meanwhile, so the few first ones are taken, not all in turn.
+    fn search_overflow(&mut self, now: Timestamp, waiting: &WaitingRequest) -> Choice {
+        let Some(pool) = self.pools.get(&waiting.facts.target) else {
+            return Choice::Nowhere;
+        };
+        let mut placement = Placement {
+            now,
+            limits: &self.limits,
+            upstreams: &self.upstreams,
+            pool,
+            prefixes: &self.prefixes,
+            rng: &mut self.rng,
+            own_site: self.own_site,
+            cheap_requests: &self.cheap_requests,
+        };
+        placement.choose(Search {
+            facts: &waiting.facts,
+            avoid: &waiting.avoid,
+            part: Part::Answer,
+            bound: self.limits.overflow_share,
+            concentrates: true,
+        })
+    }
+
     pub(super) fn search(
         &mut self,
         now: Timestamp,
@@ -264,6 +291,7 @@
             avoid,
             part,
             bound,
+            concentrates: false,
         })
     }
 
@@ -305,7 +333,17 @@
         });
     }
 
-    pub(super) fn withdraw(&mut self, request: RequestId) {
+    /// Forgets a request that was given up while it waited, in the queue or for
+    /// an engine after its prompt was read.
+    pub(super) fn withdraw(&mut self, now: Timestamp, request: RequestId) {
+        let waits_for_engine = self
+            .attempts
+            .get(&request)
+            .is_some_and(|attempt| attempt.part == Part::Prompt && attempt.prompt_is_read);
+        if waits_for_engine {
+            self.forget_attempt(now, request);
+            return;
+        }
         for target in self.queues.values_mut() {
             if target.queue.withdraw(request).is_some() {
                 return;
