--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,9 +2,14 @@
 
 mod arguments;
 mod configuration;
+mod docs;
+mod lease;
 mod membership;
 mod operators;
+mod orders;
 mod peer_authentication;
+mod purchases;
+mod sealing;
 mod serving;
 mod shutdown;
 mod support;
