--- a/crates/steward/src/counters.rs
+++ b/crates/steward/src/counters.rs
@@ -17,29 +17,35 @@
 impl StewardCounters {
     pub(crate) fn new(meter: &Meter) -> Self {
         let counter = |name: &'static str, text: &'static str| {
-            meter.u64_counter(name).with_description(text).build()
+            let counter = meter.u64_counter(name).with_description(text).build();
+            // A count of zero is shown, so that its absence means something.
+            counter.add(0, &[]);
+            counter
         };
         Self {
-            leases_gained: counter("steward_leases_gained", "Times the lease was gained"),
+            leases_gained: counter(
+                "lagoonlift_steward_leases_gained",
+                "Times the lease was gained",
+            ),
             leases_ended: counter(
-                "steward_leases_ended",
+                "lagoonlift_steward_leases_ended",
                 "Times the lease was lost or given up",
             ),
             orders_sent: counter(
-                "steward_orders_sent",
+                "lagoonlift_steward_orders_sent",
                 "Orders sent to engines, repeats included",
             ),
             upstream_orders: counter(
-                "steward_upstream_orders",
+                "lagoonlift_steward_upstream_orders",
                 "Orders for upstreams sent to the platform, repeats included",
             ),
-            usage_reports: counter("steward_usage_reports", "Usage reports accepted"),
+            usage_reports: counter("lagoonlift_steward_usage_reports", "Usage reports accepted"),
             usage_reports_late: counter(
-                "steward_usage_reports_late",
+                "lagoonlift_steward_usage_reports_late",
                 "Usage reports accepted more than two windows after their window",
             ),
             usage_windows_moved: counter(
-                "steward_usage_windows_moved",
+                "lagoonlift_steward_usage_windows_moved",
                 "Closed windows of processes that came too late for their own seal",
             ),
         }
--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -78,3 +78,19 @@
         }
     }
 }
+
+/// Names of the metrics on the operators' pages.
+pub(crate) fn named_metrics() -> BTreeSet<String> {
+    let mut metrics = BTreeSet::new();
+    for page in fs::read_dir(root().join("docs/operations")).expect("the directory is there") {
+        let text = fs::read_to_string(page.expect("an entry").path()).expect("a page");
+        let quoted = text.split('`').skip(1).step_by(2);
+        let names = quoted.filter_map(|text| text.split('{').next());
+        metrics.extend(names.filter(|name| is_metric(name)).map(str::to_owned));
+    }
+    metrics
+}
+
+fn is_metric(text: &str) -> bool {
+    text.starts_with("lagoonlift_") && !text.contains(['/', ' '])
+}
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -3,6 +3,7 @@
 mod path;
 mod session;
 
+use crate::docs::named_metrics;
 use insta::assert_snapshot;
 use lagoonlift_standins::platform::FleetEntry;
 use path::{PathProcesses, PathUpstreams, ask, usage_lines};
@@ -194,7 +195,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_role_change_is_carried_out_and_explained() {
+async fn a_role_change_is_carried_out_explained_and_counted() {
     let mut running = start(&DESTAPES).await;
     let session = &mut running.session;
     session.wait_for_status().await;
@@ -202,6 +203,8 @@
     session.platform().set_host("a3", forgotten);
     let shown = session.run(&["status"]).await;
     assert!(shown.contains("a3: not asked"), "{shown}");
+    let caller = running.processes.caller(&running.key).await;
+    ask(&caller, "triage", "triage").await;
     let change = ["engine", "dc1", "triage-14", "role", "decode"];
     let shown = session.run(&change).await;
     assert_eq!(shown, "triage-14 in dc1 is asked for: role decode\n");
@@ -212,4 +215,9 @@
     let ordered = ordered.expect("the order is recorded");
     assert!(ordered.contains(".steward at epoch 1"), "{ordered}");
     assert!(!explained.contains(&running.key), "a key is explained");
+    let metrics = running.processes.metrics().await;
+    for metric in named_metrics() {
+        let is_there = metrics.contains(&format!("\n{metric}"));
+        assert!(is_there, "the pages name {metric}, which no process has");
+    }
 }
--- a/tests/all/operators/path.rs
+++ b/tests/all/operators/path.rs
@@ -123,6 +123,17 @@
         caller
     }
 
+    /// Returns the metrics of all processes.
+    pub(super) async fn metrics(&self) -> String {
+        let mut metrics = String::new();
+        for process in self.entries.iter().chain(&self.stewards) {
+            let url = format!("{}/metrics", process.admin_url());
+            let response = reqwest::get(url).await.expect("the process answers");
+            metrics.push_str(&response.text().await.expect("a page"));
+        }
+        metrics
+    }
+
     /// Ends the daemons in order.
     pub(super) fn end(self) {
         drop(self.entries);
