--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -5,10 +5,12 @@
 
 use crate::docs::named_metrics;
 use insta::assert_snapshot;
+use lagoonlift::settings::{OperatorSettings, Settings};
 use lagoonlift_standins::platform::FleetEntry;
 use path::{PathProcesses, PathUpstreams, ask, usage_lines};
 use serde_json::Value;
 use session::OperatorSession;
+use std::path::Path;
 
 /// A deployment's questionnaires.
 struct Deployment {
@@ -221,3 +223,21 @@
         assert!(is_there, "the pages name {metric}, which no process has");
     }
 }
+
+#[test]
+fn the_examples_operators_ask_their_hosts() {
+    for deployment in [DESTAPES, SOLAR_WATCH] {
+        let directory = Path::new(deployment.directory);
+        let operator = OperatorSettings::load(&directory.join("operator.ini"));
+        let operator = operator.expect("a valid example");
+        assert_eq!(operator.hosts.len(), 6);
+        for host in operator.hosts {
+            let file = directory.join(format!("hosts/{}.ini", host.name));
+            let settings = Settings::load(&file).expect("a valid example");
+            let entry = settings.entry.map(|entry| entry.admin_listen);
+            let steward = settings.steward.map(|steward| steward.admin_listen);
+            assert_eq!((host.entry, host.steward), (entry, steward), "{file:?}");
+            assert_eq!(operator.platform.address, settings.platform.address);
+        }
+    }
+}
