--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the steward.
 
 mod configuration;
+mod fleet;
 mod lease;
 mod orders;
 mod purchases;
