--- a/crates/steward/examples/platform_calls.rs
+++ b/crates/steward/examples/authority_costs.rs
@@ -1,8 +1,10 @@
-//! Measures what the stewards of one data centre cost the platform.
+//! Measures what the stewards of one data centre cost the platform, and how
+//! soon a holder that vanished is replaced.
 //!
-//! `cargo run --release -p lagoonlift-steward --example platform_calls` starts
+//! `cargo run --release -p lagoonlift-steward --example authority_costs` starts
 //! deployments of different sizes, each with a platform of its own, counts the
-//! platform's calls for half a minute and prints calls per second.
+//! platform's calls for half a minute and prints calls per second. Then it lets
+//! holders vanish without a word, with leases of different terms.
 
 use eyre::{Result, WrapErr};
 use futures::future::try_join_all;
@@ -14,13 +16,25 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use tokio::time::{interval, sleep};
+use tokio::time::{Instant, interval, sleep};
 
 /// Time until the lease is held and everything has settled.
 const SETTLE_TIME: Duration = Duration::from_secs(20);
 /// Time over which calls are counted.
 const MEASURE_TIME: Duration = Duration::from_secs(30);
 
+/// Time between two looks at a lease.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+/// Holders that vanish for each term.
+const TAKEOVERS: usize = 10;
+/// Terms for which the time until a takeover is measured.
+const TERMS: &[Duration] = &[
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(5),
+    Duration::from_secs(10),
+];
+
 /// One deployment to measure.
 #[derive(Clone, Copy, Debug)]
 struct Deployment {
@@ -71,9 +85,48 @@
             rate(calls.fleet_lists),
         );
     }
+    println!("\n| term | until taken over, of {TAKEOVERS} |");
+    println!("|---|---|");
+    for term in TERMS {
+        let runs = (0..TAKEOVERS).map(|_| measure_takeover(*term));
+        let mut times = try_join_all(runs).await?;
+        times.sort();
+        let (first, last) = (times[0], times[TAKEOVERS - 1]);
+        println!("| {term:?} | {first:.2?} to {last:.2?} |");
+    }
     Ok(())
 }
 
+/// Lets a holder vanish; returns the time until another holds the lease.
+async fn measure_takeover(term: Duration) -> Result<Duration> {
+    let platform = PlatformStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let mut holder = settings(0, platform.addr(), None)?;
+    set_term(&mut holder, term);
+    let holder = Steward::start(&holder, Metrics::new()?).await?;
+    wait_for_lease(&holder).await;
+    let mut successor = settings(1, platform.addr(), Some(holder.peer_addr()))?;
+    set_term(&mut successor, term);
+    let successor = Steward::start(&successor, Metrics::new()?).await?;
+    // Any moment between two renewals is as likely as another.
+    sleep(term.mul_f64(rand::random_range(1.0..2.0))).await;
+    drop(holder);
+    let begin = Instant::now();
+    wait_for_lease(&successor).await;
+    Ok(begin.elapsed())
+}
+
+fn set_term(settings: &mut Settings, term: Duration) {
+    if let Some(steward) = &mut settings.steward {
+        steward.lease_term = term;
+    }
+}
+
+async fn wait_for_lease(steward: &Steward) {
+    while steward.authority().epoch().is_none() {
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
 async fn measure(deployment: Deployment) -> Result<CallCounts> {
     let platform = PlatformStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     publish(&platform, deployment, 1);
--- a/crates/steward/src/configuration.rs
+++ b/crates/steward/src/configuration.rs
@@ -9,6 +9,7 @@
 use lagoonlift_hosts::{ConfigurationStore, Offer};
 use lagoonlift_platform::{PlatformClient, PlatformError, Version};
 use lagoonlift_types::{ChunkDigest, Manifest};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,10 +68,10 @@
 
     async fn wait_for_change(&self, after: Version) -> Result<Version, PlatformError> {
         let changes = self.client.watch(Manifest::KEY, after, WATCH_WAIT).await?;
-        if !changes.changes.is_empty()
-            && let Some((manifest, _)) = self.client.get_as(Manifest::KEY).await?
-        {
-            self.offer(manifest).await?;
+        for change in changes.changes {
+            if let Some(value) = change.value.filter(|_| change.key == Manifest::KEY) {
+                self.offer(parse_manifest(value)?).await?;
+            }
         }
         Ok(changes.version)
     }
@@ -108,3 +109,9 @@
         Ok(Some(text))
     }
 }
+
+fn parse_manifest(value: Value) -> Result<Manifest, PlatformError> {
+    serde_json::from_value(value).map_err(|error| PlatformError::Malformed {
+        detail: format!("{}: {error}", Manifest::KEY),
+    })
+}
--- a/crates/steward/tests/all/sealing.rs
+++ b/crates/steward/tests/all/sealing.rs
@@ -1,6 +1,6 @@
 //! Usage windows are reported with the same figures, however often.
 
-use crate::support::{settings, start_platform, start_steward, wait_until};
+use crate::support::{settings, start_measured, start_platform, start_steward, wait_until};
 use lagoonlift_platform::Version;
 use lagoonlift_standins::platform::{FaultEffect, FaultRule, PlatformStandin};
 use lagoonlift_steward::SealCollection;
@@ -109,6 +109,30 @@
     wait_until(|| reported_requests(&platform) == 3).await;
 }
 
+/// Seen failing with the limit raised from two windows to two hundred.
+#[tokio::test]
+async fn late_reports_and_late_windows_are_counted() {
+    let platform = start_platform().await;
+    let lost = FaultRule::new("/usage-reports", FaultEffect::LoseRequest);
+    platform.faults().add(lost);
+    close(&platform, running_window(), "h7", 3);
+    let (_steward, metrics) = start_measured(&settings("h1", platform.addr(), &[])).await;
+    wait_until(|| !platform.objects("usage/seals/dc1/").is_empty()).await;
+    let sealed = running_window();
+    wait_until(|| running_window() > sealed + 4).await;
+    close(&platform, sealed - 2, "h8", 4);
+    platform.faults().clear();
+    wait_until(|| reported_requests(&platform) == 7).await;
+    let text = metrics.render().expect("plain numbers");
+    let count = |name: &str| {
+        let line = text.lines().find(|line| line.starts_with(name));
+        let value = line.and_then(|line| line.split(' ').next_back()?.parse().ok());
+        value.unwrap_or(0_u64)
+    };
+    assert!(count("steward_usage_reports_late_total") >= 1, "{text}");
+    assert!(count("steward_usage_windows_moved_total") >= 1, "{text}");
+}
+
 /// Seen failing with earlier windows covered whatever their version.
 #[test]
 fn a_closed_window_is_covered_by_exactly_one_seal() {
--- a/crates/steward/tests/all/support.rs
+++ b/crates/steward/tests/all/support.rs
@@ -44,8 +44,14 @@
 }
 
 pub(crate) async fn start_steward(settings: &Settings) -> Steward {
+    start_measured(settings).await.0
+}
+
+/// Starts a steward; returns its metrics too.
+pub(crate) async fn start_measured(settings: &Settings) -> (Steward, Metrics) {
     let metrics = Metrics::new().expect("an empty registry");
-    Steward::start(settings, metrics).await.expect("free ports")
+    let steward = Steward::start(settings, metrics.clone()).await;
+    (steward.expect("free ports"), metrics)
 }
 
 /// Waits until a condition holds that nothing announces.
