--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod configuration;
+mod docs;
 mod lease;
 mod membership;
 mod operators;
