--- a/crates/hosts/src/heartbeat.rs
+++ b/crates/hosts/src/heartbeat.rs
@@ -10,7 +10,8 @@
 use crate::fleet_news::FleetNews;
 use crate::membership::{Envelope, Member, Membership, MembershipAction};
 use crate::puller::{Hint, PullActor};
-use crate::wire::{Datagram, Fact};
+use crate::wire::{Datagram, Fact, FleetVersion, Identity};
+use lagoonlift_types::Revision;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
@@ -122,31 +123,38 @@
         let _ = self.puller.send(hint).await;
     }
 
-    /// Has pulled what the sender holds and this process lacks.
-    async fn compare_news(&mut self, datagram: &Datagram) {
-        let address = datagram.sender.address;
-        if datagram.revision > self.context.store.revision() {
-            let revision = datagram.revision;
+    /// Has pulled what a sender holds and this process lacks.
+    async fn compare_news(&mut self, news: News) {
+        let address = news.address;
+        if news.revision > self.context.store.revision() {
+            let revision = news.revision;
             self.hint(Hint::Configuration { address, revision }).await;
         }
         let lacks = |version| self.context.fleets.lacks(version);
-        if datagram.fleets.iter().any(lacks) {
+        if news.fleets.iter().any(lacks) {
             self.hint(Hint::Fleets { address }).await;
         }
     }
 }
 
+/// What a datagram tells besides membership.
+struct News {
+    address: SocketAddr,
+    revision: Revision,
+    fleets: Vec<FleetVersion>,
+}
+
 impl Handler<Incoming> for HeartbeatActor {
     type Return = ();
 
     async fn handle(&mut self, incoming: Incoming, _: &mut Context<Self>) {
         let now = self.started.elapsed();
-        let Incoming { from, datagram } = incoming;
-        // News is believed only of a sender whose datagram is fresh; the rest
-        // of the datagram is kept for that.
-        let news = Datagram {
-            facts: Vec::new(),
-            ..datagram.clone()
+        let Incoming { from, mut datagram } = incoming;
+        let is_greeting = datagram.to == Identity::UNKNOWN;
+        let news = News {
+            address: datagram.sender.address,
+            revision: datagram.revision,
+            fleets: std::mem::take(&mut datagram.fleets),
         };
         let mut outcome = Ok(());
         self.step(|membership, actions| {
@@ -154,8 +162,9 @@
         })
         .await;
         match outcome {
-            Ok(()) if news.to == crate::wire::Identity::UNKNOWN => {}
-            Ok(()) => self.compare_news(&news).await,
+            // A greeting may be a recorded one, so its news isn't believed.
+            Ok(()) if is_greeting => {}
+            Ok(()) => self.compare_news(news).await,
             Err(_) => self
                 .context
                 .counters
--- a/crates/hosts/src/lib.rs
+++ b/crates/hosts/src/lib.rs
@@ -31,6 +31,7 @@
 mod server;
 mod store;
 mod stream;
+mod tasks;
 mod wire;
 
 pub use config::PeerConfig;
--- a/crates/hosts/src/node.rs
+++ b/crates/hosts/src/node.rs
@@ -5,17 +5,18 @@
 use crate::copier::UsageCopier;
 use crate::copies::{CopyLedger, HeldCopies, UsagePosition};
 use crate::copy_queue::{CopyError, PendingCopy};
-use crate::counters::{PeerCounter, PeerCounters};
-use crate::datagram::{DatagramCodec, DatagramError};
+use crate::counters::PeerCounters;
+use crate::datagram::DatagramCodec;
 use crate::demand::DemandMap;
 use crate::demand_exchange::DemandExchange;
 use crate::fleet_news::FleetNews;
 use crate::fleets::FleetBoard;
-use crate::heartbeat::{End, HeartbeatActor, Incoming, Leave, Round, Spread};
+use crate::heartbeat::{End, HeartbeatActor, Leave};
 use crate::membership::{Member, Membership, MembershipConfig};
 use crate::puller::{Attach, PullActor, pull_configuration};
 use crate::server::PeerServer;
 use crate::store::ConfigurationStore;
+use crate::tasks::{bind, receive, run_rounds, spread_news};
 use crate::wire::{Fact, FactState};
 use lagoonlift_types::{DataCentreName, FleetView, Incarnation, ProcessId, UsageRecord};
 use std::collections::{BTreeMap, HashMap};
@@ -27,14 +28,9 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::Instant;
 use xtra::{Address, Mailbox};
 
-/// Attempts to find a port number that is free for both UDP and TCP.
-const BIND_ATTEMPTS: u32 = 32;
-/// Longest datagram that is read; a longer one is cut and then refused.
-const RECEIVE_BYTES: usize = 2_048;
-
 /// Why a node can't start.
 #[derive(Debug, Error)]
 pub enum PeerError {
@@ -332,83 +328,3 @@
 fn abort_handle(task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
     tokio::spawn(task).abort_handle()
 }
-
-/// Listens on the same port number for TCP and UDP.
-async fn bind(address: SocketAddr) -> Result<(TcpListener, UdpSocket), PeerError> {
-    if address.ip().is_unspecified() {
-        return Err(PeerError::Unspecified(address));
-    }
-    let mut attempt = 0;
-    loop {
-        attempt += 1;
-        match try_bind(address).await {
-            Ok(bound) => return Ok(bound),
-            Err(_) if address.port() == 0 && attempt < BIND_ATTEMPTS => {}
-            Err(source) => return Err(PeerError::Bind { address, source }),
-        }
-    }
-}
-
-async fn try_bind(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
-    let listener = TcpListener::bind(address).await?;
-    let socket = UdpSocket::bind(listener.local_addr()?).await?;
-    Ok((listener, socket))
-}
-
-/// Checks datagrams and passes on those that an accepted key signed.
-async fn receive(
-    socket: Arc<UdpSocket>,
-    context: Arc<PeerContext>,
-    heartbeat: Address<HeartbeatActor>,
-) {
-    let codec = DatagramCodec::new(context.keys.clone());
-    let counters = &context.counters;
-    let mut buffer = [0; RECEIVE_BYTES];
-    loop {
-        // An error stands for an earlier datagram that nobody listened to.
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-            continue;
-        };
-        counters.increment(PeerCounter::DatagramsReceived);
-        counters.add(PeerCounter::DatagramBytesReceived, length as u64);
-        match codec.decode(&buffer[..length]) {
-            Ok(datagram) => {
-                if heartbeat.send(Incoming { from, datagram }).await.is_err() {
-                    return;
-                }
-            }
-            Err(DatagramError::Unauthenticated) => {
-                counters.increment(PeerCounter::DatagramsUnauthenticated);
-            }
-            Err(DatagramError::Malformed | DatagramError::TooLong) => {
-                counters.increment(PeerCounter::DatagramsMalformed);
-            }
-        }
-    }
-}
-
-async fn run_rounds(heartbeat: Duration, actor: Address<HeartbeatActor>) {
-    let mut interval = tokio::time::interval(heartbeat);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        interval.tick().await;
-        if actor.send(Round).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Tells some members at once of each configuration and fleet view that is new.
-async fn spread_news(context: Arc<PeerContext>, heartbeat: Address<HeartbeatActor>) {
-    let mut configurations = context.store.subscribe();
-    let mut fleets = context.fleets.subscribe();
-    loop {
-        tokio::select! {
-            _ = configurations.changed() => {}
-            _ = fleets.changed() => {}
-        }
-        if heartbeat.send(Spread).await.is_err() {
-            return;
-        }
-    }
-}
--- /dev/null
+++ b/crates/hosts/src/tasks.rs
@@ -0,0 +1,100 @@
+//! The tasks that feed a node's actors: sockets and the clock.
+
+use crate::PeerError;
+use crate::context::PeerContext;
+use crate::counters::PeerCounter;
+use crate::datagram::{DatagramCodec, DatagramError};
+use crate::heartbeat::{HeartbeatActor, Incoming, Round, Spread};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::MissedTickBehavior;
+use xtra::Address;
+
+/// Attempts to find a port number that is free for both UDP and TCP.
+const BIND_ATTEMPTS: u32 = 32;
+/// Longest datagram that is read; a longer one is cut and then refused.
+const RECEIVE_BYTES: usize = 2_048;
+
+/// Listens on the same port number for TCP and UDP.
+pub(crate) async fn bind(address: SocketAddr) -> Result<(TcpListener, UdpSocket), PeerError> {
+    if address.ip().is_unspecified() {
+        return Err(PeerError::Unspecified(address));
+    }
+    let mut attempt = 0;
+    loop {
+        attempt += 1;
+        match try_bind(address).await {
+            Ok(bound) => return Ok(bound),
+            Err(_) if address.port() == 0 && attempt < BIND_ATTEMPTS => {}
+            Err(source) => return Err(PeerError::Bind { address, source }),
+        }
+    }
+}
+
+async fn try_bind(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let listener = TcpListener::bind(address).await?;
+    let socket = UdpSocket::bind(listener.local_addr()?).await?;
+    Ok((listener, socket))
+}
+
+/// Checks datagrams and passes on those that an accepted key signed.
+pub(crate) async fn receive(
+    socket: Arc<UdpSocket>,
+    context: Arc<PeerContext>,
+    heartbeat: Address<HeartbeatActor>,
+) {
+    let codec = DatagramCodec::new(context.keys.clone());
+    let counters = &context.counters;
+    let mut buffer = [0; RECEIVE_BYTES];
+    loop {
+        // An error stands for an earlier datagram that nobody listened to.
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        counters.increment(PeerCounter::DatagramsReceived);
+        counters.add(PeerCounter::DatagramBytesReceived, length as u64);
+        match codec.decode(&buffer[..length]) {
+            Ok(datagram) => {
+                if heartbeat.send(Incoming { from, datagram }).await.is_err() {
+                    return;
+                }
+            }
+            Err(DatagramError::Unauthenticated) => {
+                counters.increment(PeerCounter::DatagramsUnauthenticated);
+            }
+            Err(DatagramError::Malformed | DatagramError::TooLong) => {
+                counters.increment(PeerCounter::DatagramsMalformed);
+            }
+        }
+    }
+}
+
+/// Runs a round of heartbeats in each interval, for ever.
+pub(crate) async fn run_rounds(heartbeat: Duration, actor: Address<HeartbeatActor>) {
+    let mut interval = tokio::time::interval(heartbeat);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if actor.send(Round).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells some members at once of each configuration and fleet view that is new.
+pub(crate) async fn spread_news(context: Arc<PeerContext>, heartbeat: Address<HeartbeatActor>) {
+    let mut configurations = context.store.subscribe();
+    let mut fleets = context.fleets.subscribe();
+    loop {
+        tokio::select! {
+            _ = configurations.changed() => {}
+            _ = fleets.changed() => {}
+        }
+        if heartbeat.send(Spread).await.is_err() {
+            return;
+        }
+    }
+}
