--- /dev/null
+++ b/crates/entry/examples/request_path.rs
@@ -0,0 +1,207 @@
+//! Measures the request path under faults, and the memory of open streams.
+//!
+//! `cargo run --release -p lagoonlift-entry --example request_path -- faults`
+//! drives closed loops of two workspaces through one entry and three engines,
+//! and prints goodput, the worse workspace and repeats before, during and after
+//! each fault. `-- memory` prints the resident memory of the process against
+//! the number of open streams, straight to the engines and through the entry.
+//! Everything runs in this process, on loopback.
+
+#[path = "../tests/all/support.rs"]
+#[allow(dead_code, reason = "the tests use the rest")]
+mod support;
+
+use lagoonlift_standins::engine::{EngineConfig, EngineFault, answer_text};
+use reqwest::{Client, Response};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use support::{
+    BenchPlan, EntryBench, KEY, OTHER_KEY, PROMPT, chat_body, engine_config, streamed_text,
+};
+use tokio::time::{Instant, sleep};
+
+/// Time before, during and after a fault.
+const PHASE: Duration = Duration::from_secs(5);
+/// Tokens of each answer of the fault runs.
+const TOKENS: u64 = 20;
+/// Pace of the engines in the fault runs.
+const TOKEN_INTERVAL: Duration = Duration::from_millis(5);
+/// Callers of the large and of the small workspace.
+const CALLERS: [(&str, usize); 2] = [(KEY, 24), (OTHER_KEY, 4)];
+/// Streams that are opened between two readings of memory.
+const STREAM_STEP: usize = 400;
+/// Readings of memory.
+const STREAM_STEPS: usize = 5;
+/// Engines of the memory runs; each takes at most 64 streams from one entry.
+const MEMORY_ENGINES: usize = 36;
+
+#[tokio::main]
+async fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("faults") => run_faults().await,
+        Some("memory") => run_memory().await,
+        _ => eprintln!("usage: request_path faults|memory"),
+    }
+}
+
+/// What the callers of one workspace got.
+#[derive(Debug, Default)]
+struct Tally {
+    whole: AtomicU64,
+    other: AtomicU64,
+    wrong: AtomicU64,
+}
+
+impl Tally {
+    fn take(&self) -> (u64, u64, u64) {
+        let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
+        (take(&self.whole), take(&self.other), take(&self.wrong))
+    }
+}
+
+async fn run_faults() {
+    println!("fault | phase | whole/s | worse workspace answered | wrong | repeats per whole");
+    for name in ["crash", "silent", "errors", "busy", "platform"] {
+        run_fault(name).await;
+    }
+}
+
+async fn run_fault(name: &str) {
+    let config = EngineConfig {
+        token_interval: TOKEN_INTERVAL,
+        ..engine_config()
+    };
+    let plan = BenchPlan {
+        engines: vec![config; 3],
+        ..BenchPlan::default()
+    };
+    let mut bench = EntryBench::start(plan).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut tallies = Vec::new();
+    for (key, callers) in CALLERS {
+        let tally = Arc::new(Tally::default());
+        for _ in 0..callers {
+            let url = bench.url("/v1/chat/completions");
+            tokio::spawn(call_in_a_loop(
+                url,
+                key,
+                Arc::clone(&tally),
+                Arc::clone(&stop),
+            ));
+        }
+        tallies.push(tally);
+    }
+    let mut repeats = 0.0;
+    for phase in ["before", "during", "after"] {
+        match phase {
+            "during" => begin_fault(&mut bench, name),
+            "after" => end_fault(&mut bench, name),
+            _ => {}
+        }
+        let started = Instant::now();
+        sleep(PHASE).await;
+        let seconds = started.elapsed().as_secs_f64();
+        let counts: Vec<(u64, u64, u64)> = tallies.iter().map(|tally| tally.take()).collect();
+        let whole: u64 = counts.iter().map(|(whole, ..)| whole).sum();
+        let wrong: u64 = counts.iter().map(|(.., wrong)| wrong).sum();
+        let shares = counts
+            .iter()
+            .map(|(whole, other, wrong)| *whole as f64 / (whole + other + wrong).max(1) as f64);
+        let worst = shares.fold(1.0, f64::min);
+        let total = bench.metric("lagoonlift_attempts", "retry");
+        println!(
+            "{name} | {phase} | {:.0} | {:.1}% | {wrong} | {:.4}",
+            whole as f64 / seconds,
+            100.0 * worst,
+            (total - repeats) / whole.max(1) as f64,
+        );
+        repeats = total;
+    }
+    stop.store(true, Ordering::Relaxed);
+}
+
+fn begin_fault(bench: &mut EntryBench, name: &str) {
+    let always = |fault| bench.engines[0].faults().set_always(Some(fault));
+    match name {
+        "crash" => bench.engines[0].crash(),
+        "silent" => always(EngineFault::SilentAfterTokens(3)),
+        "errors" => always(EngineFault::ServerError),
+        "busy" => always(EngineFault::Busy),
+        _ => bench.platform.faults().set_down(true),
+    }
+}
+
+fn end_fault(bench: &mut EntryBench, name: &str) {
+    match name {
+        "crash" => bench.engines[0].restart().expect("the port is free"),
+        "platform" => bench.platform.faults().set_down(false),
+        _ => bench.engines[0].faults().set_always(None),
+    }
+}
+
+async fn call_in_a_loop(url: String, key: &'static str, tally: Arc<Tally>, stop: Arc<AtomicBool>) {
+    let client = Client::new();
+    let whole = answer_text(PROMPT, TOKENS);
+    while !stop.load(Ordering::Relaxed) {
+        let request = client
+            .post(&url)
+            .bearer_auth(key)
+            .json(&chat_body(true, TOKENS));
+        let body = match request.send().await {
+            Ok(response) => response.text().await.unwrap_or_default(),
+            Err(_) => String::new(),
+        };
+        let counter = match body.ends_with("data: [DONE]\n\n") {
+            true if streamed_text(&body) == whole => &tally.whole,
+            true => &tally.wrong,
+            false => &tally.other,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+async fn run_memory() {
+    let config = EngineConfig {
+        token_interval: Duration::from_secs(1),
+        ..engine_config()
+    };
+    let plan = BenchPlan {
+        engines: vec![config; MEMORY_ENGINES],
+        ..BenchPlan::default()
+    };
+    let bench = EntryBench::start(plan).await;
+    let client = Client::new();
+    println!("path | streams | resident KiB | KiB a stream");
+    for path in ["engine", "entry"] {
+        let mut held: Vec<Response> = Vec::new();
+        let start = resident_kib();
+        for _ in 0..STREAM_STEPS {
+            for _ in 0..STREAM_STEP {
+                let engine = &bench.engines[held.len() % MEMORY_ENGINES];
+                let url = match path {
+                    "engine" => format!("http://{}/v1/chat/completions", engine.addr()),
+                    _ => bench.url("/v1/chat/completions"),
+                };
+                let request = client.post(url).bearer_auth(KEY);
+                let request = request.json(&chat_body(true, 100_000));
+                held.push(request.send().await.expect("a stream"));
+            }
+            let now = resident_kib();
+            let each = (now - start) as f64 / held.len() as f64;
+            println!("{path} | {} | {now} | {each:.1}", held.len());
+        }
+        drop(held);
+        sleep(Duration::from_secs(3)).await;
+    }
+}
+
+/// Returns the resident memory of this process.
+fn resident_kib() -> i64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("Linux");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number
+        .and_then(|number| number.parse().ok())
+        .expect("a number")
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,7 +3,10 @@
 mod arguments;
 mod configuration;
 mod docs;
+mod fault_matrix;
+mod idempotency;
 mod lease;
+mod limits;
 mod membership;
 mod operators;
 mod orders;
--- a/tests/all/support/fleet.rs
+++ b/tests/all/support/fleet.rs
@@ -3,7 +3,7 @@
 use super::daemon::{entry_program, steward_program};
 use super::{DaemonProcess, HANG_GUARD, HostSettings, eventually, operator_program};
 use lagoonlift::platform::PlatformClient;
-use lagoonlift::types::RouteAccess;
+use lagoonlift::types::{Limits, RouteAccess};
 use lagoonlift_standins::sample::SampleConfiguration;
 use reqwest::Client;
 use serde::Deserialize;
@@ -78,15 +78,23 @@
 impl Fleet {
     /// Starts everything, with engines that answer at once.
     pub(crate) async fn start() -> Self {
-        Self::start_with_interval("0").await
+        Self::start_with("0", |sample| sample).await
+    }
+
+    /// Starts everything with these limits of the workspace.
+    pub(crate) async fn start_limited(limits: Limits) -> Self {
+        Self::start_with("0", |sample| sample.with_limits("plumbers", limits)).await
     }
 
     /// Starts everything, with engines that take 50 ms a token.
     pub(crate) async fn start_slow() -> Self {
-        Self::start_with_interval("50").await
+        Self::start_with("50", |sample| sample).await
     }
 
-    async fn start_with_interval(milliseconds: &str) -> Self {
+    async fn start_with(
+        milliseconds: &str,
+        change: impl FnOnce(SampleConfiguration) -> SampleConfiguration,
+    ) -> Self {
         let platform = StandinProcess::start(&["platform"]);
         let engine = || {
             let pace = ["--token-interval", milliseconds];
@@ -94,7 +102,8 @@
         };
         let engines = vec![engine(), engine()];
         let service = StandinProcess::start(&["service"]);
-        publish(platform.addr(), &configuration(&engines, &service)).await;
+        let sample = change(configuration(&engines, &service));
+        publish(platform.addr(), &sample).await;
         let settings = |name: &str, data_centre: &str| {
             HostSettings::new(name, data_centre, platform.addr()).with_lines("[usage]\nwindow = 1s")
         };
