--- a/crates/entry/examples/request_path.rs
+++ b/crates/entry/examples/request_path.rs
@@ -11,6 +11,7 @@
 #[allow(dead_code, reason = "the tests use the rest")]
 mod support;
 
+use futures::future::join_all;
 use lagoonlift_standins::engine::{EngineConfig, EngineFault, answer_text};
 use reqwest::{Client, Response};
 use std::sync::Arc;
@@ -177,16 +178,21 @@
         let mut held: Vec<Response> = Vec::new();
         let start = resident_kib();
         for _ in 0..STREAM_STEPS {
-            for _ in 0..STREAM_STEP {
-                let engine = &bench.engines[held.len() % MEMORY_ENGINES];
+            let opened = (0..STREAM_STEP).map(|index| {
+                let engine = &bench.engines[index % MEMORY_ENGINES];
                 let url = match path {
                     "engine" => format!("http://{}/v1/chat/completions", engine.addr()),
                     _ => bench.url("/v1/chat/completions"),
                 };
                 let request = client.post(url).bearer_auth(KEY);
-                let request = request.json(&chat_body(true, 100_000));
-                held.push(request.send().await.expect("a stream"));
-            }
+                request.json(&chat_body(true, 100_000)).send()
+            });
+            let opened = join_all(opened).await;
+            held.extend(opened.into_iter().map(|opened| opened.expect("a stream")));
+            let whole = held.iter().filter(|response| response.status() == 200);
+            assert_eq!(whole.count(), held.len(), "every stream is open");
+            // Until all have sent some tokens.
+            sleep(Duration::from_secs(3)).await;
             let now = resident_kib();
             let each = (now - start) as f64 / held.len() as f64;
             println!("{path} | {} | {now} | {each:.1}", held.len());
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -5,11 +5,12 @@
 //! an attempt ends; the tokens in between pass it by.
 
 use crate::explain::{DecisionRecorder, LastReport, PlacementFacts};
+use crate::health::UpstreamHealth;
 use crate::link::{UpstreamEntry, UpstreamId, UpstreamLink};
 use crate::slot::UpstreamSlot;
 use lagoonlift_policy::{
-    EntryAction, EntryEvent, EntryPolicy, LoadReport, PrefixHash, RequestFacts, Target, Timestamp,
-    UpstreamKey, WorkspaceFacts, WorkspaceKey,
+    AttemptEnd, EntryAction, EntryEvent, EntryPolicy, LoadReport, PrefixHash, RequestFacts, Target,
+    Timestamp, UpstreamFacts, UpstreamKey, WorkspaceFacts, WorkspaceKey,
 };
 use lagoonlift_types::{
     Configuration, DataCentreName, NotRunReason, RequestId, UpstreamName, Urgency, WorkspaceName,
@@ -99,6 +100,7 @@
 struct KnownUpstream {
     key: UpstreamKey,
     entry: UpstreamEntry,
+    health: UpstreamHealth,
 }
 
 impl AdmissionActor {
@@ -242,7 +244,7 @@
                 Target::Model(model) => upstream.models.contains(model),
                 Target::Service(name) => upstream.role.is_none() && upstream.name == *name,
             };
-            serves && upstream.accepts_work && !avoid.contains(&known.key)
+            serves && known.facts().accepts_work && !avoid.contains(&known.key)
         };
         match self.upstreams.values().any(is_left) {
             true => avoid,
@@ -250,6 +252,46 @@
         }
     }
 
+    /// Notes how an attempt at an upstream ended.
+    fn note_end(&mut self, upstream: UpstreamKey, end: AttemptEnd) {
+        let now = Instant::now();
+        // Work may wait for a busy upstream, but not if none is left.
+        if end == AttemptEnd::Busy && !self.has_alternative(upstream) {
+            return;
+        }
+        let mut known = self.upstreams.values_mut();
+        if let Some(known) = known.find(|known| known.key == upstream)
+            && known.health.note(now, end)
+        {
+            tracing::debug!(upstream = %known.entry.facts.name, "an upstream is left alone");
+            self.policy.update_upstream(upstream, known.facts());
+        }
+    }
+
+    /// Returns whether another upstream serves all models that this one does.
+    fn has_alternative(&self, upstream: UpstreamKey) -> bool {
+        let mut all = self.upstreams.values();
+        let Some(own) = all.find(|known| known.key == upstream) else {
+            return false;
+        };
+        let models = &own.entry.facts.models;
+        let serves = |known: &KnownUpstream| {
+            let facts = known.facts();
+            facts.accepts_work && known.key != upstream && facts.models.is_superset(models)
+        };
+        !models.is_empty() && self.upstreams.values().any(serves)
+    }
+
+    /// Gives upstreams whose pause is over work again.
+    fn end_pauses(&mut self) {
+        let now = Instant::now();
+        for known in self.upstreams.values_mut() {
+            if known.health.end_pause(now) {
+                self.policy.update_upstream(known.key, known.facts());
+            }
+        }
+    }
+
     fn set_workspaces(&mut self, configuration: &Configuration) {
         let policy = &mut self.policy;
         self.workspaces.retain(|name, key| {
@@ -292,8 +334,8 @@
             match self.upstreams.get_mut(&id) {
                 Some(known) if known.entry == entry => {}
                 Some(known) => {
-                    self.policy.update_upstream(known.key, entry.facts.clone());
                     known.entry = entry;
+                    self.policy.update_upstream(known.key, known.facts());
                 }
                 None => self.add_upstream(id, entry),
             }
@@ -310,11 +352,22 @@
         };
         let key = self.policy.add_upstream(entry.facts.clone());
         self.links.insert(key, link);
-        self.upstreams.insert(id, KnownUpstream { key, entry });
+        let health = UpstreamHealth::new();
+        self.upstreams
+            .insert(id, KnownUpstream { key, entry, health });
     }
 }
 
 impl KnownUpstream {
+    /// Returns what the policy is told: an upstream that fails is left alone.
+    fn facts(&self) -> UpstreamFacts {
+        let accepts_work = self.entry.facts.accepts_work && !self.health.is_paused(Instant::now());
+        UpstreamFacts {
+            accepts_work,
+            ..self.entry.facts.clone()
+        }
+    }
+
     /// Returns whether its client and its work in flight can be kept.
     fn is_same(&self, other: &UpstreamEntry) -> bool {
         let both_engines = self.entry.facts.role.is_some() == other.facts.role.is_some();
@@ -363,6 +416,8 @@
                 measured_at,
                 report,
             } => self.keep_report(upstream, measured_at, report),
+            EntryEvent::Ended { upstream, end, .. } => self.note_end(upstream, end),
+            EntryEvent::Tick => self.end_pauses(),
             _ => {}
         }
         self.handle_event(observed.0, &context.mailbox().address());
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod delivery;
 mod directory;
 mod explain;
+mod health;
 mod history;
 mod instruments;
 mod limit;
@@ -42,6 +43,7 @@
 };
 pub use cursor::{CursorStep, TokenCursor};
 pub use daemon::Entry;
+pub use health::UpstreamHealth;
 pub use limit::{OfferedLoad, TokenCharge, WorkspaceLimiter};
 pub use retry::{BudgetShare, RetryBudget, RunEvidence, backoff};
 pub use tuning::EntryTuning;
--- /dev/null
+++ b/crates/entry/tests/all/health.rs
@@ -0,0 +1,43 @@
+//! Upstreams that fail are left alone, longer each time, and tried again.
+
+use crate::support::{BenchPlan, EntryBench, header};
+use lagoonlift_entry::UpstreamHealth;
+use lagoonlift_policy::AttemptEnd;
+use lagoonlift_standins::engine::EngineFault;
+use std::time::Duration;
+use tokio::time::Instant;
+
+#[test]
+fn pauses_grow_and_end_with_success() {
+    let mut now = Instant::now();
+    let mut health = UpstreamHealth::new();
+    let failed = AttemptEnd::UpstreamFailed;
+    assert!(!health.note(now, failed));
+    assert!(!health.note(now, failed));
+    for seconds in [1, 2, 4, 8, 16, 16] {
+        assert!(health.note(now, failed));
+        assert!(!health.note(now, failed), "it is left alone already");
+        now += Duration::from_secs(seconds) - Duration::from_millis(1);
+        assert!(!health.end_pause(now));
+        now += Duration::from_millis(1);
+        assert!(health.end_pause(now));
+    }
+    health.note(now, AttemptEnd::Completed { output_tokens: 1 });
+    assert!(!health.note(now, failed), "counted from the beginning");
+}
+
+/// Seen failing without pauses: the failing engine got all 60 requests, and
+/// after ten of them the budget for repeats was used up.
+#[tokio::test]
+async fn a_failing_engine_does_not_attract_the_work() {
+    let bench = EntryBench::start(BenchPlan::default()).await;
+    let fault = Some(EngineFault::ServerError);
+    bench.engines[0].faults().set_always(fault);
+    for request in 0..60 {
+        let response = bench.chat("default", false, 1).send().await.expect("sent");
+        let outcome = header(&response, "lagoonlift-outcome");
+        assert_eq!(outcome, "answered", "request {request}");
+    }
+    let tried = bench.engines[0].log().snapshot().len();
+    assert!(tried <= 10, "{tried}");
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod cursor;
 mod fault_matrix;
+mod health;
 mod limiter;
 mod outcomes;
 mod sessions;
