--- a/crates/entry/src/instruments.rs
+++ b/crates/entry/src/instruments.rs
@@ -45,7 +45,7 @@
 impl EntryInstruments {
     pub(crate) fn new(metrics: &Metrics) -> Self {
         let meter = metrics.meter();
-        Self {
+        let instruments = Self {
             outcomes: counter(&meter, "lagoonlift_requests", "Requests by outcome."),
             attempts: counter(
                 &meter,
@@ -78,7 +78,12 @@
                 "From arrival to the first token.",
             ),
             token_gap: histogram(&meter, "lagoonlift_token_gap", "Between two tokens."),
-        }
+        };
+        // Counts without labels are shown at zero too, so that their absence means
+        // something.
+        instruments.uncopied.add(0, &[]);
+        instruments.evictions.add(0, &[]);
+        instruments
     }
 
     pub(crate) fn count_outcome(&self, labels: &RequestLabels, kind: OutcomeKind, took: Duration) {
