Ask the weight store before an engine drains for a model

The engine goes on serving while the store's rate limit makes the load wait; a successor that finds such an order open asks again before it sends it.

--- a/crates/steward/src/orders/runner.rs
+++ b/crates/steward/src/orders/runner.rs
@@ -8,6 +8,7 @@
 use crate::explain::DecisionRecorder;
 use crate::fleet::{FleetActor, Hold, Observe};
 use crate::lease::Authority;
+use lagoonlift_platform::wire::WeightRequest;
 use lagoonlift_platform::{PlatformClient, PlatformError, Version};
 use lagoonlift_types::{Availability, DataCentreName, Epoch, UpstreamName};
 use lagoonlift_upstreams::{
@@ -59,6 +60,8 @@
     journal: OrderJournal,
     wanted: mpsc::Receiver<WantedChange>,
     hold: Option<Availability>,
+    /// The order for which the weight store has let the engine read.
+    weights_for: Option<String>,
 }
 
 impl EngineRunner {
@@ -76,6 +79,7 @@
             journal: OrderJournal::new(config),
             wanted,
             hold: None,
+            weights_for: None,
         }
     }
 
@@ -127,6 +131,11 @@
     }
 
     async fn take_step(&mut self, epoch: Epoch, action: JournalAction) {
+        if let JournalAction::Send(order) = &action
+            && !self.has_weights(&order.id, &order.change).await
+        {
+            return;
+        }
         let Some(event) = self.perform(epoch, action.clone()).await else {
             return;
         };
@@ -142,6 +151,31 @@
         }
     }
 
+    /// Asks the weight store once for each order that loads a model; returns
+    /// false after a wait if it has to be asked again.
+    async fn has_weights(&mut self, id: &str, change: &EngineChange) -> bool {
+        let EngineChange::LoadModel(model) = change else {
+            return true;
+        };
+        if self.weights_for.as_deref() == Some(id) {
+            return true;
+        }
+        let request = WeightRequest {
+            model: model.to_string(),
+            upstream: self.upstream.to_string(),
+        };
+        let wait = match self.parts.client.acquire_weights(&request).await {
+            Ok(_) => {
+                self.weights_for = Some(id.to_owned());
+                return true;
+            }
+            Err(PlatformError::RateLimited { retry_after }) => retry_after,
+            Err(_) => STEP_INTERVAL,
+        };
+        sleep(wait).await;
+        false
+    }
+
     /// Makes one call. Returns nothing if the right to make it has ended.
     async fn perform(&self, epoch: Epoch, action: JournalAction) -> Option<JournalEvent> {
         let event = match action {
@@ -238,17 +272,24 @@
     async fn wait_for_work(&mut self) {
         let mut handover = self.parts.handover.clone();
         tokio::select! {
-            Some(wanted) = self.wanted.recv() => {
-                let WantedChange { id, change } = wanted;
-                let epoch = self.parts.authority.epoch();
-                self.parts.recorder.order_wanted(&self.upstream, epoch, &change);
-                self.journal.handle(JournalEvent::Wanted { id, change });
-            }
+            Some(wanted) = self.wanted.recv() => self.take_wanted(wanted).await,
             _ = handover.changed() => {}
             () = sleep(OBSERVE_INTERVAL) => self.observe().await,
         }
     }
 
+    /// Takes a change in. The engine goes on serving while the weight store
+    /// can't give what the change needs.
+    async fn take_wanted(&mut self, wanted: WantedChange) {
+        let WantedChange { id, change } = wanted;
+        while !self.has_weights(&id, &change).await {}
+        let epoch = self.parts.authority.epoch();
+        self.parts
+            .recorder
+            .order_wanted(&self.upstream, epoch, &change);
+        self.journal.handle(JournalEvent::Wanted { id, change });
+    }
+
     async fn observe(&self) {
         let status = self.engine.status(ENGINE_TIMEOUT).await;
         let observe = Observe {
--- a/crates/steward/tests/all/orders.rs
+++ b/crates/steward/tests/all/orders.rs
@@ -205,3 +205,20 @@
     assert_eq!(accepted_ids(&engine), Vec::<String>::new());
     wait_until(|| is_done(&platform, "r1")).await;
 }
+
+/// Seen failing with the weight store left out.
+#[tokio::test]
+async fn a_model_is_loaded_only_when_the_weight_store_allows_it() {
+    let platform = start_platform().await;
+    platform.set_weight_budget(Some(0));
+    let engine = start_engine(FencingSupport::Checked);
+    publish_engine(&platform, engine.addr(), FencingSupport::Checked);
+    let _steward = start_steward(&settings("h1", platform.addr(), &[])).await;
+    let request = json!({ "id": "r1", "change": { "load-model": "small" } });
+    platform.put_object("engine-requests/dc1/e1", request);
+    wait_until(|| !platform.weight_requests().is_empty()).await;
+    assert_eq!(accepted_ids(&engine), Vec::<String>::new());
+    platform.set_weight_budget(Some(1));
+    wait_until(|| is_done(&platform, "r1")).await;
+    assert_eq!(accepted_ids(&engine), ["r1"]);
+}
