--- a/crates/steward/src/fleet/actor.rs
+++ b/crates/steward/src/fleet/actor.rs
@@ -31,6 +31,8 @@
     composer: FleetComposer,
     parts: FleetParts,
     published: Option<FleetView>,
+    /// The epoch for which the view of an earlier holder was taken over.
+    inherited: Option<Epoch>,
 }
 
 /// The configuration in force has changed.
@@ -60,6 +62,20 @@
             composer: FleetComposer::new(parts.data_centre.clone()),
             parts,
             published: None,
+            inherited: None,
+        }
+    }
+
+    /// Takes over what an earlier holder published, once for each epoch.
+    fn inherit(&mut self) {
+        let epoch = self.parts.authority.epoch();
+        if epoch.is_none() || epoch == self.inherited {
+            return;
+        }
+        self.inherited = epoch;
+        let fleets = Arc::clone(&self.parts.node.fleets().borrow());
+        if let Some(view) = fleets.get(&self.parts.data_centre) {
+            self.composer.inherit(view);
         }
     }
 
@@ -111,6 +127,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: SetList, _: &mut Context<Self>) {
+        self.inherit();
         self.composer.set_list(&message.0);
         self.publish();
     }
@@ -138,6 +155,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: Publish, _: &mut Context<Self>) {
+        self.inherit();
         self.publish();
     }
 }
--- a/crates/steward/src/fleet/composer.rs
+++ b/crates/steward/src/fleet/composer.rs
@@ -2,8 +2,8 @@
 
 use lagoonlift_platform::wire::{FleetList, FleetState, FleetUpstream, UpstreamSupply};
 use lagoonlift_types::{
-    Availability, DataCentreName, FencingSupport, ModelName, Supply, Upstream, UpstreamKind,
-    UpstreamName, UpstreamRole, UpstreamStatus,
+    Availability, DataCentreName, FencingSupport, FleetView, ModelName, Supply, Upstream,
+    UpstreamKind, UpstreamName, UpstreamRole, UpstreamStatus,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -67,6 +67,17 @@
         }
     }
 
+    /// Takes in what an earlier holder saw: an upstream that was leaving then is
+    /// still leaving, or gone, until the list shows it as live.
+    pub fn inherit(&mut self, view: &FleetView) {
+        let is_leaving = |status: &UpstreamStatus| status.availability == Availability::Leaving;
+        let leaving = view
+            .upstreams
+            .iter()
+            .filter(|(_, status)| is_leaving(status));
+        self.leaving.extend(leaving.map(|(name, _)| name.clone()));
+    }
+
     /// Takes in the role that an engine says it has; `None` if it was silent.
     pub fn observe(&mut self, name: UpstreamName, role: Option<UpstreamRole>) {
         let observation = self.observations.entry(name).or_default();
