--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -3,10 +3,15 @@
 mod path;
 mod session;
 
+use crate::docs::named_metrics;
+use crate::support::eventually;
 use insta::assert_snapshot;
+use lagoonlift::settings::{OperatorSettings, Settings};
+use lagoonlift_standins::platform::FleetEntry;
 use path::{PathProcesses, PathUpstreams, ask, usage_lines};
 use serde_json::Value;
 use session::OperatorSession;
+use std::path::Path;
 
 /// A deployment's questionnaires.
 struct Deployment {
@@ -192,19 +197,57 @@
     assert_snapshot!("solar-watch-served", session.transcript());
 }
 
+/// Seen failing with an order recorded each time that its request was seen.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_role_change_is_asked_for_carried_out_and_explained() {
+async fn a_role_change_is_carried_out_explained_and_counted() {
     let mut running = start(&DESTAPES).await;
     let session = &mut running.session;
     session.wait_for_status().await;
+    let forgotten = FleetEntry::live("dc1");
+    session.platform().set_host("a3", forgotten);
+    let shown = session.run(&["status"]).await;
+    assert!(shown.contains("a3: not asked"), "{shown}");
+    let caller = running.processes.caller(&running.key).await;
+    ask(&caller, "triage", "triage").await;
     let change = ["engine", "dc1", "triage-14", "role", "decode"];
     let shown = session.run(&change).await;
     assert_eq!(shown, "triage-14 in dc1 is asked for: role decode\n");
+    session.explain_until("triage-14", "order done").await;
+    eventually("the request to be gone", || async {
+        let requests = session.platform().objects("engine-requests/");
+        requests.is_empty().then_some(())
+    })
+    .await;
     let explained = session.explain_until("triage-14", "order done").await;
+    let orders = explained.matches("ordered to become").count();
+    assert_eq!(orders, 1, "{explained}");
     let ordered = explained
         .lines()
         .find(|line| line.contains("ordered to become decode"));
     let ordered = ordered.expect("the order is recorded");
     assert!(ordered.contains(".steward at epoch 1"), "{ordered}");
     assert!(!explained.contains(&running.key), "a key is explained");
+    let metrics = running.processes.metrics().await;
+    for metric in named_metrics() {
+        let is_there = metrics.contains(&format!("\n{metric}"));
+        assert!(is_there, "the pages name {metric}, which no process has");
+    }
+}
+
+#[test]
+fn the_examples_operators_ask_their_hosts() {
+    for deployment in [DESTAPES, SOLAR_WATCH] {
+        let directory = Path::new(deployment.directory);
+        let operator = OperatorSettings::load(&directory.join("operator.ini"));
+        let operator = operator.expect("a valid example");
+        assert_eq!(operator.hosts.len(), 6);
+        for host in operator.hosts {
+            let file = directory.join(format!("hosts/{}.ini", host.name));
+            let settings = Settings::load(&file).expect("a valid example");
+            let entry = settings.entry.map(|entry| entry.admin_listen);
+            let steward = settings.steward.map(|steward| steward.admin_listen);
+            assert_eq!((host.entry, host.steward), (entry, steward), "{file:?}");
+            assert_eq!(operator.platform.address, settings.platform.address);
+        }
+    }
 }
