--- a/crates/operators/src/decision.rs
+++ b/crates/operators/src/decision.rs
@@ -121,6 +121,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Evidence {
+    /// An operator asked for it, under this identifier.
+    Requested(String),
     /// Time left until the deadline.
     TimeLeft(Duration),
     /// Whether the request may run more than once.
--- a/crates/steward/src/explain.rs
+++ b/crates/steward/src/explain.rs
@@ -4,7 +4,8 @@
 use crate::orders::{OrderRecord, OrderResult};
 use lagoonlift_hosts::{ConfigurationStore, PeerNode};
 use lagoonlift_operators::{
-    Decision, DecisionAuthority, DecisionLog, DecisionStep, DecisionSubject, ProcessStatus,
+    Decision, DecisionAuthority, DecisionLog, DecisionStep, DecisionSubject, Evidence,
+    ProcessStatus,
 };
 use lagoonlift_telemetry::Readiness;
 use lagoonlift_types::{DataCentreName, Epoch, Incarnation, ProcessId, UpstreamName};
@@ -37,6 +38,7 @@
         &self,
         upstream: &UpstreamName,
         epoch: Option<Epoch>,
+        request: String,
         change: &EngineChange,
     ) {
         let step = match change.clone() {
@@ -45,14 +47,16 @@
             EngineChange::LoadAdapter(adapter) => DecisionStep::AdapterLoad { adapter },
             EngineChange::LoadVersion(version) => DecisionStep::VersionLoad { version },
         };
-        self.record(subject_of(upstream), epoch, step);
+        let evidence = vec![Evidence::Requested(request)];
+        self.record(subject_of(upstream), epoch, step, evidence);
     }
 
     /// Records how an order ended.
     pub(crate) fn order_ended(&self, upstream: &UpstreamName, record: &OrderRecord) {
         let succeeded = record.result == Some(OrderResult::Done);
         let step = DecisionStep::OrderEnded { succeeded };
-        self.record(subject_of(upstream), Some(record.epoch), step);
+        let subject = subject_of(upstream);
+        self.record(subject, Some(record.epoch), step, Vec::new());
     }
 
     /// Records when the lease is gained and when it ends.
@@ -60,17 +64,24 @@
         loop {
             let epoch = authority.granted().await;
             let subject = DecisionSubject::default();
-            self.record(subject.clone(), Some(epoch), DecisionStep::LeaseTaken);
+            let taken = DecisionStep::LeaseTaken;
+            self.record(subject.clone(), Some(epoch), taken, Vec::new());
             authority.ended(epoch).await;
-            self.record(subject, Some(epoch), DecisionStep::LeaseLost);
+            self.record(subject, Some(epoch), DecisionStep::LeaseLost, Vec::new());
         }
     }
 
-    fn record(&self, subject: DecisionSubject, epoch: Option<Epoch>, step: DecisionStep) {
+    fn record(
+        &self,
+        subject: DecisionSubject,
+        epoch: Option<Epoch>,
+        step: DecisionStep,
+        evidence: Vec<Evidence>,
+    ) {
         self.log.record(Decision {
             subject,
             step,
-            evidence: Vec::new(),
+            evidence,
             authority: DecisionAuthority {
                 holder: self.process.clone(),
                 epoch,
--- a/crates/steward/src/orders/runner.rs
+++ b/crates/steward/src/orders/runner.rs
@@ -283,13 +283,13 @@
     async fn take_wanted(&mut self, wanted: WantedChange) {
         let WantedChange { id, change } = wanted;
         while !self.has_weights(&id, &change).await {}
-        let recorded = change.clone();
+        let (request, recorded) = (id.clone(), change.clone());
         self.journal.handle(JournalEvent::Wanted { id, change });
         // A request that was carried out already leaves nothing to do.
         if self.journal.action().is_some() {
             let epoch = self.parts.authority.epoch();
             let recorder = &self.parts.recorder;
-            recorder.order_wanted(&self.upstream, epoch, &recorded);
+            recorder.order_wanted(&self.upstream, epoch, request, &recorded);
         }
     }
 
--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -226,6 +226,10 @@
         .find(|line| line.contains("ordered to become decode"));
     let ordered = ordered.expect("the order is recorded");
     assert!(ordered.contains(".steward at epoch 1"), "{ordered}");
+    assert!(
+        ordered.contains("asked for by operator's request"),
+        "{ordered}"
+    );
     assert!(!explained.contains(&running.key), "a key is explained");
     let metrics = running.processes.metrics().await;
     for metric in named_metrics() {
