--- a/crates/operators/src/questionnaire/mod.rs
+++ b/crates/operators/src/questionnaire/mod.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod data_centre;
+mod route;
 mod workspace;
 
 use crate::proposal::Draft;
