--- a/crates/steward/tests/all/sealing.rs
+++ b/crates/steward/tests/all/sealing.rs
@@ -129,8 +129,14 @@
         let value = line.and_then(|line| line.split(' ').next_back()?.parse().ok());
         value.unwrap_or(0_u64)
     };
-    assert!(count("steward_usage_reports_late_total") >= 1, "{text}");
-    assert!(count("steward_usage_windows_moved_total") >= 1, "{text}");
+    assert!(
+        count("lagoonlift_steward_usage_reports_late_total") >= 1,
+        "{text}"
+    );
+    assert!(
+        count("lagoonlift_steward_usage_windows_moved_total") >= 1,
+        "{text}"
+    );
 }
 
 /// Seen failing with earlier windows covered whatever their version.
