--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fs;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 fn root() -> &'static Path {
     Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -45,7 +45,67 @@
     }
 }
 
-/// Names in the table of proofs are tests that exist.
+/// Every file under `docs/` that is a page.
+fn pages(directory: &Path) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(directory).expect("the directory is there") {
+        let path = entry.expect("an entry").path();
+        match path.is_dir() {
+            true => found.extend(pages(&path)),
+            false if path.extension().is_some_and(|end| end == "md") => found.push(path),
+            false => {}
+        }
+    }
+    found
+}
+
+/// Links to other pages, without their anchors.
+fn links(text: &str) -> Vec<&str> {
+    let targets = text.split("](").skip(1);
+    let targets = targets.filter_map(|rest| rest.split(')').next());
+    let targets = targets.filter_map(|target| target.split('#').next());
+    targets
+        .filter(|target| !target.is_empty() && !target.contains("://"))
+        .collect()
+}
+
+/// Seen failing with a link to a page that isn't there.
+#[test]
+fn every_link_leads_to_a_page() {
+    let mut missing = Vec::new();
+    for page in pages(&root().join("docs")) {
+        let text = fs::read_to_string(&page).expect("a page");
+        let directory = page.parent().expect("it lies in a directory");
+        for link in links(&text) {
+            if !directory.join(link).exists() {
+                missing.push(format!("{}: {link}", page.display()));
+            }
+        }
+    }
+    assert!(missing.is_empty(), "{missing:#?}");
+}
+
+/// Seen failing with a page left out of the summary.
+#[test]
+fn every_page_is_in_the_summary() {
+    let docs = root().join("docs");
+    let summary = read("docs/SUMMARY.md");
+    let listed: BTreeSet<PathBuf> = links(&summary)
+        .into_iter()
+        .map(|link| docs.join(link))
+        .collect();
+    for page in pages(&docs) {
+        let is_summary = page.ends_with("SUMMARY.md");
+        assert!(
+            is_summary || listed.contains(&page),
+            "{} isn't listed",
+            page.display()
+        );
+    }
+}
+
+/// Names in the table of proofs are tests that exist. Seen failing with a name
+/// misspelt.
 #[test]
 fn every_proof_names_a_test() {
     let proofs = read("docs/PROOFS.md");
