--- a/crates/entry/src/instruments.rs
+++ b/crates/entry/src/instruments.rs
@@ -95,6 +95,9 @@
     pub(crate) fn count_attempt(&self, labels: &RequestLabels, first: bool) {
         let kind = if first { "first" } else { "retry" };
         self.attempts.add(1, &labels.with("kind", kind));
+        // Shown at zero as soon as the workspace has requests, so that a rise
+        // from nothing is seen as one.
+        self.resumes.add(0, &labels.0);
     }
 
     pub(crate) fn count_resume(&self, labels: &RequestLabels) {
