--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The entry daemon's parts, started together and stopped in order.
 
 use crate::admission::{AdmissionActor, Observe, Reconfigure};
+use crate::body::BodyLimits;
 use crate::claim_actor::ClaimActor;
 use crate::context::{EntryContext, RetryBudgets};
 use crate::directory::KeyDirectory;
@@ -95,7 +96,10 @@
             settings.host.data_centre.clone(),
             settings.usage.window,
         );
+        node.counters().observe(&metrics.meter());
+        keeper.counters().observe(&metrics.meter());
         let start = Instant::now();
+        let head_limit = tuning.head_limit;
         let admission = AdmissionActor::new(start, &settings.host.data_centre, recorder.clone());
         let admission = xtra::spawn_tokio(admission, Mailbox::unbounded());
         let context = Arc::new(EntryContext {
@@ -107,8 +111,12 @@
             claims: xtra::spawn_tokio(claims, Mailbox::unbounded()),
             limits: Arc::default(),
             budgets: Mutex::new(RetryBudgets::new(&tuning)),
+            body_limits: BodyLimits {
+                bytes: entry.max_body,
+                whole: tuning.body_limit,
+                part: tuning.body_part_limit,
+            },
             tuning,
-            max_body: entry.max_body,
         });
         let readiness = Readiness::new();
         let (stopping, stop) = watch::channel(false);
@@ -131,7 +139,7 @@
         Ok(Self {
             caller_addr: callers.local_addr()?,
             admin_addr,
-            server: tokio::spawn(serve(callers, caller_routes(context), stop)),
+            server: tokio::spawn(serve(callers, caller_routes(context), head_limit, stop)),
             node,
             keeper,
             readiness,
@@ -161,6 +169,8 @@
     /// stream, the usage records and the membership.
     pub async fn shutdown(mut self) {
         self.readiness.set(false);
+        // Neighbours whose usage copies are here look for another holder.
+        self.node.leave().await;
         tokio::time::sleep(UNREADY_PAUSE).await;
         self.stopping.send_replace(true);
         if timeout(self.drain_timeout, &mut self.server).await.is_err() {
@@ -170,7 +180,7 @@
         if let Err(error) = self.keeper.flush().await {
             tracing::warn!(%error, "usage windows are left to neighbours");
         }
-        self.node.leave().await;
+        self.node.end().await;
         for helper in self.helpers {
             helper.abort();
         }
@@ -220,13 +230,20 @@
         data_centre: settings.host.data_centre.clone(),
         incarnation: new_incarnation(),
         listen: entry.peer_listen,
-        seeds: addresses.flatten().collect(),
+        seeds: addresses.flatten().chain(own_steward(settings)).collect(),
         key: settings.peers.key.0,
         other_key: settings.peers.other_key.as_ref().map(|key| key.0),
         heartbeat: settings.peers.heartbeat,
     }
 }
 
+/// Returns where the steward of this host listens, unless the system picks its
+/// port. A host that starts first, or alone, has no other seed that answers.
+fn own_steward(settings: &Settings) -> Option<SocketAddr> {
+    let steward = settings.steward.as_ref()?;
+    Some(steward.peer_listen).filter(|address| address.port() != 0)
+}
+
 fn new_incarnation() -> Incarnation {
     // A clock before 1970 only makes the incarnation look old.
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/hosts/src/copier.rs
+++ b/crates/hosts/src/copier.rs
@@ -5,11 +5,11 @@
 //! neighbour. When the neighbour changes, it gets every record that no closed
 //! window covers yet: the last neighbour always holds all of them.
 
-use crate::context::{ANSWER_TIMEOUT, CONNECT_TIMEOUT, PeerContext};
+use crate::context::{CONNECT_TIMEOUT, PeerContext};
 use crate::copies::UsagePosition;
 use crate::copy_queue::{CopyError, CopyQueue, PendingCopy};
 use crate::counters::PeerCounter;
-use crate::membership::Member;
+use crate::membership::{Member, MemberState};
 use crate::stream::{PeerStream, StreamError};
 use crate::wire::{CopyBatch, Request, Response};
 use lagoonlift_types::{ProcessId, Sequence, UsageRecord};
@@ -20,6 +20,10 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout};
 
+/// Time within which a neighbour must confirm a batch. Short, because the last
+/// byte of an answer waits; a neighbour that is given up too early costs only
+/// that everything is sent to another.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which a neighbour that failed is tried last.
 const AVOID_AFTER_FAILURE: Duration = Duration::from_secs(5);
 /// Time between two attempts while no neighbour takes copies.
@@ -115,7 +119,8 @@
                 .get(&member.process)
                 .is_some_and(|at| at.elapsed() < AVOID_AFTER_FAILURE);
             let pair = format!("{} {}", context.process, member.process);
-            (failed, *blake3::hash(pair.as_bytes()).as_bytes())
+            let doubted = member.state != MemberState::Alive;
+            (failed, doubted, *blake3::hash(pair.as_bytes()).as_bytes())
         };
         let eligible =
             |member: &&Member| member.takes_copies_of(&context.process, &context.data_centre);
@@ -139,7 +144,7 @@
             tokio::select! {
                 () = self.wake.notified() => {}
                 _ = members.changed() => {
-                    if !members.borrow_and_update().contains(neighbour) {
+                    if !stays(neighbour, &members.borrow_and_update()) {
                         return Ok(());
                     }
                 }
@@ -158,7 +163,7 @@
             stream.send(&request).await?;
             stream.receive().await
         };
-        match timeout(ANSWER_TIMEOUT / 4, exchange).await?? {
+        match timeout(CONFIRM_TIMEOUT, exchange).await?? {
             Response::Copied => {
                 self.context
                     .counters
@@ -177,6 +182,16 @@
     }
 }
 
+/// Returns whether the neighbour still takes part and isn't about to end. A
+/// suspicion alone is no reason to send everything to another one.
+fn stays(neighbour: &Member, members: &[Member]) -> bool {
+    members.iter().any(|member| {
+        member.process == neighbour.process
+            && member.incarnation == neighbour.incarnation
+            && member.state != MemberState::Leaving
+    })
+}
+
 /// Why copying to one neighbour ended.
 #[derive(Debug, Error)]
 enum CopyFailure {
--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the steward.
 
 mod configuration;
+mod fleet;
 mod lease;
 mod orders;
 mod purchases;
+mod schedules;
 mod sealing;
 mod support;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,9 +2,17 @@
 
 mod arguments;
 mod configuration;
+mod docs;
+mod fault_matrix;
+mod idempotency;
+mod lease;
+mod limits;
 mod membership;
 mod operators;
+mod orders;
 mod peer_authentication;
+mod purchases;
+mod sealing;
 mod serving;
 mod shutdown;
 mod support;
--- a/tests/all/usage.rs
+++ b/tests/all/usage.rs
@@ -42,7 +42,8 @@
 
 /// The whole answer is there, so the second copy is too.
 ///
-/// Seen failing with copies kept on no other host: nothing was billed.
+/// Seen failing with a neighbour that confirms copies without keeping them:
+/// nothing was billed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_killed_right_after_its_answers_is_billed_once() {
     let group = HostGroup::start(2).await;
@@ -60,8 +61,8 @@
 
 /// A paused entry can't know that its window was closed by its neighbour.
 ///
-/// Seen failing with the neighbour's window not settled in the chain of the
-/// entry that woke: its records were billed twice.
+/// Seen failing with an entry that takes a neighbour's window for an empty one:
+/// five requests were billed in place of three.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_paused_right_after_its_answers_is_billed_once() {
     let group = HostGroup::start(2).await;
@@ -96,6 +97,10 @@
 
 /// A frozen neighbour keeps its connection open and never confirms anything.
 /// One of the two that are frozen in turn is the one that gets the copies.
+///
+/// Seen failing with a limit of 25 s for the confirmation: a record had no copy
+/// in two of three runs. In the third its window was closed meanwhile, after
+/// which it needs none.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_silent_neighbour_is_left_for_another() {
     let group = HostGroup::start(3).await;
@@ -105,6 +110,7 @@
     group.entries[1].signal(ProcessSignal::Continue);
     group.entries[2].signal(ProcessSignal::Stop);
     answered(&group, 0).await;
+    assert_eq!(group.count(0, "lagoonlift_usage_uncopied").await, 0);
     group.entries[0].signal(ProcessSignal::Kill);
     group.wait_for_billed(3).await;
     assert_eq!(group.billed(), 3);
