--- a/crates/entry/examples/request_path.rs
+++ b/crates/entry/examples/request_path.rs
@@ -3,8 +3,9 @@
 //! `cargo run --release -p lagoonlift-entry --example request_path -- faults`
 //! drives closed loops of two workspaces through one entry and three engines,
 //! and prints goodput, the worse workspace and repeats before, during and after
-//! each fault. `-- memory` prints the resident memory of the process against
-//! the number of open streams, straight to the engines and through the entry.
+//! each fault. `-- memory-engine` and `-- memory-entry` print the resident memory
+//! of the process against the number of open streams, straight to the engines
+//! and through the entry.
 //! Everything runs in this process, on loopback.
 
 #[path = "../tests/all/support.rs"]
@@ -12,6 +13,7 @@
 mod support;
 
 use futures::future::join_all;
+use lagoonlift_entry::EntryTuning;
 use lagoonlift_standins::engine::{EngineConfig, EngineFault, answer_text};
 use reqwest::{Client, Response};
 use std::sync::Arc;
@@ -41,8 +43,9 @@
 async fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("faults") => run_faults().await,
-        Some("memory") => run_memory().await,
-        _ => eprintln!("usage: request_path faults|memory"),
+        Some("memory-engine") => run_memory(StreamPath::Engine).await,
+        Some("memory-entry") => run_memory(StreamPath::Entry).await,
+        _ => eprintln!("usage: request_path faults|memory-engine|memory-entry"),
     }
 }
 
@@ -162,43 +165,49 @@
     }
 }
 
-async fn run_memory() {
+/// Where the measured streams go.
+#[derive(Clone, Copy, Debug)]
+enum StreamPath {
+    /// Straight to the engines.
+    Engine,
+    /// Through the entry.
+    Entry,
+}
+
+async fn run_memory(path: StreamPath) {
     let config = EngineConfig {
         token_interval: Duration::from_secs(1),
         ..engine_config()
     };
     let plan = BenchPlan {
         engines: vec![config; MEMORY_ENGINES],
+        tuning: EntryTuning::default(),
         ..BenchPlan::default()
     };
     let bench = EntryBench::start(plan).await;
     let client = Client::new();
     println!("path | streams | resident KiB | KiB a stream");
-    for path in ["engine", "entry"] {
-        let mut held: Vec<Response> = Vec::new();
-        let start = resident_kib();
-        for _ in 0..STREAM_STEPS {
-            let opened = (0..STREAM_STEP).map(|index| {
-                let engine = &bench.engines[index % MEMORY_ENGINES];
-                let url = match path {
-                    "engine" => format!("http://{}/v1/chat/completions", engine.addr()),
-                    _ => bench.url("/v1/chat/completions"),
-                };
-                let request = client.post(url).bearer_auth(KEY);
-                request.json(&chat_body(true, 100_000)).send()
-            });
-            let opened = join_all(opened).await;
-            held.extend(opened.into_iter().map(|opened| opened.expect("a stream")));
-            let whole = held.iter().filter(|response| response.status() == 200);
-            assert_eq!(whole.count(), held.len(), "every stream is open");
-            // Until all have sent some tokens.
-            sleep(Duration::from_secs(3)).await;
-            let now = resident_kib();
-            let each = (now - start) as f64 / held.len() as f64;
-            println!("{path} | {} | {now} | {each:.1}", held.len());
-        }
-        drop(held);
+    let mut held: Vec<Response> = Vec::new();
+    let start = resident_kib();
+    for _ in 0..STREAM_STEPS {
+        let opened = (0..STREAM_STEP).map(|index| {
+            let engine = &bench.engines[index % MEMORY_ENGINES];
+            let url = match path {
+                StreamPath::Engine => format!("http://{}/v1/chat/completions", engine.addr()),
+                StreamPath::Entry => bench.url("/v1/chat/completions"),
+            };
+            let request = client.post(url).bearer_auth(KEY);
+            request.json(&chat_body(true, 300)).send()
+        });
+        let opened = join_all(opened).await;
+        held.extend(opened.into_iter().map(|opened| opened.expect("a stream")));
+        let whole = held.iter().filter(|response| response.status() == 200);
+        assert_eq!(whole.count(), held.len(), "every stream is open");
+        // Until all have sent some tokens.
         sleep(Duration::from_secs(3)).await;
+        let now = resident_kib();
+        let each = (now - start) as f64 / held.len() as f64;
+        println!("{path:?} | {} | {now} | {each:.1}", held.len());
     }
 }
 
