--- a/crates/entry/src/instruments.rs
+++ b/crates/entry/src/instruments.rs
@@ -45,7 +45,7 @@
 impl EntryInstruments {
     pub(crate) fn new(metrics: &Metrics) -> Self {
         let meter = metrics.meter();
-        Self {
+        let instruments = Self {
             outcomes: counter(&meter, "lagoonlift_requests", "Requests by outcome."),
             attempts: counter(
                 &meter,
@@ -78,7 +78,12 @@
                 "From arrival to the first token.",
             ),
             token_gap: histogram(&meter, "lagoonlift_token_gap", "Between two tokens."),
-        }
+        };
+        // Counts without labels are shown at zero too, so that their absence means
+        // something.
+        instruments.uncopied.add(0, &[]);
+        instruments.evictions.add(0, &[]);
+        instruments
     }
 
     pub(crate) fn count_outcome(&self, labels: &RequestLabels, kind: OutcomeKind, took: Duration) {
@@ -90,6 +95,9 @@
     pub(crate) fn count_attempt(&self, labels: &RequestLabels, first: bool) {
         let kind = if first { "first" } else { "retry" };
         self.attempts.add(1, &labels.with("kind", kind));
+        // Shown at zero as soon as the workspace has requests, so that a rise
+        // from nothing is seen as one.
+        self.resumes.add(0, &labels.0);
     }
 
     pub(crate) fn count_resume(&self, labels: &RequestLabels) {
