Show an engine the new fencing number before its order is closed

The successor now sends the order again when the engine knows it, which has no effect but to raise the engine's fencing number; the engine stand-in takes note of it on repeats too.

--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -139,7 +139,10 @@
         let mut state = self.lock();
         let stale = order.fencing < state.engine.epoch;
         match (&state.engine.open_order, state.fencing) {
-            _ if state.orders.contains_key(&order.id) => Ok(()),
+            _ if state.orders.contains_key(&order.id) => {
+                state.engine.epoch = state.engine.epoch.max(order.fencing);
+                Ok(())
+            }
             (_, FencingSupport::Checked) if stale => Err(OrderRefusal::StaleFencing),
             (Some(_), _) => Err(OrderRefusal::AnotherOpen),
             (None, _) => {
--- a/crates/steward/src/orders/journal.rs
+++ b/crates/steward/src/orders/journal.rs
@@ -165,6 +165,8 @@
     ended: Option<OrderRecord>,
     /// Whether a write of the order's end was lost and may still take effect.
     end_lost: bool,
+    /// The order that the engine last accepted from this holder.
+    accepted: Option<String>,
 }
 
 impl OrderJournal {
@@ -177,6 +179,7 @@
             wanted: None,
             ended: None,
             end_lost: false,
+            accepted: None,
         }
     }
 
@@ -223,6 +226,14 @@
                 self.end_lost |= record.result.is_some() && failure == JournalFailure::Lost;
                 Step::Unknown
             }
+            // Sent again, without effect on the order: the engine learns this
+            // holder's fencing number, and refuses what an earlier one still
+            // sends even if it forgets the order.
+            (Step::Recorded(order), JournalEvent::Looked(look))
+                if is_known(look) && self.accepted.as_ref() != Some(&order.record.id) =>
+            {
+                Step::Sending(order)
+            }
             (Step::Recorded(order), JournalEvent::Looked(look)) => {
                 after_look(Step::Recorded(order.clone()), order, look)
             }
@@ -230,7 +241,12 @@
                 after_look(Step::Running(order.clone()), order, look)
             }
             (Step::Draining(order), JournalEvent::Drained) => Step::Sending(order),
-            (Step::Sending(order), JournalEvent::Sent(sent)) => after_send(order, sent),
+            (Step::Sending(order), JournalEvent::Sent(sent)) => {
+                if sent == OrderSent::Accepted {
+                    self.accepted = Some(order.record.id.clone());
+                }
+                after_send(order, sent)
+            }
             (step, _) => step,
         };
         self.step = self.begin_wanted(step);
@@ -258,6 +274,7 @@
         self.wanted = None;
         self.ended = None;
         self.end_lost = false;
+        self.accepted = None;
         match self.config.fencing {
             FencingSupport::Checked => Step::Unknown,
             FencingSupport::Ignored => Step::Waiting,
@@ -329,6 +346,10 @@
     order.record.change.cuts_streams()
 }
 
+fn is_known(look: OrderLook) -> bool {
+    matches!(look, OrderLook::Running | OrderLook::Ended(_))
+}
+
 /// Goes on after the engine was asked; `same` is the step to stay in.
 fn after_look(same: Step, order: StoredOrder, look: OrderLook) -> Step {
     match look {
