--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod fleet;
+mod journal;
 mod lease;
 mod orders;
 mod purchases;
--- a/crates/steward/tests/all/orders.rs
+++ b/crates/steward/tests/all/orders.rs
@@ -76,8 +76,7 @@
         .expect("running");
 }
 
-/// Seen failing with a lost answer treated as a refusal: the order was closed
-/// as failed though the engine had carried it out.
+/// Seen failing with the order given up when the answer to its record was lost.
 #[tokio::test]
 async fn an_order_written_with_a_lost_answer_is_sent_once() {
     let platform = start_platform().await;
--- a/crates/steward/tests/all/schedules/orders.rs
+++ b/crates/steward/tests/all/schedules/orders.rs
@@ -345,9 +345,7 @@
     judge(&world.store.history, &world.engine)
 }
 
-/// Seen failing with a lost answer taken for a refusal, with an order of an
-/// earlier holder not sent again when the engine knows it (a copy held back
-/// until the engine had forgotten it was carried out), and with an order that
+/// Seen failing with a lost answer taken for a refusal, and with an order that
 /// was found open after the write of its end was lost not written anew: the
 /// end took effect late, after the engine had forgotten the order and got it
 /// again.
--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -24,8 +24,8 @@
     orders.into_iter().map(|order| order.id).collect()
 }
 
-/// Seen failing with a successor that records the request as a new order
-/// instead of finishing the one it finds.
+/// Seen failing with a successor that gives the order it finds open a new
+/// identifier.
 #[tokio::test]
 async fn the_order_of_a_killed_steward_is_finished_under_its_identifier() {
     let mut group = StewardGroup::start().await;
