--- a/crates/steward/tests/all/schedules/orders.rs
+++ b/crates/steward/tests/all/schedules/orders.rs
@@ -39,7 +39,10 @@
     fn receive(&mut self, now: u64, order: &EngineOrder) -> OrderSent {
         let stale = order.fencing < self.epoch && self.fencing == FencingSupport::Checked;
         match () {
-            () if self.known.contains_key(&order.id) => OrderSent::Accepted,
+            () if self.known.contains_key(&order.id) => {
+                self.epoch = self.epoch.max(order.fencing);
+                OrderSent::Accepted
+            }
             () if stale => OrderSent::Stale,
             () if self.open.is_some() => OrderSent::AnotherOpen,
             () => {
