Keep sums of usage in place of records

A process and its neighbour kept every uncovered record, 777 bytes for both together, so an outage of the platform of 18 minutes took a node at 37 requests a second past 32 MB. What a closed window covers is written in it, so the rest is a subtraction and single records aren't needed.

Ruled out: letting the process merge records up to ends that the neighbours agree to; an earlier neighbour may close a window at any end.

--- a/crates/hosts/src/copier.rs
+++ b/crates/hosts/src/copier.rs
@@ -1,18 +1,18 @@
 //! Copies of this process's usage records at a neighbour.
 //!
 //! The last byte of an answer waits for the second copy, so records go out at
-//! once, many in a batch when many are waiting, over one stream to one
-//! neighbour. When the neighbour changes, it gets every record that no closed
-//! window covers yet: the last neighbour always holds all of them.
+//! once, summed up when many are waiting, over one stream to one neighbour. When
+//! the neighbour changes, it gets the sum of every record that no closed window
+//! covers yet: the last neighbour always holds all of them.
 
 use crate::context::{CONNECT_TIMEOUT, PeerContext};
-use crate::copies::UsagePosition;
 use crate::copy_queue::{CopyError, CopyQueue, PendingCopy};
 use crate::counters::PeerCounter;
 use crate::membership::{Member, MemberState};
 use crate::stream::{PeerStream, StreamError};
+use crate::usage_range::ClosedWindow;
 use crate::wire::{CopyBatch, Request, Response};
-use lagoonlift_types::{ProcessId, Sequence, UsageRecord};
+use lagoonlift_types::{ProcessId, UsageRecord, WindowId};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -48,14 +48,19 @@
 
     /// Queues a record for copying; sequences must be queued without gaps.
     pub(crate) fn enqueue(&self, record: UsageRecord) -> PendingCopy {
-        let pending = self.lock().add(record);
+        let pending = self.lock().add(&record);
         self.wake.notify_one();
         pending
     }
 
-    /// Notes up to where windows are closed.
-    pub(crate) fn advance(&self, position: UsagePosition) {
-        self.lock().advance(position);
+    /// Notes that windows are left out, while no record is uncovered.
+    pub(crate) fn skip_to(&self, window: WindowId) {
+        self.lock().skip_to(window);
+    }
+
+    /// Notes that a window was closed.
+    pub(crate) fn settle(&self, closed: &ClosedWindow) -> bool {
+        self.lock().settle(closed)
     }
 
     fn lock(&self) -> MutexGuard<'_, CopyQueue> {
@@ -157,7 +162,7 @@
         stream: &mut PeerStream,
         batch: CopyBatch,
     ) -> Result<(), CopyFailure> {
-        let end = Sequence(batch.first.0 + batch.records.len() as u64);
+        let end = batch.range.to;
         let request = Request::CopyUsage(batch);
         let exchange = async {
             stream.send(&request).await?;
--- a/crates/hosts/src/copies.rs
+++ b/crates/hosts/src/copies.rs
@@ -1,10 +1,11 @@
-//! Usage records that this process keeps for its neighbours.
+//! Usage that this process keeps for its neighbours.
 //!
-//! A neighbour that dies leaves its unbilled records here. They are kept until
-//! a closed window covers them, whoever closed it.
+//! A neighbour that dies leaves its unbilled usage here. It is kept until closed
+//! windows cover it, whoever closed them.
 
+use crate::usage_range::{ClosedWindow, UsageRange};
 use crate::wire::CopyBatch;
-use lagoonlift_types::{Incarnation, ProcessId, Sequence, UsageRecord, WindowId};
+use lagoonlift_types::{Incarnation, ProcessId, Sequence, WindowId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -28,109 +29,123 @@
     pub incarnation: Incarnation,
     /// Up to where its windows are closed.
     pub position: UsagePosition,
-    /// How many records are kept.
-    pub records: usize,
+    /// The records that no closed window is known to cover.
+    pub range: UsageRange,
 }
 
-/// Keeps usage records of neighbours.
+/// Keeps usage of neighbours.
 #[derive(Debug, Default)]
 pub struct CopyLedger {
     held: BTreeMap<(ProcessId, Incarnation), Held>,
 }
 
-#[derive(Debug, Default)]
+/// Invariant: the range starts at the position's `covered_to`.
+#[derive(Debug)]
 struct Held {
     position: UsagePosition,
-    records: BTreeMap<Sequence, UsageRecord>,
+    range: UsageRange,
 }
 
 impl CopyLedger {
-    /// Creates a ledger without records.
+    /// Creates a ledger without usage.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Keeps a batch; returns whether the batch was well formed and is kept.
+    /// Keeps a batch; returns whether everything before its end is kept or
+    /// covered now. A batch that doesn't fit what is kept changes nothing; its
+    /// sender then sends everything.
     pub fn hold(&mut self, batch: CopyBatch) -> bool {
-        let well_formed = (0..).zip(&batch.records).all(|(index, record)| {
-            record.sequence.0.checked_sub(batch.first.0) == Some(index)
-                && record.process == batch.process
-                && record.incarnation == batch.incarnation
-        });
-        if !well_formed {
+        if batch.range.to < batch.range.from {
             return false;
         }
-        let held = self
-            .held
-            .entry((batch.process, batch.incarnation))
-            .or_default();
-        held.advance(batch.position);
-        let covered_to = held.position.covered_to;
-        let uncovered = batch
-            .records
-            .into_iter()
-            .filter(|record| record.sequence >= covered_to)
-            .map(|record| (record.sequence, record));
-        held.records.extend(uncovered);
-        true
+        let key = (batch.process.clone(), batch.incarnation);
+        match self.held.get_mut(&key) {
+            Some(held) => held.hold(batch),
+            None => match Held::with_first(batch) {
+                Some(held) => {
+                    self.held.insert(key, held);
+                    true
+                }
+                None => false,
+            },
+        }
     }
 
-    /// Notes that windows were closed, and drops the records they cover.
-    pub fn advance(
-        &mut self,
-        process: &ProcessId,
-        incarnation: Incarnation,
-        position: UsagePosition,
-    ) {
+    /// Notes that a window was closed, and drops what it covers.
+    ///
+    /// What is kept may go back to before an earlier window meanwhile; then
+    /// this changes nothing, and the next attempts find both windows again.
+    pub fn settle(&mut self, process: &ProcessId, incarnation: Incarnation, closed: &ClosedWindow) {
         if let Some(held) = self.held.get_mut(&(process.clone(), incarnation)) {
-            held.advance(position);
+            held.settle(closed);
         }
     }
 
     /// Returns what is kept, for each incarnation of each neighbour.
     pub fn held(&self) -> Vec<HeldCopies> {
-        let summary =
+        let copies =
             |((process, incarnation), held): (&(ProcessId, Incarnation), &Held)| HeldCopies {
                 process: process.clone(),
                 incarnation: *incarnation,
                 position: held.position,
-                records: held.records.len(),
+                range: held.range.clone(),
             };
-        self.held.iter().map(summary).collect()
-    }
-
-    /// Returns the kept records that no closed window covers, in order, up to
-    /// the first gap.
-    pub fn records(&self, process: &ProcessId, incarnation: Incarnation) -> Vec<UsageRecord> {
-        let held = self.held.get(&(process.clone(), incarnation));
-        held.map(Held::contiguous).unwrap_or_default()
+        self.held.iter().map(copies).collect()
     }
 
     /// Forgets an incarnation all of whose records are covered.
     pub fn forget(&mut self, process: &ProcessId, incarnation: Incarnation) {
         let key = (process.clone(), incarnation);
-        if self
-            .held
-            .get(&key)
-            .is_some_and(|held| held.records.is_empty())
-        {
+        let held = self.held.get(&key);
+        if held.is_some_and(|held| held.range.is_empty()) {
             self.held.remove(&key);
         }
     }
 }
 
 impl Held {
-    fn advance(&mut self, position: UsagePosition) {
-        self.position = self.position.max(position);
-        self.records = self.records.split_off(&self.position.covered_to);
+    fn with_first(batch: CopyBatch) -> Option<Self> {
+        let fits = batch.is_whole && batch.range.from == batch.position.covered_to;
+        fits.then_some(Self {
+            position: batch.position,
+            range: batch.range,
+        })
+    }
+
+    fn hold(&mut self, batch: CopyBatch) -> bool {
+        match batch.is_whole {
+            // A late one: all of it is kept or covered.
+            _ if batch.range.to <= self.range.to => true,
+            true => self.replace(batch),
+            false if batch.range.from == self.range.to => {
+                self.range.append(&batch.range);
+                true
+            }
+            false => false,
+        }
+    }
+
+    /// Takes everything that the neighbour holds uncovered. It may not know yet
+    /// of a window that was closed here; then the range starts earlier again,
+    /// and the next attempt finds that window's object.
+    fn replace(&mut self, batch: CopyBatch) -> bool {
+        match Self::with_first(batch) {
+            Some(next) => {
+                *self = next;
+                true
+            }
+            None => false,
+        }
     }
 
-    fn contiguous(&self) -> Vec<UsageRecord> {
-        let start = self.position.covered_to.0;
-        (0..)
-            .zip(self.records.values())
-            .take_while(|(index, record)| record.sequence.0.checked_sub(start) == Some(*index))
-            .map(|(_, record)| record.clone())
-            .collect()
+    fn settle(&mut self, closed: &ClosedWindow) {
+        if closed.window != self.position.next_window {
+            return;
+        }
+        if let Some(rest) = self.range.without_start(&closed.range) {
+            self.range = rest;
+            self.position = closed.next_position();
+        }
     }
 }
--- a/crates/hosts/src/copy_queue.rs
+++ b/crates/hosts/src/copy_queue.rs
@@ -1,16 +1,15 @@
-//! Usage records of this process that wait for a copy or for their window.
+//! Usage of this process that waits for a copy or for its window.
 
 use crate::copies::UsagePosition;
+use crate::usage_range::{ClosedWindow, UsageRange};
 use crate::wire::CopyBatch;
-use lagoonlift_types::{Incarnation, ProcessId, Sequence, UsageRecord};
+use lagoonlift_types::{Incarnation, ProcessId, Sequence, UsageRecord, WindowId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// Most records in one batch.
-const MAX_BATCH: usize = 512;
 /// Time after which a caller is told that its record has no copy yet.
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -44,16 +43,31 @@
     }
 }
 
-/// Records that no closed window is known to cover, and who waits for a copy.
+/// What no closed window is known to cover, and who waits for a copy of it.
 #[derive(Debug, Default)]
 pub struct CopyQueue {
     position: UsagePosition,
-    records: BTreeMap<Sequence, UsageRecord>,
-    /// The first record that the present neighbour wasn't sent.
-    unsent: Sequence,
+    uncovered: UsageRange,
+    /// The records that the present neighbour wasn't sent.
+    unsent: UsageRange,
+    /// What the present neighbour must be sent next.
+    next: NextBatch,
     waiting: BTreeMap<Sequence, oneshot::Sender<Result<(), CopyError>>>,
 }
 
+/// What a neighbour must be sent next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum NextBatch {
+    /// Everything, at once: it may hold nothing.
+    #[default]
+    Everything,
+    /// Everything, once there is something new: what it holds goes back to
+    /// before the last closed window.
+    EverythingWithNews,
+    /// What is new.
+    News,
+}
+
 impl CopyQueue {
     /// Creates a queue without records.
     pub fn new() -> Self {
@@ -62,56 +76,80 @@
 
     /// Returns whether every record is covered.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.uncovered.is_empty()
     }
 
     /// Adds the record that follows the last one.
-    pub fn add(&mut self, record: UsageRecord) -> PendingCopy {
+    pub fn add(&mut self, record: &UsageRecord) -> PendingCopy {
         let (sender, receiver) = oneshot::channel();
-        self.waiting.insert(record.sequence, sender);
-        self.records.insert(record.sequence, record);
+        self.waiting.insert(self.uncovered.to, sender);
+        self.uncovered.add(record);
+        self.unsent.add(record);
         PendingCopy(receiver)
     }
 
-    /// Notes up to where windows are closed, and drops what they cover.
-    pub fn advance(&mut self, position: UsagePosition) {
-        self.position = self.position.max(position);
-        self.records = self.records.split_off(&self.position.covered_to);
+    /// Notes that windows are left out, while no record is uncovered.
+    pub fn skip_to(&mut self, window: WindowId) {
+        if self.uncovered.is_empty() && window > self.position.next_window {
+            self.position.next_window = window;
+            self.note_position();
+        }
+    }
+
+    /// Notes that a window was closed, and drops what it covers; returns
+    /// whether it fits what is kept.
+    pub fn settle(&mut self, closed: &ClosedWindow) -> bool {
+        let Some(rest) = self.uncovered.without_start(&closed.range) else {
+            return false;
+        };
+        self.uncovered = rest;
+        self.position = closed.next_position();
+        if self.unsent.from < self.uncovered.from {
+            self.unsent = self.uncovered.clone();
+        }
+        self.note_position();
         // What a closed window covers needs no copy any more.
-        self.confirm(self.position.covered_to);
+        self.confirm(closed.range.to);
+        true
+    }
+
+    fn note_position(&mut self) {
+        if self.next == NextBatch::News {
+            self.next = NextBatch::EverythingWithNews;
+        }
     }
 
     /// Has everything sent again, to another neighbour.
     pub fn restart(&mut self) {
-        self.unsent = self.position.covered_to;
+        self.next = NextBatch::Everything;
     }
 
-    /// Returns the next records that the neighbour wasn't sent.
+    /// Returns what the neighbour must be sent now.
     pub fn take_batch(
         &mut self,
         process: &ProcessId,
         incarnation: Incarnation,
     ) -> Option<CopyBatch> {
-        let first = self.unsent.max(self.position.covered_to);
-        let numbers = (first.0..).map(Sequence);
-        let records: Vec<UsageRecord> = self
-            .records
-            .range(first..)
-            .zip(numbers)
-            .take_while(|((sequence, _), number)| *sequence == number)
-            .take(MAX_BATCH)
-            .map(|((_, record), _)| record.clone())
-            .collect();
-        if records.is_empty() {
-            return None;
-        }
-        self.unsent = Sequence(first.0 + records.len() as u64);
+        let is_whole = match self.next {
+            NextBatch::Everything if self.uncovered.is_empty() => return None,
+            NextBatch::EverythingWithNews | NextBatch::News if self.unsent.is_empty() => {
+                return None;
+            }
+            NextBatch::Everything | NextBatch::EverythingWithNews => true,
+            NextBatch::News => false,
+        };
+        self.next = NextBatch::News;
+        let unsent = std::mem::replace(&mut self.unsent, UsageRange::new(self.uncovered.to));
+        let range = match is_whole {
+            true => self.uncovered.clone(),
+            false => unsent,
+        };
         Some(CopyBatch {
             process: process.clone(),
             incarnation,
             position: self.position,
-            first,
-            records,
+            is_whole,
+            range,
         })
     }
 
--- a/crates/hosts/src/lib.rs
+++ b/crates/hosts/src/lib.rs
@@ -32,6 +32,7 @@
 mod store;
 mod stream;
 mod tasks;
+mod usage_range;
 mod wire;
 
 pub use config::PeerConfig;
@@ -49,4 +50,5 @@
 pub use node::{PeerError, PeerNode};
 pub use replay::{ReplayError, ReplayGuard};
 pub use store::{ConfigurationStore, Offer};
+pub use usage_range::{ClosedWindow, UsageRange};
 pub use wire::{CopyBatch, Datagram, Fact, FactState, FleetVersion, Identity, Kind};
--- a/crates/hosts/src/node.rs
+++ b/crates/hosts/src/node.rs
@@ -3,7 +3,7 @@
 use crate::PeerConfig;
 use crate::context::PeerContext;
 use crate::copier::UsageCopier;
-use crate::copies::{CopyLedger, HeldCopies, UsagePosition};
+use crate::copies::{CopyLedger, HeldCopies};
 use crate::copy_queue::{CopyError, PendingCopy};
 use crate::counters::PeerCounters;
 use crate::datagram::DatagramCodec;
@@ -17,8 +17,9 @@
 use crate::server::PeerServer;
 use crate::store::ConfigurationStore;
 use crate::tasks::{bind, receive, run_rounds, spread_news};
+use crate::usage_range::ClosedWindow;
 use crate::wire::{Fact, FactState};
-use lagoonlift_types::{DataCentreName, FleetView, Incarnation, ProcessId, UsageRecord};
+use lagoonlift_types::{DataCentreName, FleetView, Incarnation, ProcessId, UsageRecord, WindowId};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -238,9 +239,16 @@
         self.shared.copier.enqueue(record)
     }
 
-    /// Notes up to where the usage windows of this process are closed.
-    pub fn advance_usage(&self, position: UsagePosition) {
-        self.shared.copier.advance(position);
+    /// Notes that the windows of this process before `window` are left out,
+    /// while no record of it is uncovered.
+    pub fn skip_usage(&self, window: WindowId) {
+        self.shared.copier.skip_to(window);
+    }
+
+    /// Notes that a window of this process was closed; returns whether it fits
+    /// what was queued.
+    pub fn settle_usage(&self, closed: &ClosedWindow) -> bool {
+        self.shared.copier.settle(closed)
     }
 
     /// Returns what this process keeps for neighbours.
@@ -248,20 +256,14 @@
         self.lock_copies().held()
     }
 
-    /// Returns the records kept for a neighbour's incarnation that no closed
-    /// window covers, in order, up to the first gap.
-    pub fn held_records(&self, process: &ProcessId, incarnation: Incarnation) -> Vec<UsageRecord> {
-        self.lock_copies().records(process, incarnation)
-    }
-
-    /// Notes up to where the windows of a neighbour's incarnation are closed.
-    pub fn advance_copies(
+    /// Notes that a window of a neighbour's incarnation was closed.
+    pub fn settle_copies(
         &self,
         process: &ProcessId,
         incarnation: Incarnation,
-        position: UsagePosition,
+        closed: &ClosedWindow,
     ) {
-        self.lock_copies().advance(process, incarnation, position);
+        self.lock_copies().settle(process, incarnation, closed);
     }
 
     /// Forgets a neighbour's incarnation all of whose records are covered.
--- a/crates/hosts/src/wire.rs
+++ b/crates/hosts/src/wire.rs
@@ -4,9 +4,9 @@
 use crate::demand::{DemandMap, DemandSource};
 use crate::fleets::FleetDelta;
 use crate::history::ManifestDelta;
+use crate::usage_range::UsageRange;
 use lagoonlift_types::{
     ChunkDigest, DataCentreName, Epoch, FleetView, Incarnation, Manifest, ProcessId, Revision,
-    Sequence, UsageRecord,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -150,7 +150,7 @@
     Chunks(Vec<ChunkDigest>),
     /// Fleet views that replace the opener's.
     Fleets(Vec<FleetVersion>),
-    /// Keep copies of usage records.
+    /// Keep a copy of usage.
     CopyUsage(CopyBatch),
     /// Count this demand.
     Demand {
@@ -197,17 +197,18 @@
     Delta(FleetDelta),
 }
 
-/// Usage records for a neighbour to keep.
+/// Usage for a neighbour to keep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyBatch {
-    /// The process whose records these are.
+    /// The process whose usage this is.
     pub process: ProcessId,
     /// Its incarnation.
     pub incarnation: Incarnation,
     /// Up to where its windows are closed.
     pub position: UsagePosition,
-    /// The position of the first record.
-    pub first: Sequence,
-    /// The records, without gaps.
-    pub records: Vec<UsageRecord>,
+    /// Whether this is everything that no closed window is known to cover;
+    /// else it follows what was sent before.
+    pub is_whole: bool,
+    /// The records, summed up.
+    pub range: UsageRange,
 }
--- a/crates/hosts/tests/all/support.rs
+++ b/crates/hosts/tests/all/support.rs
@@ -1,6 +1,6 @@
 //! Nodes on loopback, and configurations for them.
 
-use lagoonlift_hosts::{PeerConfig, PeerNode};
+use lagoonlift_hosts::{PeerConfig, PeerNode, UsageRange};
 use lagoonlift_types::{
     Configuration, DataCentreName, HostName, Incarnation, KeyDigest, Limits, Manifest, ProcessId,
     ProcessRole, RequestId, Revision, Sequence, UsageFigures, UsageRecord, Workspace,
@@ -128,3 +128,12 @@
     println!("seed {seed}");
     seed
 }
+
+/// Sums records up that follow each other.
+pub(crate) fn range_of(records: &[UsageRecord]) -> UsageRange {
+    let mut range = UsageRange::new(records[0].sequence);
+    for record in records {
+        range.add(record);
+    }
+    range
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -25,7 +25,7 @@
 pub use keys::{KeyDigest, ParseDigestError};
 pub use manifest::{AssembleError, Chunk, ChunkDigest, ChunkName, Manifest};
 pub use outcome::{NotRunReason, Outcome, OutcomeKind};
-pub use usage::{UsageFigures, UsageRecord, WindowId};
+pub use usage::{UsageFigures, UsageRecord, UsageSums, WindowId};
 
 /// Tokens in one piece, the unit of work by which limits and fair shares count.
 pub const TOKENS_PER_PIECE: u64 = 2_000;
--- a/crates/types/src/usage.rs
+++ b/crates/types/src/usage.rs
@@ -2,6 +2,7 @@
 
 use crate::{ClassName, Incarnation, ProcessId, RequestId, Sequence, WorkspaceName};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::ops::AddAssign;
 
@@ -18,9 +19,65 @@
 
 impl AddAssign for UsageFigures {
     fn add_assign(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.prompt_tokens += other.prompt_tokens;
-        self.output_tokens += other.output_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
+        self.output_tokens = self.output_tokens.saturating_add(other.output_tokens);
+    }
+}
+
+impl UsageFigures {
+    /// Returns what is left after `other` is taken away, if nothing falls short.
+    pub fn checked_sub(self, other: Self) -> Option<Self> {
+        Some(Self {
+            requests: self.requests.checked_sub(other.requests)?,
+            prompt_tokens: self.prompt_tokens.checked_sub(other.prompt_tokens)?,
+            output_tokens: self.output_tokens.checked_sub(other.output_tokens)?,
+        })
+    }
+}
+
+/// Sums of what was used, by workspace and class.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageSums {
+    lines: BTreeMap<(WorkspaceName, ClassName), UsageFigures>,
+}
+
+impl UsageSums {
+    /// Creates empty sums.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds what one workspace used in one class.
+    pub fn add(&mut self, workspace: &WorkspaceName, class: &ClassName, figures: UsageFigures) {
+        let key = (workspace.clone(), class.clone());
+        *self.lines.entry(key).or_default() += figures;
+    }
+
+    /// Adds other sums.
+    pub fn merge(&mut self, other: &Self) {
+        for (workspace, class, figures) in other.iter() {
+            self.add(workspace, class, figures);
+        }
+    }
+
+    /// Returns what is left after `other` is taken away, if nothing falls short.
+    pub fn checked_sub(&self, other: &Self) -> Option<Self> {
+        let mut rest = self.clone();
+        for (key, figures) in &other.lines {
+            let left = rest.lines.remove(key).unwrap_or_default();
+            let left = left.checked_sub(*figures)?;
+            if left != UsageFigures::default() {
+                rest.lines.insert(key.clone(), left);
+            }
+        }
+        Some(rest)
+    }
+
+    /// Returns each workspace and class with what it used, in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&WorkspaceName, &ClassName, UsageFigures)> {
+        let lines = self.lines.iter();
+        lines.map(|((workspace, class), figures)| (workspace, class, *figures))
     }
 }
 
--- a/crates/usage/src/chain.rs
+++ b/crates/usage/src/chain.rs
@@ -11,33 +11,32 @@
 //! A window may be left out only while no record is uncovered: a neighbour that
 //! holds records could otherwise close the window that was left out.
 
-use crate::window::{UsageWindow, sum};
-use lagoonlift_hosts::UsagePosition;
+use crate::window::{UsageWindow, lines_of};
+use lagoonlift_hosts::{UsagePosition, UsageRange};
 use lagoonlift_types::{Incarnation, ProcessId, Sequence, UsageRecord, WindowId};
-use std::collections::VecDeque;
 use thiserror::Error;
 
-/// A closed window that doesn't fit the chain.
+/// A closed window that doesn't fit the chain: it isn't the next one, starts
+/// elsewhere, or sums up to more than its records do.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-#[error("window {window} starts at record {found}, not at {expected}")]
+#[error("window {window} starts at record {found}; the chain goes on at record {expected}")]
 pub struct BrokenChain {
     /// The window.
     pub window: WindowId,
     /// Where it starts.
     pub found: Sequence,
-    /// Where it should start.
+    /// Where the chain goes on.
     pub expected: Sequence,
 }
 
-/// The records of one incarnation that no closed window covers, and the place
+/// The usage of one incarnation that no closed window covers, and the place
 /// where its chain goes on.
 #[derive(Debug)]
 pub struct WindowChain {
     process: ProcessId,
     incarnation: Incarnation,
-    position: UsagePosition,
-    /// The records from `position.covered_to` on, without gaps.
-    records: VecDeque<UsageRecord>,
+    next_window: WindowId,
+    uncovered: UsageRange,
 }
 
 impl WindowChain {
@@ -46,53 +45,51 @@
         Self {
             process,
             incarnation,
-            position,
-            records: VecDeque::new(),
+            next_window: position.next_window,
+            uncovered: UsageRange::new(position.covered_to),
         }
     }
 
     /// Creates a chain of records that follow each other from
     /// `position.covered_to` on.
     #[must_use]
-    pub fn with_records(mut self, records: Vec<UsageRecord>) -> Self {
-        self.records = records.into();
+    pub fn with_range(mut self, range: UsageRange) -> Self {
+        self.uncovered = range;
         self
     }
 
     /// Returns where the chain goes on.
     pub fn position(&self) -> UsagePosition {
-        self.position
+        UsagePosition {
+            next_window: self.next_window,
+            covered_to: self.uncovered.from,
+        }
     }
 
     /// Returns the sequence of the next record.
     pub fn next_sequence(&self) -> Sequence {
-        Sequence(self.position.covered_to.0 + self.records.len() as u64)
-    }
-
-    /// Returns how many records no closed window covers.
-    pub fn uncovered(&self) -> usize {
-        self.records.len()
+        self.uncovered.to
     }
 
     /// Adds the next record, which falls into `window`.
-    pub fn add(&mut self, record: UsageRecord, window: WindowId) {
-        if self.records.is_empty() {
-            self.position.next_window = self.position.next_window.max(window);
+    pub fn add(&mut self, record: &UsageRecord, window: WindowId) {
+        if self.uncovered.is_empty() {
+            self.next_window = self.next_window.max(window);
         }
-        self.records.push_back(record);
+        self.uncovered.add(record);
     }
 
     /// Returns the window to create next, if there are records for it and it
     /// ended before `current`.
     pub fn attempt(&self, current: WindowId, closed_by: &ProcessId) -> Option<UsageWindow> {
-        let due = self.position.next_window < current && !self.records.is_empty();
+        let due = self.next_window < current && !self.uncovered.is_empty();
         due.then(|| UsageWindow {
-            window: self.position.next_window,
+            window: self.next_window,
             process: self.process.clone(),
             incarnation: self.incarnation,
-            from: self.position.covered_to,
-            to: self.next_sequence(),
-            lines: sum(self.records.iter()),
+            from: self.uncovered.from,
+            to: self.uncovered.to,
+            lines: lines_of(&self.uncovered.sums),
             closed_by: closed_by.clone(),
         })
     }
@@ -104,25 +101,22 @@
     /// Fails when the window isn't the next one of this chain; then nothing
     /// changes.
     pub fn settle(&mut self, window: &UsageWindow) -> Result<(), BrokenChain> {
-        let expected = self.position.covered_to;
-        if window.window < self.position.next_window {
+        if window.window < self.next_window {
             // Settled before: an answer that came twice.
             return Ok(());
         }
-        let fits = window.window == self.position.next_window
-            && window.from == expected
-            && window.to >= expected;
-        if !fits {
-            return Err(BrokenChain {
+        let closed = window.closed();
+        match self.uncovered.without_start(&closed.range) {
+            Some(rest) if window.window == self.next_window => {
+                self.uncovered = rest;
+                self.next_window = closed.next_position().next_window;
+                Ok(())
+            }
+            _ => Err(BrokenChain {
                 window: window.window,
                 found: window.from,
-                expected,
-            });
+                expected: self.uncovered.from,
+            }),
         }
-        // A neighbour may hold fewer records than the process itself covered.
-        let covered = (window.to.0 - expected.0) as usize;
-        self.records.drain(..covered.min(self.records.len()));
-        self.position = window.next_position();
-        Ok(())
     }
 }
--- a/crates/usage/src/keeper.rs
+++ b/crates/usage/src/keeper.rs
@@ -209,10 +209,10 @@
             figures: record.figures,
         };
         self.counters.increment(UsageCounter::Records);
-        self.chain.add(record.clone(), current_window(self.window));
+        self.chain.add(&record, current_window(self.window));
         // A neighbour must know where the chain goes on before it holds the
         // first record, or it might close a window that was left out.
-        self.node.advance_usage(self.chain.position());
+        self.node.skip_usage(self.chain.position().next_window);
         self.node.enqueue_usage(record)
     }
 }
@@ -239,7 +239,9 @@
             self.counters.increment(UsageCounter::ChainsBroken);
             return;
         }
-        self.node.advance_usage(self.chain.position());
+        if !self.node.settle_usage(&window.closed()) {
+            self.counters.increment(UsageCounter::ChainsBroken);
+        }
         self.counters.increment(UsageCounter::WindowsClosed);
         if window.closed_by != self.process {
             tracing::info!(window = %window.window, by = %window.closed_by, "a neighbour closed a usage window");
--- a/crates/usage/src/neighbours.rs
+++ b/crates/usage/src/neighbours.rs
@@ -6,9 +6,8 @@
 use crate::chain::WindowChain;
 use crate::closer::WindowCloser;
 use crate::counters::{UsageCounter, UsageCounters};
-use crate::window::current_window;
+use crate::window::{UsageWindow, current_window};
 use lagoonlift_hosts::{HeldCopies, PeerNode};
-use lagoonlift_platform::PlatformError;
 use lagoonlift_types::{ProcessId, WindowId};
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,11 +42,11 @@
         let current = current_window(self.window);
         for held in self.node.held_copies() {
             let present = self.is_present(&held);
-            match held.records {
-                0 if !present => self.node.forget_copies(&held.process, held.incarnation),
-                0 => {}
-                _ if present && !is_overdue(&held, current) => {}
-                _ => self.close(&held, current).await,
+            match held.range.is_empty() {
+                true if !present => self.node.forget_copies(&held.process, held.incarnation),
+                true => {}
+                false if present && !is_overdue(&held, current) => {}
+                false => self.close(held, current).await,
             }
         }
     }
@@ -61,33 +60,32 @@
             .any(|member| member.process == held.process && member.incarnation == held.incarnation)
     }
 
-    async fn close(&self, held: &HeldCopies, current: WindowId) {
-        let (process, incarnation) = (&held.process, held.incarnation);
-        let records = self.node.held_records(process, incarnation);
+    /// Walks the neighbour's chain until what is held is covered.
+    async fn close(&self, held: HeldCopies, current: WindowId) {
         let mut chain =
-            WindowChain::new(process.clone(), incarnation, held.position).with_records(records);
-        if self.walk(&mut chain, current).await.is_err() {
-            self.counters.increment(UsageCounter::AttemptsFailed);
-        }
-        self.node
-            .advance_copies(process, incarnation, chain.position());
-    }
-
-    /// Walks the chain until the records that are held are covered.
-    async fn walk(&self, chain: &mut WindowChain, current: WindowId) -> Result<(), PlatformError> {
+            WindowChain::new(held.process, held.incarnation, held.position).with_range(held.range);
         while let Some(attempt) = chain.attempt(current, &self.process) {
-            let window = self.closer.close(attempt).await?;
+            let Ok(window) = self.closer.close(attempt).await else {
+                self.counters.increment(UsageCounter::AttemptsFailed);
+                return;
+            };
             if let Err(error) = chain.settle(&window) {
                 tracing::error!(%error, process = %window.process, "a usage window doesn't fit its chain");
                 self.counters.increment(UsageCounter::ChainsBroken);
-                break;
-            }
-            if window.closed_by == self.process {
-                self.counters
-                    .increment(UsageCounter::NeighbourWindowsClosed);
+                return;
             }
+            self.note_closed(&window);
         }
-        Ok(())
+    }
+
+    fn note_closed(&self, window: &UsageWindow) {
+        if window.closed_by == self.process {
+            self.counters
+                .increment(UsageCounter::NeighbourWindowsClosed);
+        }
+        let closed = window.closed();
+        self.node
+            .settle_copies(&window.process, window.incarnation, &closed);
     }
 }
 
--- a/crates/usage/src/window.rs
+++ b/crates/usage/src/window.rs
@@ -1,12 +1,11 @@
 //! One closed window of one incarnation, as the platform keeps it.
 
-use lagoonlift_hosts::UsagePosition;
+use lagoonlift_hosts::{ClosedWindow, UsageRange};
 use lagoonlift_types::{
-    ClassName, DataCentreName, Incarnation, ProcessId, Sequence, UsageFigures, UsageRecord,
-    WindowId, WorkspaceName,
+    ClassName, DataCentreName, Incarnation, ProcessId, Sequence, UsageFigures, UsageSums, WindowId,
+    WorkspaceName,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
 /// The records that one window of one incarnation covers, summed up.
@@ -44,29 +43,32 @@
 }
 
 impl UsageWindow {
-    /// Returns where the chain goes on after this window.
-    pub fn next_position(&self) -> UsagePosition {
-        UsagePosition {
-            next_window: WindowId(self.window.0 + 1),
-            covered_to: self.to,
+    /// Returns what the window covers.
+    pub fn closed(&self) -> ClosedWindow {
+        let mut sums = UsageSums::new();
+        for line in &self.lines {
+            sums.add(&line.workspace, &line.class, line.figures);
+        }
+        ClosedWindow {
+            window: self.window,
+            range: UsageRange {
+                from: self.from,
+                to: self.to,
+                sums,
+            },
         }
     }
 }
 
-/// Sums records up, for each workspace and class.
-pub(crate) fn sum<'a>(records: impl Iterator<Item = &'a UsageRecord>) -> Vec<UsageLine> {
-    let mut sums: BTreeMap<(&WorkspaceName, &ClassName), UsageFigures> = BTreeMap::new();
-    for record in records {
-        let key = (&record.workspace, &record.class);
-        *sums.entry(key).or_default() += record.figures;
-    }
+/// Lists sums, for each workspace and class.
+pub(crate) fn lines_of(sums: &UsageSums) -> Vec<UsageLine> {
     let line =
-        |((workspace, class), figures): ((&WorkspaceName, &ClassName), UsageFigures)| UsageLine {
+        |(workspace, class, figures): (&WorkspaceName, &ClassName, UsageFigures)| UsageLine {
             workspace: workspace.clone(),
             class: class.clone(),
             figures,
         };
-    sums.into_iter().map(line).collect()
+    sums.iter().map(line).collect()
 }
 
 /// Returns the prefix of the keys of a data centre's closed windows.
