--- a/crates/experiments/examples/experiment.rs
+++ b/crates/experiments/examples/experiment.rs
@@ -1,20 +1,23 @@
 //! Runs experiments and prints the table; for work on the policy.
 //!
-//! `experiment [tuning|report] [PROFILE|all] [DEPLOYMENT|all] [CONTENDERS|all] [JSON-FILE]`
+//! `experiment [tuning|report|SEED] [PROFILE|all] [DEPLOYMENT|all] [CONTENDERS|all] [JSON-FILE]`
+//!
+//! Plots go beside the JSON file.
 
 use lagoonlift_experiments::{
-    Deployment, ExperimentError, ExperimentPlan, Profile, REPORT_SEEDS, TUNING_SEEDS, render_table,
-    run,
+    Deployment, ExperimentError, ExperimentPlan, Profile, REPORT_SEEDS, TUNING_SEEDS,
+    render_report, render_table, run,
 };
 
 fn main() -> Result<(), ExperimentError> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let argument = |index: usize| arguments.get(index).map_or("all", String::as_str);
-    let seeds: &[u64] = match argument(0) {
-        "report" => &REPORT_SEEDS,
-        _ => &TUNING_SEEDS,
+    let seeds = match (argument(0), argument(0).parse()) {
+        (_, Ok(seed)) => vec![seed],
+        ("report", _) => REPORT_SEEDS.to_vec(),
+        _ => TUNING_SEEDS.to_vec(),
     };
-    let mut plan = ExperimentPlan::new(seeds);
+    let mut plan = ExperimentPlan::new(&seeds);
     plan.profiles
         .retain(|profile: &Profile| argument(1) == "all" || profile.as_str() == argument(1));
     plan.deployments
@@ -25,6 +28,10 @@
     println!("{}", render_table(&result));
     if let Some(path) = arguments.get(4) {
         std::fs::write(path, result.to_json()?).map_err(serde_json::Error::io)?;
+        for plot in render_report(&result)? {
+            let plot_path = std::path::Path::new(path).with_file_name(plot.name + ".svg");
+            std::fs::write(plot_path, plot.svg).map_err(serde_json::Error::io)?;
+        }
     }
     Ok(())
 }
