--- a/tests/all/operators.rs
+++ b/tests/all/operators.rs
@@ -83,7 +83,7 @@
     let changed = [("idempotent = no", "idempotent = perhaps"), ("8s", "1s")];
     session.propose_wrong(&file, &changed).await;
     session.run(&["accept", "0123456789ab"]).await;
-    session.platform().faults().set_down(true);
+    session.stop_platform().await;
     session.run(&["accept", &other]).await;
     assert_snapshot!("keys-races-and-wrong-answers", session.transcript());
 }
--- a/tests/all/operators/session.rs
+++ b/tests/all/operators/session.rs
@@ -1,5 +1,6 @@
 //! Runs the operators' command and keeps what was typed and shown.
 
+use crate::support::eventually;
 use lagoonlift_standins::platform::PlatformStandin;
 use std::fs;
 use std::net::SocketAddr;
@@ -7,6 +8,7 @@
 use std::process::{Output, Stdio};
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::net::TcpStream;
 use tokio::process::Command;
 use tokio::time::timeout;
 
@@ -42,6 +44,17 @@
         &self.platform
     }
 
+    /// Takes the platform down and waits until it accepts no connection: one that
+    /// it accepts and then breaks is another fault.
+    pub(super) async fn stop_platform(&self) {
+        self.platform.faults().set_down(true);
+        let address = self.platform.addr();
+        eventually("the platform to be down", || async {
+            TcpStream::connect(address).await.is_err().then_some(())
+        })
+        .await;
+    }
+
     /// Writes the operator's settings; `hosts` are the sections `[admin.NAME]`.
     pub(super) fn write_settings(&self, hosts: &str) {
         let address = self.platform.addr();
