Let the steward plan roles, models and purchases by the fleet policy

The holder of the lease now tells it what the data centre's engines are and report, and writes what it wants as requests, which take the recorded, drained and fenced path of any other change. `plan-for` in the settings says what is weighed most; without it nothing is planned.

Ruled out: sending planned changes to the order runners directly, which would lose them with the process; demand from the entries, which needs a message of its own: the policy falls back on the engines' reports.

Seen failing: without reports the backlog turns no engine; with silent engines counted as idle a change is requested.

--- a/crates/operators/src/decision.rs
+++ b/crates/operators/src/decision.rs
@@ -123,6 +123,8 @@
 pub enum Evidence {
     /// An operator asked for it, under this identifier.
     Requested(String),
+    /// The steward's plan asked for it, under this identifier.
+    Planned(String),
     /// Time left until the deadline.
     TimeLeft(Duration),
     /// Whether the request may run more than once.
--- a/crates/operators/src/decision_text.rs
+++ b/crates/operators/src/decision_text.rs
@@ -103,6 +103,7 @@
 impl fmt::Display for Evidence {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Planned(id) => write!(f, "asked for by the steward's plan {id}"),
             Self::Requested(id) => write!(f, "asked for by operator's request {id}"),
             Self::TimeLeft(left) => write!(f, "{} ms left", left.as_millis()),
             Self::Idempotent(true) => f.write_str("may run twice"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,5 +15,5 @@
 pub use operator::{OperatorHost, OperatorSettings};
 pub use values::{
     EntrySettings, HostSettings, LogFormat, LogSettings, PeerKey, PeerSeed, PeerSettings,
-    PlatformSettings, Settings, StewardSettings, UsageSettings,
+    PlanWeighting, PlatformSettings, Settings, StewardSettings, UsageSettings,
 };
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -3,7 +3,7 @@
 use crate::document::{SectionReader, SettingValue, SettingsDocument};
 use crate::{
     EntrySettings, HostSettings, LogFormat, LogSettings, PeerKey, PeerSeed, PeerSettings,
-    PlatformSettings, Settings, SettingsError, StewardSettings, UsageSettings,
+    PlanWeighting, PlatformSettings, Settings, SettingsError, StewardSettings, UsageSettings,
 };
 use lagoonlift_types::{DataCentreName, HostName};
 use std::collections::BTreeMap;
@@ -154,6 +154,7 @@
         admin_listen: section.require("admin-listen")?,
         peer_listen: section.require("peer-listen")?,
         lease_term: section.take("lease-term")?.unwrap_or(DEFAULT_LEASE_TERM),
+        plan_for: section.take("plan-for")?,
     };
     section.finish()?;
     Ok(steward)
@@ -222,6 +223,18 @@
     }
 }
 
+impl SettingValue for PlanWeighting {
+    const EXPECTED: &'static str = "`worst-served` or `goodput`";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        match text {
+            "worst-served" => Ok(Self::WorstServed),
+            "goodput" => Ok(Self::Goodput),
+            _ => Err(String::new()),
+        }
+    }
+}
+
 impl SettingValue for HostName {
     const EXPECTED: &'static str = "a name of a-z, 0-9, '.', '_' and '-'";
 
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -111,6 +111,18 @@
     pub peer_listen: SocketAddr,
     /// `lease-term`: how long a lease holds after its renewal was sent.
     pub lease_term: Duration,
+    /// `plan-for`: what the plan of roles and purchases weighs most; without it
+    /// nothing is planned and only operators ask for changes.
+    pub plan_for: Option<PlanWeighting>,
+}
+
+/// What the plan of roles and purchases weighs most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlanWeighting {
+    /// The workspace that is served worst.
+    WorstServed,
+    /// Goodput through changes of the mix.
+    Goodput,
 }
 
 /// Usage windows.
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -124,6 +124,12 @@
         self.shared.orders.engine()
     }
 
+    /// Reports this many tokens of prompts more than really wait.
+    pub fn add_reported_backlog(&self, tokens: u64) {
+        let backlog = &self.shared.backlog_tokens;
+        backlog.fetch_add(tokens, Ordering::Relaxed);
+    }
+
     /// Breaks all connections, loses the open order and stops listening.
     pub fn crash(&mut self) {
         self.shared.orders.fail_open();
--- a/crates/steward/src/explain.rs
+++ b/crates/steward/src/explain.rs
@@ -9,8 +9,9 @@
 };
 use lagoonlift_telemetry::Readiness;
 use lagoonlift_types::{DataCentreName, Epoch, Incarnation, ProcessId, UpstreamName};
-use lagoonlift_upstreams::EngineChange;
+use lagoonlift_upstreams::{EngineChange, EngineLoad};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Records the decisions of one steward. Clones share the same log.
 #[derive(Clone)]
@@ -38,17 +39,28 @@
         &self,
         upstream: &UpstreamName,
         epoch: Option<Epoch>,
-        request: String,
+        asked: Evidence,
         change: &EngineChange,
     ) {
-        let step = match change.clone() {
-            EngineChange::ChangeRole(role) => DecisionStep::RoleChange { role },
-            EngineChange::LoadModel(model) => DecisionStep::ModelLoad { model },
-            EngineChange::LoadAdapter(adapter) => DecisionStep::AdapterLoad { adapter },
-            EngineChange::LoadVersion(version) => DecisionStep::VersionLoad { version },
-        };
-        let evidence = vec![Evidence::Requested(request)];
-        self.record(subject_of(upstream), epoch, step, evidence);
+        self.record(subject_of(upstream), epoch, step_of(change), vec![asked]);
+    }
+
+    /// Records that the plan asks for a change, and the load it rests on.
+    pub(crate) fn change_planned(
+        &self,
+        upstream: &UpstreamName,
+        epoch: Epoch,
+        change: &EngineChange,
+        load: Option<&EngineLoad>,
+    ) {
+        let evidence = load.map(|load| Evidence::Load {
+            prefill_backlog_tokens: load.prefill_backlog_tokens,
+            active_streams: load.active_streams,
+            age: Duration::from_millis(load.age_ms),
+        });
+        let subject = subject_of(upstream);
+        let evidence = evidence.into_iter().collect();
+        self.record(subject, Some(epoch), step_of(change), evidence);
     }
 
     /// Records how an order ended.
@@ -91,6 +103,15 @@
     }
 }
 
+fn step_of(change: &EngineChange) -> DecisionStep {
+    match change.clone() {
+        EngineChange::ChangeRole(role) => DecisionStep::RoleChange { role },
+        EngineChange::LoadModel(model) => DecisionStep::ModelLoad { model },
+        EngineChange::LoadAdapter(adapter) => DecisionStep::AdapterLoad { adapter },
+        EngineChange::LoadVersion(version) => DecisionStep::VersionLoad { version },
+    }
+}
+
 fn subject_of(upstream: &UpstreamName) -> DecisionSubject {
     DecisionSubject {
         upstream: Some(upstream.clone()),
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -15,6 +15,7 @@
 mod handover;
 mod lease;
 mod orders;
+mod planner;
 mod purchases;
 mod sealing;
 mod steward;
--- a/crates/steward/src/orders/desk.rs
+++ b/crates/steward/src/orders/desk.rs
@@ -28,13 +28,16 @@
 /// Time after a failed call until the next.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// An operator's request to change an engine.
+/// A request to change an engine, by an operator or the planner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineRequest {
     /// Identifies the order; no other request has it.
     pub id: String,
     /// The change.
     pub change: EngineChange,
+    /// Whether the planner asks for it.
+    #[serde(default)]
+    pub planned: bool,
 }
 
 impl EngineRequest {
@@ -182,6 +185,7 @@
             let wanted = WantedChange {
                 id: request.id.clone(),
                 change: request.change.clone(),
+                planned: request.planned,
             };
             // A runner that is busy gets it with the next look at the requests.
             let _ = running.wanted.try_send(wanted);
--- a/crates/steward/src/orders/runner.rs
+++ b/crates/steward/src/orders/runner.rs
@@ -8,6 +8,7 @@
 use crate::explain::DecisionRecorder;
 use crate::fleet::{FleetActor, Hold, Observe};
 use crate::lease::Authority;
+use lagoonlift_operators::Evidence;
 use lagoonlift_platform::wire::WeightRequest;
 use lagoonlift_platform::{PlatformClient, PlatformError, Version};
 use lagoonlift_types::{Availability, DataCentreName, Epoch, UpstreamName};
@@ -32,6 +33,8 @@
     /// Identifies the order; none is given twice.
     pub(crate) id: String,
     pub(crate) change: EngineChange,
+    /// Whether the planner asks for it.
+    pub(crate) planned: bool,
 }
 
 /// What all runners share.
@@ -281,15 +284,23 @@
     /// Takes a change in. The engine goes on serving while the weight store
     /// can't give what the change needs.
     async fn take_wanted(&mut self, wanted: WantedChange) {
-        let WantedChange { id, change } = wanted;
+        let WantedChange {
+            id,
+            change,
+            planned,
+        } = wanted;
         while !self.has_weights(&id, &change).await {}
-        let (request, recorded) = (id.clone(), change.clone());
+        let asked = match planned {
+            true => Evidence::Planned(id.clone()),
+            false => Evidence::Requested(id.clone()),
+        };
+        let recorded = change.clone();
         self.journal.handle(JournalEvent::Wanted { id, change });
         // A request that was carried out already leaves nothing to do.
         if self.journal.action().is_some() {
             let epoch = self.parts.authority.epoch();
             let recorder = &self.parts.recorder;
-            recorder.order_wanted(&self.upstream, epoch, request, &recorded);
+            recorder.order_wanted(&self.upstream, epoch, asked, &recorded);
         }
     }
 
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -10,13 +10,15 @@
     Authority, GetStatus, LeaseActor, LeaseConfig, LeaseIdentity, LeaseParts, Release, Suspend,
 };
 use crate::orders::{OrderDesk, RunnerParts, SendLedger};
+use crate::planner::{PlanParts, PlanRunner};
 use crate::purchases::{PurchaseParts, PurchaseRunner};
 use crate::sealing::{SealParts, SealRunner};
 use eyre::{OptionExt, WrapErr};
 use lagoonlift_hosts::{PeerConfig, PeerNode};
 use lagoonlift_operators::operator_routes;
 use lagoonlift_platform::PlatformClient;
-use lagoonlift_settings::{PeerSettings, Settings, StewardSettings};
+use lagoonlift_policy::FleetWeighting;
+use lagoonlift_settings::{PeerSettings, PlanWeighting, Settings, StewardSettings};
 use lagoonlift_telemetry::{Metrics, Readiness, admin_routes};
 use lagoonlift_types::{
     Configuration, DataCentreName, FleetView, Incarnation, ProcessId, ProcessRole,
@@ -286,6 +288,18 @@
         lease: common.lease.clone(),
         ledger: common.ledger.clone(),
     };
+    if let Some(weighting) = own.plan_for {
+        let planner = PlanRunner::new(PlanParts {
+            data_centre: common.data_centre.clone(),
+            weighting: fleet_weighting(weighting),
+            client: common.client.clone(),
+            authority: common.authority.clone(),
+            upstreams: upstreams.clone(),
+            store: common.node.store(),
+            recorder: common.recorder.clone(),
+        });
+        tasks.push(tokio::spawn(planner.run()).abort_handle());
+    }
     let (ended_sender, ended) = mpsc::channel(ENDED_BUFFER);
     let parts = RunnerParts {
         data_centre: common.data_centre.clone(),
@@ -308,6 +322,13 @@
     tasks.push(tokio::spawn(desk.run()).abort_handle());
 }
 
+fn fleet_weighting(weighting: PlanWeighting) -> FleetWeighting {
+    match weighting {
+        PlanWeighting::WorstServed => FleetWeighting::WorstServed,
+        PlanWeighting::Goodput => FleetWeighting::Goodput,
+    }
+}
+
 fn start_billing(settings: &Settings, common: &Common, tasks: &mut Vec<AbortHandle>) {
     let sealer = SealRunner::new(SealParts {
         data_centre: common.data_centre.clone(),
--- a/crates/steward/tests/all/main.rs
+++ b/crates/steward/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod journal;
 mod lease;
 mod orders;
+mod planner;
 mod purchases;
 mod schedules;
 mod sealing;
--- a/src/commands/engine.rs
+++ b/src/commands/engine.rs
@@ -43,6 +43,7 @@
     let request = EngineRequest {
         id: RequestId::new().to_string(),
         change: parse_change(change, value)?,
+        planned: false,
     };
     match create(&arguments.client()?, &key, &request).await? {
         None => {
