--- a/crates/experiments/tests/all/main.rs
+++ b/crates/experiments/tests/all/main.rs
@@ -43,9 +43,28 @@
 }
 
 /// Planned roles beat fixed ones through a shift, with a fifth of the changes
-/// that following the mix makes, over all tuning seeds together.
+/// that following the mix makes.
+///
+/// Seen failing, on the changes, without the budget and with the overflow off.
 #[test]
 fn beats_fixed_roles_with_few_changes() {
+    let contenders = [
+        Contender::Planned,
+        Contender::StaticSplit,
+        Contender::FollowMix,
+    ];
+    let result = run(plan(Profile::MixSwing, &contenders)).expect("it runs");
+    let planned = measures(&result, Contender::Planned);
+    let fixed = measures(&result, Contender::StaticSplit);
+    let follow = measures(&result, Contender::FollowMix);
+    assert!(planned.goodput_pieces > fixed.goodput_pieces);
+    assert!(planned.role_changes * 5 <= follow.role_changes);
+    assert!(planned.in_time * 100 >= planned.offered * 90);
+}
+
+/// The same over all tuning seeds together.
+#[test]
+fn beats_fixed_roles_over_all_tuning_seeds() {
     let contenders = [
         Contender::Planned,
         Contender::StaticSplit,
