--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -6,6 +6,7 @@
 use crate::SettingsError;
 use ini::Ini;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
@@ -168,6 +169,14 @@
     }
 }
 
+/// Returns the text of a settings file.
+pub(crate) fn read_text(file: &Path) -> Result<String, SettingsError> {
+    fs::read_to_string(file).map_err(|source| SettingsError::Read {
+        file: file.to_owned(),
+        source,
+    })
+}
+
 /// A type that a setting can have.
 pub(crate) trait SettingValue: Sized {
     /// What is expected, for the error.
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -1,13 +1,12 @@
 //! From the INI text to checked settings.
 
-use crate::document::{SectionReader, SettingValue, SettingsDocument};
+use crate::document::{SectionReader, SettingValue, SettingsDocument, read_text};
 use crate::{
     EntrySettings, HostSettings, LogFormat, LogSettings, PeerKey, PeerSeed, PeerSettings,
     PlanWeighting, PlatformSettings, Settings, SettingsError, StewardSettings, UsageSettings,
 };
 use lagoonlift_types::{DataCentreName, HostName};
 use std::collections::BTreeMap;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -28,11 +27,7 @@
     /// Fails on the first setting that is unknown, missing, repeated or wrong,
     /// and names the file, the section and the key.
     pub fn load(file: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read_to_string(file).map_err(|source| SettingsError::Read {
-            file: file.to_owned(),
-            source,
-        })?;
-        Self::parse(file, &text)
+        Self::parse(file, &read_text(file)?)
     }
 
     /// Checks the settings in `text`, which came from `file`.
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -3,11 +3,10 @@
 //! Operators write to the platform with a token of their own, and ask hosts on
 //! their admin addresses. None of it is in a host's settings file.
 
-use crate::document::{SectionReader, SettingsDocument};
+use crate::document::{SectionReader, SettingsDocument, read_text};
 use crate::load::read_platform;
 use crate::{PlatformSettings, SettingsError};
 use lagoonlift_types::HostName;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -39,11 +38,7 @@
     /// Fails on the first setting that is unknown, missing, repeated or wrong,
     /// and names the file, the section and the key.
     pub fn load(file: &Path) -> Result<Self, SettingsError> {
-        let text = fs::read_to_string(file).map_err(|source| SettingsError::Read {
-            file: file.to_owned(),
-            source,
-        })?;
-        Self::parse(file, &text)
+        Self::parse(file, &read_text(file)?)
     }
 
     /// Checks the settings in `text`, which came from `file`.
--- a/crates/steward/src/orders/desk.rs
+++ b/crates/steward/src/orders/dispatcher.rs
@@ -64,7 +64,7 @@
 }
 
 /// Owns the runners of all engines of the data centre.
-pub(crate) struct OrderDesk {
+pub(crate) struct OrderDispatcher {
     parts: RunnerParts,
     upstreams: watch::Receiver<Arc<FleetUpstreams>>,
     ended: mpsc::Receiver<(UpstreamName, OrderRecord)>,
@@ -72,7 +72,7 @@
     requests: BTreeMap<UpstreamName, (EngineRequest, Version)>,
 }
 
-impl OrderDesk {
+impl OrderDispatcher {
     pub(crate) fn new(
         parts: RunnerParts,
         upstreams: watch::Receiver<Arc<FleetUpstreams>>,
--- a/crates/steward/src/orders/mod.rs
+++ b/crates/steward/src/orders/mod.rs
@@ -5,14 +5,14 @@
 //! there and brings the very same order to its end before it writes another;
 //! because a repeat has the same identifier, no delayed copy can do harm.
 
-mod desk;
+mod dispatcher;
 mod journal;
 mod ledger;
 mod record;
 mod runner;
 
-pub use desk::EngineRequest;
-pub(crate) use desk::OrderDesk;
+pub use dispatcher::EngineRequest;
+pub(crate) use dispatcher::OrderDispatcher;
 pub use journal::{
     JournalAction, JournalConfig, JournalEvent, JournalFailure, OrderJournal, OrderLook, OrderSent,
     StoredOrder,
--- a/crates/steward/src/orders/runner.rs
+++ b/crates/steward/src/orders/runner.rs
@@ -149,7 +149,7 @@
         if let Some(record) = self.journal.take_ended() {
             self.parts.recorder.order_ended(&self.upstream, &record);
             self.observe().await;
-            // The desk ends only with the process.
+            // The dispatcher ends only with the process.
             let _ = self.parts.ended.send((self.upstream.clone(), record)).await;
         }
     }
--- a/crates/steward/src/planner/roster.rs
+++ b/crates/steward/src/planner/index.rs
@@ -8,12 +8,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Keeps the policy's arena in step with the fleet.
-pub(crate) struct EngineRoster {
+pub(crate) struct EngineIndex {
     data_centre: DataCentreName,
     keys: BTreeMap<UpstreamName, UpstreamKey>,
 }
 
-impl EngineRoster {
+impl EngineIndex {
     pub(crate) fn new(data_centre: DataCentreName) -> Self {
         Self {
             data_centre,
--- a/crates/steward/src/planner/mod.rs
+++ b/crates/steward/src/planner/mod.rs
@@ -9,9 +9,10 @@
 //! Only the holder of the lease plans, and only where the settings say what the
 //! deployment weighs most.
 
+mod index;
 mod loads;
 mod requests;
-mod roster;
+
 mod runner;
 
 pub(crate) use runner::{PlanParts, PlanRunner};
--- a/crates/steward/src/planner/runner.rs
+++ b/crates/steward/src/planner/runner.rs
@@ -1,8 +1,8 @@
 //! The planner's loop: look, tell the policy, write what it wants.
 
+use super::index::EngineIndex;
 use super::loads::LoadReader;
 use super::requests::RequestWriter;
-use super::roster::EngineRoster;
 use crate::explain::DecisionRecorder;
 use crate::fleet::FleetUpstreams;
 use crate::lease::Authority;
@@ -44,7 +44,7 @@
     epoch: Epoch,
     start: Instant,
     policy: FleetPolicy,
-    roster: EngineRoster,
+    index: EngineIndex,
     loads: LoadReader,
     writer: RequestWriter,
     reports: BTreeMap<UpstreamName, EngineLoad>,
@@ -94,7 +94,7 @@
             epoch,
             start: Instant::now(),
             policy: FleetPolicy::new(data_centre.clone(), limits),
-            roster: EngineRoster::new(data_centre.clone()),
+            index: EngineIndex::new(data_centre.clone()),
             loads: LoadReader::new(),
             writer: RequestWriter::new(data_centre, self.parts.client.clone()),
             reports: BTreeMap::new(),
@@ -109,14 +109,14 @@
         let ended = round.writer.take_ended().await.unwrap_or_default();
         let upstreams = Arc::clone(&self.parts.upstreams.borrow());
         let configuration = self.parts.store.current();
-        let arrived = round.roster.update(
+        let arrived = round.index.update(
             &mut round.policy,
             &upstreams,
             &configuration,
             round.writer.open(),
         );
         for name in ended {
-            if let Some(engine) = round.roster.key(&name) {
+            if let Some(engine) = round.index.key(&name) {
                 let end = OrderEnd::Done;
                 round.tell(FleetEvent::OrderFinished { engine, end });
             }
@@ -152,7 +152,7 @@
                 }
             }
             FleetAction::ReleaseUpstream { engine } => {
-                if let Some(name) = round.roster.name(engine)
+                if let Some(name) = round.index.name(engine)
                     && let Err(error) = round.writer.release_upstream(name).await
                 {
                     tracing::debug!(%error, %name, "an upstream can't be released now");
@@ -167,7 +167,7 @@
         engine: UpstreamKey,
         change: EngineChange,
     ) {
-        let Some(name) = round.roster.name(engine).cloned() else {
+        let Some(name) = round.index.name(engine).cloned() else {
             return;
         };
         let load = round.reports.get(&name);
@@ -188,7 +188,7 @@
     }
 
     fn tell_load(&mut self, name: &UpstreamName, load: &EngineLoad) {
-        let Some(engine) = self.roster.key(name) else {
+        let Some(engine) = self.index.key(name) else {
             return;
         };
         let measured_at = self.now() - Duration::from_millis(load.age_ms);
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -9,7 +9,7 @@
 use crate::lease::{
     Authority, GetStatus, LeaseActor, LeaseConfig, LeaseIdentity, LeaseParts, Release, Suspend,
 };
-use crate::orders::{OrderDesk, RunnerParts, SendLedger};
+use crate::orders::{OrderDispatcher, RunnerParts, SendLedger};
 use crate::planner::{PlanParts, PlanRunner};
 use crate::purchases::{PurchaseParts, PurchaseRunner};
 use crate::sealing::{SealParts, SealRunner};
@@ -313,13 +313,13 @@
         counters: common.counters.clone(),
         recorder: common.recorder.clone(),
     };
-    let desk = OrderDesk::new(parts, upstreams, ended);
+    let dispatcher = OrderDispatcher::new(parts, upstreams, ended);
     let follow = follow_configuration(common.node.store().subscribe(), fleet);
     tasks.push(tokio::spawn(follow).abort_handle());
     tasks.push(tokio::spawn(reader.run()).abort_handle());
     tasks.push(tokio::spawn(resolver.run()).abort_handle());
     tasks.push(tokio::spawn(writer.run()).abort_handle());
-    tasks.push(tokio::spawn(desk.run()).abort_handle());
+    tasks.push(tokio::spawn(dispatcher.run()).abort_handle());
 }
 
 fn fleet_weighting(weighting: PlanWeighting) -> FleetWeighting {
