--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -243,26 +243,14 @@
     /// Looks for an engine that generates to read a prompt, too. Streams there
     /// slow down meanwhile, so the few first ones are taken, not all in turn.
     fn search_overflow(&mut self, now: Timestamp, waiting: &WaitingRequest) -> Choice {
-        let Some(pool) = self.pools.get(&waiting.facts.target) else {
-            return Choice::Nowhere;
-        };
-        let mut placement = Placement {
-            now,
-            limits: &self.limits,
-            upstreams: &self.upstreams,
-            pool,
-            prefixes: &self.prefixes,
-            rng: &mut self.rng,
-            own_site: self.own_site,
-            cheap_requests: &self.cheap_requests,
-        };
-        placement.choose(Search {
+        let search = Search {
             facts: &waiting.facts,
             avoid: &waiting.avoid,
             part: Part::Answer,
             bound: self.limits.overflow_share,
             concentrates: true,
-        })
+        };
+        self.choose(now, search)
     }
 
     pub(super) fn search(
@@ -273,7 +261,18 @@
         part: Part,
         bound: f64,
     ) -> Choice {
-        let Some(pool) = self.pools.get(&facts.target) else {
+        let search = Search {
+            facts,
+            avoid,
+            part,
+            bound,
+            concentrates: false,
+        };
+        self.choose(now, search)
+    }
+
+    fn choose(&mut self, now: Timestamp, search: Search<'_>) -> Choice {
+        let Some(pool) = self.pools.get(&search.facts.target) else {
             return Choice::Nowhere;
         };
         let mut placement = Placement {
@@ -286,13 +285,7 @@
             own_site: self.own_site,
             cheap_requests: &self.cheap_requests,
         };
-        placement.choose(Search {
-            facts,
-            avoid,
-            part,
-            bound,
-            concentrates: false,
-        })
+        placement.choose(search)
     }
 
     fn start(
