--- /dev/null
+++ b/crates/gateway/src/duty/fleet.rs
@@ -0,0 +1,262 @@
+//! Orders upstreams and gives engines their roles, while this host holds the
+//! lease.
+
+use super::{DUTY_TIMEOUT, Duties};
+use crate::clock;
+use crate::connection::{PeerKey, call};
+use lagoonlift_adapter::duty::{
+    EngineOrder, OrderReply, ScaleOrder, decode_order_reply, engine_request, scale_request,
+};
+use lagoonlift_adapter::runner::{EngineStatus, decode_status, status_request};
+use lagoonlift_policy::dispatch::{
+    FleetTarget, RoleOrder, RolePlan, Service, SpendingPlan, UpstreamRecord,
+};
+use lagoonlift_policy::{Timestamp, UpstreamKey};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time between two looks at the fleet.
+const LOOK_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time after which an order for upstreams that hasn't come true is repeated.
+const SCALE_INTERVAL: Duration = Duration::from_secs(6);
+
+/// Time after which an order for upstreams that was refused is repeated.
+const SCALE_RETRY: Duration = Duration::from_millis(1_500);
+
+/// Time after which an engine that was given an order and shows nothing of it
+/// may be given another. An order without an answer may be carried out within
+/// this time.
+const ORDER_SETTLE: Duration = Duration::from_secs(13);
+
+/// Part of the engines that may be away for a role change at once.
+const AWAY_SHARE: f64 = 0.34;
+
+/// What this host has ordered and not yet seen.
+#[derive(Default)]
+struct OpenOrders {
+    /// When a target may be ordered again.
+    scale: HashMap<(String, String, bool), ScaleState>,
+    /// Engines with an order under way, and since when.
+    roles: HashMap<UpstreamKey, (RoleOrder, Timestamp)>,
+}
+
+/// The last order for one target.
+struct ScaleState {
+    count: u32,
+    again_at: Timestamp,
+}
+
+/// Looks after the fleet, for ever.
+pub(crate) async fn order(duties: Rc<Duties>) {
+    let mut open = OpenOrders::default();
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        if duties.holder().is_none() {
+            open = OpenOrders::default();
+            continue;
+        }
+        let Some(config) = duties.host.config() else {
+            continue;
+        };
+        for service in config.services() {
+            if duties.set.orders_upstreams {
+                order_upstreams(&duties, service, &mut open).await;
+            }
+            if service.engine.is_some() {
+                order_roles(&duties, service, &mut open).await;
+            }
+        }
+    }
+}
+
+async fn order_upstreams(duties: &Duties, service: &Service, open: &mut OpenOrders) {
+    let Some(scale) = &service.scale else {
+        return;
+    };
+    let targets = {
+        let table = duties.host.table.borrow();
+        SpendingPlan::new().targets(&table, &service.name, scale)
+    };
+    for target in targets {
+        order_target(duties, service, target, open).await;
+    }
+}
+
+async fn order_target(
+    duties: &Duties,
+    service: &Service,
+    target: FleetTarget,
+    open: &mut OpenOrders,
+) {
+    let now = clock::now();
+    let key = (
+        service.name.clone(),
+        target.data_centre.clone(),
+        target.is_spot,
+    );
+    let present = count_present(duties, &service.name, &target);
+    let is_due = match open.scale.get(&key) {
+        None => true,
+        Some(last) => {
+            now >= last.again_at && (last.count != target.count || present != target.count)
+        }
+    };
+    let Some(holder) = duties.holder().filter(|_| is_due) else {
+        return;
+    };
+    let order = ScaleOrder {
+        service: service.name.clone(),
+        data_centre: target.data_centre.clone(),
+        count: target.count,
+        is_spot: target.is_spot,
+    };
+    let request = scale_request(duties.address, &holder, &order);
+    let peer = PeerKey::Address(duties.address);
+    let answer = call(
+        &duties.host.pool,
+        peer,
+        duties.address,
+        request,
+        DUTY_TIMEOUT,
+    )
+    .await;
+    let status = answer.map(|answer| answer.status);
+    let is_done = matches!(status, Ok(status) if status.is_success());
+    tracing::info!(
+        ?order,
+        present,
+        fencing_number = holder.fencing_number,
+        ?status,
+        "upstreams ordered"
+    );
+    let pause = match is_done {
+        true => SCALE_INTERVAL,
+        false => SCALE_RETRY,
+    };
+    let state = ScaleState {
+        count: target.count,
+        again_at: clock::now() + pause,
+    };
+    open.scale.insert(key, state);
+}
+
+fn count_present(duties: &Duties, service: &str, target: &FleetTarget) -> u32 {
+    let table = duties.host.table.borrow();
+    let present = table.iter().filter(|(_, one)| {
+        let record = &one.record;
+        record.service == service
+            && record.data_centre == target.data_centre
+            && record.is_spot == target.is_spot
+            && record.phase == lagoonlift_policy::dispatch::UpstreamPhase::Serving
+    });
+    present.count() as u32
+}
+
+async fn order_roles(duties: &Duties, service: &Service, open: &mut OpenOrders) {
+    settle(duties, open);
+    loop {
+        let next = {
+            let table = duties.host.table.borrow();
+            let engines = table
+                .iter()
+                .filter(|(_, one)| one.record.service == service.name)
+                .count();
+            let most = (engines as f64 * AWAY_SHARE).ceil() as usize;
+            if open.roles.len() >= most.max(1) {
+                return;
+            }
+            let busy: Vec<UpstreamKey> = open.roles.keys().copied().collect();
+            RolePlan::new().next_order(&table, &service.name, &busy)
+        };
+        let Some(order) = next else {
+            return;
+        };
+        open.roles.insert(order.upstream, (order, clock::now()));
+        order_role(duties, order).await;
+    }
+}
+
+/// Forgets the orders that have come true, whose engine is gone, or that were
+/// refused or lost long ago.
+fn settle(duties: &Duties, open: &mut OpenOrders) {
+    let now = clock::now();
+    let table = duties.host.table.borrow();
+    open.roles.retain(|key, (order, since)| {
+        let is_open = |record: &UpstreamRecord| record.role != Some(order.role);
+        let upstream = table.get(*key);
+        upstream.is_some_and(|one| is_open(&one.record)) && now.since(*since) < ORDER_SETTLE
+    });
+}
+
+async fn order_role(duties: &Duties, order: RoleOrder) {
+    let record = {
+        let table = duties.host.table.borrow();
+        table.get(order.upstream).map(|one| one.record.clone())
+    };
+    let Some(record) = record else {
+        return;
+    };
+    let Some(status) = engine_status(duties, order.upstream, &record).await else {
+        return;
+    };
+    if status.is_changing || status.role == order.role {
+        return;
+    }
+    let Some(holder) = duties.holder() else {
+        return;
+    };
+    let engine_order = EngineOrder {
+        engine: record.id.clone(),
+        address: record.address,
+        role: order.role,
+        order_count: status.order_count,
+    };
+    let request = engine_request(&holder, &engine_order);
+    let peer = PeerKey::Upstream(order.upstream);
+    let answer = call(
+        &duties.host.pool,
+        peer,
+        record.address,
+        request,
+        DUTY_TIMEOUT,
+    )
+    .await;
+    let reply: Result<OrderReply, String> = answer
+        .map(|answer| decode_order_reply(answer.status))
+        .map_err(|error| error.to_string());
+    tracing::info!(
+        engine = record.id.0,
+        role = ?order.role,
+        order_count = status.order_count,
+        fencing_number = holder.fencing_number,
+        ?reply,
+        "role ordered"
+    );
+}
+
+async fn engine_status(
+    duties: &Duties,
+    key: UpstreamKey,
+    record: &UpstreamRecord,
+) -> Option<EngineStatus> {
+    let request = status_request(record.address);
+    let peer = PeerKey::Upstream(key);
+    match call(
+        &duties.host.pool,
+        peer,
+        record.address,
+        request,
+        DUTY_TIMEOUT,
+    )
+    .await
+    {
+        Ok(answer) => decode_status(&answer.body),
+        Err(error) => {
+            tracing::warn!(engine = record.id.0, %error, "the engine's status is unknown");
+            None
+        }
+    }
+}
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 //! * [`Placement`] chooses the upstream.
 //! * [`UsageLedger`] counts requests by workspace and window.
 //! * [`WallClock`] keeps the time of day through steps of the system's clock.
+//! * [`SpendingPlan`] decides how many upstreams are paid for.
 //! * [`RolePlan`] decides which engines read prompts.
 
 mod allowance;
@@ -23,6 +24,7 @@
 mod placement;
 mod proof;
 mod roles;
+mod spending;
 mod upstream;
 mod usage;
 mod wall_clock;
@@ -36,6 +38,7 @@
 pub use placement::{Placement, PlacementLimits, PromptFacts, PromptPart, PromptPlan};
 pub use proof::{ConfigProof, ProofLimits};
 pub use roles::{RoleOrder, RolePlan};
+pub use spending::{FleetTarget, SpendingPlan};
 pub use upstream::{
     EngineRole, ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
