--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -11,9 +11,7 @@
 use crate::host::Host;
 use lagoonlift_adapter::duty::usage_request;
 use lagoonlift_adapter::store::{ReadKind, StoreError, StoreObject, WriteCondition};
-use lagoonlift_policy::dispatch::{
-    HostCounts, SumPatience, UsageWindow, WindowCounts, sum_window,
-};
+use lagoonlift_policy::dispatch::{HostCounts, SumPatience, UsageWindow, WindowCounts, sum_window};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -68,7 +66,10 @@
             Err(StoreError::Conflict(Some(current))) => {
                 if let Some(carried) = carried_on(&host, &current, start_id) {
                     earlier = carried;
-                    tracing::info!(windows = earlier.len(), "usage of an earlier start carried on");
+                    tracing::info!(
+                        windows = earlier.len(),
+                        "usage of an earlier start carried on"
+                    );
                 }
                 WriteCondition::Unchanged(current.revision)
             }
@@ -107,11 +108,7 @@
     }
 }
 
-fn own_counts(
-    host: &Host,
-    start_id: i64,
-    earlier: &BTreeMap<u64, WindowCounts>,
-) -> HostCounts {
+fn own_counts(host: &Host, start_id: i64, earlier: &BTreeMap<u64, WindowCounts>) -> HostCounts {
     let unix_us = host.wall.borrow().unix_us(clock::now());
     let mut usage = host.usage.borrow_mut();
     let oldest = usage.oldest_kept(unix_us);
@@ -124,6 +121,7 @@
     HostCounts {
         start_id,
         unix_us,
+        peer_address: host.settings.listen.peers,
         windows: windows.collect(),
         earlier: earlier
             .map(|(window, counts)| (*window, counts.clone()))
@@ -143,6 +141,8 @@
     let now = clock::now();
     let mut clocks: Vec<i64> = published.iter().map(|counts| counts.unix_us).collect();
     host.set_known_hosts(clocks.len());
+    let peers = published.iter().filter_map(|counts| counts.peer_address);
+    host.peers.borrow_mut().extend(peers);
     if host.wall.borrow_mut().agree(now, &mut clocks) {
         tracing::warn!("the time of day was set by the other hosts' clocks");
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use crate::duty;
 use crate::host::Host;
 use crate::metrics::GatewayMetrics;
+use crate::peers;
 use crate::reload;
 use crate::server;
 use crate::watcher;
@@ -62,6 +63,9 @@
         spawn_local(watcher::follow_upstreams(Rc::clone(&host)));
         spawn_local(keep_up(Rc::clone(&host)));
         duty::start(&host);
+        if let Some(address) = host.settings.listen.peers {
+            spawn_local(peers::exchange(Rc::clone(&host), address));
+        }
         spawn_local(reload::follow_settings(Rc::clone(&host), file));
         tracing::info!(
             host = host.settings.host.name,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -8,13 +8,14 @@
 use crate::metrics::GatewayMetrics;
 use crate::store::StoreClient;
 use lagoonlift_policy::dispatch::{
-    AllowanceLimits, ConfigProof, Placement, PlacementLimits, ProofLimits, RepeatAllowance,
-    ServingConfig, UpstreamTable, UsageLedger, WallClock,
+    AllowanceLimits, ConfigProof, PeerLoads, Placement, PlacementLimits, ProofLimits,
+    RepeatAllowance, ServingConfig, UpstreamTable, UsageLedger, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Hosts assumed before the first count.
@@ -26,7 +27,10 @@
     pub(crate) store: StoreClient,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
-    pub(crate) placement: Placement,
+    pub(crate) placement: RefCell<Placement>,
+    pub(crate) peer_loads: RefCell<PeerLoads>,
+    /// Where other hosts are told of loads.
+    pub(crate) peers: RefCell<BTreeSet<SocketAddr>>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
     pub(crate) proof: RefCell<ConfigProof>,
     pub(crate) table: RefCell<UpstreamTable>,
@@ -50,7 +54,12 @@
         let wall = WallClock::new(clock::now(), clock::system_unix_us());
         Rc::new(Self {
             store: StoreClient::new(settings.store.address, pool.clone()),
-            placement: Placement::new(PlacementLimits::default(), &settings.host.data_centre),
+            placement: RefCell::new(Placement::new(
+                PlacementLimits::default(),
+                &settings.host.data_centre,
+            )),
+            peer_loads: RefCell::new(PeerLoads::new()),
+            peers: RefCell::new(BTreeSet::new()),
             proof: RefCell::new(ConfigProof::new(limits)),
             usage: RefCell::new(UsageLedger::new(window_us)),
             wall: RefCell::new(wall),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod gateway;
 mod host;
 mod metrics;
+mod peers;
 mod relay;
 mod reload;
 mod reply;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,10 @@
 use lagoonlift_adapter::runner::{
     PromptHandle, UpstreamTask, decode_prompt_handle, release_request,
 };
-use lagoonlift_policy::dispatch::{AttemptLedger, NextStep, PromptPlan, SendResult};
+use lagoonlift_policy::dispatch::{
+    AttemptLedger, EngineRole, FleetView, NextStep, Placement, PromptPlan, PromptRefusal,
+    SendResult,
+};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use rand::RngExt;
 use std::rc::Rc;
@@ -28,6 +31,9 @@
 /// another engine can still read it.
 const READ_SHARE: f64 = 0.45;
 
+/// Engines that are asked to read one prompt.
+const READ_TRIES: u32 = 2;
+
 /// Sends of one prompt's memory; after that the prompt is read anew.
 const MEMORY_SENDS: u32 = 2;
 
@@ -107,8 +113,9 @@
                 self.timed_out = true;
                 return self.give_up("timed out");
             }
-            let Some(order) = self.next_order().await else {
-                return self.give_up("no upstream is free");
+            let order = match self.next_order().await {
+                Ok(order) => order,
+                Err(refusal) => return self.refuse(refusal),
             };
             let Some(order) = self.take_allowance(order) else {
                 return self.give_up("no repeat is left");
@@ -125,23 +132,23 @@
     }
 
     /// Chooses the next send; reads the prompt ahead where that is the plan.
-    async fn next_order(&mut self) -> Option<SendOrder> {
+    async fn next_order(&mut self) -> Result<SendOrder, Refusal> {
         if !self.is_prompt() {
             return self.plain_order();
         }
         if let Some(order) = self.memory_order() {
-            return Some(order);
+            return Ok(order);
         }
-        for _ in 0..2 {
+        for _ in 0..READ_TRIES {
             match self.prompt_plan()? {
-                PromptPlan::Whole(upstream) => return Some(self.whole_order(upstream)),
+                PromptPlan::Whole(upstream) => return Ok(self.whole_order(upstream)),
                 PromptPlan::ReadAhead(reader) => self.read_ahead(reader).await,
             }
             if let Some(order) = self.memory_order() {
-                return Some(order);
+                return Ok(order);
             }
         }
-        self.decoder_order()
+        Err(Refusal::not_run("the prompt was not read", FULL_RETRY))
     }
 
     fn is_prompt(&self) -> bool {
@@ -149,27 +156,45 @@
         self.admitted.route.has_prompt && request.prompt.tokens_in > 0
     }
 
-    fn plain_order(&self) -> Option<SendOrder> {
-        let table = self.host.table.borrow();
-        let service = &self.admitted.service;
-        let (now, tie) = (clock::now(), rand::rng().random());
-        let placement = &self.host.placement;
-        let untried = placement.plain(&table, service, &self.tried, now, tie);
-        let upstream = untried.or_else(|| placement.plain(&table, service, &[], now, tie))?;
-        Some(self.order(upstream, UpstreamTask::Run, 0))
+    /// Calls `choose` with what a choice is made from.
+    fn choose<T>(
+        &self,
+        tried: &[UpstreamKey],
+        choose: impl FnOnce(&Placement, FleetView<'_>) -> T,
+    ) -> T {
+        let view = FleetView {
+            table: &self.host.table.borrow(),
+            peers: &self.host.peer_loads.borrow(),
+            service: &self.admitted.service,
+            tried,
+            now: clock::now(),
+            tie: rand::rng().random(),
+        };
+        choose(&self.host.placement.borrow(), view)
     }
 
-    fn prompt_plan(&self) -> Option<PromptPlan> {
-        let table = self.host.table.borrow();
-        let prompt = &self.admitted.outgoing.request.prompt;
-        let service = &self.admitted.service;
-        let placement = &self.host.placement;
-        placement.prompt(&table, service, prompt, &self.tried, clock::now())
+    fn plain_order(&self) -> Result<SendOrder, Refusal> {
+        let untried = self.choose(&self.tried, |placement, view| placement.plain(view));
+        let any = || self.choose(&[], |placement, view| placement.plain(view));
+        let upstream = untried
+            .or_else(any)
+            .ok_or(Refusal::not_run("no upstream is there", ABSENT_RETRY))?;
+        Ok(self.order(upstream, UpstreamTask::Run, 0))
     }
 
-    /// Sends the prompt whole to an engine that generates, tried or not.
-    fn decoder_order(&self) -> Option<SendOrder> {
-        self.plain_order()
+    fn prompt_plan(&self) -> Result<PromptPlan, Refusal> {
+        let prompt = &self.admitted.outgoing.request.prompt;
+        let goal = self.admitted.route.latency_goal;
+        let time_left = clock::time_until(self.admitted.until);
+        let plan = self.choose(&self.tried, |placement, view| {
+            placement.prompt(view, prompt, goal, time_left)
+        });
+        plan.map_err(|refusal| match refusal {
+            PromptRefusal::NoEngine => Refusal::not_run("no engine is there", ABSENT_RETRY),
+            PromptRefusal::Busy(wait) => {
+                Refusal::not_run("all engines are busy reading", spread(wait.max(FULL_RETRY)))
+            }
+        })
     }
 
     fn whole_order(&self, upstream: UpstreamKey) -> SendOrder {
@@ -185,11 +210,9 @@
         }
         memory.sends += 1;
         let (reader, handle) = (memory.reader, memory.handle.clone());
-        let table = self.host.table.borrow();
-        let service = &self.admitted.service;
-        let (now, tie) = (clock::now(), rand::rng().random());
-        let placement = &self.host.placement;
-        let upstream = placement.generator(&table, service, reader, &self.tried, now, tie)?;
+        let upstream = self.choose(&self.tried, |placement, view| {
+            placement.generator(view, reader)
+        })?;
         Some(self.order(upstream, UpstreamTask::RunFrom(handle), 0))
     }
 
@@ -213,9 +236,15 @@
             self.tried.push(reader);
             return;
         };
+        let queued_tokens = self.queued_tokens(reader) + u64::from(tokens);
+        let sent_at = clock::now();
         let outcome = send(&self.host, &self.admitted.outgoing, order).await;
         let result = match outcome {
             SendOutcome::Answered(answer) if answer.head.status.is_success() => {
+                let latency = clock::now().since(sent_at);
+                let mut placement = self.host.placement.borrow_mut();
+                placement.note_read(EngineRole::Prefill, queued_tokens, latency);
+                drop(placement);
                 match self.take_memory(reader, answer).await {
                     true => return self.ledger.note_read(),
                     false => SendResult::Unknown,
@@ -232,6 +261,13 @@
         self.ledger.note_failed_read(result);
     }
 
+    /// Returns the prompt tokens that all hosts have waiting at an engine.
+    fn queued_tokens(&self, engine: UpstreamKey) -> u64 {
+        let table = self.host.table.borrow();
+        let peers = self.host.peer_loads.borrow();
+        table.get(engine).map_or(0, |one| one.backlog(&peers))
+    }
+
     fn read_until(&self) -> Timestamp {
         let now = clock::now();
         now + self.admitted.until.since(now).mul_f64(READ_SHARE)
@@ -279,10 +315,8 @@
         let takes_memory = matches!(order.task, UpstreamTask::RunFrom(_));
         let outcome = send(&self.host, &self.admitted.outgoing, order).await;
         self.tried.push(upstream);
-        let reached = !matches!(outcome, SendOutcome::NotSent(_) | SendOutcome::NotRun);
-        if let (true, true, Some(memory)) = (takes_memory, reached, self.memory.as_mut()) {
-            memory.is_taken = true;
-            self.memory = None;
+        if takes_memory {
+            self.note_memory(&outcome);
         }
         let result = match outcome {
             SendOutcome::Answered(answer) => match self.take_answer(answer).await {
@@ -311,6 +345,25 @@
         Err(self.ledger.note(result))
     }
 
+    /// Takes in what a send from memory shows of the memory.
+    fn note_memory(&mut self, outcome: &SendOutcome) {
+        let was_taken = match outcome {
+            SendOutcome::NotSent(_) => return,
+            SendOutcome::NotRun => false,
+            _ => true,
+        };
+        let Some(memory) = self.memory.as_mut() else {
+            return;
+        };
+        if let Some(reader) = self.host.table.borrow_mut().get_mut(memory.reader) {
+            reader.note_memory(clock::now(), was_taken);
+        }
+        if was_taken {
+            memory.is_taken = true;
+            self.memory = None;
+        }
+    }
+
     /// Takes in an answer whose head is sound; an `Err` says what it proves if
     /// it can't be passed on, or needn't be yet.
     async fn take_answer(&mut self, answer: Box<Answer>) -> Result<RunEnd, SendResult> {
@@ -342,18 +395,27 @@
         }
     }
 
-    fn give_up(&mut self, reason: &'static str) -> RunEnd {
+    /// Ends the request with an upstream's failure if there is one, or says that
+    /// it has not run, if that is certain.
+    fn refuse(&mut self, refusal: Refusal) -> RunEnd {
         if let Some((parts, body)) = self.last_failure.take() {
             return RunEnd::Whole(parts, body);
         }
-        let retry_after = match self.tried.is_empty() {
-            true => ABSENT_RETRY,
-            false => FULL_RETRY,
-        };
         RunEnd::Refused(match self.ledger.give_up() {
-            NextStep::Refuse => Refusal::not_run(reason, retry_after),
-            _ if self.timed_out => Refusal::timed_out(reason),
-            _ => Refusal::unknown(reason),
+            NextStep::Refuse => refusal,
+            _ if self.timed_out => Refusal::timed_out(refusal.reason),
+            _ => Refusal::unknown(refusal.reason),
         })
     }
+
+    fn give_up(&mut self, reason: &'static str) -> RunEnd {
+        self.refuse(Refusal::not_run(reason, spread(FULL_RETRY)))
+    }
+}
+
+/// Spreads the time at which callers come back, so that they don't come
+/// together.
+fn spread(wait: Duration) -> Duration {
+    let share: f64 = rand::rng().random_range(0.7..1.4);
+    wait.mul_f64(share)
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -86,6 +86,7 @@
         return SendOutcome::NotSent("the upstream is gone".to_owned());
     };
     let key = order.upstream;
+    let task = task_name(&order.task);
     let started = clock::now();
     let limit = clock::time_until(order.until);
     let exchange = exchange(host, outgoing, &record, order);
@@ -95,9 +96,28 @@
     };
     note_health(host, key, started, &outcome);
     host.metrics.count_send(&record.service, outcome.name());
+    if !matches!(outcome, SendOutcome::Answered(_)) {
+        tracing::info!(
+            request = outgoing.request.id,
+            upstream = record.id.0,
+            task,
+            outcome = outcome.name(),
+            detail = outcome.detail(),
+            after_ms = clock::now().since(started).as_millis() as u64,
+            "send failed"
+        );
+    }
     outcome
 }
 
+fn task_name(task: &UpstreamTask) -> &'static str {
+    match task {
+        UpstreamTask::Run => "run",
+        UpstreamTask::ReadPrompt => "read-prompt",
+        UpstreamTask::RunFrom(_) => "run-from-memory",
+    }
+}
+
 async fn exchange(
     host: &Rc<Host>,
     outgoing: &Outgoing,
@@ -177,7 +197,7 @@
         }
         SendOutcome::Answered(_) => upstream.note_answer(now.since(started)),
         SendOutcome::NotSent(_) => upstream.note_failure(now, true),
-        SendOutcome::NotRun => {}
+        SendOutcome::NotRun => upstream.note_refusal(now),
         SendOutcome::Lost(_) | SendOutcome::TimedOut => upstream.note_failure(now, false),
     }
 }
@@ -193,4 +213,11 @@
             Self::TimedOut => "timed-out",
         }
     }
+
+    fn detail(&self) -> &str {
+        match self {
+            Self::NotSent(detail) | Self::Lost(detail) => detail,
+            Self::Answered(_) | Self::NotRun | Self::TimedOut => "",
+        }
+    }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -12,7 +12,8 @@
 //! * [`UpstreamTable`] knows the upstreams and what is in flight on them.
 //! * [`AttemptLedger`] decides whether a request may be sent once more.
 //! * [`RepeatAllowance`] limits repeats over all hosts.
-//! * [`Placement`] chooses the upstream.
+//! * [`Placement`] chooses the upstream, or says that none can serve in time.
+//! * [`PeerLoads`] knows what other hosts have in flight.
 //! * [`UsageLedger`] counts requests by workspace and window.
 //! * [`WallClock`] keeps the time of day through steps of the system's clock.
 //! * [`SpendingPlan`] decides how many upstreams are paid for.
@@ -21,8 +22,10 @@
 mod allowance;
 mod attempts;
 mod configuration;
+mod peer_load;
 mod placement;
 mod proof;
+mod read_rate;
 mod roles;
 mod spending;
 mod upstream;
@@ -35,8 +38,12 @@
     ClientLimits, ConfigVersion, EngineTraits, RepeatKind, Route, RouteKey, ScaleTraits, Service,
     ServiceKey, ServiceWeight, ServingConfig, Workspace, WorkspaceIndex,
 };
-pub use placement::{Placement, PlacementLimits, PromptFacts, PromptPart, PromptPlan};
+pub use peer_load::{InFlightLoad, PeerLoads, UpstreamDigest};
+pub use placement::{
+    FleetView, Placement, PlacementLimits, PromptFacts, PromptPart, PromptPlan, PromptRefusal,
+};
 pub use proof::{ConfigProof, ProofLimits};
+pub use read_rate::ReadRate;
 pub use roles::{RoleOrder, RolePlan};
 pub use spending::{FleetTarget, SpendingPlan};
 pub use upstream::{
--- /dev/null
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -0,0 +1,105 @@
+//! What other hosts have in flight on the upstreams.
+//!
+//! Upstreams report their load some hundred milliseconds late, which is longer
+//! than most requests take. The hosts therefore tell each other what they have
+//! in flight, and a host adds that to its own. What it doesn't hear for a while
+//! it takes as gone.
+
+use super::UpstreamId;
+use crate::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+/// Time after which what a host said is forgotten.
+const FORGET_AFTER: Duration = Duration::from_millis(350);
+
+/// Short form of an upstream's identifier, the same on all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct UpstreamDigest(u64);
+
+impl UpstreamDigest {
+    /// Returns the short form of `id`.
+    pub fn new(id: &UpstreamId) -> Self {
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
+/// What one host has in flight on one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InFlightLoad {
+    /// Requests.
+    pub requests: u32,
+    /// Prompt tokens that wait or are being read.
+    pub reading_tokens: u64,
+}
+
+/// What the other hosts have in flight.
+#[derive(Clone, Debug, Default)]
+pub struct PeerLoads {
+    /// By host; a host is known by a number of its start.
+    hosts: HashMap<u64, HostLoad>,
+    totals: HashMap<UpstreamDigest, InFlightLoad>,
+}
+
+#[derive(Clone, Debug)]
+struct HostLoad {
+    sequence: u64,
+    seen_at: Timestamp,
+    loads: Vec<(UpstreamDigest, InFlightLoad)>,
+}
+
+impl PeerLoads {
+    /// Creates loads of no host.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in what a host says; older messages than the newest are ignored.
+    pub fn note(
+        &mut self,
+        now: Timestamp,
+        host: u64,
+        sequence: u64,
+        loads: Vec<(UpstreamDigest, InFlightLoad)>,
+    ) {
+        let newest = self.hosts.get(&host).map(|known| known.sequence);
+        if newest.is_some_and(|newest| newest >= sequence) {
+            return;
+        }
+        let load = HostLoad {
+            sequence,
+            seen_at: now,
+            loads,
+        };
+        self.hosts.insert(host, load);
+        self.add_up();
+    }
+
+    /// Forgets hosts that have been silent.
+    pub fn forget_silent(&mut self, now: Timestamp) {
+        let before = self.hosts.len();
+        self.hosts
+            .retain(|_, host| now.since(host.seen_at) < FORGET_AFTER);
+        if self.hosts.len() < before {
+            self.add_up();
+        }
+    }
+
+    /// Returns what the other hosts have in flight on one upstream.
+    pub fn on(&self, upstream: UpstreamDigest) -> InFlightLoad {
+        self.totals.get(&upstream).copied().unwrap_or_default()
+    }
+
+    fn add_up(&mut self) {
+        self.totals.clear();
+        for (upstream, load) in self.hosts.values().flat_map(|host| &host.loads) {
+            let total = self.totals.entry(*upstream).or_default();
+            total.requests += load.requests;
+            total.reading_tokens += load.reading_tokens;
+        }
+    }
+}
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -1,4 +1,4 @@
-//! Which upstream a request goes to.
+//! Which upstream a request goes to, or that none can serve it in time.
 //!
 //! Requests of plain services go to the least loaded upstream, near ones first.
 //! Prompts are different: an engine that has read the shared parts of a prompt
@@ -6,10 +6,15 @@
 //! engines, found by rendezvous hashing. All hosts hash alike and agree without
 //! a call. A home that is busier than its peers by more than a bound is passed
 //! over for the next in the session's order.
+//!
+//! When prompts come faster than all engines read, a queue only makes every
+//! answer late. A prompt that would have to wait for longer than its latency
+//! goal allows is therefore refused at once.
 
-use super::{EngineRole, Upstream, UpstreamTable};
+use super::{EngineRole, PeerLoads, ReadRate, Upstream, UpstreamTable};
 use crate::{Timestamp, UpstreamKey};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
 
 /// A part of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +56,33 @@
     ReadAhead(UpstreamKey),
 }
 
+/// Why a prompt has no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PromptRefusal {
+    /// No engine is there.
+    NoEngine,
+    /// Every engine has more to read than the latency goal allows; the least
+    /// busy one needs this long for it.
+    Busy(Duration),
+}
+
+/// What a choice is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetView<'a> {
+    /// The upstreams.
+    pub table: &'a UpstreamTable,
+    /// What other hosts have in flight.
+    pub peers: &'a PeerLoads,
+    /// Service that the request goes to.
+    pub service: &'a str,
+    /// Upstreams that were tried for the request.
+    pub tried: &'a [UpstreamKey],
+    /// Now.
+    pub now: Timestamp,
+    /// Breaks ties, 0 to 1.
+    pub tie: f64,
+}
+
 /// Weights and bounds of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementLimits {
@@ -60,6 +92,11 @@
     pub home_load: f64,
     /// Prompt tokens that a home may hold whatever the mean is.
     pub home_tokens: u64,
+    /// Part of the latency goal that reading and waiting for it may take.
+    pub reading_share: f64,
+    /// Part of the latency goal that every prompt may wait, however long its own
+    /// reading takes.
+    pub least_wait_share: f64,
 }
 
 impl Default for PlacementLimits {
@@ -67,7 +104,9 @@
         Self {
             read_ahead_tokens: 1_024,
             home_load: 1.5,
-            home_tokens: 12_000,
+            home_tokens: 24_000,
+            reading_share: 0.8,
+            least_wait_share: 0.35,
         }
     }
 }
@@ -79,11 +118,26 @@
 /// Load that an upstream in another data centre seems to have beside its own.
 const DISTANCE_LOAD: f64 = 0.05;
 
+/// Failure share from which an engine is no home.
+const HOME_FAILURES: f64 = 0.5;
+
 /// Chooses upstreams for one host.
 #[derive(Clone, Debug)]
 pub struct Placement {
     limits: PlacementLimits,
     data_centre: String,
+    /// Reading rates of engines that only read, and of those that generate too.
+    prefill_rate: ReadRate,
+    decode_rate: ReadRate,
+}
+
+/// An engine as a home for one prompt.
+struct HomeCandidate {
+    rank: u64,
+    key: UpstreamKey,
+    /// Prompt tokens of all hosts that wait there or are being read.
+    backlog: u64,
+    is_sound: bool,
 }
 
 impl Placement {
@@ -92,117 +146,151 @@
         Self {
             limits,
             data_centre: data_centre.to_owned(),
+            prefill_rate: ReadRate::new(),
+            decode_rate: ReadRate::new(),
         }
     }
 
-    /// Chooses an upstream of a plain service. `tie` from 0 to 1 breaks ties.
-    pub fn plain(
-        &self,
-        table: &UpstreamTable,
-        service: &str,
-        tried: &[UpstreamKey],
-        now: Timestamp,
-        tie: f64,
-    ) -> Option<UpstreamKey> {
-        let candidates = table
-            .usable(service, now)
-            .filter(|(key, _)| !tried.contains(key));
-        self.least_loaded(candidates, tie)
+    /// Notes that an engine read a prompt in `latency` with `queued_tokens`
+    /// queued there.
+    pub fn note_read(&mut self, role: EngineRole, queued_tokens: u64, latency: Duration) {
+        match role {
+            EngineRole::Prefill => self.prefill_rate.note(queued_tokens, latency),
+            EngineRole::Decode => self.decode_rate.note(queued_tokens, latency),
+        }
+    }
+
+    /// Chooses an upstream of a plain service.
+    pub fn plain(&self, view: FleetView<'_>) -> Option<UpstreamKey> {
+        let candidates = view
+            .table
+            .usable(view.service, view.now)
+            .filter(|(key, _)| !view.tried.contains(key));
+        let load = |upstream: &Upstream| {
+            let is_near = upstream.record.data_centre == self.data_centre;
+            let distance = if is_near { 0.0 } else { DISTANCE_LOAD };
+            load_of(upstream, view.peers) + distance
+        };
+        lowest(candidates, load, view.tie)
     }
 
-    /// Chooses how and where a prompt is read.
+    /// Chooses how and where a prompt is read, whose answer should start within
+    /// `time_left`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no engine or all are too busy.
     pub fn prompt(
         &self,
-        table: &UpstreamTable,
-        service: &str,
+        view: FleetView<'_>,
         prompt: &PromptFacts,
-        tried: &[UpstreamKey],
-        now: Timestamp,
-    ) -> Option<PromptPlan> {
+        latency_goal: Duration,
+        time_left: Duration,
+    ) -> Result<PromptPlan, PromptRefusal> {
         let is_long = prompt.tokens_in >= self.limits.read_ahead_tokens;
-        let reader = match is_long {
-            true => self.home(table, service, prompt, EngineRole::Prefill, tried, now),
-            false => None,
-        };
-        match reader {
-            Some(reader) => Some(PromptPlan::ReadAhead(reader)),
-            None => {
-                let decoder = self.home(table, service, prompt, EngineRole::Decode, tried, now);
-                decoder.map(PromptPlan::Whole)
+        if is_long {
+            let homes = self.homes(view, prompt, EngineRole::Prefill);
+            if !homes.is_empty() {
+                let wait = self.allowed_wait(&self.prefill_rate, prompt, latency_goal, time_left);
+                let home = self.choose_home(&homes, &self.prefill_rate, wait);
+                return home.map(PromptPlan::ReadAhead);
             }
         }
+        let homes = self.homes(view, prompt, EngineRole::Decode);
+        let wait = match is_long {
+            true => self.allowed_wait(&self.decode_rate, prompt, latency_goal, time_left),
+            false => Duration::MAX,
+        };
+        let home = self.choose_home(&homes, &self.decode_rate, wait);
+        home.map(PromptPlan::Whole)
     }
 
     /// Chooses the engine that generates after `reader` has read the prompt,
     /// near the reader first, since its memory has to be moved.
-    pub fn generator(
-        &self,
-        table: &UpstreamTable,
-        service: &str,
-        reader: UpstreamKey,
-        tried: &[UpstreamKey],
-        now: Timestamp,
-        tie: f64,
-    ) -> Option<UpstreamKey> {
-        let near = table.get(reader).map(|one| one.record.data_centre.as_str());
+    pub fn generator(&self, view: FleetView<'_>, reader: UpstreamKey) -> Option<UpstreamKey> {
+        let near = view
+            .table
+            .get(reader)
+            .map(|one| one.record.data_centre.as_str());
         let is_candidate = |(key, upstream): &(UpstreamKey, &Upstream)| {
-            upstream.record.role != Some(EngineRole::Prefill) && !tried.contains(key)
+            upstream.record.role != Some(EngineRole::Prefill) && !view.tried.contains(key)
         };
-        let candidates = table.usable(service, now).filter(is_candidate);
+        let candidates = view
+            .table
+            .usable(view.service, view.now)
+            .filter(is_candidate);
         let load = |upstream: &Upstream| {
             let is_near = near == Some(upstream.record.data_centre.as_str());
             let distance = if is_near { 0.0 } else { 1.0 };
-            load_of(upstream) + distance
+            load_of(upstream, view.peers) + distance
         };
-        lowest(candidates, load, tie)
+        lowest(candidates, load, view.tie)
+    }
+
+    /// Returns how long a prompt may wait before its reading begins.
+    fn allowed_wait(
+        &self,
+        rate: &ReadRate,
+        prompt: &PromptFacts,
+        latency_goal: Duration,
+        time_left: Duration,
+    ) -> Duration {
+        let goal = latency_goal.min(time_left);
+        let own = rate.time_for(u64::from(prompt.tokens_in));
+        let wait = goal.mul_f64(self.limits.reading_share).saturating_sub(own);
+        wait.max(goal.mul_f64(self.limits.least_wait_share))
     }
 
-    fn home(
+    fn homes(
         &self,
-        table: &UpstreamTable,
-        service: &str,
+        view: FleetView<'_>,
         prompt: &PromptFacts,
         role: EngineRole,
-        tried: &[UpstreamKey],
-        now: Timestamp,
-    ) -> Option<UpstreamKey> {
-        let mut engines: Vec<(u64, UpstreamKey, &Upstream)> = table
-            .usable(service, now)
-            .filter(|(key, upstream)| upstream.record.role == Some(role) && !tried.contains(key))
-            .map(|(key, upstream)| (rank(prompt, upstream), key, upstream))
+    ) -> Vec<HomeCandidate> {
+        let mut homes: Vec<HomeCandidate> = view
+            .table
+            .usable(view.service, view.now)
+            .filter(|(key, one)| one.record.role == Some(role) && !view.tried.contains(key))
+            .filter(|(_, one)| role == EngineRole::Decode || one.is_reader(view.now))
+            .map(|(key, one)| HomeCandidate {
+                rank: rank(prompt, one),
+                key,
+                backlog: one.backlog(view.peers),
+                is_sound: one.failure_share < HOME_FAILURES,
+            })
             .collect();
-        if engines.is_empty() {
-            return None;
-        }
-        engines.sort_unstable_by_key(|(rank, ..)| std::cmp::Reverse(*rank));
-        let total: u64 = engines.iter().map(|(.., one)| one.reading_tokens).sum();
-        let mean = total as f64 / engines.len() as f64;
-        let bound = (mean * self.limits.home_load).max(self.limits.home_tokens as f64);
-        let within = engines
-            .iter()
-            .find(|(.., one)| one.reading_tokens as f64 <= bound && one.failure_share < 0.5);
-        let least = || engines.iter().min_by_key(|(.., one)| one.reading_tokens);
-        within.or_else(least).map(|(_, key, _)| *key)
+        homes.sort_unstable_by_key(|home| std::cmp::Reverse(home.rank));
+        homes
     }
 
-    fn least_loaded<'a>(
+    fn choose_home(
         &self,
-        candidates: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
-        tie: f64,
-    ) -> Option<UpstreamKey> {
-        let load = |upstream: &Upstream| {
-            let is_near = upstream.record.data_centre == self.data_centre;
-            let distance = if is_near { 0.0 } else { DISTANCE_LOAD };
-            load_of(upstream) + distance
+        homes: &[HomeCandidate],
+        rate: &ReadRate,
+        wait: Duration,
+    ) -> Result<UpstreamKey, PromptRefusal> {
+        let least = homes
+            .iter()
+            .min_by_key(|home| (!home.is_sound, home.backlog))
+            .ok_or(PromptRefusal::NoEngine)?;
+        let total: u64 = homes.iter().map(|home| home.backlog).sum();
+        let mean = total as f64 / homes.len() as f64;
+        let bound = (mean * self.limits.home_load).max(self.limits.home_tokens as f64);
+        let is_home = |home: &&HomeCandidate| {
+            home.is_sound && home.backlog as f64 <= bound && rate.time_for(home.backlog) <= wait
         };
-        lowest(candidates, load, tie)
+        match homes.iter().find(is_home) {
+            Some(home) => Ok(home.key),
+            None if rate.time_for(least.backlog) <= wait => Ok(least.key),
+            None => Err(PromptRefusal::Busy(rate.time_for(least.backlog))),
+        }
     }
 }
 
-fn load_of(upstream: &Upstream) -> f64 {
+fn load_of(upstream: &Upstream, peers: &PeerLoads) -> f64 {
     let slots = f64::from(upstream.record.slots.max(1));
-    let busy = f64::from(upstream.in_flight) / slots;
-    busy + FAILURE_LOAD * upstream.failure_share
+    let in_flight = upstream.in_flight + peers.on(upstream.digest).requests;
+    f64::from(in_flight) / slots + FAILURE_LOAD * upstream.failure_share
 }
 
 /// Returns the candidate with the lowest load; `tie` picks among equals.
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -6,6 +6,7 @@
 //! what is missing right after an outage is kept for the time within which the
 //! living are back.
 
+use super::{PeerLoads, UpstreamDigest};
 use crate::{Timestamp, UpstreamKey};
 use slotmap::SlotMap;
 use std::collections::HashMap;
@@ -22,6 +23,16 @@
 /// Longest pause after failures in a row.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// Refusals in a row after which an upstream is passed over.
+const LEAST_REFUSALS: u32 = 2;
+
+/// First pause after refusals in a row. An engine that changes its role refuses
+/// for seconds and looks idle meanwhile; a full one refuses for milliseconds.
+const FIRST_REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Longest pause after refusals in a row.
+const LONGEST_REFUSAL_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Weight of the newest result in the failure share.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -95,6 +106,8 @@
 pub struct Upstream {
     /// What the store lists.
     pub record: UpstreamRecord,
+    /// Short form of its identifier.
+    pub digest: UpstreamDigest,
     /// Requests of this host that are under way there.
     pub in_flight: u32,
     /// Prompt tokens of this host that wait there or are being read.
@@ -105,7 +118,11 @@
     /// first.
     pub mean_latency_s: f64,
     failures_in_row: u32,
+    refusals_in_row: u32,
+    /// Prompts in a row that it read and whose memory could not be taken.
+    lost_memories_in_row: u32,
     paused_until: Option<Timestamp>,
+    no_reader_until: Option<Timestamp>,
     /// The entry is missing since an outage and is dropped at this time.
     dropped_at: Option<Timestamp>,
 }
@@ -113,13 +130,17 @@
 impl Upstream {
     fn new(record: UpstreamRecord) -> Self {
         Self {
+            digest: UpstreamDigest::new(&record.id),
             record,
             in_flight: 0,
             reading_tokens: 0,
             failure_share: 0.0,
             mean_latency_s: 0.0,
             failures_in_row: 0,
+            refusals_in_row: 0,
+            lost_memories_in_row: 0,
             paused_until: None,
+            no_reader_until: None,
             dropped_at: None,
         }
     }
@@ -130,9 +151,37 @@
             && self.paused_until.is_none_or(|until| until <= now)
     }
 
+    /// Returns whether prompts may be read there for another engine.
+    pub fn is_reader(&self, now: Timestamp) -> bool {
+        self.no_reader_until.is_none_or(|until| until <= now)
+    }
+
+    /// Notes a refusal; after the second in a row it is passed over for a while.
+    pub fn note_refusal(&mut self, now: Timestamp) {
+        self.refusals_in_row += 1;
+        let pause = refusal_pause(self.refusals_in_row);
+        self.paused_until = pause.map(|pause| now + pause).max(self.paused_until);
+    }
+
+    /// Notes whether the memory of a prompt read there could be taken.
+    pub fn note_memory(&mut self, now: Timestamp, was_taken: bool) {
+        match was_taken {
+            true => self.lost_memories_in_row = 0,
+            false => self.lost_memories_in_row += 1,
+        }
+        let pause = refusal_pause(self.lost_memories_in_row);
+        self.no_reader_until = pause.map(|pause| now + pause);
+    }
+
+    /// Returns the prompt tokens of all hosts that it has yet to read.
+    pub fn backlog(&self, peers: &PeerLoads) -> u64 {
+        self.reading_tokens + peers.on(self.digest).reading_tokens
+    }
+
     /// Notes an answer that took `latency` to its first byte.
     pub fn note_answer(&mut self, latency: Duration) {
         self.failures_in_row = 0;
+        self.refusals_in_row = 0;
         self.paused_until = None;
         self.failure_share *= 1.0 - FAILURE_WEIGHT;
         let latency_s = latency.as_secs_f64();
@@ -156,6 +205,13 @@
     }
 }
 
+/// Returns the pause after so many refusals in a row.
+fn refusal_pause(refusals: u32) -> Option<Duration> {
+    let doublings = refusals.checked_sub(LEAST_REFUSALS)?;
+    let pause = FIRST_REFUSAL_PAUSE * 2_u32.pow(doublings.min(8));
+    Some(pause.min(LONGEST_REFUSAL_PAUSE))
+}
+
 /// All upstreams that this host may use.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
--- a/crates/policy/src/dispatch/usage.rs
+++ b/crates/policy/src/dispatch/usage.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Number of a window: the whole windows since the start of 1970.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -72,6 +73,8 @@
     pub start_id: i64,
     /// Unix time of the host when it published, in microseconds.
     pub unix_us: i64,
+    /// Where the host hears from others.
+    pub peer_address: Option<SocketAddr>,
     /// Counts of this start by window number.
     pub windows: BTreeMap<u64, WindowCounts>,
     /// Counts of the starts before it by window number.
@@ -109,9 +112,8 @@
     unix_us: i64,
     patience: SumPatience,
 ) -> Option<WindowCounts> {
-    let is_behind = |host: &HostCounts| {
-        host.unix_us < end_us && unix_us < host.unix_us + patience.silent_us
-    };
+    let is_behind =
+        |host: &HostCounts| host.unix_us < end_us && unix_us < host.unix_us + patience.silent_us;
     let may_wait = unix_us < end_us + patience.longest_us;
     if may_wait && hosts.iter().any(is_behind) {
         return None;
