--- /dev/null
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -0,0 +1,10 @@
+//! Decisions about single requests, each test named for the load or trouble
+//! that it answers.
+
+mod attempts;
+mod placement;
+mod proof;
+mod roles;
+mod support;
+mod upstreams;
+mod usage;
--- /dev/null
+++ b/crates/policy/tests/all/dispatch/placement.rs
@@ -0,0 +1,167 @@
+//! Where prompts go under the loads of the two deployments.
+
+use crate::dispatch::support::{at_ms, engine, key_of, prompt, table_of, view};
+use lagoonlift_policy::UpstreamKey;
+use lagoonlift_policy::dispatch::{
+    EngineRole, InFlightLoad, PeerLoads, Placement, PlacementLimits, PromptFacts, PromptPlan,
+    PromptRefusal, UpstreamDigest, UpstreamId, UpstreamTable,
+};
+use std::time::Duration;
+
+const GOAL: Duration = Duration::from_millis(150);
+const LEFT: Duration = Duration::from_millis(2_000);
+
+/// Six engines that only read and three that generate.
+fn fleet() -> UpstreamTable {
+    let roles = (0..9).map(|number| match number < 6 {
+        true => engine(number, EngineRole::Prefill),
+        false => engine(number, EngineRole::Decode),
+    });
+    table_of(roles.collect())
+}
+
+/// A placement that knows that an engine reads 310 tokens in a millisecond.
+fn placement() -> Placement {
+    let mut placement = Placement::new(PlacementLimits::default(), "a");
+    for _ in 0..100 {
+        placement.note_read(EngineRole::Prefill, 9_300, Duration::from_millis(30));
+    }
+    placement
+}
+
+fn choose(
+    table: &UpstreamTable,
+    peers: &PeerLoads,
+    facts: &PromptFacts,
+) -> Result<UpstreamKey, PromptRefusal> {
+    let plan = placement().prompt(view(table, peers, &[], 0), facts, GOAL, LEFT)?;
+    match plan {
+        PromptPlan::ReadAhead(key) | PromptPlan::Whole(key) => Ok(key),
+    }
+}
+
+fn load(table: &mut UpstreamTable, number: usize, tokens: u64) {
+    let key = key_of(table, number);
+    let upstream = table.get_mut(key).expect("the upstream is listed");
+    upstream.reading_tokens = tokens;
+}
+
+#[test]
+fn session_returns_to_its_home() {
+    let table = fleet();
+    let peers = PeerLoads::new();
+    for session in 0..50 {
+        let first = choose(&table, &peers, &prompt(session, 2_890));
+        let again = choose(&table, &peers, &prompt(session, 11_000));
+        assert_eq!(first, again);
+    }
+}
+
+/// Only sessions of the engine that went move.
+#[test]
+fn lost_engine_moves_only_its_own_sessions() {
+    let all = fleet();
+    let mut fewer = fleet();
+    fewer.apply(
+        at_ms(0),
+        lagoonlift_policy::dispatch::ListChange::Removed(UpstreamId("i-03".into())),
+    );
+    let peers = PeerLoads::new();
+    let id = |table: &UpstreamTable, session| {
+        let key = choose(table, &peers, &prompt(session, 2_890)).expect("a home");
+        table.get(key).expect("listed").record.id.clone()
+    };
+    for session in 0..200 {
+        let before = id(&all, session);
+        let after = id(&fewer, session);
+        assert!(before == after || before.0 == "i-03");
+    }
+}
+
+/// A burst on one session goes to other engines before its home is late.
+#[test]
+fn home_in_a_burst_is_passed_over() {
+    let mut table = fleet();
+    let peers = PeerLoads::new();
+    let facts = prompt(7, 2_890);
+    let home = choose(&table, &peers, &facts).expect("a home");
+    table.get_mut(home).expect("listed").reading_tokens = 60_000;
+    assert_ne!(choose(&table, &peers, &facts), Ok(home));
+}
+
+/// What other hosts have in flight counts like the host's own.
+#[test]
+fn home_that_other_hosts_keep_busy_is_passed_over() {
+    let table = fleet();
+    let mut peers = PeerLoads::new();
+    let facts = prompt(7, 2_890);
+    let home = choose(&table, &peers, &facts).expect("a home");
+    let digest = UpstreamDigest::new(&table.get(home).expect("listed").record.id);
+    let busy = InFlightLoad {
+        requests: 6,
+        reading_tokens: 60_000,
+    };
+    peers.note(at_ms(0), 1, 1, vec![(digest, busy)]);
+    assert_ne!(choose(&table, &peers, &facts), Ok(home));
+    // A host that has vanished has nothing in flight.
+    peers.forget_silent(at_ms(400));
+    assert_eq!(choose(&table, &peers, &facts), Ok(home));
+}
+
+/// Twice the prompts that the fleet can read: what would be late is refused at
+/// once, and the caller hears when the least busy engine is done.
+#[test]
+fn flood_of_long_prompts_is_refused_before_it_is_late() {
+    let mut table = fleet();
+    for number in 0..6 {
+        load(&mut table, number, 62_000);
+    }
+    let refusal = choose(&table, &PeerLoads::new(), &prompt(7, 2_890));
+    let Err(PromptRefusal::Busy(wait)) = refusal else {
+        panic!("{refusal:?}");
+    };
+    assert!((190..=210).contains(&wait.as_millis()), "{wait:?}");
+}
+
+/// A prompt whose own reading takes longer than the goal may still wait a
+/// little, or large ones would never be served.
+#[test]
+fn largest_prompts_are_not_starved() {
+    let mut table = fleet();
+    for number in 0..6 {
+        load(&mut table, number, 12_000);
+    }
+    let largest = prompt(7, 39_600);
+    assert!(choose(&table, &PeerLoads::new(), &largest).is_ok());
+}
+
+/// Short urgent prompts don't queue behind long ones.
+#[test]
+fn short_prompt_goes_to_an_engine_that_generates() {
+    let mut table = fleet();
+    for number in 0..6 {
+        load(&mut table, number, 200_000);
+    }
+    let short = PromptFacts {
+        tokens_in: 220,
+        tokens_out: 90,
+        parts: Vec::new(),
+    };
+    let key = choose(&table, &PeerLoads::new(), &short).expect("a place");
+    let role = table.get(key).expect("listed").record.role;
+    assert_eq!(role, Some(EngineRole::Decode));
+}
+
+/// Memory moves within a data centre while that has room.
+#[test]
+fn generator_is_near_the_reader() {
+    let mut table = fleet();
+    let peers = PeerLoads::new();
+    let reader = key_of(&table, 1);
+    let near = placement().generator(view(&table, &peers, &[], 0), reader);
+    assert_eq!(near, Some(key_of(&table, 7)));
+    let full = table.get_mut(key_of(&table, 7)).expect("listed");
+    full.in_flight = 40;
+    let other = placement().generator(view(&table, &peers, &[], 0), reader);
+    assert_ne!(other, near);
+}
--- /dev/null
+++ b/crates/policy/tests/all/dispatch/proof.rs
@@ -0,0 +1,54 @@
+//! Currency of the configuration, against a store that loses and delays
+//! answers.
+
+use crate::dispatch::support::at_ms;
+use lagoonlift_policy::dispatch::{ConfigProof, ProofLimits};
+use quickcheck::quickcheck;
+use std::time::Duration;
+
+const LIMITS: ProofLimits = ProofLimits {
+    revocation: Duration::from_secs(5),
+    change: Duration::from_secs(2),
+};
+
+quickcheck! {
+    /// Whatever reads are answered, in whatever order: a request that comes later
+    /// than the bound after a withdrawal that no read has shown isn't admitted.
+    fn withdrawn_key_is_refused_in_time(reads: Vec<(u16, u16)>, withdrawn: u16, late: u16) -> bool {
+        let withdrawn = u64::from(withdrawn);
+        let request = withdrawn + 5_000 + u64::from(late);
+        let mut proof = ConfigProof::new(LIMITS);
+        for (sent, took) in reads {
+            let sent = u64::from(sent);
+            // A read sent after the withdrawal shows it; only others matter.
+            if sent < withdrawn && sent + u64::from(took) <= request {
+                proof.renew(at_ms(sent));
+            }
+        }
+        !proof.covers_keys(at_ms(request))
+    }
+}
+
+/// The store is away: first the host asks for no new callers, then it doesn't
+/// deny what it can't know, and last it refuses keys.
+#[test]
+fn host_without_store_withdraws_step_by_step() {
+    let mut proof = ConfigProof::new(LIMITS);
+    assert!(!proof.covers_keys(at_ms(0)));
+    proof.renew(at_ms(0));
+    assert!(proof.covers_denial(at_ms(1_900)));
+    assert!(!proof.covers_denial(at_ms(2_100)));
+    assert!(proof.covers_readiness(at_ms(2_900)));
+    assert!(!proof.covers_readiness(at_ms(3_100)));
+    assert!(proof.covers_keys(at_ms(4_600)));
+    assert!(!proof.covers_keys(at_ms(4_800)));
+}
+
+/// An answer that comes late says what was true when it was asked for.
+#[test]
+fn late_answer_does_not_renew_from_its_arrival() {
+    let mut proof = ConfigProof::new(LIMITS);
+    proof.renew(at_ms(4_000));
+    proof.renew(at_ms(1_000));
+    assert_eq!(proof.age(at_ms(5_000)), Some(Duration::from_secs(1)));
+}
--- /dev/null
+++ b/crates/policy/tests/all/dispatch/support.rs
@@ -0,0 +1,87 @@
+//! Fleets for the tests.
+
+use lagoonlift_policy::dispatch::{
+    EngineRole, FleetView, ListChange, PeerLoads, PromptFacts, PromptPart, UpstreamId,
+    UpstreamPhase, UpstreamRecord, UpstreamTable,
+};
+use lagoonlift_policy::{Timestamp, UpstreamKey};
+use std::time::Duration;
+
+/// Service of all upstreams.
+pub(crate) const SERVICE: &str = "llm";
+
+/// Moment `ms` milliseconds after the start.
+pub(crate) fn at_ms(ms: u64) -> Timestamp {
+    Timestamp(1_000_000) + Duration::from_millis(ms)
+}
+
+pub(crate) fn engine(number: usize, role: EngineRole) -> UpstreamRecord {
+    UpstreamRecord {
+        id: UpstreamId(format!("i-{number:02}")),
+        service: SERVICE.to_owned(),
+        address: format!("10.1.0.{}:8080", number + 1)
+            .parse()
+            .expect("an address"),
+        data_centre: ["a", "b", "c"][number % 3].to_owned(),
+        phase: UpstreamPhase::Serving,
+        role: Some(role),
+        slots: 32,
+        is_spot: false,
+        started_ms: Some(7),
+        order_count: Some(0),
+    }
+}
+
+pub(crate) fn table_of(records: Vec<UpstreamRecord>) -> UpstreamTable {
+    let mut table = UpstreamTable::new();
+    table.apply_list(at_ms(0), records);
+    table
+}
+
+pub(crate) fn key_of(table: &UpstreamTable, number: usize) -> UpstreamKey {
+    let id = UpstreamId(format!("i-{number:02}"));
+    let found = table.iter().find(|(_, one)| one.record.id == id);
+    found.expect("the upstream is listed").0
+}
+
+pub(crate) fn present(record: UpstreamRecord) -> ListChange {
+    ListChange::Present(record)
+}
+
+pub(crate) fn view<'a>(
+    table: &'a UpstreamTable,
+    peers: &'a PeerLoads,
+    tried: &'a [UpstreamKey],
+    ms: u64,
+) -> FleetView<'a> {
+    FleetView {
+        table,
+        peers,
+        service: SERVICE,
+        tried,
+        now: at_ms(ms),
+        tie: 0.0,
+    }
+}
+
+/// A long prompt of a session.
+pub(crate) fn prompt(session: u64, own_tokens: u32) -> PromptFacts {
+    PromptFacts {
+        tokens_in: 6_300 + own_tokens,
+        tokens_out: 2,
+        parts: vec![
+            PromptPart {
+                id: 1,
+                tokens: 2_520,
+            },
+            PromptPart {
+                id: session,
+                tokens: 3_780,
+            },
+            PromptPart {
+                id: session + 1_000_000,
+                tokens: own_tokens,
+            },
+        ],
+    }
+}
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! The policies keep their promises under arbitrary events.
 
+mod dispatch;
 mod entry;
 mod fairness;
 mod fleet;
