--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -157,28 +157,33 @@
 
 async fn order_roles(duties: &Duties, service: &Service, open: &mut OpenOrders) {
     settle(duties, open);
-    loop {
-        let next = {
-            let table = duties.host.table.borrow();
-            let engines = table
-                .iter()
-                .filter(|(_, one)| one.record.service == service.name)
-                .count();
-            let most = (engines as f64 * AWAY_SHARE).ceil() as usize;
-            if open.roles.len() >= most.max(1) {
-                return;
-            }
-            let busy: Vec<UpstreamKey> = open.roles.keys().copied().collect();
-            RolePlan::new().next_order(&table, &service.name, &busy)
-        };
-        let Some(order) = next else {
-            return;
-        };
+    let orders = {
+        let table = duties.host.table.borrow();
+        let open: Vec<RoleOrder> = open.roles.values().map(|(order, _)| *order).collect();
+        RolePlan::new().orders(&table, &service.name, &open)
+    };
+    let away = open.roles.len();
+    let room = most_away(duties, service).saturating_sub(away);
+    for order in orders.into_iter().take(room) {
         open.roles.insert(order.upstream, (order, clock::now()));
         order_role(duties, order).await;
     }
 }
 
+/// Returns how many engines may be away for a role change at once: all of them
+/// before the first request.
+fn most_away(duties: &Duties, service: &Service) -> usize {
+    let table = duties.host.table.borrow();
+    let of_service = table
+        .iter()
+        .filter(|(_, one)| one.record.service == service.name);
+    let engines = of_service.count();
+    match duties.host.has_served() {
+        true => ((engines as f64 * AWAY_SHARE).ceil() as usize).max(1),
+        false => engines,
+    }
+}
+
 /// Forgets the orders that have come true, whose engine is gone, or that were
 /// refused or lost long ago.
 fn settle(duties: &Duties, open: &mut OpenOrders) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -54,7 +54,7 @@
     let mut run = Run::new(Rc::clone(host), admitted);
     loop {
         let end = run.finish().await;
-        trace.note_sends(run.ledger.sends());
+        trace.note_path(run.path());
         let answer = match end {
             RunEnd::Refused(refusal) => return refuse(refusal, &id, trace),
             RunEnd::Whole(parts, body) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,10 +23,10 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time for the balancer to notice that this host takes no new callers.
-const NOTICE_TIME: Duration = Duration::from_millis(3_500);
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
 
 /// Kept back from the time after which the process is killed.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(250);
 
 /// Time between two looks at what is still under way.
 const SHUTDOWN_INTERVAL: Duration = Duration::from_millis(50);
@@ -109,6 +109,7 @@
             );
         }
         host.forget_upstreams(&gone);
+        host.plan_roles();
         host.pool.close_expired();
         let age = host.proof.borrow().age(now);
         host.metrics.set_proof_age(age.unwrap_or_default());
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -9,7 +9,7 @@
 use crate::store::StoreClient;
 use lagoonlift_policy::dispatch::{
     AllowanceLimits, ConfigProof, PeerLoads, Placement, PlacementLimits, ProofLimits,
-    RepeatAllowance, ServingConfig, UpstreamTable, UsageLedger, WallClock,
+    RepeatAllowance, RolePlan, ServingConfig, UpstreamTable, UsageLedger, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -28,6 +28,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) placement: RefCell<Placement>,
+    /// Engines whose role is about to change.
+    pub(crate) changing: RefCell<Vec<UpstreamKey>>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
     /// Where other hosts are told of loads.
     pub(crate) peers: RefCell<BTreeSet<SocketAddr>>,
@@ -41,6 +43,7 @@
     in_flight: Cell<usize>,
     connections: Cell<usize>,
     is_stopping: Cell<bool>,
+    has_served: Cell<bool>,
 }
 
 impl Host {
@@ -58,6 +61,7 @@
                 PlacementLimits::default(),
                 &settings.host.data_centre,
             )),
+            changing: RefCell::new(Vec::new()),
             peer_loads: RefCell::new(PeerLoads::new()),
             peers: RefCell::new(BTreeSet::new()),
             proof: RefCell::new(ConfigProof::new(limits)),
@@ -70,6 +74,7 @@
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             is_stopping: Cell::new(false),
+            has_served: Cell::new(false),
             settings,
             pool,
             metrics,
@@ -105,6 +110,25 @@
         self.in_flight.get()
     }
 
+    /// Returns whether any request has come.
+    pub(crate) fn has_served(&self) -> bool {
+        self.has_served.get()
+    }
+
+    /// Works out again which engines are about to change their role.
+    pub(crate) fn plan_roles(&self) {
+        let Some(config) = self.config() else {
+            return;
+        };
+        let table = self.table.borrow();
+        let engines = config
+            .services()
+            .iter()
+            .filter(|service| service.engine.is_some());
+        let orders = engines.flat_map(|service| RolePlan::new().orders(&table, &service.name, &[]));
+        *self.changing.borrow_mut() = orders.map(|order| order.upstream).collect();
+    }
+
     /// Returns the open connections of clients.
     pub(crate) fn connections(&self) -> usize {
         self.connections.get()
@@ -170,6 +194,7 @@
 impl InFlight {
     pub(crate) fn new(host: &Rc<Host>) -> Self {
         host.in_flight.set(host.in_flight.get() + 1);
+        host.has_served.set(true);
         Self(Rc::clone(host))
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -61,6 +61,20 @@
     pub(crate) resume_after: Option<u64>,
     last_failure: Option<(Box<Parts>, Bytes)>,
     timed_out: bool,
+    path: RunPath,
+}
+
+/// Where a request went, for its log line.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunPath {
+    /// Engine that read the prompt ahead.
+    pub(crate) reader: Option<String>,
+    /// How long that took.
+    pub(crate) read_time: Option<Duration>,
+    /// Upstream of the last send.
+    pub(crate) upstream: Option<String>,
+    /// Sends so far.
+    pub(crate) sends: u32,
 }
 
 /// Memory of a prompt that was read; freed when it is dropped untaken.
@@ -103,9 +117,23 @@
             resume_after: None,
             last_failure: None,
             timed_out: false,
+            path: RunPath::default(),
+        }
+    }
+
+    /// Returns where the request went.
+    pub(crate) fn path(&self) -> RunPath {
+        RunPath {
+            sends: self.ledger.sends(),
+            ..self.path.clone()
         }
     }
 
+    fn name_of(&self, upstream: UpstreamKey) -> Option<String> {
+        let table = self.host.table.borrow();
+        table.get(upstream).map(|one| one.record.id.0.clone())
+    }
+
     /// Sends until there is an answer or nothing more may be sent.
     pub(crate) async fn finish(&mut self) -> RunEnd {
         loop {
@@ -167,6 +195,7 @@
             peers: &self.host.peer_loads.borrow(),
             service: &self.admitted.service,
             tried,
+            changing: &self.host.changing.borrow(),
             now: clock::now(),
             tie: rand::rng().random(),
         };
@@ -245,6 +274,8 @@
                 let mut placement = self.host.placement.borrow_mut();
                 placement.note_read(EngineRole::Prefill, queued_tokens, latency);
                 drop(placement);
+                self.path.reader = self.name_of(reader);
+                self.path.read_time = Some(latency);
                 match self.take_memory(reader, answer).await {
                     true => return self.ledger.note_read(),
                     false => SendResult::Unknown,
@@ -315,6 +346,7 @@
         let takes_memory = matches!(order.task, UpstreamTask::RunFrom(_));
         let outcome = send(&self.host, &self.admitted.outgoing, order).await;
         self.tried.push(upstream);
+        self.path.upstream = self.name_of(upstream);
         if takes_memory {
             self.note_memory(&outcome);
         }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -3,6 +3,7 @@
 use crate::admit::Admitted;
 use crate::clock;
 use crate::host::Host;
+use crate::run::RunPath;
 use lagoonlift_policy::Timestamp;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
     workspace: Option<String>,
     arrived: Timestamp,
     first_byte: Option<Duration>,
-    sends: u32,
+    path: RunPath,
     resumes: u32,
     reason: &'static str,
     is_ended: bool,
@@ -30,7 +31,7 @@
             workspace: None,
             arrived,
             first_byte: None,
-            sends: 0,
+            path: RunPath::default(),
             resumes: 0,
             reason: "",
             is_ended: false,
@@ -42,8 +43,8 @@
         self.workspace.clone_from(&admitted.outgoing.workspace);
     }
 
-    pub(crate) fn note_sends(&mut self, sends: u32) {
-        self.sends = sends;
+    pub(crate) fn note_path(&mut self, path: RunPath) {
+        self.path = path;
     }
 
     pub(crate) fn note_reason(&mut self, reason: &'static str) {
@@ -83,7 +84,10 @@
             workspace = self.workspace,
             outcome,
             reason = self.reason,
-            sends = self.sends,
+            sends = self.path.sends,
+            reader = self.path.reader,
+            read_ms = self.path.read_time.map(|time| time.as_millis() as u64),
+            upstream = self.path.upstream,
             resumes = self.resumes,
             first_byte_ms = self.first_byte.map(|latency| latency.as_millis() as u64),
             duration_ms = duration.as_millis() as u64,
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -77,6 +77,8 @@
     pub service: &'a str,
     /// Upstreams that were tried for the request.
     pub tried: &'a [UpstreamKey],
+    /// Engines whose role is about to change.
+    pub changing: &'a [UpstreamKey],
     /// Now.
     pub now: Timestamp,
     /// Breaks ties, 0 to 1.
@@ -118,6 +120,10 @@
 /// Load that an upstream in another data centre seems to have beside its own.
 const DISTANCE_LOAD: f64 = 0.05;
 
+/// Load that an engine in another data centre than the prompt's memory seems to
+/// have beside its own.
+const MOVE_LOAD: f64 = 0.2;
+
 /// Failure share from which an engine is no home.
 const HOME_FAILURES: f64 = 0.5;
 
@@ -221,10 +227,15 @@
             .filter(is_candidate);
         let load = |upstream: &Upstream| {
             let is_near = near == Some(upstream.record.data_centre.as_str());
-            let distance = if is_near { 0.0 } else { 1.0 };
+            let distance = if is_near { 0.0 } else { MOVE_LOAD };
             load_of(upstream, view.peers) + distance
         };
-        lowest(candidates, load, view.tie)
+        let (changing, staying): (Vec<_>, Vec<_>) =
+            candidates.partition(|(key, _)| view.changing.contains(key));
+        let choose = |candidates: Vec<(UpstreamKey, &Upstream)>| {
+            lowest(candidates.into_iter(), load, view.tie)
+        };
+        choose(staying).or_else(|| choose(changing))
     }
 
     /// Returns how long a prompt may wait before its reading begins.
@@ -252,6 +263,7 @@
             .usable(view.service, view.now)
             .filter(|(key, one)| one.record.role == Some(role) && !view.tried.contains(key))
             .filter(|(_, one)| role == EngineRole::Decode || one.is_reader(view.now))
+            .filter(|(key, _)| role == EngineRole::Prefill || !view.changing.contains(key))
             .map(|(key, one)| HomeCandidate {
                 rank: rank(prompt, one),
                 key,
--- a/crates/policy/src/dispatch/roles.rs
+++ b/crates/policy/src/dispatch/roles.rs
@@ -1,19 +1,24 @@
 //! Which engines only read prompts.
 //!
 //! An engine that only reads is twice as fast at it as one that also generates.
-//! Generating short answers takes little, so few engines are enough for it. An
-//! order takes an engine away for seconds, therefore the share is fixed and not
-//! moved with each swing of the traffic.
+//! Generating short answers takes little, so few engines are enough for it; what
+//! they need is the bandwidth to take over the memory of prompts. An order takes
+//! an engine away for seconds, therefore the share is fixed and not moved with
+//! each swing of the traffic.
 
 use super::{EngineRole, Upstream, UpstreamPhase, UpstreamTable};
 use crate::UpstreamKey;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Share of the engines that generate.
-const DECODE_SHARE: f64 = 0.2;
+const DECODE_SHARE: f64 = 0.25;
 
-/// Engines that generate at least, so that the loss of one leaves another.
-const LEAST_DECODE: usize = 3;
+/// Engines that generate at least, so that the loss of one leaves others.
+const LEAST_DECODE: usize = 4;
+
+/// Engines that generate beyond the wanted number and are left alone: the next
+/// loss would bring an order back.
+const TOLERATED_SURPLUS: usize = 1;
 
 /// A role that an engine should be given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,116 +30,116 @@
 }
 
 /// Decides the roles of one service's engines.
+///
+/// All hosts come to the same orders from the same list, so those that don't
+/// give them can already avoid the engines that are about to change.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RolePlan;
 
+/// An engine as the plan sees it.
+struct PlannedEngine<'a> {
+    key: UpstreamKey,
+    upstream: &'a Upstream,
+    role: EngineRole,
+}
+
 impl RolePlan {
     /// Creates the plan.
     pub fn new() -> Self {
         Self
     }
 
-    /// Returns the next order for the engines of `service`, if one is needed.
-    /// `busy` engines have an order that isn't settled.
-    pub fn next_order(
+    /// Returns the orders that the engines of `service` need, beside those that
+    /// are `open`.
+    pub fn orders(
         &self,
         table: &UpstreamTable,
         service: &str,
-        busy: &[UpstreamKey],
-    ) -> Option<RoleOrder> {
-        let engines: Vec<(UpstreamKey, &Upstream)> = table
-            .iter()
-            .filter(|(_, one)| {
-                one.record.service == service
-                    && one.record.phase == UpstreamPhase::Serving
-                    && one.record.role.is_some()
-            })
-            .collect();
+        open: &[RoleOrder],
+    ) -> Vec<RoleOrder> {
+        let mut engines = planned_engines(table, service, open);
         let wanted = wanted_decoders(engines.len());
-        let decoders: Vec<&(UpstreamKey, &Upstream)> = engines
-            .iter()
-            .filter(|(_, one)| one.record.role == Some(EngineRole::Decode))
-            .collect();
-        let (role, candidates): (EngineRole, Vec<&(UpstreamKey, &Upstream)>) = match decoders.len()
-        {
-            count if count > wanted => (EngineRole::Prefill, decoders),
-            count if count < wanted => {
-                let readers = engines
-                    .iter()
-                    .filter(|(_, one)| one.record.role == Some(EngineRole::Prefill));
-                (EngineRole::Decode, readers.collect())
-            }
-            _ => return None,
+        let mut decoders = count_decoders(&engines);
+        let mut orders = Vec::new();
+        let role = match decoders {
+            count if count > wanted + TOLERATED_SURPLUS => EngineRole::Prefill,
+            count if count < wanted => EngineRole::Decode,
+            _ => return orders,
         };
-        let pending = candidates
-            .iter()
-            .filter(|(key, _)| busy.contains(key))
-            .count();
-        let missing = wanted.abs_diff(
-            engines
-                .iter()
-                .filter(|(_, one)| one.record.role == Some(EngineRole::Decode))
-                .count(),
-        );
-        if pending >= missing {
-            return None;
+        while decoders != wanted {
+            let Some(position) = next_engine(&engines, role) else {
+                break;
+            };
+            engines[position].role = role;
+            orders.push(RoleOrder {
+                upstream: engines[position].key,
+                role,
+            });
+            decoders = count_decoders(&engines);
         }
-        let free: Vec<&(UpstreamKey, &Upstream)> = candidates
-            .into_iter()
-            .filter(|(key, _)| !busy.contains(key))
-            .collect();
-        let chosen = match role {
-            EngineRole::Prefill => next_reader(&engines, &free, busy),
-            EngineRole::Decode => next_decoder(&engines, &free),
-        };
-        chosen.map(|upstream| RoleOrder { upstream, role })
+        // An engine that is being changed back is still away.
+        let is_open = |order: &RoleOrder| open.iter().any(|one| one.upstream == order.upstream);
+        orders.retain(|order| !is_open(order));
+        orders
     }
 }
 
+fn planned_engines<'a>(
+    table: &'a UpstreamTable,
+    service: &str,
+    open: &[RoleOrder],
+) -> Vec<PlannedEngine<'a>> {
+    let ordered: HashMap<UpstreamKey, EngineRole> = open
+        .iter()
+        .map(|order| (order.upstream, order.role))
+        .collect();
+    let engines = table.iter().filter(|(_, one)| {
+        one.record.service == service
+            && one.record.phase == UpstreamPhase::Serving
+            && !one.is_unreachable()
+    });
+    let planned = engines.filter_map(|(key, upstream)| {
+        let role = ordered.get(&key).copied().or(upstream.record.role)?;
+        Some(PlannedEngine {
+            key,
+            upstream,
+            role,
+        })
+    });
+    planned.collect()
+}
+
+fn count_decoders(engines: &[PlannedEngine<'_>]) -> usize {
+    let decoders = engines.iter().filter(|one| one.role == EngineRole::Decode);
+    decoders.count()
+}
+
 fn wanted_decoders(engines: usize) -> usize {
     let share = (engines as f64 * DECODE_SHARE).ceil() as usize;
     share.max(LEAST_DECODE).min(engines.div_ceil(2))
 }
 
-/// Returns the decoder to turn into a reader: a reclaimable one, in the data
-/// centre that has most decoders.
-fn next_reader(
-    engines: &[(UpstreamKey, &Upstream)],
-    free: &[&(UpstreamKey, &Upstream)],
-    busy: &[UpstreamKey],
-) -> Option<UpstreamKey> {
-    let mut decoders: BTreeMap<&str, usize> = BTreeMap::new();
-    for (key, one) in engines {
-        if one.record.role == Some(EngineRole::Decode) && !busy.contains(key) {
-            *decoders.entry(&one.record.data_centre).or_default() += 1;
-        }
+/// Returns the engine to give `role` to. Readers are taken from the reclaimable
+/// engines first, and from where most generate; generators from those that stay,
+/// and to where fewest generate.
+fn next_engine(engines: &[PlannedEngine<'_>], role: EngineRole) -> Option<usize> {
+    let mut crowds: BTreeMap<&str, usize> = BTreeMap::new();
+    for engine in engines.iter().filter(|one| one.role == EngineRole::Decode) {
+        let data_centre = engine.upstream.record.data_centre.as_str();
+        *crowds.entry(data_centre).or_default() += 1;
     }
-    free.iter()
-        .max_by_key(|(_, one)| {
-            let crowd = decoders.get(one.record.data_centre.as_str()).copied();
-            (one.record.is_spot, crowd, &one.record.id)
-        })
-        .map(|(key, _)| *key)
-}
-
-/// Returns the reader to turn into a decoder: one that stays, in the data
-/// centre that has fewest decoders.
-fn next_decoder(
-    engines: &[(UpstreamKey, &Upstream)],
-    free: &[&(UpstreamKey, &Upstream)],
-) -> Option<UpstreamKey> {
-    let decoders_in = |data_centre: &str| {
-        engines
-            .iter()
-            .filter(|(_, one)| {
-                one.record.role == Some(EngineRole::Decode) && one.record.data_centre == data_centre
-            })
-            .count()
+    let rank = |engine: &PlannedEngine<'_>| {
+        let record = &engine.upstream.record;
+        let crowd = crowds.get(record.data_centre.as_str()).copied();
+        (record.is_spot, crowd.unwrap_or(0), record.id.clone())
     };
-    free.iter()
-        .min_by_key(|(_, one)| {
-            let crowd = decoders_in(&one.record.data_centre);
-            (one.record.is_spot, crowd, &one.record.id)
-        })
-        .map(|(key, _)| *key)
+    let candidates = engines
+        .iter()
+        .enumerate()
+        .filter(|(_, engine)| engine.role != role);
+    let chosen = match role {
+        EngineRole::Prefill => candidates.max_by_key(|(_, engine)| rank(engine)),
+        EngineRole::Decode => candidates.min_by_key(|(_, engine)| rank(engine)),
+    };
+    chosen.map(|(position, _)| position)
 }
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -23,6 +23,9 @@
 /// Longest pause after failures in a row.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// Failures in a row after which an upstream is taken for dead.
+const DEAD_FAILURES: u32 = 4;
+
 /// Refusals in a row after which an upstream is passed over.
 const LEAST_REFUSALS: u32 = 2;
 
@@ -178,6 +181,12 @@
         self.reading_tokens + peers.on(self.digest).reading_tokens
     }
 
+    /// Returns whether it has failed so often in a row that it is taken for dead,
+    /// although it is still listed.
+    pub fn is_unreachable(&self) -> bool {
+        self.failures_in_row >= DEAD_FAILURES
+    }
+
     /// Notes an answer that took `latency` to its first byte.
     pub fn note_answer(&mut self, latency: Duration) {
         self.failures_in_row = 0;
--- a/crates/policy/tests/all/dispatch/roles.rs
+++ b/crates/policy/tests/all/dispatch/roles.rs
@@ -1,7 +1,6 @@
 //! Roles of engines as a fleet changes.
 
 use crate::dispatch::support::{SERVICE, at_ms, engine, key_of, present, table_of};
-use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{EngineRole, RolePlan, UpstreamTable};
 
 fn decoders(table: &UpstreamTable) -> usize {
@@ -13,15 +12,20 @@
 
 /// Carries orders out at once until none is left; returns how many there were.
 fn carry_out(table: &mut UpstreamTable) -> usize {
-    let mut orders = 0;
-    while let Some(order) = RolePlan::new().next_order(table, SERVICE, &[]) {
-        let upstream = table.get_mut(order.upstream).expect("listed");
-        assert_ne!(upstream.record.role, Some(order.role));
-        upstream.record.role = Some(order.role);
-        orders += 1;
-        assert!(orders <= 40, "orders go back and forth");
+    let mut count = 0;
+    loop {
+        let orders = RolePlan::new().orders(table, SERVICE, &[]);
+        if orders.is_empty() {
+            return count;
+        }
+        for order in orders {
+            let upstream = table.get_mut(order.upstream).expect("listed");
+            assert_ne!(upstream.record.role, Some(order.role));
+            upstream.record.role = Some(order.role);
+            count += 1;
+            assert!(count <= 40, "orders go back and forth");
+        }
     }
-    orders
 }
 
 #[test]
@@ -51,11 +55,32 @@
         .collect();
     records[0].role = Some(EngineRole::Decode);
     records[1].role = Some(EngineRole::Decode);
+    records[2].role = Some(EngineRole::Decode);
     let table = table_of(records);
-    let first = RolePlan::new().next_order(&table, SERVICE, &[]);
-    let busy: Vec<UpstreamKey> = first.iter().map(|order| order.upstream).collect();
-    assert_eq!(busy.len(), 1);
-    assert_eq!(RolePlan::new().next_order(&table, SERVICE, &busy), None);
+    let open = RolePlan::new().orders(&table, SERVICE, &[]);
+    assert_eq!(open.len(), 1);
+    assert_eq!(RolePlan::new().orders(&table, SERVICE, &open), []);
+}
+
+/// Engines that crashed are still listed for seconds; the others that generate
+/// must not be made readers meanwhile.
+#[test]
+fn dead_generators_are_not_counted() {
+    let records = (0..16).map(|number| match number < 10 {
+        true => engine(number, EngineRole::Prefill),
+        false => engine(number, EngineRole::Decode),
+    });
+    let mut table = table_of(records.collect());
+    assert!(!RolePlan::new().orders(&table, SERVICE, &[]).is_empty());
+    for number in [10, 11, 12] {
+        let key = key_of(&table, number);
+        let upstream = table.get_mut(key).expect("listed");
+        for _ in 0..6 {
+            upstream.note_failure(at_ms(0), true);
+        }
+    }
+    let orders = RolePlan::new().orders(&table, SERVICE, &[]);
+    assert!(orders.iter().all(|order| order.role == EngineRole::Decode));
 }
 
 /// Reclaimable engines read, since a reader's loss costs least.
--- a/crates/policy/tests/all/dispatch/support.rs
+++ b/crates/policy/tests/all/dispatch/support.rs
@@ -59,6 +59,7 @@
         peers,
         service: SERVICE,
         tried,
+        changing: &[],
         now: at_ms(ms),
         tie: 0.0,
     }
