--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -223,6 +223,7 @@
         .map_err(|_| not_sent(format!("did not open within {limit:?}")))?
         .map_err(|error| not_sent(error.to_string()))?;
     set_options(&stream);
+    reset_on_close(&stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
@@ -255,6 +256,14 @@
     }
 }
 
+/// Makes closing the connection drop what the peer hasn't received. Otherwise a
+/// call that was given up in a partition would reach the peer when it heals.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(%error, "a given-up call may still be delivered");
+    }
+}
+
 /// Returns an error with its causes in one line.
 pub(crate) fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -13,8 +13,7 @@
     PromptHandle, UpstreamTask, decode_prompt_handle, release_request,
 };
 use lagoonlift_policy::dispatch::{
-    AttemptLedger, EngineRole, FleetView, NextStep, Placement, PromptPlan, PromptRefusal,
-    SendResult,
+    AttemptLedger, FleetView, NextStep, Placement, PromptPlan, PromptRefusal, SendResult,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use rand::RngExt;
@@ -272,7 +271,7 @@
             SendOutcome::Answered(answer) if answer.head.status.is_success() => {
                 let latency = clock::now().since(sent_at);
                 let mut placement = self.host.placement.borrow_mut();
-                placement.note_read(EngineRole::Prefill, queued_tokens, latency);
+                placement.note_read(queued_tokens, latency);
                 drop(placement);
                 self.path.reader = self.name_of(reader);
                 self.path.read_time = Some(latency);
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -124,6 +124,9 @@
 /// have beside its own.
 const MOVE_LOAD: f64 = 0.2;
 
+/// How many times longer an engine that generates takes to read.
+const DECODE_SLOWNESS: u64 = 3;
+
 /// Failure share from which an engine is no home.
 const HOME_FAILURES: f64 = 0.5;
 
@@ -132,16 +135,16 @@
 pub struct Placement {
     limits: PlacementLimits,
     data_centre: String,
-    /// Reading rates of engines that only read, and of those that generate too.
-    prefill_rate: ReadRate,
-    decode_rate: ReadRate,
+    /// Reading rate of engines that only read.
+    read_rate: ReadRate,
 }
 
 /// An engine as a home for one prompt.
 struct HomeCandidate {
     rank: u64,
     key: UpstreamKey,
-    /// Prompt tokens of all hosts that wait there or are being read.
+    /// Prompt tokens of all hosts that wait there or are being read, as many as
+    /// an engine that only reads would read in the same time.
     backlog: u64,
     is_sound: bool,
 }
@@ -152,18 +155,14 @@
         Self {
             limits,
             data_centre: data_centre.to_owned(),
-            prefill_rate: ReadRate::new(),
-            decode_rate: ReadRate::new(),
+            read_rate: ReadRate::new(),
         }
     }
 
-    /// Notes that an engine read a prompt in `latency` with `queued_tokens`
-    /// queued there.
-    pub fn note_read(&mut self, role: EngineRole, queued_tokens: u64, latency: Duration) {
-        match role {
-            EngineRole::Prefill => self.prefill_rate.note(queued_tokens, latency),
-            EngineRole::Decode => self.decode_rate.note(queued_tokens, latency),
-        }
+    /// Notes that an engine that only reads read a prompt in `latency` with
+    /// `queued_tokens` queued there.
+    pub fn note_read(&mut self, queued_tokens: u64, latency: Duration) {
+        self.read_rate.note(queued_tokens, latency);
     }
 
     /// Chooses an upstream of a plain service.
@@ -193,22 +192,32 @@
         latency_goal: Duration,
         time_left: Duration,
     ) -> Result<PromptPlan, PromptRefusal> {
-        let is_long = prompt.tokens_in >= self.limits.read_ahead_tokens;
-        if is_long {
-            let homes = self.homes(view, prompt, EngineRole::Prefill);
-            if !homes.is_empty() {
-                let wait = self.allowed_wait(&self.prefill_rate, prompt, latency_goal, time_left);
-                let home = self.choose_home(&homes, &self.prefill_rate, wait);
-                return home.map(PromptPlan::ReadAhead);
+        let decoders = self.homes(view, prompt, EngineRole::Decode);
+        if prompt.tokens_in < self.limits.read_ahead_tokens {
+            let home = self.choose_home(&decoders, Duration::MAX);
+            return home.map(PromptPlan::Whole);
+        }
+        let wait = self.allowed_wait(prompt, latency_goal, time_left);
+        let readers = self.homes(view, prompt, EngineRole::Prefill);
+        match self.choose_home(&readers, wait) {
+            Ok(reader) => Ok(PromptPlan::ReadAhead(reader)),
+            Err(refusal) => {
+                let wait = self.overflow_wait(prompt, latency_goal.min(time_left));
+                let decoder = wait.map(|wait| self.choose_home(&decoders, wait));
+                match decoder {
+                    Some(Ok(decoder)) => Ok(PromptPlan::Whole(decoder)),
+                    _ => Err(refusal),
+                }
             }
         }
-        let homes = self.homes(view, prompt, EngineRole::Decode);
-        let wait = match is_long {
-            true => self.allowed_wait(&self.decode_rate, prompt, latency_goal, time_left),
-            false => Duration::MAX,
-        };
-        let home = self.choose_home(&homes, &self.decode_rate, wait);
-        home.map(PromptPlan::Whole)
+    }
+
+    /// Returns how long a prompt may wait at an engine that generates too, if
+    /// such an engine can read it in time at all.
+    fn overflow_wait(&self, prompt: &PromptFacts, goal: Duration) -> Option<Duration> {
+        let tokens = u64::from(prompt.tokens_in) * slowness(EngineRole::Decode);
+        let own = self.read_rate.time_for(tokens);
+        goal.mul_f64(self.limits.reading_share).checked_sub(own)
     }
 
     /// Chooses the engine that generates after `reader` has read the prompt,
@@ -241,13 +250,12 @@
     /// Returns how long a prompt may wait before its reading begins.
     fn allowed_wait(
         &self,
-        rate: &ReadRate,
         prompt: &PromptFacts,
         latency_goal: Duration,
         time_left: Duration,
     ) -> Duration {
         let goal = latency_goal.min(time_left);
-        let own = rate.time_for(u64::from(prompt.tokens_in));
+        let own = self.read_rate.time_for(u64::from(prompt.tokens_in));
         let wait = goal.mul_f64(self.limits.reading_share).saturating_sub(own);
         wait.max(goal.mul_f64(self.limits.least_wait_share))
     }
@@ -267,7 +275,7 @@
             .map(|(key, one)| HomeCandidate {
                 rank: rank(prompt, one),
                 key,
-                backlog: one.backlog(view.peers),
+                backlog: one.backlog(view.peers) * slowness(role),
                 is_sound: one.failure_share < HOME_FAILURES,
             })
             .collect();
@@ -278,7 +286,6 @@
     fn choose_home(
         &self,
         homes: &[HomeCandidate],
-        rate: &ReadRate,
         wait: Duration,
     ) -> Result<UpstreamKey, PromptRefusal> {
         let least = homes
@@ -289,16 +296,27 @@
         let mean = total as f64 / homes.len() as f64;
         let bound = (mean * self.limits.home_load).max(self.limits.home_tokens as f64);
         let is_home = |home: &&HomeCandidate| {
-            home.is_sound && home.backlog as f64 <= bound && rate.time_for(home.backlog) <= wait
+            home.is_sound
+                && home.backlog as f64 <= bound
+                && self.read_rate.time_for(home.backlog) <= wait
         };
         match homes.iter().find(is_home) {
             Some(home) => Ok(home.key),
-            None if rate.time_for(least.backlog) <= wait => Ok(least.key),
-            None => Err(PromptRefusal::Busy(rate.time_for(least.backlog))),
+            None if self.read_rate.time_for(least.backlog) <= wait => Ok(least.key),
+            None => Err(PromptRefusal::Busy(self.read_rate.time_for(least.backlog))),
         }
     }
 }
 
+/// Returns how many times longer an engine in `role` reads: one that generates
+/// too reads at half speed, in small pieces between tokens.
+fn slowness(role: EngineRole) -> u64 {
+    match role {
+        EngineRole::Prefill => 1,
+        EngineRole::Decode => DECODE_SLOWNESS,
+    }
+}
+
 fn load_of(upstream: &Upstream, peers: &PeerLoads) -> f64 {
     let slots = f64::from(upstream.record.slots.max(1));
     let in_flight = upstream.in_flight + peers.on(upstream.digest).requests;
--- a/crates/policy/src/dispatch/roles.rs
+++ b/crates/policy/src/dispatch/roles.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Share of the engines that generate.
-const DECODE_SHARE: f64 = 0.25;
+const DECODE_SHARE: f64 = 0.2;
 
 /// Engines that generate at least, so that the loss of one leaves others.
 const LEAST_DECODE: usize = 4;
--- a/crates/policy/tests/all/dispatch/placement.rs
+++ b/crates/policy/tests/all/dispatch/placement.rs
@@ -24,7 +24,7 @@
 fn placement() -> Placement {
     let mut placement = Placement::new(PlacementLimits::default(), "a");
     for _ in 0..100 {
-        placement.note_read(EngineRole::Prefill, 9_300, Duration::from_millis(30));
+        placement.note_read(9_300, Duration::from_millis(30));
     }
     placement
 }
@@ -113,7 +113,7 @@
 #[test]
 fn flood_of_long_prompts_is_refused_before_it_is_late() {
     let mut table = fleet();
-    for number in 0..6 {
+    for number in 0..9 {
         load(&mut table, number, 62_000);
     }
     let refusal = choose(&table, &PeerLoads::new(), &prompt(7, 2_890));
@@ -123,6 +123,18 @@
     assert!((190..=210).contains(&wait.as_millis()), "{wait:?}");
 }
 
+/// Readers are full and engines that generate are not: these help out.
+#[test]
+fn flood_of_long_prompts_overflows_to_engines_that_generate() {
+    let mut table = fleet();
+    for number in 0..6 {
+        load(&mut table, number, 62_000);
+    }
+    let key = choose(&table, &PeerLoads::new(), &prompt(7, 2_890)).expect("a place");
+    let role = table.get(key).expect("listed").record.role;
+    assert_eq!(role, Some(EngineRole::Decode));
+}
+
 /// A prompt whose own reading takes longer than the goal may still wait a
 /// little, or large ones would never be served.
 #[test]
