--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -1,6 +1,5 @@
 //! From the head of a request to a route, a workspace and a body.
 
-use crate::clock;
 use crate::host::Host;
 use crate::reply::Refusal;
 use crate::send::Outgoing;
@@ -29,8 +28,6 @@
     pub(crate) service: String,
     /// When the caller is answered at the latest.
     pub(crate) until: Timestamp,
-    /// When the head of the request had arrived.
-    pub(crate) arrived: Timestamp,
 }
 
 /// Where a request goes and for whom.
@@ -70,7 +67,6 @@
         route: target.route,
         service: target.service,
         until: arrived + wait,
-        arrived,
     })
 }
 
@@ -144,8 +140,3 @@
 fn undecided(reason: &'static str) -> Refusal {
     Refusal::not_run(reason, UNDECIDED_RETRY).elsewhere()
 }
-
-/// Returns the head of a request and when it had arrived.
-pub(crate) fn arrival() -> Timestamp {
-    clock::now()
-}
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -39,6 +39,9 @@
 /// A host that hasn't published for this long isn't waited for, in microseconds.
 const SILENT_US: i64 = 9_000_000;
 
+/// Reports that are kept, for questions about the latest windows.
+const KEPT_REPORTS: u64 = 120;
+
 /// Time between two counts of the hosts.
 const CENSUS_INTERVAL: u32 = 12;
 
@@ -164,19 +167,21 @@
 
 /// Reports windows while this host holds the lease, for ever.
 pub(crate) async fn report(duties: Rc<Duties>) {
-    let mut next: Option<UsageWindow> = None;
+    let mut reported: Option<UsageWindow> = None;
     loop {
         sleep(REPORT_INTERVAL).await;
         if duties.holder().is_none() {
-            next = None;
             continue;
         }
-        let window = *next.get_or_insert_with(|| first_window(&duties.host));
+        // Another holder may have reported meanwhile; a repeat does no harm.
+        let following = reported.map(|window| UsageWindow(window.0 + 1));
+        let window = following.max(Some(first_window(&duties.host)));
+        let window = window.unwrap_or(UsageWindow(0));
         if !is_settled(&duties.host, window) {
             continue;
         }
         match report_window(&duties, window).await {
-            Ok(true) => next = Some(UsageWindow(window.0 + 1)),
+            Ok(true) => reported = Some(window),
             Ok(false) => {}
             Err(error) => {
                 tracing::warn!(window = window.0, %error, "usage was not reported");
@@ -231,11 +236,21 @@
         status = status.as_u16(),
         "usage reported"
     );
+    remove_old_report(host, window).await;
     // A report that is refused as wrong stays wrong.
     let is_final = status.is_success() || status.is_client_error() && status.as_u16() != 429;
     Ok(is_final)
 }
 
+/// Removes the report of a window that nobody can report any more.
+async fn remove_old_report(host: &Host, window: UsageWindow) {
+    let name = window.0.saturating_sub(KEPT_REPORTS).to_string();
+    match host.store.remove(REPORT_KIND, &name).await {
+        Ok(()) | Err(StoreError::Missing) => {}
+        Err(error) => tracing::warn!(name, %error, "an old usage report was not removed"),
+    }
+}
+
 /// Adds all hosts' counts up; `None` while a host has yet to publish.
 async fn sum_counts(host: &Host, window: UsageWindow) -> Result<Option<WindowCounts>, StoreError> {
     let published = list_counts(host).await?;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! From a client's request to its answer.
 
-use crate::admit::{admit, arrival};
+use crate::admit::admit;
+use crate::clock;
 use crate::host::{Host, InFlight};
 use crate::relay::StreamRelay;
 use crate::reply::{Refusal, ReplyBody, whole};
@@ -35,7 +36,7 @@
 }
 
 async fn answer(host: &Rc<Host>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let arrived = arrival();
+    let arrived = clock::now();
     let (parts, body) = request.into_parts();
     let request = match CallerRequest::decode(parts) {
         Ok(request) => request,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use lagoonlift_settings::GatewaySettings;
 use lagoonlift_telemetry::Metrics;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +35,8 @@
 /// A running gateway. Has to be used on a `LocalSet`.
 pub struct Gateway {
     host: Rc<Host>,
+    caller_addr: SocketAddr,
+    readiness_addr: SocketAddr,
     closing: watch::Sender<bool>,
 }
 
@@ -48,6 +51,8 @@
         let callers = server::listen(settings.listen.callers)?;
         let readiness = server::listen(settings.listen.readiness)?;
         let scraper = settings.listen.metrics.map(server::listen).transpose()?;
+        let caller_addr = callers.local_addr()?;
+        let readiness_addr = readiness.local_addr()?;
         let host = Host::new(settings, GatewayMetrics::new(metrics));
         let (closing, closing_seen) = watch::channel(false);
         spawn_local(server::serve_callers(
@@ -73,7 +78,22 @@
             callers = %host.settings.listen.callers,
             "gateway started"
         );
-        Ok(Self { host, closing })
+        Ok(Self {
+            host,
+            caller_addr,
+            readiness_addr,
+            closing,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.caller_addr
+    }
+
+    /// Returns the address for the balancer's questions.
+    pub fn readiness_addr(&self) -> SocketAddr {
+        self.readiness_addr
     }
 
     /// Takes no new callers, finishes what is under way and returns.
@@ -113,5 +133,6 @@
         host.pool.close_expired();
         let age = host.proof.borrow().age(now);
         host.metrics.set_proof_age(age.unwrap_or_default());
+        host.record_resources();
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -171,6 +171,14 @@
         }
     }
 
+    /// Records the repeats that are left and the connections opened so far.
+    pub(crate) fn record_resources(&self) {
+        for (service, allowance) in self.allowances.borrow().iter() {
+            self.metrics.set_allowance(service, allowance.left());
+        }
+        self.metrics.set_opened(self.pool.opened());
+    }
+
     /// Closes the connections to upstreams that are gone.
     pub(crate) fn forget_upstreams(&self, gone: &[UpstreamKey]) {
         for key in gone {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     allowance: Gauge<f64>,
     proof_age: Gauge<f64>,
     lease: Gauge<u64>,
+    opened: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -69,6 +70,10 @@
                 .u64_gauge("lagoonlift_gateway_lease_held")
                 .with_description("Whether this host has the duties.")
                 .build(),
+            opened: meter
+                .u64_gauge("lagoonlift_gateway_connections_opened")
+                .with_description("Connections opened to others since the start.")
+                .build(),
             metrics,
         }
     }
@@ -110,6 +115,10 @@
         self.lease.record(u64::from(is_held), &[]);
     }
 
+    pub(crate) fn set_opened(&self, connections: u64) {
+        self.opened.record(connections, &[]);
+    }
+
     /// Returns all metrics in the scraper's text format.
     pub(crate) fn render(&self) -> eyre::Result<String> {
         self.metrics.render()
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -24,6 +24,7 @@
         }
     };
     let mut current = host.settings.clone();
+    let mut last_error = String::new();
     loop {
         // Either a signal came or it is time to look anyway.
         let is_asked = match timeout(LOOK_INTERVAL, signals.recv()).await {
@@ -37,7 +38,11 @@
         let settings = match GatewaySettings::load(&file) {
             Ok(settings) => settings,
             Err(error) => {
-                tracing::error!(%error, "the changed settings are refused");
+                let error = error.to_string();
+                if error != last_error {
+                    tracing::error!(error, "the changed settings are refused");
+                }
+                last_error = error;
                 continue;
             }
         };
--- a/crates/policy/tests/all/dispatch/attempts.rs
+++ b/crates/policy/tests/all/dispatch/attempts.rs
@@ -67,7 +67,7 @@
                 break;
             }
         }
-        (ledger.give_up() == NextStep::Refuse) == !has_run
+        (ledger.give_up() == NextStep::Refuse) != has_run
     }
 
     /// Hosts that come and go at any time never send more repeats together than
