--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -270,9 +270,10 @@
         let result = match outcome {
             SendOutcome::Answered(answer) if answer.head.status.is_success() => {
                 let latency = clock::now().since(sent_at);
-                let mut placement = self.host.placement.borrow_mut();
-                placement.note_read(queued_tokens, latency);
-                drop(placement);
+                self.host
+                    .placement
+                    .borrow_mut()
+                    .note_read(queued_tokens, latency);
                 self.path.reader = self.name_of(reader);
                 self.path.read_time = Some(latency);
                 match self.take_memory(reader, answer).await {
--- a/crates/policy/tests/all/dispatch/attempts.rs
+++ b/crates/policy/tests/all/dispatch/attempts.rs
@@ -126,3 +126,21 @@
     assert!(ledger.next_is_repeat());
     assert_eq!(ledger.give_up(), NextStep::Refuse);
 }
+
+/// All hosts are killed twice within one window, and each spends what it has
+/// before and after.
+#[test]
+fn restarts_of_all_hosts_do_not_refill_the_allowance() {
+    let limits = AllowanceLimits {
+        ratio: 0.2,
+        slack: 52.0,
+    };
+    let mut repeats = 0;
+    for _ in 0..3 * 6 {
+        let mut allowance = RepeatAllowance::new(limits, 6);
+        while allowance.take() {
+            repeats += 1;
+        }
+    }
+    assert!(repeats <= 52, "{repeats} repeats without a request");
+}
