Proofs of the configuration go between hosts; fewer store calls; upstreams as a share of the first fleet

A host now takes the age of a peer's proof, counted from before it asked, and reads itself only when no younger one is at hand.

--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -8,15 +8,21 @@
     EngineOrder, OrderReply, ScaleOrder, decode_order_reply, engine_request, scale_request,
 };
 use lagoonlift_adapter::runner::{EngineStatus, decode_status, status_request};
+use lagoonlift_adapter::store::{ReadKind, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::dispatch::{
-    FleetTarget, RoleOrder, RolePlan, Service, SpendingPlan, UpstreamRecord,
+    FleetTarget, InitialFleet, RoleOrder, RolePlan, Service, SpendingPlan, UpstreamRecord, fleet_of,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
+use serde::Deserialize;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// Kind of the objects that hold what a service's fleet was before the first
+/// order.
+const PLAN_KIND: &str = "fleet-plans";
+
 /// Time between two looks at the fleet.
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -37,6 +43,8 @@
 /// What this host has ordered and not yet seen.
 #[derive(Default)]
 struct OpenOrders {
+    /// What each service's fleet was before the first order.
+    initial: HashMap<String, InitialFleet>,
     /// When a target may be ordered again.
     scale: HashMap<(String, String, bool), ScaleState>,
     /// Engines with an order under way, and since when.
@@ -76,15 +84,43 @@
     let Some(scale) = &service.scale else {
         return;
     };
-    let targets = {
-        let table = duties.host.table.borrow();
-        SpendingPlan::new().targets(&table, &service.name, scale)
-    };
+    if !open.initial.contains_key(&service.name) {
+        match initial_fleet(duties, &service.name).await {
+            Ok(initial) => {
+                open.initial.insert(service.name.clone(), initial);
+            }
+            Err(error) => {
+                tracing::warn!(service = service.name, %error, "no plan for the upstreams");
+                return;
+            }
+        }
+    }
+    let targets = SpendingPlan::new().targets(&open.initial[&service.name], scale);
     for target in targets {
         order_target(duties, service, target, open).await;
     }
 }
 
+/// Returns what the fleet was before the first order, which is written down then.
+async fn initial_fleet(duties: &Duties, service: &str) -> Result<InitialFleet, StoreError> {
+    let store = &duties.host.store;
+    if let Some(object) = store.read(PLAN_KIND, service, ReadKind::Exact).await? {
+        return parse_plan(&object);
+    }
+    let initial = fleet_of(&duties.host.table.borrow(), service);
+    let written = store.write(PLAN_KIND, service, &initial, WriteCondition::Absent);
+    match written.await {
+        Ok(_) => Ok(initial),
+        Err(StoreError::Conflict(Some(current))) => parse_plan(&current),
+        Err(error) => Err(error),
+    }
+}
+
+fn parse_plan(object: &StoreObject) -> Result<InitialFleet, StoreError> {
+    InitialFleet::deserialize(&object.contents)
+        .map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
 async fn order_target(
     duties: &Duties,
     service: &Service,
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -26,6 +26,12 @@
 /// Time between two writes of a host's counts.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Hosts from which on counts are written once a window.
+const MANY_HOSTS: usize = 20;
+
+/// Time after the end of a window at which its counts are written.
+const AFTER_WINDOW: Duration = Duration::from_millis(200);
+
 /// Time between two looks for windows to report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -82,14 +88,27 @@
                 condition
             }
         };
-        if rounds.is_multiple_of(CENSUS_INTERVAL) {
+        if rounds.is_multiple_of(CENSUS_INTERVAL) || rounds == 1 {
             count_hosts(&host).await;
         }
         rounds += 1;
-        sleep(PUBLISH_INTERVAL).await;
+        sleep(publish_pause(&host)).await;
     }
 }
 
+/// Returns the time to the next write. Among many hosts the counts of one weigh
+/// little, and writing them once a window, right after its end, is enough.
+fn publish_pause(host: &Host) -> Duration {
+    if host.known_hosts() < MANY_HOSTS {
+        return PUBLISH_INTERVAL;
+    }
+    let unix_us = host.wall.borrow().unix_us(clock::now());
+    let usage = host.usage.borrow();
+    let end_us = usage.end_of(usage.window_at(unix_us));
+    let left = u64::try_from(end_us - unix_us).unwrap_or(0);
+    Duration::from_micros(left) + AFTER_WINDOW
+}
+
 /// Returns the counts of earlier starts from what one of them had published;
 /// `None` if this start published it.
 fn carried_on(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -65,6 +65,7 @@
             spawn_local(server::serve_admin(Rc::clone(&host), scraper));
         }
         spawn_local(watcher::follow_config(Rc::clone(&host)));
+        spawn_local(watcher::keep_proof(Rc::clone(&host)));
         spawn_local(watcher::follow_upstreams(Rc::clone(&host)));
         spawn_local(keep_up(Rc::clone(&host)));
         duty::start(&host);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -17,6 +17,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// Hosts assumed before the first count.
 const ASSUMED_HOSTS: usize = 8;
@@ -35,6 +36,8 @@
     pub(crate) peers: RefCell<BTreeSet<SocketAddr>>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
     pub(crate) proof: RefCell<ConfigProof>,
+    /// Told when the store has a newer configuration.
+    pub(crate) config_news: Notify,
     pub(crate) table: RefCell<UpstreamTable>,
     pub(crate) usage: RefCell<UsageLedger>,
     pub(crate) wall: RefCell<WallClock>,
@@ -67,6 +70,7 @@
             proof: RefCell::new(ConfigProof::new(limits)),
             usage: RefCell::new(UsageLedger::new(window_us)),
             wall: RefCell::new(wall),
+            config_news: Notify::new(),
             config: RefCell::new(None),
             table: RefCell::new(UpstreamTable::new()),
             allowances: RefCell::new(HashMap::new()),
@@ -163,6 +167,11 @@
         self.proof.borrow_mut().set_limits(limits);
     }
 
+    /// Returns how many hosts are known.
+    pub(crate) fn known_hosts(&self) -> usize {
+        self.known_hosts.get()
+    }
+
     /// Takes in how many hosts there are.
     pub(crate) fn set_known_hosts(&self, hosts: usize) {
         self.known_hosts.set(self.known_hosts.get().max(hosts));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,12 +1,15 @@
-//! Tells the other hosts what this one has in flight, and hears it from them.
+//! What hosts tell each other directly: loads in flight, and how surely their
+//! configuration is current.
 //!
 //! Datagrams may be lost; the next one says everything anew. A host learns the
 //! others from what they publish in the store, and from their datagrams.
 
 use crate::clock;
 use crate::host::Host;
+use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{InFlightLoad, UpstreamDigest};
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,11 +23,36 @@
 /// Peers that are told in one interval; more take turns.
 const FANOUT: usize = 12;
 
+/// Time between two questions for proofs.
+const PROOF_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Age of the own proof from which others are asked.
+const PROOF_AGE: Duration = Duration::from_millis(600);
+
+/// Peers that are asked at once.
+const PROOF_PEERS: usize = 2;
+
 /// Largest datagram, in bytes: below the usual size of a packet.
 const MAX_BYTES: usize = 1_400;
 
 /// What a host says.
 #[derive(Debug, Serialize, Deserialize)]
+enum PeerMessage {
+    /// What it has in flight.
+    Load(LoadMessage),
+    /// Asks how surely the other's configuration is current. The time is the
+    /// asking host's and comes back as it is.
+    ProofQuery { asked_at_us: u64 },
+    /// The answer.
+    Proof {
+        asked_at_us: u64,
+        version: u64,
+        age_us: u64,
+    },
+}
+
+/// What a host has in flight.
+#[derive(Debug, Serialize, Deserialize)]
 struct LoadMessage {
     /// Number of the host's start.
     host: u64,
@@ -43,6 +71,11 @@
         }
     };
     tokio::task::spawn_local(receive(Rc::clone(&host), Rc::clone(&socket)));
+    tokio::task::spawn_local(ask_for_proofs(
+        Rc::clone(&host),
+        Rc::clone(&socket),
+        address,
+    ));
     let id: u64 = rand::random();
     let mut sequence = 0;
     let mut was_busy = true;
@@ -59,7 +92,8 @@
                 sequence,
                 loads,
             };
-            send(&host, &socket, &message, address).await;
+            let peers = next_peers(&host.peers.borrow(), address, sequence, FANOUT);
+            send(&socket, &PeerMessage::Load(message), &peers).await;
         }
         was_busy = is_busy;
     }
@@ -78,19 +112,35 @@
     loads.collect()
 }
 
-async fn send(host: &Host, socket: &UdpSocket, message: &LoadMessage, own: SocketAddr) {
+/// Asks peers for their proofs while the own one is old, for ever.
+async fn ask_for_proofs(host: Rc<Host>, socket: Rc<UdpSocket>, own: SocketAddr) {
+    loop {
+        sleep(PROOF_INTERVAL).await;
+        let asked_at = clock::now();
+        let age = host.proof.borrow().age(asked_at);
+        if age.is_some_and(|age| age < PROOF_AGE) {
+            continue;
+        }
+        let query = PeerMessage::ProofQuery {
+            asked_at_us: asked_at.0,
+        };
+        let peers = next_peers(&host.peers.borrow(), own, rand::random(), PROOF_PEERS);
+        send(&socket, &query, &peers).await;
+    }
+}
+
+async fn send(socket: &UdpSocket, message: &PeerMessage, peers: &[SocketAddr]) {
     let bytes = match postcard::to_stdvec(message) {
         Ok(bytes) if bytes.len() <= MAX_BYTES => bytes,
         Ok(bytes) => {
-            tracing::debug!(bytes = bytes.len(), "too many loads for a datagram");
+            tracing::debug!(bytes = bytes.len(), "a message is too large for a datagram");
             return;
         }
         Err(error) => {
-            tracing::error!(%error, "loads can't be encoded");
+            tracing::error!(%error, "a message can't be encoded");
             return;
         }
     };
-    let peers = next_peers(&host.peers.borrow(), own, message.sequence);
     for peer in peers {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             tracing::debug!(%peer, %error, "a peer can't be told");
@@ -99,13 +149,18 @@
 }
 
 /// Returns the peers whose turn it is.
-fn next_peers(peers: &BTreeSet<SocketAddr>, own: SocketAddr, turn: u64) -> Vec<SocketAddr> {
+fn next_peers(
+    peers: &BTreeSet<SocketAddr>,
+    own: SocketAddr,
+    turn: u64,
+    count: usize,
+) -> Vec<SocketAddr> {
     let others: Vec<SocketAddr> = peers.iter().copied().filter(|peer| *peer != own).collect();
     if others.is_empty() {
         return others;
     }
-    let start = (turn as usize).wrapping_mul(FANOUT) % others.len();
-    let count = FANOUT.min(others.len());
+    let start = (turn as usize).wrapping_mul(count) % others.len();
+    let count = count.min(others.len());
     let in_turn = others.iter().cycle().skip(start).take(count);
     in_turn.copied().collect()
 }
@@ -121,7 +176,7 @@
                 continue;
             }
         };
-        let message: LoadMessage = match postcard::from_bytes(&buffer[..length]) {
+        let message: PeerMessage = match postcard::from_bytes(&buffer[..length]) {
             Ok(message) => message,
             Err(error) => {
                 tracing::debug!(%peer, %error, "a datagram can't be read");
@@ -129,8 +184,52 @@
             }
         };
         host.peers.borrow_mut().insert(peer);
-        let now = clock::now();
-        let mut loads = host.peer_loads.borrow_mut();
-        loads.note(now, message.host, message.sequence, message.loads);
+        if let Some(reply) = take(&host, message) {
+            send(&socket, &reply, &[peer]).await;
+        }
+    }
+}
+
+/// Takes a message in; returns the answer if it asks for one.
+fn take(host: &Host, message: PeerMessage) -> Option<PeerMessage> {
+    let now = clock::now();
+    match message {
+        PeerMessage::Load(load) => {
+            let mut loads = host.peer_loads.borrow_mut();
+            loads.note(now, load.host, load.sequence, load.loads);
+            None
+        }
+        PeerMessage::ProofQuery { asked_at_us } => {
+            let version = host.config()?.version().0;
+            let age = host.proof.borrow().age(now)?;
+            Some(PeerMessage::Proof {
+                asked_at_us,
+                version,
+                age_us: age.as_micros() as u64,
+            })
+        }
+        PeerMessage::Proof {
+            asked_at_us,
+            version,
+            age_us,
+        } => {
+            take_proof(host, version, asked_at_us, age_us);
+            None
+        }
+    }
+}
+
+/// A peer with a newer configuration shows that the store has to be read; one
+/// with an older configuration shows nothing.
+fn take_proof(host: &Host, version: u64, asked_at_us: u64, age_us: u64) {
+    let own = host.config().map_or(0, |config| config.version().0);
+    match version.cmp(&own) {
+        Ordering::Equal => {
+            let age = Duration::from_micros(age_us);
+            let asked_at = Timestamp(asked_at_us);
+            host.proof.borrow_mut().renew_from_peer(asked_at, age);
+        }
+        Ordering::Greater => host.config_news.notify_one(),
+        Ordering::Less => {}
     }
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -17,20 +17,31 @@
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-/// Wait of a watch on the configuration. Between two answers the proof of being
-/// current ages by twice this time, which has to stay below the age at which a
-/// host stops being ready.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
+/// Wait of a watch on the configuration. It brings changes at once; the proof of
+/// being current comes from reads in between.
+const CONFIG_WAIT: Duration = Duration::from_secs(10);
 
-/// Wait of a watch on the upstreams.
-const UPSTREAM_WAIT: Duration = Duration::from_millis(2_500);
+/// Ages between which the proof is renewed by a read of the store, if no other
+/// host has given a younger one.
+const PROOF_READ_MS: std::ops::Range<u64> = 1_100..1_600;
+
+/// Time between two looks at the proof.
+const PROOF_LOOK: Duration = Duration::from_millis(100);
+
+/// Wait of a watch on the upstreams. A connection that has silently failed shows
+/// only when the wait is over.
+const UPSTREAM_WAIT: Duration = Duration::from_millis(2_200);
+
+/// Pause after changes of the upstreams, so that those that come together cost
+/// one call.
+const COALESCE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Longest pause before a failed call is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Keeps the configuration up to date, for ever.
+/// Hears of changes of the configuration, for ever.
 pub(crate) async fn follow_config(host: Rc<Host>) {
     let mut revision = None;
     loop {
@@ -53,6 +64,39 @@
     }
 }
 
+/// Reads the configuration while no younger proof is at hand, and when another
+/// host has a newer one, for ever.
+pub(crate) async fn keep_proof(host: Rc<Host>) {
+    loop {
+        let limit = Duration::from_millis(rand::rng().random_range(PROOF_READ_MS));
+        wait_for_age(&host, limit).await;
+        let sent_at = clock::now();
+        match list_config(&host).await {
+            Ok(_) => host.proof.borrow_mut().renew(sent_at),
+            Err(error) => {
+                note_failure(&host, "proof", &error);
+                pause_after(&error).await;
+            }
+        }
+    }
+}
+
+/// Waits until the proof is older than `limit` or there are news.
+async fn wait_for_age(host: &Host, limit: Duration) {
+    loop {
+        if timeout(PROOF_LOOK, host.config_news.notified())
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        let age = host.proof.borrow().age(clock::now());
+        if age.is_none_or(|age| age > limit) {
+            return;
+        }
+    }
+}
+
 async fn list_config(host: &Host) -> Result<Revision, StoreError> {
     let (objects, revision) = host.store.list(CONFIG_KIND, ReadKind::Exact).await?;
     for object in &objects {
@@ -143,6 +187,10 @@
         .watch(UPSTREAM_KIND, revision, UPSTREAM_WAIT)
         .await?;
     apply_changes(host, clock::now(), &page);
+    if !page.changes.is_empty() {
+        host.plan_roles();
+        sleep(COALESCE_PAUSE).await;
+    }
     Ok(page.revision)
 }
 
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -45,7 +45,7 @@
 pub use proof::{ConfigProof, ProofLimits};
 pub use read_rate::ReadRate;
 pub use roles::{RoleOrder, RolePlan};
-pub use spending::{FleetTarget, SpendingPlan};
+pub use spending::{FleetTarget, InitialFleet, SpendingPlan, fleet_of};
 pub use upstream::{
     EngineRole, ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
--- a/crates/policy/src/dispatch/proof.rs
+++ b/crates/policy/src/dispatch/proof.rs
@@ -48,6 +48,13 @@
         self.proven_at = self.proven_at.max(Some(sent_at));
     }
 
+    /// Notes that a host which was asked at `asked_at` has the same configuration
+    /// and a proof of this age. Its answer was made after the question was sent,
+    /// so no clocks are compared.
+    pub fn renew_from_peer(&mut self, asked_at: Timestamp, age: Duration) {
+        self.renew(asked_at - age);
+    }
+
     /// Returns the age of the proof.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
         self.proven_at.map(|proven_at| now.since(proven_at))
--- a/crates/policy/src/dispatch/spending.rs
+++ b/crates/policy/src/dispatch/spending.rs
@@ -8,11 +8,15 @@
 use super::{ScaleTraits, Upstream, UpstreamPhase, UpstreamTable};
 use std::collections::BTreeMap;
 
-/// Standard upstreams of a service in each data centre.
-const STANDARD: u32 = 2;
+/// Standard upstreams, as a share of those that a data centre began with.
+const STANDARD_SHARE: f64 = 0.4;
 
-/// Reclaimable upstreams of a service in each data centre.
-const SPOT: u32 = 6;
+/// Reclaimable upstreams, as a share of those that a data centre began with.
+const SPOT_SHARE: f64 = 1.4;
+
+/// Upstreams by data centre before the first order: what the operators thought
+/// right.
+pub type InitialFleet = BTreeMap<String, u32>;
 
 /// Upstreams of one kind that a data centre should have.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,49 +41,39 @@
 
     /// Returns what each data centre should have, reclaimable ones first, so
     /// that they are there before standard ones leave.
-    pub fn targets(
-        &self,
-        table: &UpstreamTable,
-        service: &str,
-        scale: &ScaleTraits,
-    ) -> Vec<FleetTarget> {
-        let present = standard_by_data_centre(table, service);
-        let (spot, standard): (Vec<_>, Vec<_>) = present
-            .into_iter()
-            .flat_map(|(data_centre, count)| targets_of(data_centre, count, scale))
-            .partition(|target| target.is_spot);
+    pub fn targets(&self, initial: &InitialFleet, scale: &ScaleTraits) -> Vec<FleetTarget> {
+        if scale.spot_price.is_none() {
+            return Vec::new();
+        }
+        let targets = initial
+            .iter()
+            .flat_map(|(data_centre, count)| targets_of(data_centre, *count, scale));
+        let (spot, standard): (Vec<_>, Vec<_>) = targets.partition(|target| target.is_spot);
         spot.into_iter().chain(standard).collect()
     }
 }
 
-fn targets_of(data_centre: String, present: u32, scale: &ScaleTraits) -> Vec<FleetTarget> {
-    if scale.spot_price.is_none() {
-        return Vec::new();
-    }
-    let standard = STANDARD
-        .clamp(scale.min, scale.max)
-        .min(present.max(scale.min));
-    let spot = SPOT.min(scale.max - standard);
+fn targets_of(data_centre: &str, initial: u32, scale: &ScaleTraits) -> [FleetTarget; 2] {
+    let share = |share: f64| (f64::from(initial) * share).ceil() as u32;
+    let standard = share(STANDARD_SHARE).clamp(scale.min, scale.max);
+    let spot = share(SPOT_SHARE).min(scale.max - standard);
     let target = |is_spot, count| FleetTarget {
-        data_centre: data_centre.clone(),
+        data_centre: data_centre.to_owned(),
         is_spot,
         count,
     };
-    vec![target(true, spot), target(false, standard)]
+    [target(true, spot), target(false, standard)]
 }
 
-/// Returns the standard upstreams of each data centre that has any of the
-/// service's upstreams.
-fn standard_by_data_centre(table: &UpstreamTable, service: &str) -> BTreeMap<String, u32> {
-    let mut counts = BTreeMap::new();
+/// Returns the upstreams of `service` by data centre.
+pub fn fleet_of(table: &UpstreamTable, service: &str) -> InitialFleet {
+    let mut counts = InitialFleet::new();
     let of_service = |upstream: &&Upstream| {
         upstream.record.service == service && upstream.record.phase == UpstreamPhase::Serving
     };
     for upstream in table.iter().map(|(_, one)| one).filter(of_service) {
-        let count = counts
-            .entry(upstream.record.data_centre.clone())
-            .or_insert(0);
-        *count += u32::from(!upstream.record.is_spot);
+        let data_centre = upstream.record.data_centre.clone();
+        *counts.entry(data_centre).or_insert(0) += 1;
     }
     counts
 }
--- a/crates/policy/tests/all/dispatch/proof.rs
+++ b/crates/policy/tests/all/dispatch/proof.rs
@@ -44,6 +44,16 @@
     assert!(!proof.covers_keys(at_ms(4_800)));
 }
 
+/// A peer's answer is as old as its proof, however late it arrives.
+#[test]
+fn proof_from_a_peer_is_as_old_as_the_peers() {
+    let mut proof = ConfigProof::new(LIMITS);
+    proof.renew_from_peer(at_ms(4_000), Duration::from_millis(1_500));
+    assert_eq!(proof.age(at_ms(6_000)), Some(Duration::from_millis(3_500)));
+    proof.renew_from_peer(at_ms(3_000), Duration::from_millis(100));
+    assert_eq!(proof.age(at_ms(6_000)), Some(Duration::from_millis(3_100)));
+}
+
 /// An answer that comes late says what was true when it was asked for.
 #[test]
 fn late_answer_does_not_renew_from_its_arrival() {
