--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -8,7 +8,7 @@
 use super::{DUTY_TIMEOUT, Duties};
 use crate::clock;
 use crate::connection::{PeerKey, call};
-use crate::host::Host;
+use crate::host::{Host, MANY_HOSTS};
 use lagoonlift_adapter::duty::usage_request;
 use lagoonlift_adapter::store::{ReadKind, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::dispatch::{HostCounts, SumPatience, UsageWindow, WindowCounts, sum_window};
@@ -26,9 +26,6 @@
 /// Time between two writes of a host's counts.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Hosts from which on counts are written once a window.
-const MANY_HOSTS: usize = 20;
-
 /// Time after the end of a window at which its counts are written.
 const AFTER_WINDOW: Duration = Duration::from_millis(200);
 
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -19,6 +19,10 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
+/// Hosts from which on calls to the store are saved at the price of some hundred
+/// milliseconds.
+pub(crate) const MANY_HOSTS: usize = 20;
+
 /// Hosts assumed before the first count.
 const ASSUMED_HOSTS: usize = 8;
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,10 +27,10 @@
 const PROOF_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Age of the own proof from which others are asked.
-const PROOF_AGE: Duration = Duration::from_millis(600);
+const PROOF_AGE: Duration = Duration::from_millis(500);
 
 /// Peers that are asked at once.
-const PROOF_PEERS: usize = 2;
+const PROOF_PEERS: usize = 3;
 
 /// Largest datagram, in bytes: below the usual size of a packet.
 const MAX_BYTES: usize = 1_400;
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -5,7 +5,7 @@
 //! which also shows what was removed meanwhile.
 
 use crate::clock;
-use crate::host::Host;
+use crate::host::{Host, MANY_HOSTS};
 use lagoonlift_adapter::listing::{
     CONFIG_KIND, CONFIG_NAME, UPSTREAM_KIND, decode_config, decode_upstream,
 };
@@ -38,6 +38,9 @@
 /// one call.
 const COALESCE_PAUSE: Duration = Duration::from_millis(150);
 
+/// The same among many hosts, where each call is made many times over.
+const LONG_COALESCE_PAUSE: Duration = Duration::from_millis(400);
+
 /// Longest pause before a failed call is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -189,7 +192,11 @@
     apply_changes(host, clock::now(), &page);
     if !page.changes.is_empty() {
         host.plan_roles();
-        sleep(COALESCE_PAUSE).await;
+        sleep(match host.known_hosts() < MANY_HOSTS {
+            true => COALESCE_PAUSE,
+            false => LONG_COALESCE_PAUSE,
+        })
+        .await;
     }
     Ok(page.revision)
 }
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -124,6 +124,10 @@
 /// have beside its own.
 const MOVE_LOAD: f64 = 0.2;
 
+/// First engines in a session's order that it is divided among when all are
+/// busy.
+const NEARBY_HOMES: usize = 4;
+
 /// How many times longer an engine that generates takes to read.
 const DECODE_SLOWNESS: u64 = 3;
 
@@ -300,10 +304,16 @@
                 && home.backlog as f64 <= bound
                 && self.read_rate.time_for(home.backlog) <= wait
         };
-        match homes.iter().find(is_home) {
-            Some(home) => Ok(home.key),
-            None if self.read_rate.time_for(least.backlog) <= wait => Ok(least.key),
-            None => Err(PromptRefusal::Busy(self.read_rate.time_for(least.backlog))),
+        let is_in_time = |home: &HomeCandidate| self.read_rate.time_for(home.backlog) <= wait;
+        // Sessions differ in their first homes, so hosts that see the same loads
+        // don't all choose the same engine.
+        let nearby = homes.iter().take(NEARBY_HOMES);
+        let nearby = nearby.min_by_key(|home| (!home.is_sound, home.backlog));
+        match (homes.iter().find(is_home), nearby) {
+            (Some(home), _) => Ok(home.key),
+            (None, Some(nearby)) if is_in_time(nearby) => Ok(nearby.key),
+            _ if is_in_time(least) => Ok(least.key),
+            _ => Err(PromptRefusal::Busy(self.read_rate.time_for(least.backlog))),
         }
     }
 }
