--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -203,27 +203,12 @@
         }
         let wait = self.allowed_wait(prompt, latency_goal, time_left);
         let readers = self.homes(view, prompt, EngineRole::Prefill);
-        match self.choose_home(&readers, wait) {
-            Ok(reader) => Ok(PromptPlan::ReadAhead(reader)),
-            Err(refusal) => {
-                let wait = self.overflow_wait(prompt, latency_goal.min(time_left));
-                let decoder = wait.map(|wait| self.choose_home(&decoders, wait));
-                match decoder {
-                    Some(Ok(decoder)) => Ok(PromptPlan::Whole(decoder)),
-                    _ => Err(refusal),
-                }
-            }
+        match readers.is_empty() {
+            false => self.choose_home(&readers, wait).map(PromptPlan::ReadAhead),
+            true => self.choose_home(&decoders, wait).map(PromptPlan::Whole),
         }
     }
 
-    /// Returns how long a prompt may wait at an engine that generates too, if
-    /// such an engine can read it in time at all.
-    fn overflow_wait(&self, prompt: &PromptFacts, goal: Duration) -> Option<Duration> {
-        let tokens = u64::from(prompt.tokens_in) * slowness(EngineRole::Decode);
-        let own = self.read_rate.time_for(tokens);
-        goal.mul_f64(self.limits.reading_share).checked_sub(own)
-    }
-
     /// Chooses the engine that generates after `reader` has read the prompt,
     /// near the reader first, since its memory has to be moved.
     pub fn generator(&self, view: FleetView<'_>, reader: UpstreamKey) -> Option<UpstreamKey> {
--- a/crates/policy/src/dispatch/read_rate.rs
+++ b/crates/policy/src/dispatch/read_rate.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Weight of the newest read.
-const SAMPLE_WEIGHT: f64 = 0.04;
+const SAMPLE_WEIGHT: f64 = 0.1;
 
 /// Reads before the rate is believed.
 const LEAST_SAMPLES: u32 = 20;
