--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -148,7 +148,7 @@
     }
 }
 
-/// Takes in how many hosts there are and what their clocks say.
+/// Takes in how many hosts there are and where they listen.
 async fn count_hosts(host: &Host) {
     let published = match list_counts(host).await {
         Ok(published) => published,
@@ -157,14 +157,9 @@
             return;
         }
     };
-    let now = clock::now();
-    let mut clocks: Vec<i64> = published.iter().map(|counts| counts.unix_us).collect();
-    host.set_known_hosts(clocks.len());
+    host.set_known_hosts(published.len());
     let peers = published.iter().filter_map(|counts| counts.peer_address);
     host.peers.borrow_mut().extend(peers);
-    if host.wall.borrow_mut().agree(now, &mut clocks) {
-        tracing::warn!("the time of day was set by the other hosts' clocks");
-    }
 }
 
 async fn list_counts(host: &Host) -> Result<Vec<HostCounts>, StoreError> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -131,6 +131,9 @@
         }
         host.forget_upstreams(&gone);
         host.plan_roles();
+        if let Some(correction_us) = host.wall.borrow_mut().agree(now) {
+            tracing::warn!(correction_us, "the time of day was set by the other hosts");
+        }
         host.pool.close_expired();
         let age = host.proof.borrow().age(now);
         host.metrics.set_proof_age(age.unwrap_or_default());
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -29,6 +29,8 @@
 /// State of one gateway.
 pub(crate) struct Host {
     pub(crate) settings: GatewaySettings,
+    /// Tells this start of the process from all others.
+    pub(crate) start_id: u64,
     pub(crate) store: StoreClient,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
@@ -83,6 +85,7 @@
             connections: Cell::new(0),
             is_stopping: Cell::new(false),
             has_served: Cell::new(false),
+            start_id: rand::random(),
             settings,
             pool,
             metrics,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -48,6 +48,10 @@
         asked_at_us: u64,
         version: u64,
         age_us: u64,
+        /// Number of the answering host's start.
+        host: u64,
+        /// Its time of day.
+        unix_us: i64,
     },
 }
 
@@ -76,7 +80,6 @@
         Rc::clone(&socket),
         address,
     ));
-    let id: u64 = rand::random();
     let mut sequence = 0;
     let mut was_busy = true;
     loop {
@@ -88,7 +91,7 @@
         if is_busy || was_busy {
             sequence += 1;
             let message = LoadMessage {
-                host: id,
+                host: host.start_id,
                 sequence,
                 loads,
             };
@@ -206,14 +209,21 @@
                 asked_at_us,
                 version,
                 age_us: age.as_micros() as u64,
+                host: host.start_id,
+                unix_us: host.wall.borrow().unix_us(now),
             })
         }
         PeerMessage::Proof {
             asked_at_us,
             version,
             age_us,
+            host: peer,
+            unix_us,
         } => {
             take_proof(host, version, asked_at_us, age_us);
+            let asked_at = Timestamp(asked_at_us);
+            let mut wall = host.wall.borrow_mut();
+            wall.note_peer(peer, asked_at, now, unix_us);
             None
         }
     }
--- a/crates/policy/tests/all/dispatch/usage.rs
+++ b/crates/policy/tests/all/dispatch/usage.rs
@@ -86,13 +86,36 @@
     assert_eq!(clock.unix_us(at_ms(10)), 1_000_010_000);
 }
 
-/// A process that starts while its clock is off takes the others' time; two
-/// clocks decide nothing.
+/// A process that starts while its clock is off takes the others' time; a single
+/// other clock decides nothing.
 #[test]
 fn process_started_during_a_step_takes_the_majority() {
     let mut clock = WallClock::new(at_ms(0), 1_002_400_000);
-    assert!(!clock.agree(at_ms(0), &mut [1_000_000_000, 1_000_000_000]));
-    let mut clocks = [1_000_000_000, 1_002_400_000, 999_900_000, 1_000_100_000];
-    assert!(clock.agree(at_ms(0), &mut clocks));
-    assert!((clock.unix_us(at_ms(0)) - 1_000_000_000).abs() <= 100_000);
+    clock.note_peer(1, at_ms(0), at_ms(2), 1_000_001_000);
+    assert_eq!(clock.agree(at_ms(2)), None);
+    clock.note_peer(2, at_ms(0), at_ms(2), 1_000_051_000);
+    assert_eq!(clock.agree(at_ms(2)), Some(-2_350_000));
+    assert_eq!(clock.unix_us(at_ms(2)), 1_000_052_000);
+}
+
+/// Hosts whose clocks have jumped must not take along one that is right.
+#[test]
+fn minority_of_stepped_clocks_changes_nothing() {
+    let mut clock = WallClock::new(at_ms(0), 1_000_000_000);
+    for (peer, unix_us) in [(1, 1_002_400_000), (2, 1_000_000_000), (3, 1_002_400_000)] {
+        clock.note_peer(peer, at_ms(0), at_ms(0), unix_us);
+    }
+    clock.note_peer(4, at_ms(0), at_ms(0), 1_000_010_000);
+    assert_eq!(clock.agree(at_ms(0)), None);
+}
+
+/// After an outage of the store, what hosts said before it is seconds old and
+/// says nothing of the time.
+#[test]
+fn old_answers_are_not_counted() {
+    let mut clock = WallClock::new(at_ms(0), 1_000_000_000);
+    for peer in 0..3 {
+        clock.note_peer(peer, at_ms(0), at_ms(0), 992_000_000);
+    }
+    assert_eq!(clock.agree(at_ms(8_000)), None);
 }
