--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -30,6 +30,12 @@
 /// another engine can still read it.
 const READ_SHARE: f64 = 0.45;
 
+/// A read is waited for this many times as long as it is expected to take,
+const READ_MARGIN: u32 = 3;
+
+/// and this much longer; then another engine is asked.
+const READ_PATIENCE: Duration = Duration::from_millis(400);
+
 /// Engines that are asked to read one prompt.
 const READ_TRIES: u32 = 2;
 
@@ -122,10 +128,7 @@
 
     /// Returns where the request went.
     pub(crate) fn path(&self) -> RunPath {
-        RunPath {
-            sends: self.ledger.sends(),
-            ..self.path.clone()
-        }
+        self.path.clone()
     }
 
     fn name_of(&self, upstream: UpstreamKey) -> Option<String> {
@@ -259,12 +262,12 @@
     async fn read_ahead(&mut self, reader: UpstreamKey) {
         let tokens = self.admitted.outgoing.request.prompt.tokens_in;
         let mut order = self.order(reader, UpstreamTask::ReadPrompt, u64::from(tokens));
-        order.until = self.read_until();
+        let queued_tokens = self.queued_tokens(reader) + u64::from(tokens);
+        order.until = self.read_until(queued_tokens);
         let Some(order) = self.take_allowance(order) else {
             self.tried.push(reader);
             return;
         };
-        let queued_tokens = self.queued_tokens(reader) + u64::from(tokens);
         let sent_at = clock::now();
         let outcome = send(&self.host, &self.admitted.outgoing, order).await;
         let result = match outcome {
@@ -299,9 +302,11 @@
         table.get(engine).map_or(0, |one| one.backlog(&peers))
     }
 
-    fn read_until(&self) -> Timestamp {
+    fn read_until(&self, queued_tokens: u64) -> Timestamp {
         let now = clock::now();
-        now + self.admitted.until.since(now).mul_f64(READ_SHARE)
+        let longest = self.admitted.until.since(now).mul_f64(READ_SHARE);
+        let expected = self.host.placement.borrow().read_time(queued_tokens);
+        now + longest.min(READ_PATIENCE + expected * READ_MARGIN)
     }
 
     async fn take_memory(&mut self, reader: UpstreamKey, answer: Box<Answer>) -> bool {
@@ -346,6 +351,7 @@
         let takes_memory = matches!(order.task, UpstreamTask::RunFrom(_));
         let outcome = send(&self.host, &self.admitted.outgoing, order).await;
         self.tried.push(upstream);
+        self.path.sends += 1;
         self.path.upstream = self.name_of(upstream);
         if takes_memory {
             self.note_memory(&outcome);
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -169,6 +169,12 @@
         self.read_rate.note(queued_tokens, latency);
     }
 
+    /// Returns how long an engine that only reads takes for `tokens`; zero while
+    /// that isn't known.
+    pub fn read_time(&self, tokens: u64) -> Duration {
+        self.read_rate.time_for(tokens)
+    }
+
     /// Chooses an upstream of a plain service.
     pub fn plain(&self, view: FleetView<'_>) -> Option<UpstreamKey> {
         let candidates = view
