--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -39,7 +39,7 @@
 const COALESCE_PAUSE: Duration = Duration::from_millis(150);
 
 /// The same among many hosts, where each call is made many times over.
-const LONG_COALESCE_PAUSE: Duration = Duration::from_millis(400);
+const LONG_COALESCE_PAUSE: Duration = Duration::from_millis(700);
 
 /// Longest pause before a failed call is made again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
