--- a/crates/policy/src/dispatch/spending.rs
+++ b/crates/policy/src/dispatch/spending.rs
@@ -12,7 +12,7 @@
 const STANDARD_SHARE: f64 = 0.4;
 
 /// Reclaimable upstreams, as a share of those that a data centre began with.
-const SPOT_SHARE: f64 = 1.4;
+const SPOT_SHARE: f64 = 1.6;
 
 /// Upstreams by data centre before the first order: what the operators thought
 /// right.
