--- a/crates/entry/src/instruments.rs
+++ b/crates/entry/src/instruments.rs
@@ -1,9 +1,9 @@
 //! What is counted and timed, for each workspace and class.
 
-use lagoonlift_telemetry::{LATENCY_BUCKETS, Metrics};
+use lagoonlift_telemetry::{Metrics, counter, histogram};
 use lagoonlift_types::{ClassName, OutcomeKind, WorkspaceName};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter};
+use opentelemetry::metrics::{Counter, Histogram};
 use std::time::Duration;
 
 /// The entry's instruments.
@@ -120,19 +120,3 @@
         self.token_gap.record(gap.as_secs_f64(), &labels.0);
     }
 }
-
-fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
-    meter
-        .u64_counter(name)
-        .with_description(description)
-        .build()
-}
-
-fn histogram(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_description(description)
-        .with_unit("s")
-        .with_boundaries(LATENCY_BUCKETS.to_vec())
-        .build()
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,8 +8,8 @@
 //! second one on the same small machine would only double its fixed cost, and
 //! the duties take little.
 //!
-//! A request goes through [`admit`](self) (route, workspace, body), `run`
-//! (choice of upstreams, repeats) and, for streams, `relay`. Decisions lie in
+//! A request goes through the modules `admit` (route, workspace, body), `run`
+//! (choice of upstreams, repeats), `send` (one upstream) and, for streams, `relay`. Decisions lie in
 //! `lagoonlift_policy::dispatch`, names and formats of the platform in
 //! `lagoonlift_adapter`.
 
@@ -23,6 +23,7 @@
 mod host;
 mod metrics;
 mod peers;
+mod prompt_memory;
 mod relay;
 mod reload;
 mod reply;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms of a gateway.
 
-use lagoonlift_telemetry::{LATENCY_BUCKETS, Metrics};
+use lagoonlift_telemetry::{Metrics, counter, histogram};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use std::time::Duration;
@@ -23,38 +23,32 @@
 impl GatewayMetrics {
     pub(crate) fn new(metrics: Metrics) -> Self {
         let meter = metrics.meter();
-        let histogram = |name: &'static str, description: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_description(description)
-                .with_unit("s")
-                .with_boundaries(LATENCY_BUCKETS.to_vec())
-                .build()
-        };
-        let counter = |name: &'static str, description: &'static str| {
-            meter
-                .u64_counter(name)
-                .with_description(description)
-                .build()
-        };
         let gauge = |name: &'static str, description: &'static str| {
             meter.f64_gauge(name).with_description(description).build()
         };
         Self {
             requests: counter(
+                &meter,
                 "lagoonlift_gateway_requests",
                 "Requests by route and outcome.",
             ),
-            sends: counter("lagoonlift_gateway_sends", "Sends to upstreams by result."),
+            sends: counter(
+                &meter,
+                "lagoonlift_gateway_sends",
+                "Sends to upstreams by result.",
+            ),
             duration: histogram(
+                &meter,
                 "lagoonlift_gateway_duration",
                 "Time to the end of an answer.",
             ),
             first_byte: histogram(
+                &meter,
                 "lagoonlift_gateway_first_byte",
                 "Time to the first byte of an answer.",
             ),
             store_failures: counter(
+                &meter,
                 "lagoonlift_gateway_store_failures",
                 "Calls to the store that failed.",
             ),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,15 +3,13 @@
 
 use crate::admit::Admitted;
 use crate::clock;
-use crate::connection::{PeerKey, call};
 use crate::host::Host;
+use crate::prompt_memory::PromptMemory;
 use crate::reply::Refusal;
 use crate::send::{Answer, SendOrder, SendOutcome, send};
 use bytes::Bytes;
 use http::response::Parts;
-use lagoonlift_adapter::runner::{
-    PromptHandle, UpstreamTask, decode_prompt_handle, release_request,
-};
+use lagoonlift_adapter::runner::{UpstreamTask, decode_prompt_handle};
 use lagoonlift_policy::dispatch::{
     AttemptLedger, FleetView, NextStep, Placement, PromptPlan, PromptRefusal, SendResult,
 };
@@ -42,9 +40,6 @@
 /// Sends of one prompt's memory; after that the prompt is read anew.
 const MEMORY_SENDS: u32 = 2;
 
-/// Time for freeing memory that nobody will take.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// How a request ended.
 pub(crate) enum RunEnd {
     /// An upstream's whole answer, success or failure.
@@ -82,32 +77,6 @@
     pub(crate) sends: u32,
 }
 
-/// Memory of a prompt that was read; freed when it is dropped untaken.
-struct PromptMemory {
-    host: Rc<Host>,
-    handle: PromptHandle,
-    reader: UpstreamKey,
-    sends: u32,
-    is_taken: bool,
-}
-
-impl Drop for PromptMemory {
-    fn drop(&mut self) {
-        if self.is_taken {
-            return;
-        }
-        let pool = self.host.pool.clone();
-        let peer = PeerKey::Upstream(self.reader);
-        let holder = self.handle.holder;
-        let request = release_request(&self.handle);
-        tokio::task::spawn_local(async move {
-            if let Err(error) = call(&pool, peer, holder, request, RELEASE_TIMEOUT).await {
-                tracing::debug!(%holder, %error, "memory of a prompt was not freed");
-            }
-        });
-    }
-}
-
 impl Run {
     pub(crate) fn new(host: Rc<Host>, admitted: Rc<Admitted>) -> Self {
         let route = &admitted.route;
@@ -319,13 +288,7 @@
             (Some(holder), Ok((_, body))) => decode_prompt_handle(holder, body),
             _ => None,
         };
-        self.memory = handle.map(|handle| PromptMemory {
-            host: Rc::clone(&self.host),
-            handle,
-            reader,
-            sends: 0,
-            is_taken: false,
-        });
+        self.memory = handle.map(|handle| PromptMemory::new(&self.host, reader, handle));
         self.memory.is_some()
     }
 
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod placement;
 mod proof;
 mod roles;
+mod spending;
 mod support;
 mod upstreams;
 mod usage;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use admin::admin_routes;
 pub use logs::{LogFlush, LogStyle, init_logs, init_stdout_logs};
-pub use metrics::{LATENCY_BUCKETS, Metrics};
+pub use metrics::{LATENCY_BUCKETS, Metrics, counter, histogram};
 pub use readiness::Readiness;
 
 mod readiness;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of one process, kept by opentelemetry and read by a scraper.
 
 use eyre::{Result, WrapErr};
-use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -52,3 +52,21 @@
             .wrap_err("the metrics can't be encoded")
     }
 }
+
+/// Returns a counter of the meter.
+pub fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
+/// Returns a histogram of latencies, in seconds.
+pub fn histogram(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_unit("s")
+        .with_boundaries(LATENCY_BUCKETS.to_vec())
+        .build()
+}
