--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,10 +56,11 @@
                 "lagoonlift_gateway_repeats_left",
                 "Repeats that may be sent.",
             ),
-            proof_age: gauge(
-                "lagoonlift_gateway_proof_age_seconds",
-                "Age of the proof that the configuration is the newest.",
-            ),
+            proof_age: meter
+                .f64_gauge("lagoonlift_gateway_proof_age")
+                .with_description("Age of the proof that the configuration is the newest.")
+                .with_unit("s")
+                .build(),
             lease: meter
                 .u64_gauge("lagoonlift_gateway_lease_held")
                 .with_description("Whether this host has the duties.")
