Remove what nothing calls, and the second log line for a lost answer

ServiceKey and AttemptLedger::sends were left from earlier shapes. A lost answer was logged twice: 'send failed' already has the request, the upstream and the detail. Behaviour is the same.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -334,14 +334,7 @@
                 self.timed_out = true;
                 SendResult::Unknown
             }
-            SendOutcome::Lost(detail) => {
-                tracing::info!(
-                    request = self.admitted.outgoing.request.id,
-                    detail,
-                    "answer lost"
-                );
-                SendResult::Unknown
-            }
+            SendOutcome::Lost(_) => SendResult::Unknown,
         };
         Err(self.ledger.note(result))
     }
--- a/crates/policy/src/dispatch/attempts.rs
+++ b/crates/policy/src/dispatch/attempts.rs
@@ -72,11 +72,6 @@
         self.runs == 0
     }
 
-    /// Returns the sends so far.
-    pub fn sends(&self) -> u32 {
-        self.sends
-    }
-
     /// Notes how a send ended and says what to do if time and allowance permit;
     /// [`AttemptLedger::give_up`] says it if they don't.
     pub fn note(&mut self, result: SendResult) -> NextStep {
--- a/crates/policy/src/dispatch/configuration.rs
+++ b/crates/policy/src/dispatch/configuration.rs
@@ -12,10 +12,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RouteKey(pub usize);
 
-/// Position of a service in its configuration.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct ServiceKey(pub usize);
-
 /// Position of a workspace in its configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct WorkspaceIndex(pub usize);
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -36,7 +36,7 @@
 pub use attempts::{AttemptLedger, NextStep, SendResult};
 pub use configuration::{
     ClientLimits, ConfigVersion, EngineTraits, RepeatKind, Route, RouteKey, ScaleTraits, Service,
-    ServiceKey, ServiceWeight, ServingConfig, Workspace, WorkspaceIndex,
+    ServiceWeight, ServingConfig, Workspace, WorkspaceIndex,
 };
 pub use peer_load::{InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
