Count the whole first fleet before orders are a share of it

Cause: the first holder of the duties wrote the first fleet down as soon as it held the lease, 3.6 s after the hosts' start. Ruled out: a refusal by the platform (all 200), prices, hosts' links (late answers waited for reading).

Now a census counts standard upstreams until none was added for 2 s; until then only reclaimable ones are ordered, for those seen.

The census test fails with a settle time of zero.

--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -8,6 +8,7 @@
 
 mod fleet;
 mod lease;
+mod scale;
 mod usage;
 
 use crate::clock;
--- /dev/null
+++ b/crates/gateway/src/duty/scale.rs
@@ -0,0 +1,209 @@
+//! Orders upstreams for one service at a time.
+//!
+//! What is ordered is a share of the first fleet, so that fleet has to be known
+//! whole before it is written down and before any of it is given back. Until
+//! then only reclaimable upstreams are ordered, for those seen so far.
+
+use super::{DUTY_TIMEOUT, Duties};
+use crate::clock;
+use crate::connection::{PeerKey, call};
+use lagoonlift_adapter::duty::{ScaleOrder, scale_request};
+use lagoonlift_adapter::store::{ReadKind, StoreError, StoreObject, WriteCondition};
+use lagoonlift_policy::Timestamp;
+use lagoonlift_policy::dispatch::{
+    FleetCensus, FleetTarget, InitialFleet, ScaleTraits, Service, SpendingPlan, UpstreamPhase,
+    fleet_of,
+};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Kind of the objects that hold what a service's fleet was before the first
+/// order.
+const PLAN_KIND: &str = "fleet-plans";
+
+/// Time after which an order that hasn't come true is repeated.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(6);
+
+/// Time after which an order that was refused is repeated.
+const REFUSED_RETRY: Duration = Duration::from_millis(1_500);
+
+/// What this host has ordered, and what it orders by.
+#[derive(Default)]
+pub(super) struct ScaleOrders {
+    /// What each service's fleet was before the first order.
+    plans: HashMap<String, InitialFleet>,
+    /// Fleets that are still registering.
+    censuses: HashMap<String, FleetCensus>,
+    last: HashMap<TargetKey, LastOrder>,
+}
+
+/// A kind of upstreams of one service in one data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct TargetKey {
+    service: String,
+    data_centre: String,
+    is_spot: bool,
+}
+
+/// The last order for one target.
+struct LastOrder {
+    count: u32,
+    again_at: Timestamp,
+}
+
+impl ScaleOrders {
+    /// Gives the orders that are due for `service`.
+    pub(super) async fn order(&mut self, duties: &Duties, service: &Service) {
+        let Some(scale) = &service.scale else {
+            return;
+        };
+        let targets = match self.targets(duties, service, scale).await {
+            Ok(targets) => targets,
+            Err(error) => {
+                tracing::warn!(service = service.name, %error, "no plan for the upstreams");
+                return;
+            }
+        };
+        for target in targets {
+            self.order_target(duties, service, target).await;
+        }
+    }
+
+    async fn targets(
+        &mut self,
+        duties: &Duties,
+        service: &Service,
+        scale: &ScaleTraits,
+    ) -> Result<Vec<FleetTarget>, StoreError> {
+        let plan = SpendingPlan::new();
+        if let Some(initial) = self.plans.get(&service.name) {
+            return Ok(plan.targets(initial, scale));
+        }
+        let is_first_look = !self.censuses.contains_key(&service.name);
+        if is_first_look && let Some(initial) = read_plan(duties, &service.name).await? {
+            let targets = plan.targets(&initial, scale);
+            self.plans.insert(service.name.clone(), initial);
+            return Ok(targets);
+        }
+        let now = clock::now();
+        let listed = fleet_of(&duties.host.table.borrow(), &service.name);
+        let census = self.censuses.entry(service.name.clone()).or_default();
+        census.note(now, &listed);
+        if !census.is_settled(now) {
+            let mut targets = plan.targets(census.counts(), scale);
+            targets.retain(|target| target.is_spot);
+            return Ok(targets);
+        }
+        let initial = write_plan(duties, &service.name, census.counts()).await?;
+        tracing::info!(
+            service = service.name,
+            ?initial,
+            "the first fleet is complete"
+        );
+        let targets = plan.targets(&initial, scale);
+        self.plans.insert(service.name.clone(), initial);
+        Ok(targets)
+    }
+
+    async fn order_target(&mut self, duties: &Duties, service: &Service, target: FleetTarget) {
+        let key = TargetKey {
+            service: service.name.clone(),
+            data_centre: target.data_centre.clone(),
+            is_spot: target.is_spot,
+        };
+        let present = count_present(duties, &key);
+        let is_due = match self.last.get(&key) {
+            None => true,
+            Some(last) if last.count != target.count => true,
+            Some(last) => clock::now() >= last.again_at && present != target.count,
+        };
+        if !is_due {
+            return;
+        }
+        let Some(is_accepted) = send_order(duties, &key, target.count, present).await else {
+            return;
+        };
+        let pause = match is_accepted {
+            true => REPEAT_INTERVAL,
+            false => REFUSED_RETRY,
+        };
+        if is_accepted && !target.is_spot && target.count < present {
+            // Standard upstreams that leave make room for reclaimable ones that
+            // an earlier order may have been cut short of.
+            self.last.remove(&TargetKey {
+                is_spot: true,
+                ..key.clone()
+            });
+        }
+        let last = LastOrder {
+            count: target.count,
+            again_at: clock::now() + pause,
+        };
+        self.last.insert(key, last);
+    }
+}
+
+/// Sends one order; returns whether it was accepted, `None` if it wasn't sent.
+async fn send_order(duties: &Duties, key: &TargetKey, count: u32, present: u32) -> Option<bool> {
+    let holder = duties.holder()?;
+    let order = ScaleOrder {
+        service: key.service.clone(),
+        data_centre: key.data_centre.clone(),
+        count,
+        is_spot: key.is_spot,
+    };
+    let request = scale_request(duties.address, &holder, &order);
+    let peer = PeerKey::Address(duties.address);
+    let pool = &duties.host.pool;
+    let answer = call(pool, peer, duties.address, request, DUTY_TIMEOUT).await;
+    let status = answer.map(|answer| answer.status);
+    tracing::info!(
+        ?order,
+        present,
+        fencing_number = holder.fencing_number,
+        ?status,
+        "upstreams ordered"
+    );
+    Some(matches!(status, Ok(status) if status.is_success()))
+}
+
+/// Returns what the fleet was before the first order, if that was written down.
+async fn read_plan(duties: &Duties, service: &str) -> Result<Option<InitialFleet>, StoreError> {
+    let store = &duties.host.store;
+    let object = store.read(PLAN_KIND, service, ReadKind::Exact).await?;
+    object.map(|object| parse_plan(&object)).transpose()
+}
+
+/// Writes down what the fleet is before the first order that gives any of it
+/// back; returns what is written, which may be an earlier holder's.
+async fn write_plan(
+    duties: &Duties,
+    service: &str,
+    initial: &InitialFleet,
+) -> Result<InitialFleet, StoreError> {
+    let store = &duties.host.store;
+    let written = store.write(PLAN_KIND, service, initial, WriteCondition::Absent);
+    match written.await {
+        Ok(_) => Ok(initial.clone()),
+        Err(StoreError::Conflict(Some(current))) => parse_plan(&current),
+        Err(error) => Err(error),
+    }
+}
+
+fn parse_plan(object: &StoreObject) -> Result<InitialFleet, StoreError> {
+    InitialFleet::deserialize(&object.contents)
+        .map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
+fn count_present(duties: &Duties, key: &TargetKey) -> u32 {
+    let table = duties.host.table.borrow();
+    let present = table.iter().filter(|(_, one)| {
+        let record = &one.record;
+        record.service == key.service
+            && record.data_centre == key.data_centre
+            && record.is_spot == key.is_spot
+            && record.phase == UpstreamPhase::Serving
+    });
+    present.count() as u32
+}
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 //! * [`PeerLoads`] knows what other hosts have in flight.
 //! * [`UsageLedger`] counts requests by workspace and window.
 //! * [`WallClock`] keeps the time of day through steps of the system's clock.
+//! * [`FleetCensus`] counts the fleet that a deployment begins with.
 //! * [`SpendingPlan`] decides how many upstreams are paid for.
 //! * [`RolePlan`] decides which engines read prompts.
 
@@ -45,7 +46,7 @@
 pub use proof::{ConfigProof, ProofLimits};
 pub use read_rate::ReadRate;
 pub use roles::{RoleOrder, RolePlan};
-pub use spending::{FleetTarget, InitialFleet, SpendingPlan, fleet_of};
+pub use spending::{FleetCensus, FleetTarget, InitialFleet, SpendingPlan, fleet_of};
 pub use upstream::{
     EngineRole, ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
--- a/crates/policy/src/dispatch/spending.rs
+++ b/crates/policy/src/dispatch/spending.rs
@@ -6,7 +6,9 @@
 //! data centre carry what must go on.
 
 use super::{ScaleTraits, Upstream, UpstreamPhase, UpstreamTable};
+use crate::Timestamp;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Standard upstreams, as a share of those that a data centre began with.
 const STANDARD_SHARE: f64 = 0.4;
@@ -14,10 +16,51 @@
 /// Reclaimable upstreams, as a share of those that a data centre began with.
 const SPOT_SHARE: f64 = 1.6;
 
-/// Upstreams by data centre before the first order: what the operators thought
-/// right.
+/// Time without a new upstream after which the first fleet counts as complete:
+/// upstreams register with their first heartbeat, one after the other.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// Standard upstreams by data centre before the first order: what the operators
+/// thought right.
 pub type InitialFleet = BTreeMap<String, u32>;
 
+/// Counts the first fleet while its upstreams register.
+#[derive(Clone, Debug, Default)]
+pub struct FleetCensus {
+    counts: InitialFleet,
+    grown_at: Option<Timestamp>,
+}
+
+impl FleetCensus {
+    /// Creates a census that has seen no upstream.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in the upstreams that are listed now.
+    pub fn note(&mut self, now: Timestamp, listed: &InitialFleet) {
+        for (data_centre, count) in listed {
+            let known = self.counts.entry(data_centre.clone()).or_default();
+            if count > known {
+                *known = *count;
+                self.grown_at = Some(now);
+            }
+        }
+    }
+
+    /// Returns the upstreams seen so far.
+    pub fn counts(&self) -> &InitialFleet {
+        &self.counts
+    }
+
+    /// Returns whether no upstream has been added for so long that the counts
+    /// are the first fleet's.
+    pub fn is_settled(&self, now: Timestamp) -> bool {
+        self.grown_at
+            .is_some_and(|grown_at| now.since(grown_at) >= SETTLE_TIME)
+    }
+}
+
 /// Upstreams of one kind that a data centre should have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetTarget {
@@ -65,11 +108,12 @@
     [target(true, spot), target(false, standard)]
 }
 
-/// Returns the upstreams of `service` by data centre.
+/// Returns the standard upstreams of `service` by data centre.
 pub fn fleet_of(table: &UpstreamTable, service: &str) -> InitialFleet {
     let mut counts = InitialFleet::new();
     let of_service = |upstream: &&Upstream| {
-        upstream.record.service == service && upstream.record.phase == UpstreamPhase::Serving
+        let record = &upstream.record;
+        record.service == service && record.phase == UpstreamPhase::Serving && !record.is_spot
     };
     for upstream in table.iter().map(|(_, one)| one).filter(of_service) {
         let data_centre = upstream.record.data_centre.clone();
--- a/crates/policy/tests/all/dispatch/spending.rs
+++ b/crates/policy/tests/all/dispatch/spending.rs
@@ -1,6 +1,9 @@
 //! What is paid for, as fleets and their bounds differ.
 
-use lagoonlift_policy::dispatch::{InitialFleet, ScaleTraits, SpendingPlan};
+use super::support::{at_ms, engine, table_of};
+use lagoonlift_policy::dispatch::{
+    EngineRole, FleetCensus, InitialFleet, ScaleTraits, SpendingPlan, fleet_of,
+};
 use quickcheck::quickcheck;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -56,3 +59,39 @@
     scale.spot_price = None;
     assert!(SpendingPlan::new().targets(&fleet(&[4]), &scale).is_empty());
 }
+
+/// Upstreams that register one after the other are counted before the first
+/// fleet is taken as known; a fleet of which a third is still missing would be
+/// ordered too small for good.
+#[test]
+fn slow_start_of_a_fleet_is_waited_for() {
+    let mut census = FleetCensus::new();
+    for step in 0..48_u32 {
+        let now = at_ms(u64::from(step) * 100);
+        assert!(!census.is_settled(now), "settled with {step} of 48");
+        census.note(now, &fleet(&[step / 2 + 1, step / 2 + 1]));
+    }
+    census.note(at_ms(5_500), &fleet(&[24, 24]));
+    assert!(!census.is_settled(at_ms(6_599)));
+    assert!(census.is_settled(at_ms(6_600)));
+    assert_eq!(*census.counts(), fleet(&[24, 24]));
+}
+
+/// An upstream that restarts while the others register is not forgotten.
+#[test]
+fn upstream_missing_for_a_moment_stays_counted() {
+    let mut census = FleetCensus::new();
+    census.note(at_ms(0), &fleet(&[4]));
+    census.note(at_ms(300), &fleet(&[3]));
+    assert_eq!(*census.counts(), fleet(&[4]));
+}
+
+/// Reclaimable upstreams that were ordered already are no part of what the
+/// operators began with.
+#[test]
+fn ordered_reclaimable_upstreams_are_not_counted() {
+    let mut records: Vec<_> = (0..6).map(|n| engine(n, EngineRole::Decode)).collect();
+    records[0].is_spot = true;
+    let counts = fleet_of(&table_of(records), super::support::SERVICE);
+    assert_eq!(counts.values().sum::<u32>(), 5);
+}
