Among many hosts a few read the store exactly and tell the others

Ruled out: writes of usage counts (one a host and window, needed for exact sums).

From 20 hosts on, the four lowest starts that a host hears read exactly; the others watch stale copies, which cost a tenth, and watch exactly when a reader has told of a change that the copy hasn't brought within 400 ms. A host that hears no reader with a working store reads itself. Proofs come from readers; only eight hosts stand ready for the lease; the census of hosts reads a stale list.

--- a/crates/gateway/src/duty/lease.rs
+++ b/crates/gateway/src/duty/lease.rs
@@ -22,6 +22,9 @@
 /// Shortest time between two looks at the clock.
 const MIN_WAKE: Duration = Duration::from_millis(1);
 
+/// Longest time between two looks at whether this host stands ready.
+const MAX_WAKE: Duration = Duration::from_millis(500);
+
 /// Keeps the lease, for ever.
 pub(crate) async fn keep(duties: Rc<Duties>, start_id: i64) {
     let Some(identity) = identity(&duties.host, start_id) else {
@@ -32,6 +35,7 @@
         term: duties.host.settings.bounds.lease,
     });
     let mut event = LeaseEvent::Woken;
+    let mut was_candidate = true;
     loop {
         let action = match duties.host.is_stopping() {
             // The lease runs out; giving it up early would let it change hands
@@ -50,8 +54,16 @@
             }
             None => {
                 let wait = keeper.wake_at().since(BootTime::now());
-                sleep(wait.max(MIN_WAKE)).await;
-                LeaseEvent::Woken
+                sleep(wait.clamp(MIN_WAKE, MAX_WAKE)).await;
+                let host = &duties.host;
+                let is_candidate = host.store_readers.borrow().is_candidate(host.known_hosts());
+                match is_candidate == was_candidate {
+                    true => LeaseEvent::Woken,
+                    false => {
+                        was_candidate = is_candidate;
+                        LeaseEvent::CandidateChanged(is_candidate)
+                    }
+                }
             }
         };
     }
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -8,10 +8,12 @@
 use super::{DUTY_TIMEOUT, Duties};
 use crate::clock;
 use crate::connection::{PeerKey, call};
-use crate::host::{Host, MANY_HOSTS};
+use crate::host::Host;
 use lagoonlift_adapter::duty::usage_request;
 use lagoonlift_adapter::store::{ReadKind, StoreError, StoreObject, WriteCondition};
-use lagoonlift_policy::dispatch::{HostCounts, SumPatience, UsageWindow, WindowCounts, sum_window};
+use lagoonlift_policy::dispatch::{
+    HostCounts, MANY_HOSTS, SumPatience, UsageWindow, WindowCounts, sum_window,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -148,9 +150,10 @@
     }
 }
 
-/// Takes in how many hosts there are and where they listen.
+/// Takes in how many hosts there are and where they listen. A host missing from
+/// an old list is there in the next.
 async fn count_hosts(host: &Host) {
-    let published = match list_counts(host).await {
+    let published = match list_counts(host, ReadKind::Stale).await {
         Ok(published) => published,
         Err(error) => {
             tracing::warn!(%error, "the hosts can't be counted");
@@ -162,8 +165,8 @@
     host.peers.borrow_mut().extend(peers);
 }
 
-async fn list_counts(host: &Host) -> Result<Vec<HostCounts>, StoreError> {
-    let (objects, _) = host.store.list(COUNT_KIND, ReadKind::Exact).await?;
+async fn list_counts(host: &Host, read: ReadKind) -> Result<Vec<HostCounts>, StoreError> {
+    let (objects, _) = host.store.list(COUNT_KIND, read).await?;
     let mut published = Vec::new();
     for object in objects {
         match HostCounts::deserialize(&object.contents) {
@@ -264,7 +267,7 @@
 
 /// Adds all hosts' counts up; `None` while a host has yet to publish.
 async fn sum_counts(host: &Host, window: UsageWindow) -> Result<Option<WindowCounts>, StoreError> {
-    let published = list_counts(host).await?;
+    let published = list_counts(host, ReadKind::Exact).await?;
     let unix_us = host.wall.borrow().unix_us(clock::now());
     let end_us = host.usage.borrow().end_of(window);
     let due_us = host.settings.bounds.usage_due.as_micros() as f64;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -9,7 +9,8 @@
 use crate::store::StoreClient;
 use lagoonlift_policy::dispatch::{
     AllowanceLimits, ConfigProof, PeerLoads, Placement, PlacementLimits, ProofLimits,
-    RepeatAllowance, RolePlan, ServingConfig, UpstreamTable, UsageLedger, WallClock,
+    RepeatAllowance, RolePlan, ServingConfig, StoreNews, StoreReaders, UpstreamTable, UsageLedger,
+    WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -19,10 +20,6 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Hosts from which on calls to the store are saved at the price of some hundred
-/// milliseconds.
-pub(crate) const MANY_HOSTS: usize = 20;
-
 /// Hosts assumed before the first count.
 const ASSUMED_HOSTS: usize = 8;
 
@@ -38,6 +35,9 @@
     /// Engines whose role is about to change.
     pub(crate) changing: RefCell<Vec<UpstreamKey>>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
+    pub(crate) store_readers: RefCell<StoreReaders>,
+    /// What this host knows of the upstreams' list, for other hosts.
+    pub(crate) store_news: Cell<StoreNews>,
     /// Where other hosts are told of loads.
     pub(crate) peers: RefCell<BTreeSet<SocketAddr>>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
@@ -64,6 +64,7 @@
         };
         let window_us = settings.bounds.usage_window.as_micros() as i64;
         let wall = WallClock::new(clock::now(), clock::system_unix_us());
+        let start_id = rand::random();
         Rc::new(Self {
             store: StoreClient::new(settings.store.address, pool.clone()),
             placement: RefCell::new(Placement::new(
@@ -72,6 +73,8 @@
             )),
             changing: RefCell::new(Vec::new()),
             peer_loads: RefCell::new(PeerLoads::new()),
+            store_readers: RefCell::new(StoreReaders::new(start_id)),
+            store_news: Cell::new(StoreNews::default()),
             peers: RefCell::new(BTreeSet::new()),
             proof: RefCell::new(ConfigProof::new(limits)),
             usage: RefCell::new(UsageLedger::new(window_us)),
@@ -85,7 +88,7 @@
             connections: Cell::new(0),
             is_stopping: Cell::new(false),
             has_served: Cell::new(false),
-            start_id: rand::random(),
+            start_id,
             settings,
             pool,
             metrics,
@@ -179,6 +182,11 @@
         self.known_hosts.get()
     }
 
+    /// Returns whether this host reads the store exactly.
+    pub(crate) fn is_store_reader(&self) -> bool {
+        self.store_readers.borrow().is_reader(self.known_hosts())
+    }
+
     /// Takes in how many hosts there are.
     pub(crate) fn set_known_hosts(&self, hosts: usize) {
         self.known_hosts.set(self.known_hosts.get().max(hosts));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::host::Host;
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{InFlightLoad, UpstreamDigest};
+use lagoonlift_policy::dispatch::{InFlightLoad, StoreNews, UpstreamDigest};
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
@@ -29,9 +29,12 @@
 /// Age of the own proof from which others are asked.
 const PROOF_AGE: Duration = Duration::from_millis(500);
 
-/// Peers that are asked at once.
+/// Peers that are asked at once,
 const PROOF_PEERS: usize = 3;
 
+/// beside these that read the store for others.
+const PROOF_READERS: usize = 2;
+
 /// Largest datagram, in bytes: below the usual size of a packet.
 const MAX_BYTES: usize = 1_400;
 
@@ -62,6 +65,7 @@
     host: u64,
     /// Grows with each message.
     sequence: u64,
+    news: StoreNews,
     loads: Vec<(UpstreamDigest, InFlightLoad)>,
 }
 
@@ -85,14 +89,17 @@
     loop {
         sleep(SEND_INTERVAL).await;
         host.peer_loads.borrow_mut().forget_silent(clock::now());
+        host.store_readers.borrow_mut().forget_silent(clock::now());
         let loads = own_loads(&host);
-        let is_busy = !loads.is_empty();
+        let news = host.store_news.get();
+        let is_busy = !loads.is_empty() || news.is_reading;
         // The first idle message tells the peers; more would say the same.
         if is_busy || was_busy {
             sequence += 1;
             let message = LoadMessage {
                 host: host.start_id,
                 sequence,
+                news,
                 loads,
             };
             let peers = next_peers(&host.peers.borrow(), address, sequence, FANOUT);
@@ -127,7 +134,8 @@
         let query = PeerMessage::ProofQuery {
             asked_at_us: asked_at.0,
         };
-        let peers = next_peers(&host.peers.borrow(), own, rand::random(), PROOF_PEERS);
+        let mut peers = next_peers(&host.peers.borrow(), own, rand::random(), PROOF_PEERS);
+        peers.extend(host.store_readers.borrow().readers().take(PROOF_READERS));
         send(&socket, &query, &peers).await;
     }
 }
@@ -187,17 +195,19 @@
             }
         };
         host.peers.borrow_mut().insert(peer);
-        if let Some(reply) = take(&host, message) {
+        if let Some(reply) = take(&host, peer, message) {
             send(&socket, &reply, &[peer]).await;
         }
     }
 }
 
 /// Takes a message in; returns the answer if it asks for one.
-fn take(host: &Host, message: PeerMessage) -> Option<PeerMessage> {
+fn take(host: &Host, address: SocketAddr, message: PeerMessage) -> Option<PeerMessage> {
     let now = clock::now();
     match message {
         PeerMessage::Load(load) => {
+            let mut readers = host.store_readers.borrow_mut();
+            readers.note(now, load.host, address, load.news);
             let mut loads = host.peer_loads.borrow_mut();
             loads.note(now, load.host, load.sequence, load.loads);
             None
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -76,8 +76,9 @@
         kind: &str,
         revision: Revision,
         wait: Duration,
+        read: ReadKind,
     ) -> Result<ChangePage, StoreError> {
-        let request = self.calls.watch(kind, revision, wait);
+        let request = self.calls.watch(kind, revision, wait, read);
         let answer = self.call_within(request, wait + WATCH_GRACE).await?;
         decode_changes(answer.status, &answer.body)
     }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -5,7 +5,7 @@
 //! which also shows what was removed meanwhile.
 
 use crate::clock;
-use crate::host::{Host, MANY_HOSTS};
+use crate::host::Host;
 use lagoonlift_adapter::listing::{
     CONFIG_KIND, CONFIG_NAME, UPSTREAM_KIND, decode_config, decode_upstream,
 };
@@ -13,7 +13,7 @@
     ChangePage, ObjectChange, ReadKind, Revision, StoreError, StoreObject,
 };
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{ListChange, UpstreamId};
+use lagoonlift_policy::dispatch::{ListChange, MANY_HOSTS, StoreNews, UpstreamId};
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +27,13 @@
 /// host has given a younger one.
 const PROOF_READ_MS: std::ops::Range<u64> = 1_100..1_600;
 
+/// The same on a host that reads for many others.
+const READER_PROOF_MS: std::ops::Range<u64> = 600..900;
+
+/// The same on a host that is read for, as shares of the time within which a
+/// change has to be in force.
+const READ_FOR_SHARES: std::ops::Range<f64> = 0.5..0.65;
+
 /// Time between two looks at the proof.
 const PROOF_LOOK: Duration = Duration::from_millis(100);
 
@@ -34,6 +41,15 @@
 /// only when the wait is over.
 const UPSTREAM_WAIT: Duration = Duration::from_millis(2_200);
 
+/// Wait of an exact watch for changes that are known to be there.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(50);
+
+/// A watch that ends without changes before this time did not wait.
+const SHORTEST_WATCH: Duration = Duration::from_millis(40);
+
+/// Time between two looks at whether a stale watch is behind.
+const BEHIND_LOOK: Duration = Duration::from_millis(100);
+
 /// Pause after changes of the upstreams, so that those that come together cost
 /// one call.
 const COALESCE_PAUSE: Duration = Duration::from_millis(150);
@@ -50,12 +66,14 @@
     loop {
         let sent_at = clock::now();
         let result = match revision {
-            None => list_config(&host).await,
+            None => list_config(&host).await.map(|next| (next, ReadKind::Exact)),
             Some(revision) => watch_config(&host, revision).await,
         };
         match result {
-            Ok(next) => {
-                host.proof.borrow_mut().renew(sent_at);
+            Ok((next, read)) => {
+                if read == ReadKind::Exact {
+                    host.proof.borrow_mut().renew(sent_at);
+                }
                 revision = Some(next);
             }
             Err(error) => {
@@ -71,8 +89,7 @@
 /// host has a newer one, for ever.
 pub(crate) async fn keep_proof(host: Rc<Host>) {
     loop {
-        let limit = Duration::from_millis(rand::rng().random_range(PROOF_READ_MS));
-        wait_for_age(&host, limit).await;
+        wait_for_age(&host).await;
         let sent_at = clock::now();
         match list_config(&host).await {
             Ok(_) => host.proof.borrow_mut().renew(sent_at),
@@ -84,8 +101,23 @@
     }
 }
 
-/// Waits until the proof is older than `limit` or there are news.
-async fn wait_for_age(host: &Host, limit: Duration) {
+/// Draws the age at which this host reads the store to renew the proof.
+fn proof_read_age(host: &Host) -> Duration {
+    let mut rng = rand::rng();
+    let read_ms = match host.is_store_reader() {
+        _ if host.known_hosts() < MANY_HOSTS => PROOF_READ_MS,
+        true => READER_PROOF_MS,
+        false => {
+            let share = rng.random_range(READ_FOR_SHARES);
+            return host.settings.bounds.configuration.mul_f64(share);
+        }
+    };
+    Duration::from_millis(rng.random_range(read_ms))
+}
+
+/// Waits until the proof is old or there are news.
+async fn wait_for_age(host: &Host) {
+    let limit = proof_read_age(host);
     loop {
         if timeout(PROOF_LOOK, host.config_news.notified())
             .await
@@ -108,12 +140,29 @@
     Ok(revision)
 }
 
-async fn watch_config(host: &Host, revision: Revision) -> Result<Revision, StoreError> {
-    let page = host.store.watch(CONFIG_KIND, revision, CONFIG_WAIT).await?;
+/// Waits for changes; a stale watch may bring them late, and the proof's exact
+/// reads bring them then.
+async fn watch_config(host: &Host, revision: Revision) -> Result<(Revision, ReadKind), StoreError> {
+    let read = watch_kind(host);
+    let started = clock::now();
+    let page = host
+        .store
+        .watch(CONFIG_KIND, revision, CONFIG_WAIT, read)
+        .await?;
+    slow_down(started, &page).await;
     for change in page.changes.iter().filter(|change| !change.is_removed) {
         apply_config(host, &change.object);
     }
-    Ok(page.revision)
+    // A stale copy may be older than what is known already.
+    Ok((page.revision.max(revision), read))
+}
+
+/// Returns how this host watches.
+fn watch_kind(host: &Host) -> ReadKind {
+    match host.is_store_reader() {
+        true => ReadKind::Exact,
+        false => ReadKind::Stale,
+    }
 }
 
 /// Puts a configuration into force if it is newer than the one in hand.
@@ -152,10 +201,13 @@
         match result {
             Ok(next) => {
                 host.table.borrow_mut().note_store_back(clock::now());
+                let is_for_many = host.known_hosts() >= MANY_HOSTS;
+                set_reading(&host, is_for_many && host.is_store_reader());
                 revision = Some(next);
             }
             Err(error) => {
                 revision = None;
+                set_reading(&host, false);
                 if error != StoreError::HistoryGone {
                     host.table.borrow_mut().note_store_away();
                 }
@@ -176,6 +228,7 @@
         table.apply_list(now, records)
     };
     host.forget_upstreams(&gone);
+    note_change(host, revision);
     tracing::info!(
         upstreams = objects.len(),
         gone = gone.len(),
@@ -185,12 +238,17 @@
 }
 
 async fn watch_upstreams(host: &Host, revision: Revision) -> Result<Revision, StoreError> {
-    let page = host
-        .store
-        .watch(UPSTREAM_KIND, revision, UPSTREAM_WAIT)
-        .await?;
+    let started = clock::now();
+    let page = tokio::select! {
+        page = host.store.watch(UPSTREAM_KIND, revision, UPSTREAM_WAIT, watch_kind(host)) => page?,
+        () = is_behind(host, revision) => {
+            let read = ReadKind::Exact;
+            host.store.watch(UPSTREAM_KIND, revision, CATCH_UP_WAIT, read).await?
+        }
+    };
     apply_changes(host, clock::now(), &page);
     if !page.changes.is_empty() {
+        note_change(host, page.revision);
         host.plan_roles();
         sleep(match host.known_hosts() < MANY_HOSTS {
             true => COALESCE_PAUSE,
@@ -198,7 +256,48 @@
         })
         .await;
     }
-    Ok(page.revision)
+    slow_down(started, &page).await;
+    Ok(page.revision.max(revision))
+}
+
+/// Pauses after a watch that brought nothing and didn't wait, so that a store
+/// that answers at once isn't asked without end.
+async fn slow_down(started: Timestamp, page: &ChangePage) {
+    if page.changes.is_empty() && clock::now().since(started) < SHORTEST_WATCH {
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Waits until another host knows of changes that a stale watch should have
+/// brought by now.
+async fn is_behind(host: &Host, revision: Revision) {
+    while host.is_store_reader()
+        || !host
+            .store_readers
+            .borrow()
+            .is_behind(clock::now(), revision.0)
+    {
+        sleep(BEHIND_LOOK).await;
+    }
+    tracing::info!(
+        revision = revision.0,
+        "the watch of the upstreams is behind"
+    );
+}
+
+/// Tells other hosts of the latest change of the upstreams.
+fn note_change(host: &Host, revision: Revision) {
+    let news = host.store_news.get();
+    host.store_news.set(StoreNews {
+        upstream_change: news.upstream_change.max(revision.0),
+        ..news
+    });
+}
+
+/// Tells other hosts whether this one reads the store exactly and is answered.
+fn set_reading(host: &Host, is_reading: bool) {
+    let news = host.store_news.get();
+    host.store_news.set(StoreNews { is_reading, ..news });
 }
 
 fn apply_changes(host: &Host, now: Timestamp, page: &ChangePage) {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 //! * [`RepeatAllowance`] limits repeats over all hosts.
 //! * [`Placement`] chooses the upstream, or says that none can serve in time.
 //! * [`PeerLoads`] knows what other hosts have in flight.
+//! * [`StoreReaders`] says which hosts read the store on behalf of all.
 //! * [`UsageLedger`] counts requests by workspace and window.
 //! * [`WallClock`] keeps the time of day through steps of the system's clock.
 //! * [`FleetCensus`] counts the fleet that a deployment begins with.
@@ -29,6 +30,7 @@
 mod read_rate;
 mod roles;
 mod spending;
+mod store_readers;
 mod upstream;
 mod usage;
 mod wall_clock;
@@ -47,6 +49,7 @@
 pub use read_rate::ReadRate;
 pub use roles::{RoleOrder, RolePlan};
 pub use spending::{FleetCensus, FleetTarget, InitialFleet, SpendingPlan, fleet_of};
+pub use store_readers::{MANY_HOSTS, StoreNews, StoreReaders};
 pub use upstream::{
     EngineRole, ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod proof;
 mod roles;
 mod spending;
+mod store_readers;
 mod support;
 mod upstreams;
 mod usage;
