Repeats are counted in the sliding window that bounds them

A host could save at most its part of the slack, 1.7 repeats at 80 hosts, so what its own requests of the window had earned was lost.

The allowance counts requests and repeats of the latest window in slices.

Seen failing: with the earnings capped by the part of the slack, the test of a burst of refusals; with a least part of one repeat a host, the one of 300 hosts.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -28,6 +28,7 @@
     pub(crate) settings: GatewaySettings,
     /// Tells this start of the process from all others.
     pub(crate) start_id: u64,
+    started_at: Timestamp,
     pub(crate) store: StoreClient,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
@@ -89,6 +90,7 @@
             is_stopping: Cell::new(false),
             has_served: Cell::new(false),
             start_id,
+            started_at: clock::now(),
             settings,
             pool,
             metrics,
@@ -161,8 +163,9 @@
         let limits = AllowanceLimits {
             ratio: self.settings.bounds.repeat_ratio,
             slack: self.settings.bounds.repeat_slack,
+            window: self.settings.bounds.repeat_window,
         };
-        let mut allowance = RepeatAllowance::new(limits, self.known_hosts.get());
+        let mut allowance = RepeatAllowance::new(limits, self.known_hosts.get(), self.started_at);
         let result = change(&mut allowance);
         allowances.insert(service.to_owned(), allowance);
         result
@@ -197,8 +200,9 @@
 
     /// Records the repeats that are left and the connections opened so far.
     pub(crate) fn record_resources(&self) {
+        let now = clock::now();
         for (service, allowance) in self.allowances.borrow().iter() {
-            self.metrics.set_allowance(service, allowance.left());
+            self.metrics.set_allowance(service, allowance.left(now));
         }
         self.metrics.set_opened(self.pool.opened());
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -80,7 +80,7 @@
 impl Run {
     pub(crate) fn new(host: Rc<Host>, admitted: Rc<Admitted>) -> Self {
         let route = &admitted.route;
-        host.with_allowance(&admitted.service, |allowance| allowance.earn());
+        host.with_allowance(&admitted.service, |allowance| allowance.earn(clock::now()));
         let ledger = AttemptLedger::new(route.repeat, route.max_upstreams);
         Self {
             host,
@@ -298,7 +298,9 @@
         let is_allowed = !is_repeat
             || self
                 .host
-                .with_allowance(&self.admitted.service, |allowance| allowance.take());
+                .with_allowance(&self.admitted.service, |allowance| {
+                    allowance.take(clock::now())
+                });
         is_allowed.then_some(order)
     }
 
--- a/crates/policy/tests/all/dispatch/attempts.rs
+++ b/crates/policy/tests/all/dispatch/attempts.rs
@@ -1,9 +1,14 @@
 //! What may be sent again, against a plain model of what has run.
 
+use super::support::at_ms;
 use lagoonlift_policy::dispatch::{
     AllowanceLimits, AttemptLedger, NextStep, RepeatAllowance, RepeatKind, SendResult,
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
+use std::time::Duration;
+
+/// Sliding window of repeats.
+const WINDOW: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Copy, Debug)]
 struct Sent(SendResult);
@@ -73,41 +78,111 @@
     /// Hosts that come and go at any time never send more repeats together than
     /// the ratio of their requests and the slack.
     fn repeats_stay_within_the_bound_over_restarts(steps: Vec<(u8, u8)>) -> bool {
-        let limits = AllowanceLimits { ratio: 0.2, slack: 52.0 };
+        let limits = AllowanceLimits { ratio: 0.2, slack: 52.0, window: WINDOW };
         let hosts = 6;
-        let mut allowances = vec![RepeatAllowance::new(limits, hosts); hosts];
+        let mut allowances = vec![RepeatAllowance::new(limits, hosts, at_ms(0)); hosts];
         let (mut requests, mut repeats, mut restarts) = (0_u32, 0_u32, 0_u32);
         for (host, step) in steps {
             let host = usize::from(host) % hosts;
             match step % 8 {
                 0 if restarts < 3 => {
                     restarts += 1;
-                    allowances[host] = RepeatAllowance::new(limits, hosts);
+                    allowances[host] = RepeatAllowance::new(limits, hosts, at_ms(0));
                 }
                 0..=3 => {
                     requests += 1;
-                    allowances[host].earn();
+                    allowances[host].earn(at_ms(0));
                 }
-                _ => repeats += u32::from(allowances[host].take()),
+                _ => repeats += u32::from(allowances[host].take(at_ms(0))),
             }
         }
         f64::from(repeats) <= limits.ratio * f64::from(requests) + limits.slack
     }
 }
 
+quickcheck! {
+    /// In no sliding window do all hosts together send more repeats than the
+    /// ratio of the requests (of the window, the one before, or the one half a
+    /// window before) and the slack, whatever the load does.
+    fn repeats_stay_within_the_bound_of_every_window(steps: Vec<(u8, u8, u8)>) -> bool {
+        let limits = AllowanceLimits { ratio: 0.2, slack: 12.0, window: WINDOW };
+        let hosts = 4;
+        let mut allowances = vec![RepeatAllowance::new(limits, hosts, at_ms(0)); hosts];
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut ms = 20_000;
+        for (host, burst, pause) in steps {
+            let host = usize::from(host) % hosts;
+            let now = at_ms(ms);
+            for _ in 0..burst % 32 {
+                allowances[host].earn(now);
+                requests.push(ms);
+            }
+            while allowances[host].take(now) {
+                repeats.push(ms);
+            }
+            ms += u64::from(pause) * 40;
+        }
+        let count = |sent: &[u64], from: u64| {
+            let until = from + WINDOW.as_millis() as u64;
+            sent.iter().filter(|at| (from..until).contains(at)).count() as f64
+        };
+        repeats.iter().all(|from| {
+            let bases = [*from, from - 5_000, from - 10_000];
+            let most = bases.map(|base| count(&requests, base)).into_iter().fold(0.0, f64::max);
+            count(&repeats, *from) <= limits.ratio * most + limits.slack
+        })
+    }
+}
+
+/// An engine refuses everything for a second: what a host has earned over the
+/// whole window makes up for it.
+#[test]
+fn burst_of_refusals_is_sent_again() {
+    let limits = AllowanceLimits {
+        ratio: 0.2,
+        slack: 200.0,
+        window: WINDOW,
+    };
+    let mut allowance = RepeatAllowance::new(limits, 80, at_ms(0));
+    for step in 0..200 {
+        allowance.earn(at_ms(20_000 + step * 50));
+    }
+    let repeats = (0..20).filter(|step| allowance.take(at_ms(29_000 + step * 50)));
+    assert_eq!(repeats.count(), 20);
+}
+
+/// More hosts than the slack has repeats: without requests they stay within it.
+#[test]
+fn slack_is_shared_among_more_hosts_than_repeats() {
+    let limits = AllowanceLimits {
+        ratio: 0.2,
+        slack: 52.0,
+        window: WINDOW,
+    };
+    let mut repeats = 0;
+    for _ in 0..300 {
+        let mut allowance = RepeatAllowance::new(limits, 300, at_ms(0));
+        while allowance.take(at_ms(20_000)) {
+            repeats += 1;
+        }
+    }
+    assert!(repeats <= 52, "{repeats} repeats without a request");
+}
+
 /// A repeat storm of callers leaves the upstreams with the allowance at most.
 #[test]
 fn storm_of_failures_is_not_multiplied() {
     let limits = AllowanceLimits {
         ratio: 0.2,
         slack: 52.0,
+        window: WINDOW,
     };
-    let mut allowance = RepeatAllowance::new(limits, 6);
+    let mut allowance = RepeatAllowance::new(limits, 6, at_ms(0));
     let mut repeats = 0;
     for _ in 0..10_000 {
-        allowance.earn();
+        allowance.earn(at_ms(0));
         // Each send fails, and as many repeats as there are go out.
-        while allowance.take() {
+        while allowance.take(at_ms(0)) {
             repeats += 1;
         }
     }
@@ -134,11 +209,12 @@
     let limits = AllowanceLimits {
         ratio: 0.2,
         slack: 52.0,
+        window: WINDOW,
     };
     let mut repeats = 0;
     for _ in 0..3 * 6 {
-        let mut allowance = RepeatAllowance::new(limits, 6);
-        while allowance.take() {
+        let mut allowance = RepeatAllowance::new(limits, 6, at_ms(0));
+        while allowance.take(at_ms(0)) {
             repeats += 1;
         }
     }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -82,6 +82,8 @@
     pub repeat_ratio: f64,
     /// `repeat-slack`: repeats beside them in a window, over all hosts.
     pub repeat_slack: f64,
+    /// `repeat-window`: length of the sliding window of repeats.
+    pub repeat_window: Duration,
     /// `usage-window`: length of a usage window.
     pub usage_window: Duration,
     /// `usage-due`: a window's report is due this long after its end.
@@ -164,6 +166,7 @@
     let configuration = time("configuration", Duration::from_secs(2))?;
     let shutdown = time("shutdown", Duration::from_secs(8))?;
     let lease = time("lease", Duration::from_secs(3))?;
+    let repeat_window = time("repeat-window", Duration::from_secs(10))?;
     let usage_window = time("usage-window", Duration::from_secs(5))?;
     let usage_due = time("usage-due", Duration::from_secs(10))?;
     Ok(GatewayBounds {
@@ -173,6 +176,7 @@
         lease,
         repeat_ratio: section.take("repeat-ratio")?.unwrap_or(0.1),
         repeat_slack: section.take("repeat-slack")?.unwrap_or(10.0),
+        repeat_window,
         usage_window,
         usage_due,
     })
