Hosts are told which engines are under an order to change their role

Cause: an engine that finishes streams before it changes its role refuses takeovers for seconds and stays listed as it was.

The holder of the duties names the engines with an open order in its datagrams; hosts read and take over elsewhere. A datagram holds the largest loads if there are too many; before, it wasn't sent at all.

The test of engines under an order is new with the field it reads.

--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -40,6 +40,7 @@
         sleep(LOOK_INTERVAL).await;
         if duties.holder().is_none() {
             open = OpenOrders::default();
+            duties.host.ordered.borrow_mut().clear();
             continue;
         }
         let Some(config) = duties.host.config() else {
@@ -69,6 +70,8 @@
         open.roles.insert(order.upstream, (order, clock::now()));
         order_role(duties, order).await;
     }
+    *duties.host.ordered.borrow_mut() = open.roles.keys().copied().collect();
+    duties.host.plan_roles();
 }
 
 /// Returns how many engines may be away for a role change at once: all of them
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -9,8 +9,8 @@
 use crate::store::StoreClient;
 use lagoonlift_policy::dispatch::{
     AllowanceLimits, ConfigProof, PeerLoads, Placement, PlacementLimits, ProofLimits,
-    RepeatAllowance, RolePlan, ServingConfig, StoreNews, StoreReaders, UpstreamTable, UsageLedger,
-    WallClock,
+    RepeatAllowance, RolePlan, ServingConfig, StoreNews, StoreReaders, Upstream, UpstreamTable,
+    UsageLedger, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -33,6 +33,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) placement: RefCell<Placement>,
+    /// Engines that this host has ordered to change their role.
+    pub(crate) ordered: RefCell<Vec<UpstreamKey>>,
     /// Engines whose role is about to change.
     pub(crate) changing: RefCell<Vec<UpstreamKey>>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
@@ -72,6 +74,7 @@
                 PlacementLimits::default(),
                 &settings.host.data_centre,
             )),
+            ordered: RefCell::new(Vec::new()),
             changing: RefCell::new(Vec::new()),
             peer_loads: RefCell::new(PeerLoads::new()),
             store_readers: RefCell::new(StoreReaders::new(start_id)),
@@ -142,7 +145,12 @@
             .iter()
             .filter(|service| service.engine.is_some());
         let orders = engines.flat_map(|service| RolePlan::new().orders(&table, &service.name, &[]));
-        *self.changing.borrow_mut() = orders.map(|order| order.upstream).collect();
+        let mut changing: Vec<UpstreamKey> = orders.map(|order| order.upstream).collect();
+        let peers = self.peer_loads.borrow();
+        let is_ordered = |(_, one): &(UpstreamKey, &Upstream)| peers.is_changing(one.digest);
+        changing.extend(table.iter().filter(is_ordered).map(|(key, _)| key));
+        changing.extend(self.ordered.borrow().iter());
+        *self.changing.borrow_mut() = changing;
     }
 
     /// Returns the open connections of clients.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,9 +7,9 @@
 use crate::clock;
 use crate::host::Host;
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{InFlightLoad, StoreNews, UpstreamDigest};
+use lagoonlift_policy::dispatch::{HostLoads, InFlightLoad, StoreNews, UpstreamDigest};
 use serde::{Deserialize, Serialize};
-use std::cmp::Ordering;
+use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +38,12 @@
 /// Largest datagram, in bytes: below the usual size of a packet.
 const MAX_BYTES: usize = 1_400;
 
+/// Upstreams whose loads fit into a datagram,
+const MAX_LOADS: usize = 60;
+
+/// and engines under an order.
+const MAX_CHANGING: usize = 30;
+
 /// What a host says.
 #[derive(Debug, Serialize, Deserialize)]
 enum PeerMessage {
@@ -66,7 +72,7 @@
     /// Grows with each message.
     sequence: u64,
     news: StoreNews,
-    loads: Vec<(UpstreamDigest, InFlightLoad)>,
+    said: HostLoads,
 }
 
 /// Exchanges loads with the other hosts, for ever.
@@ -90,9 +96,9 @@
         sleep(SEND_INTERVAL).await;
         host.peer_loads.borrow_mut().forget_silent(clock::now());
         host.store_readers.borrow_mut().forget_silent(clock::now());
-        let loads = own_loads(&host);
+        let said = own_loads(&host);
         let news = host.store_news.get();
-        let is_busy = !loads.is_empty() || news.is_reading;
+        let is_busy = said != HostLoads::default() || news.is_reading;
         // The first idle message tells the peers; more would say the same.
         if is_busy || was_busy {
             sequence += 1;
@@ -100,7 +106,7 @@
                 host: host.start_id,
                 sequence,
                 news,
-                loads,
+                said,
             };
             let peers = next_peers(&host.peers.borrow(), address, sequence, FANOUT);
             send(&socket, &PeerMessage::Load(message), &peers).await;
@@ -109,17 +115,30 @@
     }
 }
 
-fn own_loads(host: &Host) -> Vec<(UpstreamDigest, InFlightLoad)> {
+/// Returns what this host says; the largest loads, if there are too many for a
+/// datagram.
+fn own_loads(host: &Host) -> HostLoads {
     let table = host.table.borrow();
     let busy = table.iter().filter(|(_, one)| one.in_flight > 0);
-    let loads = busy.map(|(_, one)| {
-        let load = InFlightLoad {
-            requests: one.in_flight,
-            reading_tokens: one.reading_tokens,
-        };
-        (one.digest, load)
-    });
-    loads.collect()
+    let mut loads: Vec<(UpstreamDigest, InFlightLoad)> = busy
+        .map(|(_, one)| {
+            let load = InFlightLoad {
+                requests: one.in_flight,
+                reading_tokens: one.reading_tokens,
+            };
+            (one.digest, load)
+        })
+        .collect();
+    if loads.len() > MAX_LOADS {
+        loads.sort_unstable_by_key(|(_, load)| Reverse((load.reading_tokens, load.requests)));
+        loads.truncate(MAX_LOADS);
+    }
+    let ordered = host.ordered.borrow();
+    let changing = ordered.iter().filter_map(|key| table.get(*key));
+    HostLoads {
+        loads,
+        changing: changing.take(MAX_CHANGING).map(|one| one.digest).collect(),
+    }
 }
 
 /// Asks peers for their proofs while the own one is old, for ever.
@@ -209,7 +228,7 @@
             let mut readers = host.store_readers.borrow_mut();
             readers.note(now, load.host, address, load.news);
             let mut loads = host.peer_loads.borrow_mut();
-            loads.note(now, load.host, load.sequence, load.loads);
+            loads.note(now, load.host, load.sequence, load.said);
             None
         }
         PeerMessage::ProofQuery { asked_at_us } => {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 //! * [`AttemptLedger`] decides whether a request may be sent once more.
 //! * [`RepeatAllowance`] limits repeats over all hosts.
 //! * [`Placement`] chooses the upstream, or says that none can serve in time.
-//! * [`PeerLoads`] knows what other hosts have in flight.
+//! * [`PeerLoads`] knows what other hosts have in flight and have ordered.
 //! * [`StoreReaders`] says which hosts read the store on behalf of all.
 //! * [`UsageLedger`] counts requests by workspace and window.
 //! * [`WallClock`] keeps the time of day through steps of the system's clock.
@@ -41,7 +41,7 @@
     ClientLimits, ConfigVersion, EngineTraits, RepeatKind, Route, RouteKey, ScaleTraits, Service,
     ServiceWeight, ServingConfig, Workspace, WorkspaceIndex,
 };
-pub use peer_load::{InFlightLoad, PeerLoads, UpstreamDigest};
+pub use peer_load::{HostLoads, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
     FleetView, Placement, PlacementLimits, PromptFacts, PromptPart, PromptPlan, PromptRefusal,
 };
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -1,4 +1,5 @@
-//! What other hosts have in flight on the upstreams.
+//! What other hosts have in flight on the upstreams, and which of them they have
+//! ordered to change.
 //!
 //! Upstreams report their load some hundred milliseconds late, which is longer
 //! than most requests take. The hosts therefore tell each other what they have
@@ -37,19 +38,28 @@
     pub reading_tokens: u64,
 }
 
-/// What the other hosts have in flight.
+/// What one host says of the upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostLoads {
+    /// What it has in flight.
+    pub loads: Vec<(UpstreamDigest, InFlightLoad)>,
+    /// Engines that it has ordered to change their role and that haven't yet.
+    pub changing: Vec<UpstreamDigest>,
+}
+
+/// What the other hosts say of the upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct PeerLoads {
     /// By host; a host is known by a number of its start.
-    hosts: HashMap<u64, HostLoad>,
+    hosts: HashMap<u64, HeardLoads>,
     totals: HashMap<UpstreamDigest, InFlightLoad>,
 }
 
 #[derive(Clone, Debug)]
-struct HostLoad {
+struct HeardLoads {
     sequence: u64,
     seen_at: Timestamp,
-    loads: Vec<(UpstreamDigest, InFlightLoad)>,
+    said: HostLoads,
 }
 
 impl PeerLoads {
@@ -59,23 +69,17 @@
     }
 
     /// Takes in what a host says; older messages than the newest are ignored.
-    pub fn note(
-        &mut self,
-        now: Timestamp,
-        host: u64,
-        sequence: u64,
-        loads: Vec<(UpstreamDigest, InFlightLoad)>,
-    ) {
+    pub fn note(&mut self, now: Timestamp, host: u64, sequence: u64, said: HostLoads) {
         let newest = self.hosts.get(&host).map(|known| known.sequence);
         if newest.is_some_and(|newest| newest >= sequence) {
             return;
         }
-        let load = HostLoad {
+        let heard = HeardLoads {
             sequence,
             seen_at: now,
-            loads,
+            said,
         };
-        self.hosts.insert(host, load);
+        self.hosts.insert(host, heard);
         self.add_up();
     }
 
@@ -94,9 +98,15 @@
         self.totals.get(&upstream).copied().unwrap_or_default()
     }
 
+    /// Returns whether another host has ordered an engine to change its role.
+    pub fn is_changing(&self, upstream: UpstreamDigest) -> bool {
+        let mut hosts = self.hosts.values();
+        hosts.any(|host| host.said.changing.contains(&upstream))
+    }
+
     fn add_up(&mut self) {
         self.totals.clear();
-        for (upstream, load) in self.hosts.values().flat_map(|host| &host.loads) {
+        for (upstream, load) in self.hosts.values().flat_map(|host| &host.said.loads) {
             let total = self.totals.entry(*upstream).or_default();
             total.requests += load.requests;
             total.reading_tokens += load.reading_tokens;
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -261,12 +261,13 @@
         prompt: &PromptFacts,
         role: EngineRole,
     ) -> Vec<HomeCandidate> {
-        let mut homes: Vec<HomeCandidate> = view
+        let candidates = view
             .table
             .usable(view.service, view.now)
             .filter(|(key, one)| one.record.role == Some(role) && !view.tried.contains(key))
-            .filter(|(_, one)| role == EngineRole::Decode || one.is_reader(view.now))
-            .filter(|(key, _)| role == EngineRole::Prefill || !view.changing.contains(key))
+            .filter(|(_, one)| role == EngineRole::Decode || one.is_reader(view.now));
+        let mut homes: Vec<HomeCandidate> = candidates
+            .filter(|(key, _)| !view.changing.contains(key))
             .map(|(key, one)| HomeCandidate {
                 rank: rank(prompt, one),
                 key,
--- a/crates/policy/tests/all/dispatch/placement.rs
+++ b/crates/policy/tests/all/dispatch/placement.rs
@@ -3,8 +3,9 @@
 use crate::dispatch::support::{at_ms, engine, key_of, prompt, table_of, view};
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    EngineRole, InFlightLoad, ListChange, PeerLoads, Placement, PlacementLimits, PromptFacts,
-    PromptPlan, PromptRefusal, UpstreamDigest, UpstreamId, UpstreamTable,
+    EngineRole, FleetView, HostLoads, InFlightLoad, ListChange, PeerLoads, Placement,
+    PlacementLimits, PromptFacts, PromptPlan, PromptRefusal, UpstreamDigest, UpstreamId,
+    UpstreamTable,
 };
 use std::time::Duration;
 
@@ -98,7 +99,11 @@
         requests: 6,
         reading_tokens: 60_000,
     };
-    peers.note(at_ms(0), 1, 1, vec![(digest, busy)]);
+    let said = HostLoads {
+        loads: vec![(digest, busy)],
+        ..HostLoads::default()
+    };
+    peers.note(at_ms(0), 1, 1, said);
     assert_ne!(choose(&table, &peers, &facts), Ok(home));
     // A host that has vanished has nothing in flight.
     peers.forget_silent(at_ms(400));
@@ -187,3 +192,39 @@
     let other = placement().generator(view(&table, &peers, &[], 0), reader);
     assert_ne!(other, near);
 }
+
+/// An engine that was ordered to change its role refuses prompts until it has:
+/// neither is it read at nor is memory taken over there, while others can.
+#[test]
+fn engines_under_an_order_are_passed_over() {
+    let table = fleet();
+    let mut peers = PeerLoads::new();
+    let digest_of = |number| {
+        let key = key_of(&table, number);
+        table.get(key).expect("listed").digest
+    };
+    let said = HostLoads {
+        changing: vec![digest_of(0), digest_of(8)],
+        ..HostLoads::default()
+    };
+    peers.note(at_ms(0), 1, 1, said);
+    let changing: Vec<UpstreamKey> = table
+        .iter()
+        .filter(|(_, one)| peers.is_changing(one.digest))
+        .map(|(key, _)| key)
+        .collect();
+    assert_eq!(changing.len(), 2);
+    let view = FleetView {
+        changing: &changing,
+        ..view(&table, &peers, &[], 0)
+    };
+    for session in 0..200 {
+        let plan = placement().prompt(view, &prompt(session, 2_890), GOAL, LEFT);
+        let Ok(PromptPlan::ReadAhead(reader)) = plan else {
+            panic!("{plan:?}");
+        };
+        assert!(!changing.contains(&reader));
+        let generator = placement().generator(view, reader).expect("a generator");
+        assert!(!changing.contains(&generator));
+    }
+}
