Fault soak: the gateways as separate processes under random faults

Three gateways between stand-ins of the platform; a schedule drawn from a seed freezes, kills, restarts and stops them, and delays, resets, holds back or silences their connections to the store, the duties and the runners through proxies. Checked: own and whole answers, unrepeatable requests run at most once, refusals are true and say when to come back, a withdrawn key stops working, no key reaches a runner, one figure a window, one holder a number, hosts stop in order and serve again.

--- /dev/null
+++ b/tests/soak/checks.rs
@@ -0,0 +1,148 @@
+//! The promises, checked against what callers, runners and the platform saw.
+
+use crate::load::Attempt;
+use crate::support::duty::DutyCall;
+use crate::support::runner::Received;
+use crate::support::{KEY, OTHER_KEY};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A withdrawn key stops working within this time.
+const REVOCATION: Duration = Duration::from_secs(2);
+
+/// What was seen in one run.
+pub(crate) struct RunReport {
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) received: Vec<Received>,
+    pub(crate) usage: Vec<DutyCall>,
+    /// When the key [`OTHER_KEY`] was withdrawn.
+    pub(crate) withdrawn_at: Option<Instant>,
+    /// Hosts that did not stop in order and in time.
+    pub(crate) unclean_stops: usize,
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let status = |wanted: u16| {
+            let replies = self.attempts.iter().filter_map(|one| one.reply.as_ref());
+            replies.filter(|reply| reply.status == wanted).count()
+        };
+        write!(
+            f,
+            "{} requests, {} answered, {} refused, {} unknown, {} usage reports",
+            self.attempts.len(),
+            status(200),
+            status(503),
+            status(502) + status(504),
+            self.usage.len()
+        )
+    }
+}
+
+/// Returns each promise that was broken, with the request or window.
+pub(crate) fn broken_promises(report: &RunReport) -> Vec<String> {
+    let runs = count_runs(&report.received);
+    let mut broken = Vec::new();
+    for attempt in &report.attempts {
+        check_attempt(attempt, &runs, report.withdrawn_at, &mut broken);
+    }
+    for received in &report.received {
+        check_received(received, report, &mut broken);
+    }
+    check_usage(&report.usage, &mut broken);
+    if report.unclean_stops > 0 {
+        broken.push(format!(
+            "{} hosts did not stop in order",
+            report.unclean_stops
+        ));
+    }
+    if !report.attempts.iter().any(|one| one.reply.is_some()) {
+        broken.push("no request was answered".to_owned());
+    }
+    broken
+}
+
+fn count_runs(received: &[Received]) -> HashMap<String, usize> {
+    let mut runs = HashMap::new();
+    for one in received.iter().filter(|one| one.has_run) {
+        let id = one.header("x-request-id").unwrap_or_default();
+        *runs.entry(id.to_owned()).or_insert(0) += 1;
+    }
+    runs
+}
+
+fn check_attempt(
+    attempt: &Attempt,
+    runs: &HashMap<String, usize>,
+    withdrawn_at: Option<Instant>,
+    broken: &mut Vec<String>,
+) {
+    let id = &attempt.id;
+    let runs = runs.get(id).copied().unwrap_or(0);
+    if !attempt.is_idempotent && runs > 1 {
+        broken.push(format!("{id} ran {runs} times"));
+    }
+    let is_late = withdrawn_at.is_some_and(|at| attempt.sent_at > at + REVOCATION);
+    if attempt.key == OTHER_KEY && is_late && runs > 0 {
+        broken.push(format!("{id} ran with a withdrawn key"));
+    }
+    let Some(reply) = &attempt.reply else {
+        return;
+    };
+    let says_not_run = matches!(reply.status, 408 | 421 | 429 | 503);
+    if says_not_run && runs > 0 && !attempt.is_idempotent {
+        broken.push(format!("{id} was refused as not run and ran"));
+    }
+    if reply.status == 503 && reply.header("retry-after").is_none() {
+        broken.push(format!("{id} was refused without a time to come back"));
+    }
+    let is_own = reply.body == format!("ok {id}") && reply.header("x-response-seal").is_some();
+    if reply.status == 200 && !(is_own && reply.is_whole) {
+        broken.push(format!("{id} got another answer: {}", reply.body));
+    }
+    if attempt.key == KEY && matches!(reply.status, 401 | 404) {
+        broken.push(format!("{id} was denied with {}", reply.status));
+    }
+}
+
+fn check_received(received: &Received, report: &RunReport, broken: &mut Vec<String>) {
+    let id = received.header("x-request-id").unwrap_or_default();
+    if received.header("authorization").is_some() {
+        broken.push(format!("{id} reached a runner with its key"));
+    }
+    let sender = report.attempts.iter().find(|attempt| attempt.id == id);
+    let workspace = match sender.map(|attempt| attempt.key) {
+        Some(OTHER_KEY) => "south",
+        _ => "north",
+    };
+    if received.header("x-tenant") != Some(workspace) {
+        broken.push(format!("{id} ran for another workspace"));
+    }
+}
+
+/// A window has one figure, a number one holder, and numbers never fall.
+fn check_usage(calls: &[DutyCall], broken: &mut Vec<String>) {
+    let mut windows = BTreeMap::new();
+    let mut holders = BTreeMap::new();
+    let mut highest = 0;
+    for call in calls {
+        let window = call.body["windowSeq"].to_string();
+        let counts = windows
+            .entry(window.clone())
+            .or_insert_with(|| call.body["counts"].clone());
+        if *counts != call.body["counts"] {
+            broken.push(format!("window {window} was reported with two figures"));
+        }
+        let number = call.fencing_number;
+        let holder = holders.entry(number).or_insert_with(|| call.holder.clone());
+        if *holder != call.holder {
+            broken.push(format!("two holders act under the number {number}"));
+        }
+        if number < highest {
+            broken.push(format!("number {number} came after {highest}"));
+        }
+        highest = highest.max(number);
+    }
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,111 @@
+//! What goes wrong, and when, drawn from a seed.
+
+use crate::proxy::LinkState;
+use crate::support::Behaviour;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+/// Time between the starts of two faults, in milliseconds.
+const GAP_MS: std::ops::Range<u64> = 150..700;
+
+/// How long a fault lasts, in milliseconds.
+const LENGTH_MS: std::ops::Range<u64> = 200..2_200;
+
+/// Which connections are harmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Link {
+    Store,
+    Duties,
+    Runner(usize),
+}
+
+/// One fault.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    Freeze(usize),
+    Kill(usize),
+    Restart(usize),
+    Harm(Link, LinkState),
+    Reset(Link),
+    StoreDown,
+    Runner(usize, Behaviour),
+}
+
+/// A fault, the pause before it, and its length.
+#[derive(Clone, Debug)]
+pub(crate) struct Step {
+    pub(crate) pause: Duration,
+    pub(crate) fault: Fault,
+    pub(crate) length: Duration,
+}
+
+/// Draws the faults of one run.
+pub(crate) struct Schedule {
+    rng: StdRng,
+    hosts: usize,
+    runners: usize,
+}
+
+impl Schedule {
+    pub(crate) fn new(seed: u64, hosts: usize, runners: usize) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            hosts,
+            runners,
+        }
+    }
+
+    pub(crate) fn next_step(&mut self) -> Step {
+        let fault = self.fault();
+        Step {
+            pause: Duration::from_millis(self.rng.random_range(GAP_MS)),
+            fault,
+            length: Duration::from_millis(self.rng.random_range(LENGTH_MS)),
+        }
+    }
+
+    fn fault(&mut self) -> Fault {
+        let host = self.rng.random_range(0..self.hosts);
+        let runner = self.rng.random_range(0..self.runners);
+        match self.rng.random_range(0..12) {
+            0 => Fault::Freeze(host),
+            1 => Fault::Kill(host),
+            2 => Fault::Restart(host),
+            3 => Fault::StoreDown,
+            4..=6 => Fault::Harm(self.link(runner), self.state()),
+            7 => Fault::Reset(self.link(runner)),
+            _ => Fault::Runner(runner, self.behaviour()),
+        }
+    }
+
+    fn link(&mut self, runner: usize) -> Link {
+        match self.rng.random_range(0..4) {
+            0 | 1 => Link::Store,
+            2 => Link::Duties,
+            _ => Link::Runner(runner),
+        }
+    }
+
+    fn state(&mut self) -> LinkState {
+        match self.rng.random_range(0..3) {
+            0 => LinkState::Delayed(Duration::from_millis(self.rng.random_range(20..400))),
+            1 => LinkState::AnswersLost,
+            _ => LinkState::Silent,
+        }
+    }
+
+    fn behaviour(&mut self) -> Behaviour {
+        let all = [
+            Behaviour::Fail,
+            Behaviour::NotRun,
+            Behaviour::Elsewhere,
+            Behaviour::Close,
+            Behaviour::Truncate,
+            Behaviour::ForeignId,
+            Behaviour::SecondAnswer,
+            Behaviour::Unsigned,
+        ];
+        all[self.rng.random_range(0..all.len())].clone()
+    }
+}
