Stand-ins: a crash ends the server before the order is lost

Cause: EngineStandin::crash marked the open order as failed and only then stopped its server, which went on answering on a thread of its own; a steward whose question was under way read 'failed' from a dead engine, as no real engine could say. Ruled out: the steward closing the order of a silent engine (it had the engine's own answer).

The crash now waits for the server's end, which also frees the port, and then loses the order.

--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -130,10 +130,11 @@
         backlog.fetch_add(tokens, Ordering::Relaxed);
     }
 
-    /// Breaks all connections, loses the open order and stops listening.
+    /// Breaks all connections, stops listening and loses the open order, which
+    /// nobody can learn before [`Self::restart`].
     pub fn crash(&mut self) {
-        self.shared.orders.fail_open();
         self.server.stop();
+        self.shared.orders.fail_open();
         self.shared.active.store(0, Ordering::Relaxed);
     }
 
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -3,9 +3,14 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
 use tokio::runtime::{Builder, Runtime};
 use warp::{Filter, Reply};
 
+/// Longest wait for what runs when the server stops.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// A server on a runtime of its own: stopping the runtime drops every
 /// connection at once, as the end of a process does.
 #[derive(Debug)]
@@ -46,10 +51,16 @@
         self.addr
     }
 
-    /// Drops the listener and every connection.
+    /// Drops the listener and every connection; returns when nothing is
+    /// answered any more and the port is free.
     pub(crate) fn stop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+        let Some(runtime) = self.runtime.take() else {
+            return;
+        };
+        // A runtime can't be waited for on a thread that runs tasks of another.
+        let shutdown = thread::spawn(move || runtime.shutdown_timeout(STOP_TIMEOUT));
+        if shutdown.join().is_err() {
+            tracing::error!("the server's runtime panicked while it stopped");
         }
     }
 }
--- a/crates/standins/tests/all/engine.rs
+++ b/crates/standins/tests/all/engine.rs
@@ -6,10 +6,21 @@
 use lagoonlift_types::ModelName;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
+use std::sync::mpsc::{self, Receiver};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use tokio::runtime::Runtime;
 
 fn start_engine() -> EngineStandin {
+    start_with(config())
+}
+
+fn config() -> EngineConfig {
     let model = ModelName::new("tide-7b").expect("a valid name");
-    let config = EngineConfig::new(BTreeSet::from([model]));
+    EngineConfig::new(BTreeSet::from([model]))
+}
+
+fn start_with(config: EngineConfig) -> EngineStandin {
     let listen = "127.0.0.1:0".parse().expect("a valid address");
     EngineStandin::start(listen, config).expect("a free port")
 }
@@ -91,6 +102,61 @@
     post(&engine, &request(false, 0)).await.expect("an answer");
 }
 
+/// Whoever asks while the engine crashes is never told that the order failed,
+/// and the port is free when it has crashed.
+///
+/// Seen failing with the order failed before the connections are broken, and
+/// with a crash that doesn't wait for the server's end.
+#[tokio::test]
+async fn a_crashing_engine_tells_nobody_of_its_lost_order() {
+    let mut config = config();
+    config.order_duration = Duration::from_secs(30);
+    let mut engine = start_with(config);
+    let order = json!({
+        "id": "r1", "fencing": 1, "change": { "load-version": "2" },
+    });
+    let url = format!("http://{}/orders", engine.addr());
+    let accepted = reqwest::Client::new().post(&url).json(&order).send().await;
+    accepted.expect("an answer");
+    let askers: Vec<_> = (0..4).map(|_| spawn_asker(format!("{url}/r1"))).collect();
+    for (first_answer, _) in &askers {
+        first_answer.recv().expect("an answer");
+    }
+    engine.crash();
+    for (_, asker) in askers {
+        let states = asker.join().expect("it ends with the engine");
+        assert!(states.iter().all(|state| state == "running"), "{states:?}");
+    }
+    engine.restart().expect("the port is free");
+    let read = reqwest::get(format!("{url}/r1")).await.expect("an answer");
+    let state: Value = read.json().await.expect("a state");
+    assert_eq!(state["state"], "failed");
+}
+
+/// Asks for an order's state on a thread of its own until nobody answers;
+/// signals the first answer and returns them all.
+fn spawn_asker(url: String) -> (Receiver<()>, JoinHandle<Vec<String>>) {
+    let (first_answer, heard) = mpsc::channel();
+    let asker = thread::spawn(move || {
+        let runtime = Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let client = reqwest::Client::new();
+            let mut states = Vec::new();
+            while let Ok(read) = client.get(&url).send().await {
+                let Ok(answer) = read.json::<Value>().await else {
+                    break;
+                };
+                states.push(answer["state"].as_str().unwrap_or_default().to_owned());
+                if states.len() == 1 {
+                    first_answer.send(()).expect("the test listens");
+                }
+            }
+            states
+        })
+    });
+    (heard, asker)
+}
+
 #[tokio::test]
 async fn a_cancelled_request_stops_and_frees_its_slot() {
     let engine = start_engine();
