Fleet policy: the fewer role changes are left, the more the next must save

Each change spent lately now adds half of the least return to what the next one must save.

Test of the pattern without network: small_swings_leave_changes_for_a_large_shift, seen failing with spent_price 0.

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -3,7 +3,9 @@
 //! A mix that swings back before a change has paid would cost a change each
 //! way, for ever. Changes are therefore spent from a budget that refills
 //! slowly: one shift finds it full, an oscillation soon runs on what refills,
-//! and prompts that overflow to generating engines do the rest.
+//! and prompts that overflow to generating engines do the rest. The less is
+//! left, the more a change has to save: small gains don't use up what the next
+//! shift needs.
 
 use crate::{FleetLimits, Timestamp};
 
@@ -23,8 +25,11 @@
         self.updated_at = now;
     }
 
-    /// Returns whether one more change may be made beside `pending` ones.
-    pub(crate) fn permits(&self, pending: usize, limits: &FleetLimits) -> bool {
-        self.spent + pending as f64 + 1.0 <= f64::from(limits.change_burst)
+    /// Returns whether one more change may be made beside `pending` ones. It
+    /// saves `return_ratio` times the least that a change must save.
+    pub(crate) fn permits(&self, pending: usize, return_ratio: f64, limits: &FleetLimits) -> bool {
+        let spent = self.spent + pending as f64;
+        let least_return = 1.0 + limits.spent_price * spent;
+        spent + 1.0 <= f64::from(limits.change_burst) && return_ratio >= least_return
     }
 }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -12,7 +12,7 @@
 use crate::budget::ChangeBudget;
 use crate::forecast::WorkForecast;
 use crate::purchase::{PurchaseChoice, PurchasePlanner};
-use crate::split::{self, RoleCounts};
+use crate::split::{self, PayingStep, RoleCounts};
 use crate::{
     EngineFacts, EngineState, FleetAction, FleetEvent, FleetLimits, LoadReport, PhaseWork,
     Timestamp, UpstreamKey,
@@ -226,8 +226,10 @@
         let counts = serving.plus(RoleCounts::of(coming));
         let total = counts.total();
         let permitted_away = total.div_ceil(self.limits.engines_per_absence).max(1);
-        let step = split::best_step(counts, work, &self.limits);
-        let Some(step) = step.filter(|step| self.spares(model, step.from)) else {
+        let best = split::best_step(counts, work, &self.limits);
+        let Some(PayingStep { step, return_ratio }) =
+            best.filter(|best| self.spares(model, best.step.from))
+        else {
             // Patience counts from when the need came up, not from an earlier one.
             if let Some(record) = self.models.get_mut(model) {
                 record.awaited = None;
@@ -236,7 +238,7 @@
         };
         let away = self.away(model);
         let budget = &self.models[model].budget;
-        if away >= permitted_away || !budget.permits(away, &self.limits) {
+        if away >= permitted_away || !budget.permits(away, return_ratio, &self.limits) {
             return;
         }
         let Some(engine) = self.turn(now, model, step.from) else {
--- a/crates/policy/src/fleet_limits.rs
+++ b/crates/policy/src/fleet_limits.rs
@@ -29,6 +29,9 @@
     pub dwell: Duration,
     /// Role changes of one model that may be made at once, over time.
     pub change_burst: u32,
+    /// What each of them that was made lately adds to the gain that the next one
+    /// needs, as a share of it.
+    pub spent_price: f64,
     /// Time in which one more change becomes permitted.
     pub change_interval: Duration,
     /// Engines of one model, out of which one may be away at once.
@@ -56,6 +59,7 @@
             gain_factor: 2.0,
             dwell: Duration::from_secs(20),
             change_burst: 6,
+            spent_price: 0.5,
             change_interval: Duration::from_secs(30),
             engines_per_absence: 6,
             stale_after: Duration::from_secs(10),
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -60,13 +60,21 @@
     pub(crate) to: UpstreamRole,
 }
 
+/// A move that pays.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PayingStep {
+    pub(crate) step: RoleStep,
+    /// What it saves, as a multiple of the least that a move must save.
+    pub(crate) return_ratio: f64,
+}
+
 /// Returns the move that pays most over the horizon, if one pays at all. The
 /// last engine of a role never moves.
 pub(crate) fn best_step(
     counts: RoleCounts,
     work: PhaseWork,
     limits: &FleetLimits,
-) -> Option<RoleStep> {
+) -> Option<PayingStep> {
     let to_prefill = (counts.decode > 1).then(|| {
         let after = RoleCounts {
             prefill: counts.prefill + 1,
@@ -100,7 +108,10 @@
     });
     let paying = gains.filter(|(_, gain)| *gain > price);
     let best = paying.max_by(|(_, a), (_, b)| a.total_cmp(b));
-    best.map(|(step, _)| step)
+    best.map(|(step, gain)| PayingStep {
+        step,
+        return_ratio: gain / price,
+    })
 }
 
 /// Estimates the work behind one engine's load report.
--- a/crates/policy/tests/all/fleet.rs
+++ b/crates/policy/tests/all/fleet.rs
@@ -204,6 +204,25 @@
     assert!(fleet.changes <= 4 + 10, "{} changes", fleet.changes);
 }
 
+/// Small swings, then a large shift: the swings have left changes for it.
+///
+/// Seen failing with `spent_price` 0.
+#[test]
+fn small_swings_leave_changes_for_a_large_shift() {
+    let limits = FleetLimits::new(FleetWeighting::WorstServed);
+    let mut fleet = Fleet::new(limits, &halves());
+    for second in 1..=150 {
+        let work = [(6.6, 3.2), (3.2, 6.6)][second as usize / 25 % 2];
+        fleet.second(second, Some(work));
+    }
+    let generating = fleet.count(UpstreamRole::Decode);
+    for second in 151..=190 {
+        fleet.second(second, Some((1.5, 9.5)));
+    }
+    let moved = fleet.count(UpstreamRole::Decode) - generating;
+    assert!(moved >= 2, "{moved} engines moved");
+}
+
 /// Without recent reports nothing is decided.
 ///
 /// Seen failing with the age of the demand not checked.
