Gateway: callers refused in an overload are asked back later

Bursts last seconds.

A caller refused as all engines are busy now waits 0.9 s (spread 0.7 to 1.4), within half of its time; the decision moved from the gateway into policy::dispatch::return_time. Tests without network: refused_callers_outlast_a_burst (seen failing with 250 ms), caller_with_little_time_is_asked_back_within_it (without the bound), callers_refused_together_are_spread (without the spread).

Finding: in the burst a reader keeps a part for about 0.6 s, since the prompts' own parts fill its memory; that binds.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,7 +11,8 @@
 use http::response::Parts;
 use lagoonlift_adapter::runner::{UpstreamTask, decode_prompt_handle};
 use lagoonlift_policy::dispatch::{
-    AttemptLedger, FleetView, NextStep, Placement, PromptPlan, PromptRefusal, SendResult,
+    AttemptLedger, FleetView, NextStep, Placement, PromptPlan, PromptRefusal, RefusalCause,
+    SendResult, return_time,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use rand::RngExt;
@@ -19,12 +20,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// When a caller may come back if no upstream had a free place.
-const FULL_RETRY: Duration = Duration::from_millis(250);
-
-/// When a caller may come back if no upstream is there at all.
-const ABSENT_RETRY: Duration = Duration::from_millis(500);
-
 /// Share of the time left that a prompt's reading is waited for, so that
 /// another engine can still read it.
 const READ_SHARE: f64 = 0.45;
@@ -155,7 +150,7 @@
                 return Ok(order);
             }
         }
-        Err(Refusal::not_run("the prompt was not read", FULL_RETRY))
+        Err(self.not_run("the prompt was not read", RefusalCause::NoPlace))
     }
 
     fn is_prompt(&self) -> bool {
@@ -186,7 +181,7 @@
         let any = || self.choose(&[], |placement, view| placement.plain(view));
         let upstream = untried
             .or_else(any)
-            .ok_or(Refusal::not_run("no upstream is there", ABSENT_RETRY))?;
+            .ok_or_else(|| self.not_run("no upstream is there", RefusalCause::NoUpstream))?;
         Ok(self.order(upstream, UpstreamTask::Run, 0))
     }
 
@@ -198,9 +193,9 @@
             placement.prompt(view, prompt, goal, time_left)
         });
         plan.map_err(|refusal| match refusal {
-            PromptRefusal::NoEngine => Refusal::not_run("no engine is there", ABSENT_RETRY),
+            PromptRefusal::NoEngine => self.not_run("no engine is there", RefusalCause::NoUpstream),
             PromptRefusal::Busy(wait) => {
-                Refusal::not_run("all engines are busy reading", spread(wait.max(FULL_RETRY)))
+                self.not_run("all engines are busy reading", RefusalCause::Overload(wait))
             }
         })
     }
@@ -413,13 +408,14 @@
     }
 
     fn give_up(&mut self, reason: &'static str) -> RunEnd {
-        self.refuse(Refusal::not_run(reason, spread(FULL_RETRY)))
+        let refusal = self.not_run(reason, RefusalCause::NoPlace);
+        self.refuse(refusal)
     }
-}
 
-/// Spreads the time at which callers come back, so that they don't come
-/// together.
-fn spread(wait: Duration) -> Duration {
-    let share: f64 = rand::rng().random_range(0.7..1.4);
-    wait.mul_f64(share)
+    /// Returns the refusal that tells the caller when to come back.
+    fn not_run(&self, reason: &'static str, cause: RefusalCause) -> Refusal {
+        let time_left = clock::time_until(self.admitted.until);
+        let wait = return_time(cause, time_left, rand::rng().random());
+        Refusal::not_run(reason, wait)
+    }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 //! * [`AttemptLedger`] decides whether a request may be sent once more.
 //! * [`RepeatAllowance`] limits repeats over all hosts.
 //! * [`Placement`] chooses the upstream, or says that none can serve in time.
+//! * [`return_time`] says when a refused caller may come back.
 //! * [`PeerLoads`] knows what other hosts have in flight and have ordered.
 //! * [`StoreReaders`] says which hosts read the store on behalf of all.
 //! * [`UsageLedger`] counts requests by workspace and window.
@@ -28,6 +29,7 @@
 mod placement;
 mod proof;
 mod read_rate;
+mod return_time;
 mod roles;
 mod spending;
 mod store_readers;
@@ -47,6 +49,7 @@
 };
 pub use proof::{ConfigProof, ProofLimits};
 pub use read_rate::ReadRate;
+pub use return_time::{RefusalCause, return_time};
 pub use roles::{RoleOrder, RolePlan};
 pub use spending::{FleetCensus, FleetTarget, InitialFleet, SpendingPlan, fleet_of};
 pub use store_readers::{MANY_HOSTS, StoreNews, StoreReaders};
