--- a/crates/entry/examples/request_path.rs
+++ b/crates/entry/examples/request_path.rs
@@ -8,7 +8,7 @@
 //! and through the entry.
 //! Everything runs in this process, on loopback.
 
-#[path = "../tests/all/support.rs"]
+#[path = "../tests/all/support/mod.rs"]
 #[allow(dead_code, reason = "the tests use the rest")]
 mod support;
 
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -4,16 +4,20 @@
 //! in turn. It sees a request when it arrives, when it is placed again and when
 //! an attempt ends; the tokens in between pass it by.
 
+mod messages;
+
+pub(crate) use messages::{ListLinks, Observe, Place, Placement, PlacementRequest, Reconfigure};
+
 use crate::explain::{DecisionRecorder, LastReport, PlacementFacts};
 use crate::health::UpstreamHealth;
 use crate::link::{UpstreamEntry, UpstreamId, UpstreamLink};
 use crate::slot::UpstreamSlot;
 use lagoonlift_policy::{
-    AttemptEnd, EntryAction, EntryEvent, EntryPolicy, LoadReport, PrefixHash, RequestFacts, Target,
-    Timestamp, UpstreamFacts, UpstreamKey, WorkspaceFacts, WorkspaceKey,
+    AttemptEnd, EntryAction, EntryEvent, EntryPolicy, LoadReport, RequestFacts, Target, Timestamp,
+    UpstreamFacts, UpstreamKey, WorkspaceFacts, WorkspaceKey,
 };
 use lagoonlift_types::{
-    Configuration, DataCentreName, NotRunReason, RequestId, UpstreamName, Urgency, WorkspaceName,
+    Configuration, DataCentreName, NotRunReason, RequestId, UpstreamName, WorkspaceName,
 };
 use slotmap::SecondaryMap;
 use std::collections::{BTreeMap, HashMap};
@@ -23,58 +27,6 @@
 use tokio::time::Instant;
 use xtra::{Context, Handler, WeakAddress};
 
-/// What the policy has to know of a request, in the entry's own terms.
-#[derive(Clone, Debug)]
-pub(crate) struct PlacementRequest {
-    pub(crate) request: RequestId,
-    pub(crate) workspace: WorkspaceName,
-    pub(crate) urgency: Urgency,
-    pub(crate) target: Target,
-    pub(crate) prompt_tokens: u64,
-    pub(crate) max_output_tokens: u64,
-    pub(crate) deadline: Instant,
-    pub(crate) idempotent: bool,
-    pub(crate) prefix: Option<PrefixHash>,
-}
-
-/// Where a request goes.
-#[derive(Debug)]
-pub(crate) enum Placement {
-    /// To the upstream whose slot this is.
-    Dispatch(UpstreamSlot),
-    /// Nowhere.
-    Refuse {
-        reason: NotRunReason,
-        retry_after: Duration,
-    },
-}
-
-/// Asks for a place; the reply may take as long as the request is queued.
-#[derive(Debug)]
-pub(crate) struct Place {
-    pub(crate) facts: PlacementRequest,
-    /// Upstreams that already failed the request; `None` at the first attempt.
-    pub(crate) avoid: Option<Vec<UpstreamKey>>,
-    pub(crate) reply: oneshot::Sender<Placement>,
-}
-
-/// Tells the policy what happened.
-#[derive(Debug)]
-pub(crate) struct Observe(pub(crate) EntryEvent);
-
-/// Replaces what is known of workspaces and upstreams.
-#[derive(Debug)]
-pub(crate) struct Reconfigure {
-    pub(crate) configuration: Arc<Configuration>,
-    pub(crate) upstreams: BTreeMap<UpstreamId, UpstreamEntry>,
-    /// Entry processes that place work on the same upstreams.
-    pub(crate) entries: u32,
-}
-
-/// Asks for all engines, to poll them.
-#[derive(Debug)]
-pub(crate) struct ListLinks;
-
 /// Owns the admission policy.
 #[derive(Debug, xtra::Actor)]
 pub(crate) struct AdmissionActor {
--- a/crates/gateway/src/duty/scale.rs
+++ b/crates/gateway/src/duty/scale.rs
@@ -52,6 +52,14 @@
     again_at: Timestamp,
 }
 
+/// What is known of the fleet that a service began with.
+enum FirstFleet {
+    /// All of it.
+    Whole(InitialFleet),
+    /// What has registered so far.
+    Registering(InitialFleet),
+}
+
 impl ScaleOrders {
     /// Gives the orders that are due for `service`.
     pub(super) async fn order(&mut self, duties: &Duties, service: &Service) {
@@ -77,33 +85,49 @@
         scale: &ScaleTraits,
     ) -> Result<Vec<FleetTarget>, StoreError> {
         let plan = SpendingPlan::new();
-        if let Some(initial) = self.plans.get(&service.name) {
-            return Ok(plan.targets(initial, scale));
-        }
-        let is_first_look = !self.censuses.contains_key(&service.name);
-        if is_first_look && let Some(initial) = read_plan(duties, &service.name).await? {
-            let targets = plan.targets(&initial, scale);
-            self.plans.insert(service.name.clone(), initial);
-            return Ok(targets);
-        }
-        let now = clock::now();
-        let listed = fleet_of(&duties.host.table.borrow(), &service.name);
-        let census = self.censuses.entry(service.name.clone()).or_default();
-        census.note(now, &listed);
-        if !census.is_settled(now) {
-            let mut targets = plan.targets(census.counts(), scale);
-            targets.retain(|target| target.is_spot);
-            return Ok(targets);
+        Ok(match self.first_fleet(duties, service).await? {
+            FirstFleet::Whole(counts) => plan.targets(&counts, scale),
+            FirstFleet::Registering(counts) => {
+                let mut targets = plan.targets(&counts, scale);
+                targets.retain(|target| target.is_spot);
+                targets
+            }
+        })
+    }
+
+    /// Returns the fleet that `service` began with, as far as it is known; once
+    /// it is whole, it is written down for the next holder of the duty.
+    async fn first_fleet(
+        &mut self,
+        duties: &Duties,
+        service: &Service,
+    ) -> Result<FirstFleet, StoreError> {
+        let name = &service.name;
+        if let Some(initial) = self.plans.get(name) {
+            return Ok(FirstFleet::Whole(initial.clone()));
         }
-        let initial = write_plan(duties, &service.name, census.counts()).await?;
-        tracing::info!(
-            service = service.name,
-            ?initial,
-            "the first fleet is complete"
-        );
-        let targets = plan.targets(&initial, scale);
-        self.plans.insert(service.name.clone(), initial);
-        Ok(targets)
+        let is_first_look = !self.censuses.contains_key(name);
+        let recorded = match is_first_look {
+            true => read_plan(duties, name).await?,
+            false => None,
+        };
+        let initial = match recorded {
+            Some(initial) => initial,
+            None => {
+                let now = clock::now();
+                let listed = fleet_of(&duties.host.table.borrow(), name);
+                let census = self.censuses.entry(name.clone()).or_default();
+                census.note(now, &listed);
+                if !census.is_settled(now) {
+                    return Ok(FirstFleet::Registering(census.counts().clone()));
+                }
+                let initial = write_plan(duties, name, census.counts()).await?;
+                tracing::info!(service = name, ?initial, "the first fleet is complete");
+                initial
+            }
+        };
+        self.plans.insert(name.clone(), initial.clone());
+        Ok(FirstFleet::Whole(initial))
     }
 
     async fn order_target(&mut self, duties: &Duties, service: &Service, target: FleetTarget) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::host::Host;
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{HostLoads, InFlightLoad, StoreNews, UpstreamDigest};
+use lagoonlift_policy::dispatch::{HostReport, InFlightLoad, StoreNews, UpstreamDigest};
 use serde::{Deserialize, Serialize};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeSet;
@@ -72,7 +72,7 @@
     /// Grows with each message.
     sequence: u64,
     news: StoreNews,
-    said: HostLoads,
+    report: HostReport,
 }
 
 /// Exchanges loads with the other hosts, for ever.
@@ -96,9 +96,9 @@
         sleep(SEND_INTERVAL).await;
         host.peer_loads.borrow_mut().forget_silent(clock::now());
         host.store_readers.borrow_mut().forget_silent(clock::now());
-        let said = own_loads(&host);
+        let report = own_report(&host);
         let news = host.store_news.get();
-        let is_busy = said != HostLoads::default() || news.is_reading;
+        let is_busy = report != HostReport::default() || news.is_reading;
         // The first idle message tells the peers; more would say the same.
         if is_busy || was_busy {
             sequence += 1;
@@ -106,7 +106,7 @@
                 host: host.start_id,
                 sequence,
                 news,
-                said,
+                report,
             };
             let peers = next_peers(&host.peers.borrow(), address, sequence, FANOUT);
             send(&socket, &PeerMessage::Load(message), &peers).await;
@@ -117,7 +117,7 @@
 
 /// Returns what this host says; the largest loads, if there are too many for a
 /// datagram.
-fn own_loads(host: &Host) -> HostLoads {
+fn own_report(host: &Host) -> HostReport {
     let table = host.table.borrow();
     let busy = table.iter().filter(|(_, one)| one.in_flight > 0);
     let mut loads: Vec<(UpstreamDigest, InFlightLoad)> = busy
@@ -135,7 +135,7 @@
     }
     let ordered = host.ordered.borrow();
     let changing = ordered.iter().filter_map(|key| table.get(*key));
-    HostLoads {
+    HostReport {
         loads,
         changing: changing.take(MAX_CHANGING).map(|one| one.digest).collect(),
     }
@@ -228,7 +228,7 @@
             let mut readers = host.store_readers.borrow_mut();
             readers.note(now, load.host, address, load.news);
             let mut loads = host.peer_loads.borrow_mut();
-            loads.note(now, load.host, load.sequence, load.said);
+            loads.note(now, load.host, load.sequence, load.report);
             None
         }
         PeerMessage::ProofQuery { asked_at_us } => {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,8 @@
 //! Runs one admitted request: chooses upstreams, sends, sends again where that
 //! is allowed, and returns the answer or the reason why there is none.
 
+mod read_ahead;
+
 use crate::admit::Admitted;
 use crate::clock;
 use crate::host::Host;
@@ -9,27 +11,17 @@
 use crate::send::{Answer, SendOrder, SendOutcome, send};
 use bytes::Bytes;
 use http::response::Parts;
-use lagoonlift_adapter::runner::{UpstreamTask, decode_prompt_handle};
+use lagoonlift_adapter::runner::UpstreamTask;
+use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
     AttemptLedger, FleetView, NextStep, Placement, PromptPlan, PromptRefusal, RefusalCause,
     SendResult, return_time,
 };
-use lagoonlift_policy::{Timestamp, UpstreamKey};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Share of the time left that a prompt's reading is waited for, so that
-/// another engine can still read it.
-const READ_SHARE: f64 = 0.45;
-
-/// A read is waited for this many times as long as it is expected to take,
-const READ_MARGIN: u32 = 3;
-
-/// and this much longer; then another engine is asked.
-const READ_PATIENCE: Duration = Duration::from_millis(400);
-
 /// Engines that are asked to read one prompt.
 const READ_TRIES: u32 = 2;
 
@@ -230,71 +222,6 @@
         }
     }
 
-    /// Has a prompt read; on success its memory is at hand afterwards.
-    async fn read_ahead(&mut self, reader: UpstreamKey, parts_from: Option<UpstreamKey>) {
-        let tokens = self.admitted.outgoing.request.prompt.tokens_in;
-        let task = UpstreamTask::ReadPrompt {
-            parts_from: parts_from.and_then(|holder| self.address_of(holder)),
-        };
-        let mut order = self.order(reader, task, u64::from(tokens));
-        let queued_tokens = self.queued_tokens(reader) + u64::from(tokens);
-        order.until = self.read_until(queued_tokens);
-        let Some(order) = self.take_allowance(order) else {
-            self.tried.push(reader);
-            return;
-        };
-        let sent_at = clock::now();
-        let outcome = send(&self.host, &self.admitted.outgoing, order).await;
-        let result = match outcome {
-            SendOutcome::Answered(answer) if answer.head.status.is_success() => {
-                let latency = clock::now().since(sent_at);
-                self.host
-                    .placement
-                    .borrow_mut()
-                    .note_read(queued_tokens, latency);
-                self.path.reader = self.name_of(reader);
-                self.path.read_time = Some(latency);
-                match self.take_memory(reader, answer).await {
-                    true => return self.ledger.note_read(),
-                    false => SendResult::Unknown,
-                }
-            }
-            SendOutcome::NotSent(_) => {
-                self.put_back();
-                SendResult::NotSent
-            }
-            SendOutcome::NotRun => SendResult::NotRun,
-            _ => SendResult::Unknown,
-        };
-        self.tried.push(reader);
-        self.ledger.note_failed_read(result);
-    }
-
-    /// Returns the prompt tokens that all hosts have waiting at an engine.
-    fn queued_tokens(&self, engine: UpstreamKey) -> u64 {
-        let table = self.host.table.borrow();
-        let peers = self.host.peer_loads.borrow();
-        table.get(engine).map_or(0, |one| one.backlog(&peers))
-    }
-
-    fn read_until(&self, queued_tokens: u64) -> Timestamp {
-        let now = clock::now();
-        let longest = self.admitted.until.since(now).mul_f64(READ_SHARE);
-        let expected = self.host.placement.borrow().read_time(queued_tokens);
-        now + longest.min(READ_PATIENCE + expected * READ_MARGIN)
-    }
-
-    async fn take_memory(&mut self, reader: UpstreamKey, answer: Box<Answer>) -> bool {
-        let holder = self.address_of(reader);
-        let body = answer.read_whole().await;
-        let handle = match (holder, &body) {
-            (Some(holder), Ok((_, body))) => decode_prompt_handle(holder, body),
-            _ => None,
-        };
-        self.memory = handle.map(|handle| PromptMemory::new(&self.host, reader, handle));
-        self.memory.is_some()
-    }
-
     /// Takes a repeat from the allowance if the send is one.
     fn take_allowance(&self, order: SendOrder) -> Option<SendOrder> {
         let is_repeat = self.ledger.next_is_repeat();
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -43,7 +43,7 @@
     ClientLimits, ConfigVersion, EngineTraits, RepeatKind, Route, RouteKey, ScaleTraits, Service,
     ServiceWeight, ServingConfig, Workspace, WorkspaceIndex,
 };
-pub use peer_load::{HostLoads, InFlightLoad, PeerLoads, UpstreamDigest};
+pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
     FleetView, Placement, PlacementLimits, PromptFacts, PromptPart, PromptPlan, PromptRefusal,
 };
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -41,7 +41,7 @@
 
 /// What one host says of the upstreams.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HostLoads {
+pub struct HostReport {
     /// What it has in flight.
     pub loads: Vec<(UpstreamDigest, InFlightLoad)>,
     /// Engines that it has ordered to change their role and that haven't yet.
@@ -52,15 +52,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerLoads {
     /// By host; a host is known by a number of its start.
-    hosts: HashMap<u64, HeardLoads>,
+    hosts: HashMap<u64, HeardReport>,
     totals: HashMap<UpstreamDigest, InFlightLoad>,
 }
 
 #[derive(Clone, Debug)]
-struct HeardLoads {
+struct HeardReport {
     sequence: u64,
     seen_at: Timestamp,
-    said: HostLoads,
+    report: HostReport,
 }
 
 impl PeerLoads {
@@ -70,32 +70,32 @@
     }
 
     /// Takes in what a host says; older messages than the newest are ignored.
-    pub fn note(&mut self, now: Timestamp, host: u64, sequence: u64, said: HostLoads) {
+    pub fn note(&mut self, now: Timestamp, host: u64, sequence: u64, report: HostReport) {
         let newest = self.hosts.get(&host).map(|known| known.sequence);
         if newest.is_some_and(|newest| newest >= sequence) {
             return;
         }
-        let heard = HeardLoads {
+        let heard = HeardReport {
             sequence,
             seen_at: now,
-            said,
+            report,
         };
-        self.add(&heard.said.loads);
+        self.add(&heard.report.loads);
         if let Some(before) = self.hosts.insert(host, heard) {
-            self.subtract(&before.said.loads);
+            self.subtract(&before.report.loads);
         }
     }
 
     /// Forgets hosts that have been silent.
     pub fn forget_silent(&mut self, now: Timestamp) {
-        let is_silent = |host: &HeardLoads| now.since(host.seen_at) >= FORGET_AFTER;
-        let silent: Vec<HeardLoads> = self
+        let is_silent = |host: &HeardReport| now.since(host.seen_at) >= FORGET_AFTER;
+        let silent: Vec<HeardReport> = self
             .hosts
             .extract_if(|_, host| is_silent(host))
             .map(|(_, host)| host)
             .collect();
         for host in silent {
-            self.subtract(&host.said.loads);
+            self.subtract(&host.report.loads);
         }
     }
 
@@ -107,7 +107,7 @@
     /// Returns whether another host has ordered an engine to change its role.
     pub fn is_changing(&self, upstream: UpstreamDigest) -> bool {
         let mut hosts = self.hosts.values();
-        hosts.any(|host| host.said.changing.contains(&upstream))
+        hosts.any(|host| host.report.changing.contains(&upstream))
     }
 
     fn add(&mut self, loads: &[(UpstreamDigest, InFlightLoad)]) {
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -9,23 +9,24 @@
 //! own. All of them rank the same engines in the same way and only the owner of
 //! the first one acts, so that data centres don't change roles in step.
 
+mod models;
+mod roles;
+
 use crate::budget::ChangeBudget;
 use crate::forecast::WorkForecast;
 use crate::purchase::{PurchaseChoice, PurchasePlanner};
-use crate::split::{self, PayingStep, RoleCounts};
+use crate::split;
 use crate::{
     EngineFacts, EngineState, FleetAction, FleetEvent, FleetLimits, LoadReport, PhaseWork,
     Timestamp, UpstreamKey,
 };
 use lagoonlift_types::{DataCentreName, ModelName, Supply, UpstreamRole};
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Time over which work that waits at the entry is to be caught up with.
 const CATCH_UP: Duration = Duration::from_secs(20);
-/// Time that another data centre gets for a change that is its turn.
-const TURN_PATIENCE: Duration = Duration::from_secs(6);
 
 #[derive(Debug)]
 pub(crate) struct EngineRecord {
@@ -209,144 +210,6 @@
         self.changing(model).count()
     }
 
-    fn plan_role(
-        &mut self,
-        now: Timestamp,
-        model: &ModelName,
-        work: PhaseWork,
-        actions: &mut Vec<FleetAction>,
-    ) {
-        let serving = RoleCounts::of(self.serving(model).map(|engine| engine.facts.role));
-        // Counted where they will be; otherwise the same need would be met twice.
-        let coming = self.changing(model).map(|engine| match engine.facts.role {
-            UpstreamRole::Prefill => UpstreamRole::Decode,
-            UpstreamRole::Decode => UpstreamRole::Prefill,
-            UpstreamRole::Mixed => UpstreamRole::Mixed,
-        });
-        let counts = serving.plus(RoleCounts::of(coming));
-        let total = counts.total();
-        let permitted_away = total.div_ceil(self.limits.engines_per_absence).max(1);
-        let best = split::best_step(counts, work, &self.limits);
-        let Some(PayingStep { step, return_ratio }) =
-            best.filter(|best| self.spares(model, best.step.from))
-        else {
-            // Patience counts from when the need came up, not from an earlier one.
-            if let Some(record) = self.models.get_mut(model) {
-                record.awaited = None;
-            }
-            return;
-        };
-        let away = self.away(model);
-        let budget = &self.models[model].budget;
-        if away >= permitted_away || !budget.permits(away, return_ratio, &self.limits) {
-            return;
-        }
-        let Some(engine) = self.turn(now, model, step.from) else {
-            return;
-        };
-        self.engines[engine].ordered_change = true;
-        self.engines[engine].changed_at = Some(now);
-        actions.push(FleetAction::ChangeRole {
-            engine,
-            role: step.to,
-        });
-    }
-
-    /// Returns the own engine that is to leave `role`, if it's this data
-    /// centre's turn.
-    fn turn(
-        &mut self,
-        now: Timestamp,
-        model: &ModelName,
-        role: UpstreamRole,
-    ) -> Option<UpstreamKey> {
-        let first = self.ranked(now, model, role, |_| true)?;
-        let has_role = |engine: &&EngineRecord| engine.facts.role == role;
-        let in_role = self.serving(model).filter(has_role).count();
-        let data_centres = self.data_centres();
-        let patience = TURN_PATIENCE * self.place_in_turn();
-        let record = self.models.get_mut(model)?;
-        if self.engines[first].facts.data_centre == self.data_centre {
-            record.awaited = None;
-            return Some(first);
-        }
-        match record.awaited {
-            // Every other data centre may lose its patience, too: each takes one
-            // engine at most, so one must be left after all have.
-            Some((key, since))
-                if key == first && now.since(since) >= patience && in_role > data_centres =>
-            {
-                let own = self.data_centre.clone();
-                self.ranked(now, model, role, |engine| engine.facts.data_centre == own)
-            }
-            Some((key, _)) if key == first => None,
-            _ => {
-                record.awaited = Some((first, now));
-                None
-            }
-        }
-    }
-
-    /// Returns 1 for the first data centre by name, 2 for the second and so on:
-    /// one after the other loses its patience, not all at once.
-    fn place_in_turn(&self) -> u32 {
-        let names = self
-            .engines
-            .values()
-            .map(|engine| &engine.facts.data_centre);
-        let earlier: BTreeSet<_> = names.filter(|name| **name < self.data_centre).collect();
-        earlier.len() as u32 + 1
-    }
-
-    fn data_centres(&self) -> usize {
-        let names = self
-            .engines
-            .values()
-            .map(|engine| &engine.facts.data_centre);
-        names.collect::<BTreeSet<_>>().len()
-    }
-
-    /// Returns the engine that should leave `role` first: from the data centre
-    /// with the most of that role, then the least loaded.
-    fn ranked(
-        &self,
-        now: Timestamp,
-        model: &ModelName,
-        role: UpstreamRole,
-        eligible: impl Fn(&EngineRecord) -> bool,
-    ) -> Option<UpstreamKey> {
-        let mut per_site: BTreeMap<&DataCentreName, usize> = BTreeMap::new();
-        for engine in self.serving(model) {
-            if engine.facts.role == role {
-                *per_site.entry(&engine.facts.data_centre).or_default() += 1;
-            }
-        }
-        let rested = |engine: &EngineRecord| {
-            engine
-                .changed_at
-                .is_none_or(|at| now.since(at) >= self.limits.dwell)
-        };
-        let candidates = self.engines.iter().filter(|(_, engine)| {
-            engine.facts.model == *model
-                && engine.facts.role == role
-                && engine.facts.state == EngineState::Serving
-                && !engine.ordered_change
-                && rested(engine)
-                && eligible(engine)
-        });
-        candidates
-            .min_by_key(|(_, engine)| {
-                let count = per_site.get(&engine.facts.data_centre).copied();
-                let streams = engine.load.map_or(0, |(_, load)| load.active_streams);
-                let backlog = engine
-                    .load
-                    .map_or(0, |(_, load)| load.prefill_backlog_tokens);
-                let load = u64::from(streams) + backlog;
-                (std::cmp::Reverse(count), load, &engine.facts.name)
-            })
-            .map(|(key, _)| key)
-    }
-
     fn plan_purchases(
         &mut self,
         now: Timestamp,
@@ -409,54 +272,4 @@
         let own = self.engines.values().filter(configured).filter(is_own);
         own.count() as f64 / all as f64
     }
-
-    /// Moves one engine to a model that has too few, within the rate limit of
-    /// the weight store.
-    fn plan_models(&mut self, now: Timestamp, actions: &mut Vec<FleetAction>) {
-        while let Some(at) = self.recent_loads.front()
-            && now.since(*at) >= Duration::from_secs(60)
-        {
-            self.recent_loads.pop_front();
-        }
-        if self.recent_loads.len() >= self.limits.loads_per_minute as usize {
-            return;
-        }
-        let Some((engine, model)) = self.model_move(now) else {
-            return;
-        };
-        self.engines[engine].ordered_change = true;
-        self.engines[engine].changed_at = Some(now);
-        self.recent_loads.push_back(now);
-        actions.push(FleetAction::LoadModel { engine, model });
-    }
-
-    fn model_move(&self, now: Timestamp) -> Option<(UpstreamKey, ModelName)> {
-        let long_utilisation = |model: &ModelName, engines: usize| {
-            let record = &self.models[model];
-            let fresh = record
-                .forecast
-                .updated_at()
-                .is_some_and(|at| now.since(at) <= self.limits.stale_after);
-            fresh.then(|| record.forecast.long_term().total() / engines.max(1) as f64)
-        };
-        let needy = self.models.keys().find(|model| {
-            let engines = self.serving(model).count();
-            self.away(model) == 0
-                && long_utilisation(model, engines).is_some_and(|u| u > self.limits.order_above)
-        })?;
-        let donor = |engine: &EngineRecord| {
-            let model = &engine.facts.model;
-            let remaining = self.serving(model).count().saturating_sub(1);
-            model != needy
-                && engine.facts.data_centre == self.data_centre
-                && engine.facts.state == EngineState::Serving
-                && !engine.ordered_change
-                && engine.facts.loadable.contains(needy)
-                && self.away(model) == 0
-                && self.spares(model, engine.facts.role)
-                && long_utilisation(model, remaining).is_some_and(|u| u < self.limits.release_below)
-        };
-        let (key, _) = self.engines.iter().find(|(_, engine)| donor(engine))?;
-        Some((key, needy.clone()))
-    }
 }
--- a/crates/policy/tests/all/dispatch/peer_loads.rs
+++ b/crates/policy/tests/all/dispatch/peer_loads.rs
@@ -1,7 +1,9 @@
 //! What hosts tell each other of the upstreams, against a plain sum.
 
 use super::support::at_ms;
-use lagoonlift_policy::dispatch::{HostLoads, InFlightLoad, PeerLoads, UpstreamDigest, UpstreamId};
+use lagoonlift_policy::dispatch::{
+    HostReport, InFlightLoad, PeerLoads, UpstreamDigest, UpstreamId,
+};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use std::collections::HashMap;
 
@@ -37,17 +39,17 @@
 }
 
 impl Message {
-    fn said(&self) -> HostLoads {
+    fn report(&self) -> HostReport {
         let load = |requests| InFlightLoad {
             requests,
             reading_tokens: u64::from(requests) * 9_000,
         };
         let loads = self.requests.iter();
-        HostLoads {
+        HostReport {
             loads: loads
                 .map(|(upstream, requests)| (digest(*upstream), load(*requests)))
                 .collect(),
-            ..HostLoads::default()
+            ..HostReport::default()
         }
     }
 
@@ -76,7 +78,7 @@
         let mut now_ms = 0;
         messages.into_iter().all(|message| {
             now_ms += message.pause_ms;
-            peers.note(at_ms(now_ms), message.host, message.sequence, message.said());
+            peers.note(at_ms(now_ms), message.host, message.sequence, message.report());
             let known = newest.get(&message.host);
             if known.is_none_or(|known| known.message.sequence < message.sequence) {
                 newest.insert(message.host, Newest { message, seen_ms: now_ms });
--- a/crates/policy/tests/all/dispatch/placement.rs
+++ b/crates/policy/tests/all/dispatch/placement.rs
@@ -3,7 +3,7 @@
 use crate::dispatch::support::{at_ms, engine, key_of, prompt, table_of, view};
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    EngineRole, FleetView, HostLoads, InFlightLoad, ListChange, PeerLoads, Placement,
+    EngineRole, FleetView, HostReport, InFlightLoad, ListChange, PeerLoads, Placement,
     PlacementLimits, PromptFacts, PromptPlan, PromptRefusal, UpstreamDigest, UpstreamId,
     UpstreamTable,
 };
@@ -99,11 +99,11 @@
         requests: 6,
         reading_tokens: 60_000,
     };
-    let said = HostLoads {
+    let report = HostReport {
         loads: vec![(digest, busy)],
-        ..HostLoads::default()
+        ..HostReport::default()
     };
-    peers.note(at_ms(0), 1, 1, said);
+    peers.note(at_ms(0), 1, 1, report);
     assert_ne!(choose(&table, &peers, &facts), Ok(home));
     // A host that has vanished has nothing in flight.
     peers.forget_silent(at_ms(400));
@@ -203,11 +203,11 @@
         let key = key_of(&table, number);
         table.get(key).expect("listed").digest
     };
-    let said = HostLoads {
+    let report = HostReport {
         changing: vec![digest_of(0), digest_of(8)],
-        ..HostLoads::default()
+        ..HostReport::default()
     };
-    peers.note(at_ms(0), 1, 1, said);
+    peers.note(at_ms(0), 1, 1, report);
     let changing: Vec<UpstreamKey> = table
         .iter()
         .filter(|(_, one)| peers.is_changing(one.digest))
--- /dev/null
+++ b/crates/standins/src/model/steps.rs
@@ -0,0 +1,190 @@
+//! What an engine does from one step to the next.
+
+use super::{ActiveStream, EngineEvent, EngineModel, JobPhase, RoleChange, Step, reserved_tokens};
+use lagoonlift_policy::Timestamp;
+use std::collections::VecDeque;
+
+impl EngineModel {
+    /// Ends what has ended by `now`, appends what came of it and starts the
+    /// next step.
+    pub fn advance(&mut self, now: Timestamp, events: &mut Vec<EngineEvent>) {
+        if let Some(step) = self.step
+            && step.ends_at <= now
+        {
+            self.step = None;
+            self.end_chunk(step, events);
+            self.end_iterations(step, events);
+        }
+        if let Some(RoleChange::Away(role, until)) = self.change
+            && until <= now
+        {
+            self.change = None;
+            self.role = role;
+            events.push(EngineEvent::RoleChanged { role });
+        }
+        self.drop_cancelled();
+        self.continue_change(now);
+        self.start_step(now);
+    }
+
+    fn end_chunk(&mut self, step: Step, events: &mut Vec<EngineEvent>) {
+        let Some((id, tokens)) = step.chunk else {
+            return;
+        };
+        let mut queues = self.waiting.values_mut().flatten();
+        let Some(waiting) = queues.find(|waiting| waiting.job.id == id) else {
+            return;
+        };
+        waiting.unread_tokens -= tokens.min(waiting.unread_tokens);
+        let job = waiting.job;
+        if waiting.unread_tokens > 0 {
+            return;
+        }
+        self.cache.insert(job.prefix, events);
+        match job.phase {
+            JobPhase::PrefillOnly => {
+                self.remove_waiting(id);
+                self.kv_tokens -= job.prompt_tokens;
+                events.push(EngineEvent::Prefilled { id });
+            }
+            JobPhase::Whole | JobPhase::DecodeOnly => {}
+        }
+    }
+
+    fn end_iterations(&mut self, step: Step, events: &mut Vec<EngineEvent>) {
+        for stream in &mut self.streams {
+            if stream.generated == 0 && step.iterations > 0 {
+                events.push(EngineEvent::FirstToken { id: stream.job.id });
+            }
+            stream.generated += step.iterations;
+        }
+        let mut freed = 0;
+        self.streams.retain(|stream| {
+            let done = stream.generated >= stream.job.output_tokens;
+            if done {
+                freed += stream.job.prompt_tokens + stream.job.output_tokens;
+                events.push(EngineEvent::Completed { id: stream.job.id });
+            }
+            !done
+        });
+        self.kv_tokens -= freed;
+    }
+
+    fn remove_waiting(&mut self, id: u64) {
+        for queue in self.waiting.values_mut() {
+            queue.retain(|waiting| waiting.job.id != id);
+        }
+    }
+
+    fn drop_cancelled(&mut self) {
+        if self.cancelled.is_empty() {
+            return;
+        }
+        let cancelled = std::mem::take(&mut self.cancelled);
+        let mut freed = 0;
+        for queue in self.waiting.values_mut() {
+            queue.retain(|waiting| {
+                let keep = !cancelled.contains(&waiting.job.id);
+                if !keep && waiting.started {
+                    freed += reserved_tokens(&waiting.job);
+                }
+                keep
+            });
+        }
+        self.streams.retain(|stream| {
+            let keep = !cancelled.contains(&stream.job.id);
+            if !keep {
+                freed += stream.job.prompt_tokens + stream.job.output_tokens;
+            }
+            keep
+        });
+        self.kv_tokens -= freed;
+    }
+
+    pub(super) fn continue_change(&mut self, now: Timestamp) {
+        let idle = self.streams.is_empty() && self.waiting.values().all(VecDeque::is_empty);
+        if let Some(RoleChange::Draining(role)) = self.change
+            && idle
+        {
+            let until = now + self.costs.role_change;
+            self.change = Some(RoleChange::Away(role, until));
+        }
+    }
+
+    pub(super) fn start_step(&mut self, now: Timestamp) {
+        if self.step.is_some() || matches!(self.change, Some(RoleChange::Away(..))) {
+            return;
+        }
+        self.fill_batch();
+        let chunk = self.next_chunk();
+        let iterations = self.iterations(chunk.is_some());
+        if chunk.is_none() && iterations == 0 {
+            return;
+        }
+        let chunk_tokens = chunk.map_or(0, |(_, tokens)| tokens);
+        let duration = self
+            .costs
+            .step(chunk_tokens, self.streams.len(), iterations);
+        self.busy += duration;
+        self.step = Some(Step {
+            ends_at: now + duration,
+            chunk,
+            iterations,
+        });
+    }
+
+    /// Moves jobs whose prompts are read into the batch, while it has room.
+    fn fill_batch(&mut self) {
+        for queue in self.waiting.values_mut() {
+            let mut index = 0;
+            while index < queue.len() && self.streams.len() < self.costs.batch_limit {
+                let waiting = &mut queue[index];
+                let reserved = reserved_tokens(&waiting.job);
+                let has_memory = self.kv_tokens + reserved <= self.costs.kv_tokens;
+                match () {
+                    () if waiting.unread_tokens > 0 => index += 1,
+                    () if !waiting.started && !has_memory => return,
+                    () => {
+                        if !waiting.started {
+                            self.kv_tokens += reserved;
+                        }
+                        let job = waiting.job;
+                        queue.remove(index);
+                        self.streams.push(ActiveStream { job, generated: 0 });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Picks the prompt to read on: the first by priority that fits in memory.
+    fn next_chunk(&mut self) -> Option<(u64, u64)> {
+        let mut unread = self.waiting.values_mut().flatten();
+        let waiting = unread.find(|waiting| waiting.unread_tokens > 0)?;
+        if !waiting.started {
+            let reserved = reserved_tokens(&waiting.job);
+            if self.kv_tokens + reserved > self.costs.kv_tokens {
+                return None;
+            }
+            self.kv_tokens += reserved;
+            waiting.started = true;
+            let cached = self.cache.cached_tokens(waiting.job.prefix);
+            waiting.unread_tokens -= cached.min(waiting.unread_tokens - 1);
+        }
+        let limit = match self.streams.is_empty() {
+            true => self.costs.chunk_tokens,
+            false => self.costs.mixed_chunk_tokens,
+        };
+        Some((waiting.job.id, waiting.unread_tokens.min(limit)))
+    }
+
+    /// Returns how many tokens each stream generates in the next step.
+    fn iterations(&self, reads: bool) -> u64 {
+        let remaining = |stream: &ActiveStream| stream.job.output_tokens - stream.generated;
+        let shortest = self.streams.iter().map(remaining).min().unwrap_or(0);
+        match reads {
+            true => shortest.min(1),
+            false => shortest.min(self.costs.iterations_per_step),
+        }
+    }
+}
