Logs: successes are sampled under load, dropped lines are counted

One line each up to 100 a second and host, beyond that every tenth, with the number left out on the next; failures, refusals and what took more than one send are always written. lagoonlift_log_lines_dropped counts what a slow standard output cost. Tests: burst_is_sampled_and_the_rest_is_counted (seen failing with every line written), stalled_reader_stalls_nobody_and_drops_are_counted (seen hanging with a writer that waits, failing without the count).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::relay::StreamRelay;
 use crate::reply::{Refusal, ReplyBody, whole};
 use crate::run::{Run, RunEnd};
-use crate::trace::RequestTrace;
+use crate::trace::{ANSWERED, RequestTrace};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -61,7 +61,7 @@
             RunEnd::Whole(parts, body) => {
                 trace.note_first_byte();
                 trace.end(match parts.status.is_success() {
-                    true => "answered",
+                    true => ANSWERED,
                     false => "failed",
                 });
                 return whole(parts.status, reply_headers(&parts.headers), body);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,6 +14,7 @@
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
+use lagoonlift_telemetry::LineSampler;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -39,6 +40,8 @@
     pub(crate) changing: RefCell<Vec<UpstreamKey>>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
     pub(crate) store_readers: RefCell<StoreReaders>,
+    /// Which lines about requests that went well are written.
+    pub(crate) success_lines: RefCell<LineSampler>,
     /// What this host knows of the upstreams' list, for other hosts.
     pub(crate) store_news: Cell<StoreNews>,
     /// Where other hosts are told of loads.
@@ -78,6 +81,7 @@
             changing: RefCell::new(Vec::new()),
             peer_loads: RefCell::new(PeerLoads::new()),
             store_readers: RefCell::new(StoreReaders::new(start_id)),
+            success_lines: RefCell::new(LineSampler::new()),
             store_news: Cell::new(StoreNews::default()),
             peers: RefCell::new(BTreeSet::new()),
             proof: RefCell::new(ConfigProof::new(limits)),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::reply::{RelayError, ReplyBody};
 use crate::run::{Run, RunEnd};
 use crate::send::Answer;
-use crate::trace::RequestTrace;
+use crate::trace::{ANSWERED, RequestTrace};
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
@@ -79,7 +79,7 @@
             match relay.next_events(first).await {
                 Ok(Some(events)) => Some((Ok(Frame::data(events)), (Some(relay), None))),
                 Ok(None) => {
-                    relay.trace.end("answered");
+                    relay.trace.end(ANSWERED);
                     None
                 }
                 Err(error) => {
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -6,9 +6,13 @@
 use crate::run::RunPath;
 use lagoonlift_policy::Timestamp;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Writes one line when the request ends, however it ends.
+/// Outcome of a request that an upstream answered with success.
+pub(crate) const ANSWERED: &str = "answered";
+
+/// Writes one line when the request ends, however it ends. Of those that went
+/// well at the first send only a sample is written while there are many.
 pub(crate) struct RequestTrace {
     host: Rc<Host>,
     request_id: String,
@@ -76,6 +80,15 @@
         self.host
             .metrics
             .count_request(&self.route, outcome, duration);
+        let left_out = match outcome {
+            ANSWERED if self.path.sends <= 1 && self.resumes == 0 => {
+                self.host.success_lines.borrow_mut().take(Instant::now())
+            }
+            _ => Some(0),
+        };
+        let Some(left_out) = left_out else {
+            return;
+        };
         let config = self.host.config().map(|config| config.version().0);
         let proof_age = self.host.proof.borrow().age(now);
         tracing::info!(
@@ -93,6 +106,7 @@
             duration_ms = duration.as_millis() as u64,
             config,
             proof_age_ms = proof_age.map(|age| age.as_millis() as u64),
+            left_out = (left_out > 0).then_some(left_out),
             "request ended"
         );
     }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,10 +8,11 @@
 mod admin;
 mod logs;
 mod metrics;
+mod readiness;
+mod sampler;
 
 pub use admin::admin_routes;
-pub use logs::{LogFlush, LogStyle, init_logs, init_stdout_logs};
+pub use logs::{LogFlush, LogStyle, init_logs, init_stdout_logs, lossy_writer};
 pub use metrics::{LATENCY_BUCKETS, Metrics, counter, histogram};
 pub use readiness::Readiness;
-
-mod readiness;
+pub use sampler::LineSampler;
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,8 +1,9 @@
 //! Set-up of the log lines of a process.
 
+use crate::Metrics;
 use eyre::{Result, WrapErr, eyre};
-use std::io;
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use std::io::{self, Write};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// How log lines are written.
@@ -41,6 +42,34 @@
 #[derive(Debug)]
 pub struct LogFlush {
     _guard: WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+impl LogFlush {
+    /// Counts the lines that are dropped as `lagoonlift_log_lines_dropped`.
+    pub fn count_drops(&self, metrics: &Metrics) {
+        let dropped = self.dropped.clone();
+        metrics
+            .meter()
+            .u64_observable_counter("lagoonlift_log_lines_dropped")
+            .with_description("Log lines that were dropped as standard output was too slow.")
+            .with_callback(move |observer| observer.observe(dropped.dropped_lines() as u64, &[]))
+            .build();
+    }
+}
+
+/// Returns a writer that never waits for `sink`, and what flushes it.
+pub fn lossy_writer(sink: impl Write + Send + 'static) -> (NonBlocking, LogFlush) {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(MAX_WAITING_LINES)
+        .lossy(true)
+        .finish(sink);
+    let dropped = writer.error_counter();
+    let flush = LogFlush {
+        _guard: guard,
+        dropped,
+    };
+    (writer, flush)
 }
 
 /// Starts writing log lines as JSON to standard output, from a thread of its own.
@@ -50,10 +79,7 @@
 /// Fails when `filter` can't be parsed or logs have been started before.
 pub fn init_stdout_logs(filter: &str) -> Result<LogFlush> {
     let filter = EnvFilter::try_new(filter).wrap_err("the log filter can't be parsed")?;
-    let (writer, guard) = NonBlockingBuilder::default()
-        .buffered_lines_limit(MAX_WAITING_LINES)
-        .lossy(true)
-        .finish(io::stdout());
+    let (writer, flush) = lossy_writer(io::stdout());
     let result = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(writer)
@@ -62,5 +88,5 @@
         .flatten_event(true)
         .try_init();
     result.map_err(|error| eyre!("logs can't be started: {error}"))?;
-    Ok(LogFlush { _guard: guard })
+    Ok(flush)
 }
--- /dev/null
+++ b/crates/telemetry/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Log lines under load.
+
+mod logs;
+mod sampler;
--- a/src/bin/lagoonlift-gateway.rs
+++ b/src/bin/lagoonlift-gateway.rs
@@ -6,6 +6,7 @@
 use lagoonlift::gateway::Gateway;
 use lagoonlift::settings::GatewaySettings;
 use lagoonlift::telemetry::{LogFlush, Metrics, init_stdout_logs};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::runtime;
 use tokio::task::LocalSet;
@@ -29,18 +30,20 @@
         GatewayAction::Run(settings, file) => (*settings, file),
         GatewayAction::End(status) => return Ok(status),
     };
-    let _flush: LogFlush = init_stdout_logs(LOG_FILTER)?;
+    let flush: LogFlush = init_stdout_logs(LOG_FILTER)?;
+    let metrics = Metrics::new()?;
+    flush.count_drops(&metrics);
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("the runtime can't be started")?;
-    LocalSet::new().block_on(&runtime, run(settings, file))?;
+    LocalSet::new().block_on(&runtime, run(settings, file, metrics))?;
     Ok(ExitCode::SUCCESS)
 }
 
-async fn run(settings: GatewaySettings, file: std::path::PathBuf) -> Result<()> {
+async fn run(settings: GatewaySettings, file: PathBuf, metrics: Metrics) -> Result<()> {
     let mut signal = StopSignal::listen()?;
-    let gateway = Gateway::start(settings, file, Metrics::new()?)?;
+    let gateway = Gateway::start(settings, file, metrics)?;
     gateway.stop(signal.wait()).await;
     Ok(())
 }
