A data centre that is cut off is learnt from two silent upstreams

Ruled out: stale lists (all were listed and alive), broken kept connections (10 of 160 failures).

The upstream table now keeps the reachability of data centres: two upstreams silent and no answer since, and the whole data centre is passed over; one request in 0.5 to 1.2 s tries it. An answer clears it. With no other upstream it is used all the same. A line in the log each time. Tests in dispatch/reachability.rs, each seen failing.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -56,9 +56,12 @@
 /// Why a call gave no answer.
 #[derive(Debug, Error)]
 pub(crate) enum CallError {
-    /// The connection never opened, or closed before the request was sent.
+    /// The connection was refused, or closed before the request was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The connection did not open in time.
+    #[error("not opened: {0}")]
+    NotOpened(String),
     /// The request was sent, or may have been.
     #[error("no answer: {0}")]
     Lost(String),
@@ -220,7 +223,7 @@
     let not_sent = |error: String| CallError::NotSent(format!("{address}: {error}"));
     let stream = timeout(limit, TcpStream::connect(address))
         .await
-        .map_err(|_| not_sent(format!("did not open within {limit:?}")))?
+        .map_err(|_| CallError::NotOpened(format!("{address}: nothing came within {limit:?}")))?
         .map_err(|error| not_sent(error.to_string()))?;
     set_options(&stream);
     reset_on_close(&stream);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -256,7 +256,7 @@
                 Ok(end) => return Ok(end),
                 Err(result) => result,
             },
-            SendOutcome::NotSent(detail) => {
+            SendOutcome::NotSent(detail) | SendOutcome::NotOpened(detail) => {
                 tracing::debug!(detail, "not sent");
                 self.put_back();
                 SendResult::NotSent
@@ -274,7 +274,7 @@
     /// Takes in what a send from memory shows of the memory.
     fn note_memory(&mut self, outcome: &SendOutcome) {
         let was_taken = match outcome {
-            SendOutcome::NotSent(_) => return,
+            SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => return,
             SendOutcome::NotRun => false,
             _ => true,
         };
--- a/crates/gateway/src/run/read_ahead.rs
+++ b/crates/gateway/src/run/read_ahead.rs
@@ -53,7 +53,7 @@
                     false => SendResult::Unknown,
                 }
             }
-            SendOutcome::NotSent(_) => {
+            SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
                 self.put_back();
                 SendResult::NotSent
             }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -46,6 +46,8 @@
     Answered(Box<Answer>),
     /// Nothing reached the upstream.
     NotSent(String),
+    /// No connection opened in time, so nothing reached the upstream.
+    NotOpened(String),
     /// The upstream states that it did not run the request.
     NotRun,
     /// The request was sent, and no sound answer came.
@@ -124,11 +126,15 @@
     record: &UpstreamRecord,
     order: SendOrder,
 ) -> SendOutcome {
+    host.table
+        .borrow_mut()
+        .note_send(clock::now(), order.upstream);
     let work = UpstreamWork::new(host, order.upstream, order.reading_tokens);
     let peer = PeerKey::Upstream(order.upstream);
     let open_limit = clock::time_until(order.until);
     let mut connection = match host.pool.take(peer, record.address, open_limit).await {
         Ok(connection) => connection,
+        Err(CallError::NotOpened(detail)) => return SendOutcome::NotOpened(detail),
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
     if !may_still_send(host, order.upstream) {
@@ -146,7 +152,9 @@
     };
     let response = match connection.send(call.encode()).await {
         Ok(response) => response,
-        Err(CallError::NotSent(detail)) => return SendOutcome::NotSent(detail),
+        Err(CallError::NotSent(detail) | CallError::NotOpened(detail)) => {
+            return SendOutcome::NotSent(detail);
+        }
         Err(CallError::Lost(detail)) => return SendOutcome::Lost(detail),
     };
     let (parts, body) = response.into_parts();
@@ -196,10 +204,22 @@
             upstream.note_failure(now, false);
         }
         SendOutcome::Answered(_) => upstream.note_answer(now.since(started)),
-        SendOutcome::NotSent(_) => upstream.note_failure(now, true),
+        SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => upstream.note_failure(now, true),
         SendOutcome::NotRun => upstream.note_refusal(now),
         SendOutcome::Lost(_) | SendOutcome::TimedOut => upstream.note_failure(now, false),
     }
+    let data_centre = upstream.record.data_centre.clone();
+    let came_back = match outcome {
+        SendOutcome::Answered(_) | SendOutcome::NotRun => true,
+        SendOutcome::NotOpened(_) | SendOutcome::TimedOut => false,
+        // A connection that breaks shows neither.
+        SendOutcome::NotSent(_) | SendOutcome::Lost(_) => return,
+    };
+    match table.note_contact(now, key, came_back) {
+        true if came_back => tracing::info!(data_centre, "a data centre answers again"),
+        true => tracing::warn!(data_centre, "a data centre is cut off from this host"),
+        false => {}
+    }
 }
 
 impl SendOutcome {
@@ -208,6 +228,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::NotSent(_) => "not-sent",
+            Self::NotOpened(_) => "not-opened",
             Self::NotRun => "not-run",
             Self::Lost(_) => "lost",
             Self::TimedOut => "timed-out",
@@ -216,7 +237,7 @@
 
     fn detail(&self) -> &str {
         match self {
-            Self::NotSent(detail) | Self::Lost(detail) => detail,
+            Self::NotSent(detail) | Self::NotOpened(detail) | Self::Lost(detail) => detail,
             Self::Answered(_) | Self::NotRun | Self::TimedOut => "",
         }
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -124,7 +124,9 @@
         let peer = PeerKey::Address(self.address);
         let result = call(&self.pool, peer, self.address, request, limit).await;
         result.map_err(|error| match error {
-            CallError::NotSent(detail) | CallError::Lost(detail) => StoreError::Lost(detail),
+            CallError::NotSent(detail) | CallError::NotOpened(detail) | CallError::Lost(detail) => {
+                StoreError::Lost(detail)
+            }
         })
     }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -28,6 +28,7 @@
 mod peer_load;
 mod placement;
 mod proof;
+mod reachability;
 mod read_rate;
 mod return_time;
 mod roles;
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -6,6 +6,7 @@
 //! what is missing right after an outage is kept for the time within which the
 //! living are back.
 
+use super::reachability::Reachability;
 use super::{PeerLoads, UpstreamDigest};
 use crate::{Timestamp, UpstreamKey};
 use slotmap::SlotMap;
@@ -232,6 +233,7 @@
     is_store_away: bool,
     /// Entries missing before this time may still come back.
     relisted_by: Option<Timestamp>,
+    reachability: Reachability,
 }
 
 impl UpstreamTable {
@@ -260,17 +262,58 @@
         self.entries.iter()
     }
 
-    /// Returns the upstreams of `service` to which new work may go.
+    /// Returns the upstreams of `service` to which new work may go. Those of a
+    /// data centre that is cut off are among them only if there are no others.
     pub fn usable<'a>(
         &'a self,
         service: &'a str,
         now: Timestamp,
+    ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+        let passes_over = !self.reachability.is_sound()
+            && self
+                .serving(service, now)
+                .any(|(_, upstream)| self.is_reachable(upstream, now));
+        self.serving(service, now)
+            .filter(move |(_, upstream)| !passes_over || self.is_reachable(upstream, now))
+    }
+
+    fn serving<'a>(
+        &'a self,
+        service: &'a str,
+        now: Timestamp,
     ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
         self.entries.iter().filter(move |(_, upstream)| {
             upstream.record.service == service && upstream.is_usable(now)
         })
     }
 
+    fn is_reachable(&self, upstream: &Upstream, now: Timestamp) -> bool {
+        let data_centre = &upstream.record.data_centre;
+        !self.reachability.is_cut_off(now, data_centre)
+    }
+
+    /// Notes that a request is sent to an upstream.
+    pub fn note_send(&mut self, now: Timestamp, key: UpstreamKey) {
+        if let Some(upstream) = self.entries.get(key) {
+            let data_centre = &upstream.record.data_centre;
+            self.reachability.note_send(now, data_centre);
+        }
+    }
+
+    /// Notes whether anything came back from an upstream; `false` if a connection
+    /// or an answer was waited for in vain. Returns whether its data centre has
+    /// come to count as cut off by that, or no longer does.
+    pub fn note_contact(&mut self, now: Timestamp, key: UpstreamKey, came_back: bool) -> bool {
+        let Some(upstream) = self.entries.get(key) else {
+            return false;
+        };
+        let data_centre = &upstream.record.data_centre;
+        match came_back {
+            true => self.reachability.note_answer(data_centre),
+            false => self.reachability.note_silence(now, data_centre, key),
+        }
+    }
+
     /// Notes that a call to the store failed.
     pub fn note_store_away(&mut self) {
         self.is_store_away = true;
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod peer_loads;
 mod placement;
 mod proof;
+mod reachability;
 mod return_times;
 mod roles;
 mod spending;
