--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -76,7 +76,7 @@
     request: &CallerRequest,
     now: Timestamp,
 ) -> Result<Target, Refusal> {
-    let proof = *host.proof.borrow();
+    let proof = host.proof();
     let deny = |status, reason| match proof.covers_denial(now) {
         true => Refusal::invalid(status, reason),
         false => undecided("configuration not proven current"),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -135,7 +135,7 @@
             tracing::warn!(correction_us, "the time of day was set by the other hosts");
         }
         host.pool.close_expired();
-        let age = host.proof.borrow().age(now);
+        let age = host.proof().age(now);
         host.metrics.set_proof_age(age.unwrap_or_default());
         host.record_resources();
     }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -8,9 +8,9 @@
 use crate::metrics::GatewayMetrics;
 use crate::store::StoreClient;
 use lagoonlift_policy::dispatch::{
-    AllowanceLimits, ConfigProof, PeerLoads, Placement, PlacementLimits, ProofLimits,
-    RepeatAllowance, RolePlan, ServingConfig, StoreNews, StoreReaders, Upstream, UpstreamTable,
-    UsageLedger, WallClock,
+    AllowanceLimits, ConfigCurrency, ConfigProof, PeerLoads, Placement, PlacementLimits,
+    ProofLimits, RepeatAllowance, RolePlan, ServingConfig, StoreNews, StoreReaders, Upstream,
+    UpstreamTable, UsageLedger, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -47,7 +47,7 @@
     /// Where other hosts are told of loads.
     pub(crate) peers: RefCell<BTreeSet<SocketAddr>>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
-    pub(crate) proof: RefCell<ConfigProof>,
+    pub(crate) currency: RefCell<ConfigCurrency>,
     /// Told when the store has a newer configuration.
     pub(crate) config_news: Notify,
     pub(crate) table: RefCell<UpstreamTable>,
@@ -84,7 +84,7 @@
             success_lines: RefCell::new(LineSampler::new()),
             store_news: Cell::new(StoreNews::default()),
             peers: RefCell::new(BTreeSet::new()),
-            proof: RefCell::new(ConfigProof::new(limits)),
+            currency: RefCell::new(ConfigCurrency::new(limits)),
             usage: RefCell::new(UsageLedger::new(window_us)),
             wall: RefCell::new(wall),
             config_news: Notify::new(),
@@ -109,13 +109,18 @@
         self.config.borrow().clone()
     }
 
+    /// Returns how surely the configuration in hand is the newest.
+    pub(crate) fn proof(&self) -> ConfigProof {
+        self.currency.borrow().proof()
+    }
+
     /// Returns whether the balancer may send new callers here.
     pub(crate) fn is_ready(&self) -> bool {
         let now = clock::now();
         !self.is_stopping.get()
             && self.config.borrow().is_some()
             && self.table.borrow().is_listed()
-            && self.proof.borrow().covers_readiness(now)
+            && self.proof().covers_readiness(now)
     }
 
     /// Returns whether the process was asked to stop.
@@ -189,7 +194,7 @@
             revocation: bounds.revocation,
             change: bounds.configuration,
         };
-        self.proof.borrow_mut().set_limits(limits);
+        self.currency.borrow_mut().set_limits(limits);
     }
 
     /// Returns how many hosts are known.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,9 +7,11 @@
 use crate::clock;
 use crate::host::Host;
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{HostReport, InFlightLoad, StoreNews, UpstreamDigest};
+use lagoonlift_policy::dispatch::{
+    ConfigVersion, HostReport, InFlightLoad, PeerProof, PeerProofResult, StoreNews, UpstreamDigest,
+};
 use serde::{Deserialize, Serialize};
-use std::cmp::{Ordering, Reverse};
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -146,7 +148,7 @@
     loop {
         sleep(PROOF_INTERVAL).await;
         let asked_at = clock::now();
-        let age = host.proof.borrow().age(asked_at);
+        let age = host.proof().age(asked_at);
         if age.is_some_and(|age| age < PROOF_AGE) {
             continue;
         }
@@ -232,12 +234,11 @@
             None
         }
         PeerMessage::ProofQuery { asked_at_us } => {
-            let version = host.config()?.version().0;
-            let age = host.proof.borrow().age(now)?;
+            let own = host.currency.borrow().own_proof(now)?;
             Some(PeerMessage::Proof {
                 asked_at_us,
-                version,
-                age_us: age.as_micros() as u64,
+                version: own.version.0,
+                age_us: own.age.as_micros() as u64,
                 host: host.start_id,
                 unix_us: host.wall.borrow().unix_us(now),
             })
@@ -249,26 +250,18 @@
             host: peer,
             unix_us,
         } => {
-            take_proof(host, version, asked_at_us, age_us);
             let asked_at = Timestamp(asked_at_us);
+            let proof = PeerProof {
+                version: ConfigVersion(version),
+                age: Duration::from_micros(age_us),
+            };
+            let result = host.currency.borrow_mut().take_peer_proof(asked_at, proof);
+            if result == PeerProofResult::Outdated {
+                host.config_news.notify_one();
+            }
             let mut wall = host.wall.borrow_mut();
             wall.note_peer(peer, asked_at, now, unix_us);
             None
         }
     }
 }
-
-/// A peer with a newer configuration shows that the store has to be read; one
-/// with an older configuration shows nothing.
-fn take_proof(host: &Host, version: u64, asked_at_us: u64, age_us: u64) {
-    let own = host.config().map_or(0, |config| config.version().0);
-    match version.cmp(&own) {
-        Ordering::Equal => {
-            let age = Duration::from_micros(age_us);
-            let asked_at = Timestamp(asked_at_us);
-            host.proof.borrow_mut().renew_from_peer(asked_at, age);
-        }
-        Ordering::Greater => host.config_news.notify_one(),
-        Ordering::Less => {}
-    }
-}
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -90,7 +90,7 @@
             return;
         };
         let config = self.host.config().map(|config| config.version().0);
-        let proof_age = self.host.proof.borrow().age(now);
+        let proof_age = self.host.proof().age(now);
         tracing::info!(
             request = self.request_id,
             route = self.route,
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -72,7 +72,7 @@
         match result {
             Ok((next, read)) => {
                 if read == ReadKind::Exact {
-                    host.proof.borrow_mut().renew(sent_at);
+                    host.currency.borrow_mut().note_exact_read(sent_at);
                 }
                 revision = Some(next);
             }
@@ -92,7 +92,7 @@
         wait_for_age(&host).await;
         let sent_at = clock::now();
         match list_config(&host).await {
-            Ok(_) => host.proof.borrow_mut().renew(sent_at),
+            Ok(_) => host.currency.borrow_mut().note_exact_read(sent_at),
             Err(error) => {
                 note_failure(&host, "proof", &error);
                 pause_after(&error).await;
@@ -125,7 +125,7 @@
         {
             return;
         }
-        let age = host.proof.borrow().age(clock::now());
+        let age = host.proof().age(clock::now());
         if age.is_none_or(|age| age > limit) {
             return;
         }
@@ -177,8 +177,7 @@
             return;
         }
     };
-    let current = host.config().map(|config| config.version());
-    if current.is_some_and(|current| current >= config.version()) {
+    if !host.currency.borrow_mut().accept(config.version()) {
         return;
     }
     tracing::info!(
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -8,7 +8,8 @@
 //! them is a module here, without I/O and without a clock of its own.
 //!
 //! * [`ServingConfig`] finds the route and the workspace of a request.
-//! * [`ConfigProof`] says how long the configuration may be acted upon.
+//! * [`ConfigCurrency`] keeps the version in force and, as [`ConfigProof`], how
+//!   long it may be acted upon.
 //! * [`UpstreamTable`] knows the upstreams and what is in flight on them.
 //! * [`AttemptLedger`] decides whether a request may be sent once more.
 //! * [`RepeatAllowance`] limits repeats over all hosts.
@@ -25,6 +26,7 @@
 mod allowance;
 mod attempts;
 mod configuration;
+mod currency;
 mod peer_load;
 mod placement;
 mod proof;
@@ -44,6 +46,7 @@
     ClientLimits, ConfigVersion, EngineTraits, RepeatKind, Route, RouteKey, ScaleTraits, Service,
     ServiceWeight, ServingConfig, Workspace, WorkspaceIndex,
 };
+pub use currency::{ConfigCurrency, PeerProof, PeerProofResult};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
     FleetView, Placement, PlacementLimits, PromptFacts, PromptPart, PromptPlan, PromptRefusal,
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod reachability;
 mod return_times;
 mod roles;
+mod schedules;
 mod spending;
 mod store_readers;
 mod support;
