--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -6,12 +6,15 @@
 //! what is missing right after an outage is kept for the time within which the
 //! living are back.
 
+mod record;
+
+pub use record::{EngineRole, ListChange, UpstreamId, UpstreamPhase, UpstreamRecord};
+
 use super::reachability::Reachability;
 use super::{PeerLoads, UpstreamDigest};
 use crate::{Timestamp, UpstreamKey};
 use slotmap::SlotMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Within this time after an outage of the store, living upstreams are listed
@@ -43,68 +46,6 @@
 /// Weight of the newest answer in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
-/// Identifier that an upstream has for one or more of its starts.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct UpstreamId(pub String);
-
-/// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UpstreamPhase {
-    /// Takes new work.
-    Serving,
-    /// Finishes what it has and stops.
-    Leaving,
-}
-
-/// What an engine does for prompts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum EngineRole {
-    /// Only reads prompts, at full speed.
-    Prefill,
-    /// Generates tokens, and reads prompts at a lower speed.
-    Decode,
-}
-
-/// One upstream as the store lists it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct UpstreamRecord {
-    /// Identifier.
-    pub id: UpstreamId,
-    /// Service that it belongs to.
-    pub service: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Data centre.
-    pub data_centre: String,
-    /// Whether it takes new work.
-    pub phase: UpstreamPhase,
-    /// Role, where it is an engine.
-    pub role: Option<EngineRole>,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it may be reclaimed at short notice.
-    pub is_spot: bool,
-    /// Unix time of its start in milliseconds, if it says so.
-    pub started_ms: Option<u64>,
-    /// Orders that it has accepted since its start, if it says so.
-    pub order_count: Option<u64>,
-}
-
-impl UpstreamRecord {
-    fn is_same_start(&self, other: &Self) -> bool {
-        self.address == other.address && self.started_ms == other.started_ms
-    }
-}
-
-/// A change of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ListChange {
-    /// An upstream appeared or changed.
-    Present(UpstreamRecord),
-    /// An upstream's entry was removed.
-    Removed(UpstreamId),
-}
-
 /// One start of one upstream, with what this host knows of it.
 #[derive(Clone, Debug)]
 pub struct Upstream {
