--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -44,12 +44,13 @@
 /// Returns each promise that was broken, with the request or window.
 pub(crate) fn broken_promises(report: &RunReport) -> Vec<String> {
     let runs = count_runs(&report.received);
+    let keys = keys_by_id(&report.attempts);
     let mut broken = Vec::new();
     for attempt in &report.attempts {
         check_attempt(attempt, &runs, report.withdrawn_at, &mut broken);
     }
     for received in &report.received {
-        check_received(received, report, &mut broken);
+        check_received(received, &keys, &mut broken);
     }
     check_usage(&report.usage, &mut broken);
     if report.unclean_stops > 0 {
@@ -64,6 +65,12 @@
     broken
 }
 
+/// Returns the key that each request was sent with.
+fn keys_by_id(attempts: &[Attempt]) -> HashMap<&str, &str> {
+    let keys = attempts.iter().map(|one| (one.id.as_str(), one.key));
+    keys.collect()
+}
+
 fn count_runs(received: &[Received]) -> HashMap<String, usize> {
     let mut runs = HashMap::new();
     for one in received.iter().filter(|one| one.has_run) {
@@ -107,14 +114,13 @@
     }
 }
 
-fn check_received(received: &Received, report: &RunReport, broken: &mut Vec<String>) {
+fn check_received(received: &Received, keys: &HashMap<&str, &str>, broken: &mut Vec<String>) {
     let id = received.header("x-request-id").unwrap_or_default();
     if received.header("authorization").is_some() {
         broken.push(format!("{id} reached a runner with its key"));
     }
-    let sender = report.attempts.iter().find(|attempt| attempt.id == id);
-    let workspace = match sender.map(|attempt| attempt.key) {
-        Some(OTHER_KEY) => "south",
+    let workspace = match keys.get(id) {
+        Some(key) if *key == OTHER_KEY => "south",
         _ => "north",
     };
     if received.header("x-tenant") != Some(workspace) {
