Soak: streams and prompts under faults

Callers now send streams too: long prompts that a reader reads ahead and that run once at most, and short ones that another engine can go on with, over two readers and two generators behind proxies. Checked: runs, order and wholeness of events, true refusals.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -1,5 +1,6 @@
 //! What goes wrong, and when, drawn from a seed.
 
+use crate::checks::STREAM_EVENTS;
 use crate::proxy::LinkState;
 use crate::support::Behaviour;
 use rand::rngs::StdRng;
@@ -12,6 +13,73 @@
 /// How long a fault lasts, in milliseconds.
 const LENGTH_MS: std::ops::Range<u64> = 200..2_200;
 
+/// Faults of a runner of the plain service.
+const PLAIN_FAULTS: [Behaviour; 8] = [
+    Behaviour::Fail,
+    Behaviour::NotRun,
+    Behaviour::Elsewhere,
+    Behaviour::Close,
+    Behaviour::Truncate,
+    Behaviour::ForeignId,
+    Behaviour::SecondAnswer,
+    Behaviour::Unsigned,
+];
+
+/// Faults of an engine that reads prompts.
+const READER_FAULTS: [Behaviour; 5] = [
+    Behaviour::Fail,
+    Behaviour::NotRun,
+    Behaviour::Elsewhere,
+    Behaviour::Close,
+    Behaviour::Hang,
+];
+
+/// Faults of an engine that generates.
+const GENERATOR_FAULTS: [Behaviour; 7] = [
+    Behaviour::Fail,
+    Behaviour::NotRun,
+    Behaviour::Elsewhere,
+    Behaviour::Close,
+    Behaviour::ForeignId,
+    Behaviour::CutStream(0),
+    Behaviour::CutStream(2),
+];
+
+/// What a runner is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunnerRole {
+    /// The plain service.
+    Plain,
+    /// Reads prompts.
+    Reader,
+    /// Generates.
+    Generator,
+}
+
+impl RunnerRole {
+    /// Returns what it does without a fault.
+    pub(crate) fn behaviour(self) -> Behaviour {
+        match self {
+            Self::Plain => Behaviour::Answer,
+            Self::Reader => Behaviour::Read,
+            Self::Generator => Behaviour::SlowStream(STREAM_EVENTS),
+        }
+    }
+}
+
+/// Returns the roles of all runners.
+pub(crate) fn roles() -> [RunnerRole; 7] {
+    [
+        RunnerRole::Plain,
+        RunnerRole::Plain,
+        RunnerRole::Plain,
+        RunnerRole::Reader,
+        RunnerRole::Reader,
+        RunnerRole::Generator,
+        RunnerRole::Generator,
+    ]
+}
+
 /// Which connections are harmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Link {
@@ -44,15 +112,13 @@
 pub(crate) struct Schedule {
     rng: StdRng,
     hosts: usize,
-    runners: usize,
 }
 
 impl Schedule {
-    pub(crate) fn new(seed: u64, hosts: usize, runners: usize) -> Self {
+    pub(crate) fn new(seed: u64, hosts: usize) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
             hosts,
-            runners,
         }
     }
 
@@ -67,15 +133,15 @@
 
     fn fault(&mut self) -> Fault {
         let host = self.rng.random_range(0..self.hosts);
-        let runner = self.rng.random_range(0..self.runners);
-        match self.rng.random_range(0..12) {
+        let runner = self.rng.random_range(0..roles().len());
+        match self.rng.random_range(0..14) {
             0 => Fault::Freeze(host),
             1 => Fault::Kill(host),
             2 => Fault::Restart(host),
             3 => Fault::StoreDown,
             4..=6 => Fault::Harm(self.link(runner), self.state()),
             7 => Fault::Reset(self.link(runner)),
-            _ => Fault::Runner(runner, self.behaviour()),
+            _ => Fault::Runner(runner, self.behaviour(runner)),
         }
     }
 
@@ -95,17 +161,12 @@
         }
     }
 
-    fn behaviour(&mut self) -> Behaviour {
-        let all = [
-            Behaviour::Fail,
-            Behaviour::NotRun,
-            Behaviour::Elsewhere,
-            Behaviour::Close,
-            Behaviour::Truncate,
-            Behaviour::ForeignId,
-            Behaviour::SecondAnswer,
-            Behaviour::Unsigned,
-        ];
+    fn behaviour(&mut self, runner: usize) -> Behaviour {
+        let all: &[Behaviour] = match roles()[runner] {
+            RunnerRole::Plain => &PLAIN_FAULTS,
+            RunnerRole::Reader => &READER_FAULTS,
+            RunnerRole::Generator => &GENERATOR_FAULTS,
+        };
         all[self.rng.random_range(0..all.len())].clone()
     }
 }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,14 +1,13 @@
 //! Hosts, stand-ins, proxies and callers of one run.
 
 use crate::checks::RunReport;
-use crate::faults::{Fault, Link, Schedule, Step};
+use crate::faults::{Fault, Link, RunnerRole, Schedule, Step, roles};
 use crate::host::{HostProcess, Surroundings};
-use crate::load::{self, CallerLog};
+use crate::load::{self, CallerKind, CallerLog};
 use crate::proxy::{FaultProxy, LinkState};
-use crate::support::{
-    Behaviour, DutyStandin, RunnerStandin, StoreStandin, configuration, eventually,
-};
-use serde_json::json;
+use crate::support::{DutyStandin, RunnerStandin, StoreStandin, configuration, eventually};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,7 +16,6 @@
 use tokio::time::{Instant, sleep};
 
 const HOSTS: usize = 3;
-const RUNNERS: usize = 3;
 
 /// How long faults begin.
 const FAULT_TIME: Duration = Duration::from_secs(6);
@@ -54,15 +52,10 @@
         let duties = DutyStandin::start().await;
         let mut runners = Vec::new();
         let mut runner_links = Vec::new();
-        for number in 0..RUNNERS {
-            let runner = RunnerStandin::start(Behaviour::Answer).await;
+        for (number, role) in roles().into_iter().enumerate() {
+            let runner = RunnerStandin::start(role.behaviour()).await;
             let link = FaultProxy::start(runner.address).await;
-            let entry = json!({
-                "service": "app", "address": link.address.to_string(), "zone": "a",
-                "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0,
-                "seq": 0, "born": 1,
-            });
-            store.put("servers", &format!("p{number}"), entry);
+            store.put("servers", &format!("p{number}"), entry(role, link.address));
             runners.push(runner);
             runner_links.push(link);
         }
@@ -77,7 +70,7 @@
             .map(|number| HostProcess::start(number, surroundings))
             .collect();
         let mut world = Self {
-            schedule: Schedule::new(seed, HOSTS, RUNNERS),
+            schedule: Schedule::new(seed, HOSTS),
             store,
             duties,
             runners,
@@ -93,8 +86,11 @@
         world.wait_until_serving("first").await;
         for host in &world.hosts {
             for key in load::keys() {
-                let log = Arc::clone(&world.log);
-                world.callers.spawn(load::call(log, host.callers, key));
+                for caller in [CallerKind::Plain, CallerKind::Stream] {
+                    let log = Arc::clone(&world.log);
+                    let calls = load::call(log, host.callers, key, caller);
+                    world.callers.spawn(calls);
+                }
             }
         }
         world
@@ -188,7 +184,9 @@
                 Fault::Harm(link, _) => self.link(link).set(LinkState::Sound),
                 Fault::Reset(_) => {}
                 Fault::StoreDown => self.store.is_down.store(false, Ordering::SeqCst),
-                Fault::Runner(runner, _) => self.runners[runner].behave(Behaviour::Answer),
+                Fault::Runner(runner, _) => {
+                    self.runners[runner].behave(roles()[runner].behaviour());
+                }
             }
         }
     }
@@ -208,3 +206,21 @@
         }
     }
 }
+
+/// Returns a runner's entry in the store.
+fn entry(role: RunnerRole, address: SocketAddr) -> Value {
+    let mut entry = json!({
+        "service": "app", "address": address.to_string(), "zone": "a",
+        "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0,
+        "seq": 0, "born": 1,
+    });
+    let stage = match role {
+        RunnerRole::Plain => return entry,
+        RunnerRole::Reader => "prefill",
+        RunnerRole::Generator => "decode",
+    };
+    entry["service"] = json!("llm");
+    entry["stage"] = json!(stage);
+    entry["models"] = json!([{"name": "m", "version": 1, "adapters": []}]);
+    entry
+}
