Stand-ins: a crashed engine keeps its port

Trace: that answer comes only of a status that came over a fresh connection (SendError::Status), so another server answered at a crashed engine's address: tests of one process run side by side on free ports, and a port given up by a crash may be the next that another stand-in gets. Ruled out: a stale kept connection (requests that run once use fresh ones, and a broken one ends as unknown).

Test: a_crashed_engine_keeps_its_port, seen failing with the port given up.

--- a/crates/standins/tests/all/engine.rs
+++ b/crates/standins/tests/all/engine.rs
@@ -9,6 +9,7 @@
 use std::sync::mpsc::{self, Receiver};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
+use tokio::net::TcpSocket;
 use tokio::runtime::Runtime;
 
 fn start_engine() -> EngineStandin {
@@ -102,6 +103,18 @@
     post(&engine, &request(false, 0)).await.expect("an answer");
 }
 
+/// No other server gets the port of a crashed engine and answers in its place.
+///
+/// Seen failing with the port given up.
+#[tokio::test]
+async fn a_crashed_engine_keeps_its_port() {
+    let mut engine = start_engine();
+    engine.crash();
+    let other = TcpSocket::new_v4().expect("a socket");
+    other.bind(engine.addr()).expect_err("the port is taken");
+    engine.restart().expect("the port is free for the engine");
+}
+
 /// Whoever asks while the engine crashes is never told that the order failed,
 /// and the port is free when it has crashed.
 ///
