Stand-ins: every stopped server keeps its port, not only an engine

The port of a crashed engine was held by the engine; the service stand-in crashes through the same server and gave its port up as before. Holding it is now part of StandinServer::stop.

--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -16,7 +16,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::net::TcpSocket;
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::{Reply, Response};
 use warp::{Filter, reply};
@@ -76,8 +75,6 @@
 pub struct EngineStandin {
     shared: EngineShared,
     server: StandinServer,
-    /// Its port while it doesn't listen.
-    held_port: Option<TcpSocket>,
 }
 
 impl EngineStandin {
@@ -99,11 +96,7 @@
             config,
         };
         let server = StandinServer::start(listen, routes(shared.clone()))?;
-        Ok(Self {
-            shared,
-            server,
-            held_port: None,
-        })
+        Ok(Self { shared, server })
     }
 
     /// Returns the address that it listens on.
@@ -141,7 +134,6 @@
     /// nobody can learn before [`Self::restart`].
     pub fn crash(&mut self) {
         self.server.stop();
-        self.held_port = hold_port(self.server.addr());
         self.shared.orders.fail_open();
         self.shared.active.store(0, Ordering::Relaxed);
     }
@@ -152,27 +144,12 @@
     ///
     /// Fails when the address has been taken meanwhile.
     pub fn restart(&mut self) -> io::Result<()> {
-        self.held_port = None;
         let addr = self.server.addr();
         self.server = StandinServer::start(addr, routes(self.shared.clone()))?;
         Ok(())
     }
 }
 
-/// Takes `addr` without listening, so that connections are refused and no other
-/// server of the same machine can answer there.
-fn hold_port(addr: SocketAddr) -> Option<TcpSocket> {
-    let hold = || {
-        let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(addr)?;
-        Ok::<_, io::Error>(socket)
-    };
-    hold()
-        .inspect_err(|error| tracing::error!(%addr, %error, "the port can't be held"))
-        .ok()
-}
-
 fn routes(
     shared: EngineShared,
 ) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone + Send + Sync + 'static {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
 use std::time::Duration;
+use tokio::net::TcpSocket;
 use tokio::runtime::{Builder, Runtime};
 use warp::{Filter, Reply};
 
@@ -17,6 +18,8 @@
 pub(crate) struct StandinServer {
     addr: SocketAddr,
     runtime: Option<Runtime>,
+    /// Its port once it has stopped.
+    held_port: Option<TcpSocket>,
 }
 
 impl StandinServer {
@@ -43,6 +46,7 @@
         Ok(Self {
             addr,
             runtime: Some(runtime),
+            held_port: None,
         })
     }
 
@@ -52,8 +56,13 @@
     }
 
     /// Drops the listener and every connection; returns when nothing is
-    /// answered any more and the port is free.
+    /// answered any more. The port is kept for the server that takes its place.
     pub(crate) fn stop(&mut self) {
+        self.end_runtime();
+        self.held_port = hold_port(self.addr);
+    }
+
+    fn end_runtime(&mut self) {
         let Some(runtime) = self.runtime.take() else {
             return;
         };
@@ -65,8 +74,22 @@
     }
 }
 
+/// Takes `addr` without listening, so that connections are refused and no other
+/// server of the same machine can answer there.
+fn hold_port(addr: SocketAddr) -> Option<TcpSocket> {
+    let hold = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        Ok::<_, io::Error>(socket)
+    };
+    hold()
+        .inspect_err(|error| tracing::error!(%addr, %error, "the port can't be held"))
+        .ok()
+}
+
 impl Drop for StandinServer {
     fn drop(&mut self) {
-        self.stop();
+        self.end_runtime();
     }
 }
