--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -5,8 +5,9 @@
 use crate::host::{HostProcess, Surroundings};
 use crate::load::{self, CallerKind, CallerLog};
 use crate::proxy::{FaultProxy, LinkState};
+use crate::support::fleet;
 use crate::support::{DutyStandin, RunnerStandin, StoreStandin, configuration, eventually};
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -209,18 +210,10 @@
 
 /// Returns a runner's entry in the store.
 fn entry(role: RunnerRole, address: SocketAddr) -> Value {
-    let mut entry = json!({
-        "service": "app", "address": address.to_string(), "zone": "a",
-        "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0,
-        "seq": 0, "born": 1,
-    });
-    let stage = match role {
-        RunnerRole::Plain => return entry,
-        RunnerRole::Reader => "prefill",
-        RunnerRole::Generator => "decode",
+    let (service, stage) = match role {
+        RunnerRole::Plain => ("app", None),
+        RunnerRole::Reader => ("llm", Some("prefill")),
+        RunnerRole::Generator => ("llm", Some("decode")),
     };
-    entry["service"] = json!("llm");
-    entry["stage"] = json!(stage);
-    entry["models"] = json!([{"name": "m", "version": 1, "adapters": []}]);
-    entry
+    fleet::entry(service, address, stage, "ready")
 }
