gateway: heed upstreams that drain or hold off in their responses

A response with 'Server-Leaving: 1' says that the upstream drains; a 503 with 'Retry-After' says that it wants no request from this host for that time.

Sends are withheld also where the announcement comes while a connection opens; that is an outcome of its own, without effect on the upstream's recorded health. A caller who is refused because all hold off is told the shortest hold-off plus a spread; hosts resume up to a fifth later than stated. A prompt is refused before its prefill if no decode engine could take it over.

Ruled out: telling peers (a draining upstream serves on for the draining time, so a host loses nothing by learning from its own first response; a hold-off concerns the refused host only), and keeping the time in the upstream's backoff (a late response of an earlier request clears it).

--- /dev/null
+++ b/crates/gateway/src/announcements.rs
@@ -0,0 +1,72 @@
+//! Records what an upstream announces about itself in its responses.
+//!
+//! Peers aren't told: an upstream that drains goes on serving for the draining time, so
+//! a host that learns of it from its own first response loses nothing, and the store's
+//! list tells the others. A hold-off concerns only the host that was refused.
+
+use crate::clock;
+use crate::state::GatewayState;
+use lagoonlift_adapter::upstream::{HoldOff, ResponseHead};
+use lagoonlift_policy::dispatch::UpstreamRecord;
+use rand::RngExt;
+use std::time::Duration;
+
+/// Records the announcements in the head of a response from the upstream with the
+/// entry `record`, and logs those that are new.
+pub(crate) fn record_announcements(
+    state: &GatewayState,
+    record: &UpstreamRecord,
+    head: &ResponseHead,
+) {
+    if head.is_draining {
+        record_draining(state, record);
+    }
+    match &head.hold_off {
+        HoldOff::None => {}
+        HoldOff::For(time) => record_hold_off(state, record, *time),
+        HoldOff::Malformed(value) => record_malformed(state, record, value),
+    }
+}
+
+fn record_draining(state: &GatewayState, record: &UpstreamRecord) {
+    let is_new = state
+        .table
+        .borrow_mut()
+        .record_draining(clock::now(), record);
+    if is_new {
+        tracing::info!(
+            upstream = record.id.0,
+            started_ms = record.started_ms,
+            "the upstream announced that it drains"
+        );
+    }
+}
+
+fn record_hold_off(state: &GatewayState, record: &UpstreamRecord, time: Duration) {
+    let now = clock::now();
+    let jitter = rand::rng().random();
+    let until = state
+        .table
+        .borrow_mut()
+        .record_hold_off(now, record, time, jitter);
+    tracing::info!(
+        upstream = record.id.0,
+        stated_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+        held_off_ms = until.since(now).as_millis() as u64,
+        "the upstream holds off requests"
+    );
+}
+
+fn record_malformed(state: &GatewayState, record: &UpstreamRecord, value: &str) {
+    let is_first = state
+        .table
+        .borrow_mut()
+        .record_malformed_hold_off(clock::now(), record);
+    if is_first {
+        tracing::warn!(
+            upstream = record.id.0,
+            value,
+            "the upstream stated a malformed time to hold off"
+        );
+    }
+}
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use lagoonlift_adapter::upstream::ResponseHead;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
@@ -188,6 +189,7 @@
 /// A response whose body has been read completely.
 pub(crate) struct BufferedResponse {
     pub(crate) status: http::StatusCode,
+    pub(crate) head: ResponseHead,
     pub(crate) body: Bytes,
 }
 
@@ -219,12 +221,13 @@
         Ok(result) => result?,
         Err(_) => return Err(CallError::Lost(format!("no answer within {limit:?}"))),
     };
-    let head = lagoonlift_adapter::upstream::ResponseHead::decode(&parts);
+    let head = ResponseHead::decode(&parts);
     if !head.is_closing {
         connection.return_to_pool(head.idle_timeout);
     }
     Ok(BufferedResponse {
         status: parts.status,
+        head,
         body,
     })
 }
--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -3,6 +3,7 @@
 
 use super::scale::ScaleOrders;
 use super::{DUTY_TIMEOUT, Duties};
+use crate::announcements::record_announcements;
 use crate::clock;
 use crate::connection::{Endpoint, call};
 use lagoonlift_adapter::duty::{EngineOrder, OrderResponse, decode_order_response, engine_request};
@@ -69,7 +70,13 @@
             .values()
             .map(|(order, _)| *order)
             .collect();
-        RolePlanner::new().orders(&table, &service.name, &open)
+        let now = clock::now();
+        let mut orders = RolePlanner::new().orders(&table, &service.name, &open);
+        orders.retain(|order| {
+            let engine = table.get(order.upstream);
+            engine.is_some_and(|one| one.hold_off(now).is_none())
+        });
+        orders
     };
     let open_count = fleet_orders.role_orders.len();
     let room = max_open_orders(duties, service).saturating_sub(open_count);
@@ -147,6 +154,9 @@
         DUTY_TIMEOUT,
     )
     .await;
+    if let Ok(response) = &response {
+        record_announcements(&duties.state, &record, &response.head);
+    }
     let reply: Result<OrderResponse, String> = response
         .map(|response| decode_order_response(response.status))
         .map_err(|error| error.to_string());
@@ -177,7 +187,10 @@
     )
     .await
     {
-        Ok(response) => decode_status(&response.body),
+        Ok(response) => {
+            record_announcements(&duties.state, record, &response.head);
+            decode_status(&response.body)
+        }
         Err(error) => {
             tracing::warn!(engine = record.id.0, %error, "failed to read the engine's status");
             None
--- a/crates/gateway/src/kv_cache.rs
+++ b/crates/gateway/src/kv_cache.rs
@@ -1,5 +1,6 @@
 //! KV cache of a prompt, held by the prefill engine for transfer to a decode engine.
 
+use crate::clock;
 use crate::connection::{Endpoint, call};
 use crate::state::GatewayState;
 use lagoonlift_adapter::upstream::{KvCacheHandle, release_kv_cache_request};
@@ -39,9 +40,19 @@
     }
 }
 
+impl HeldKvCache {
+    /// Returns whether the prefill engine holds off requests. Its KV cache is then left
+    /// to expire.
+    fn is_held_off(&self) -> bool {
+        let table = self.state.table.borrow();
+        let engine = table.get(self.prefill_engine);
+        engine.is_some_and(|one| one.hold_off(clock::now()).is_some())
+    }
+}
+
 impl Drop for HeldKvCache {
     fn drop(&mut self) {
-        if self.may_be_transferred {
+        if self.may_be_transferred || self.is_held_off() {
             return;
         }
         let pool = self.state.pool.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! the platform's names and formats are defined in `lagoonlift_adapter`.
 
 mod admit;
+mod announcements;
 mod clock;
 mod connection;
 mod duty;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -193,7 +193,7 @@
         let any = || self.choose(&[], |placement, view| placement.choose_upstream(view));
         let upstream = untried
             .or_else(any)
-            .ok_or_else(|| self.not_run("no upstream is there", RefusalCause::NoUpstream))?;
+            .ok_or_else(|| self.no_upstream("no upstream is there"))?;
         Ok(self.attempt(upstream, UpstreamTask::Run, 0))
     }
 
@@ -205,7 +205,7 @@
             placement.plan_prompt(view, prompt, goal, time_left)
         });
         plan.map_err(|refusal| match refusal {
-            PromptRefusal::NoEngine => self.not_run("no engine is there", RefusalCause::NoUpstream),
+            PromptRefusal::NoEngine => self.no_upstream("no engine is there"),
             PromptRefusal::Overload(wait) => {
                 self.not_run("all engines are busy reading", RefusalCause::Overload(wait))
             }
@@ -282,8 +282,7 @@
                 Ok(run_outcome) => return Ok(run_outcome),
                 Err(result) => result,
             },
-            SendOutcome::NotSent(detail) | SendOutcome::NotOpened(detail) => {
-                tracing::debug!(detail, "request not sent");
+            SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
                 self.refund_retry();
                 SendResult::NotSent
             }
@@ -302,7 +301,9 @@
     /// the engine states that it did not run the request.
     fn record_possible_transfer(&mut self, outcome: &SendOutcome) {
         let may_be_transferred = match outcome {
-            SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => return,
+            SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
+                return;
+            }
             SendOutcome::NotRun => false,
             _ => true,
         };
@@ -378,6 +379,16 @@
         self.end_without_retry(not_run)
     }
 
+    /// Returns the response to a request that has not run because no upstream is
+    /// available, or because those that would be hold off requests.
+    fn no_upstream(&self, reason: &'static str) -> GatewayReply {
+        let table = self.state.table.borrow();
+        match table.shortest_hold_off(&self.admitted.service, clock::now()) {
+            Some(time) => self.not_run("the upstreams hold off", RefusalCause::HoldOff(time)),
+            None => self.not_run(reason, RefusalCause::NoUpstream),
+        }
+    }
+
     /// Returns the response to a request that has not run, with the delay after which
     /// the caller may retry.
     fn not_run(&self, reason: &'static str, cause: RefusalCause) -> GatewayReply {
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -56,7 +56,7 @@
                     false => SendResult::Unknown,
                 }
             }
-            SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
+            SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
                 self.refund_retry();
                 SendResult::NotSent
             }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,5 +1,6 @@
 //! One attempt to run a request on one upstream.
 
+use crate::announcements::record_announcements;
 use crate::clock;
 use crate::connection::{CallError, Endpoint, PooledConnection, describe};
 use crate::state::{GatewayState, UpstreamWork};
@@ -46,6 +47,8 @@
     /// The upstream responded with any status, including 5xx; the body is still to be
     /// read.
     Responded(Box<UpstreamResponse>),
+    /// Nothing was sent, because the upstream drains or holds off requests.
+    Withheld(&'static str),
     /// Nothing reached the upstream.
     NotSent(String),
     /// No connection opened in time, so nothing reached the upstream.
@@ -144,8 +147,8 @@
         Err(CallError::NotOpened(detail)) => return SendOutcome::NotOpened(detail),
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
-    if !is_still_serving(state, attempt.upstream) {
-        return SendOutcome::NotSent("the upstream is leaving".to_owned());
+    if !accepts_requests(state, attempt.upstream) {
+        return SendOutcome::Withheld("the upstream drains or holds off requests");
     }
     let call = UpstreamCall {
         request: &outgoing.request,
@@ -166,6 +169,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = ResponseHead::decode(&parts);
+    record_announcements(state, record, &head);
     let upstream_response = Box::new(UpstreamResponse {
         parts,
         head,
@@ -176,12 +180,12 @@
     classify(&outgoing.request.id, upstream_response).await
 }
 
-/// Returns whether the upstream still accepts requests. It may have started to drain
-/// (phase `Leaving`) while the connection was opened.
-fn is_still_serving(state: &GatewayState, upstream: UpstreamKey) -> bool {
+/// Returns whether the upstream still accepts requests. It may have announced
+/// otherwise while the connection was opened.
+fn accepts_requests(state: &GatewayState, upstream: UpstreamKey) -> bool {
     let table = state.table.borrow();
-    let phase = table.get(upstream).map(|one| one.record.phase);
-    phase == Some(lagoonlift_policy::dispatch::UpstreamPhase::Serving)
+    let upstream = table.get(upstream);
+    upstream.is_some_and(|one| one.accepts_requests(clock::now()))
 }
 
 /// Classifies a response: as a response to this request, as a statement that the
@@ -218,6 +222,7 @@
         return;
     };
     match outcome {
+        SendOutcome::Withheld(_) => return,
         SendOutcome::Responded(response) if response.head.status.is_server_error() => {
             upstream.record_failure(now, false);
         }
@@ -232,7 +237,7 @@
         SendOutcome::NotOpened(_) | SendOutcome::TimedOut => false,
         // A broken connection shows neither that the upstream's data centre is
         // reachable nor that it is unreachable.
-        SendOutcome::NotSent(_) | SendOutcome::Lost(_) => return,
+        SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::Lost(_) => return,
     };
     match table.record_contact(now, key, is_reachable) {
         true if is_reachable => tracing::info!(data_centre, "a data centre answers again"),
@@ -246,6 +251,7 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             Self::Responded(_) => "answered",
+            Self::Withheld(_) => "withheld",
             Self::NotSent(_) => "not-sent",
             Self::NotOpened(_) => "not-opened",
             Self::NotRun => "not-run",
@@ -256,6 +262,7 @@
 
     fn detail(&self) -> &str {
         match self {
+            Self::Withheld(detail) => detail,
             Self::NotSent(detail) | Self::NotOpened(detail) | Self::Lost(detail) => detail,
             Self::Responded(_) | Self::NotRun | Self::TimedOut => "",
         }
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -248,6 +248,7 @@
         let wait = self.allowed_wait(prompt, latency_goal, time_left);
         let prefill_engines = self.ranked_engines(view, prompt, EngineRole::Prefill);
         match prefill_engines.is_empty() {
+            false if self.has_no_decode_engine(view) => Err(PromptRefusal::NoEngine),
             false => {
                 let prefill_engine = self.choose_engine(&prefill_engines, wait)?;
                 let preferred = prefill_engines.iter().find(|engine| engine.is_healthy);
@@ -299,6 +300,13 @@
         choose(available).or_else(|| choose(changing))
     }
 
+    /// Returns whether no engine can continue after a prefill on another engine, so
+    /// that the prefill would be wasted.
+    fn has_no_decode_engine(&self, view: FleetView<'_>) -> bool {
+        let mut engines = view.table.usable(view.service, view.now);
+        !engines.any(|(_, one)| one.record.role != Some(EngineRole::Prefill))
+    }
+
     /// Returns how long a prompt may wait before its prefill starts.
     fn allowed_wait(
         &self,
--- a/crates/policy/src/dispatch/retry_after.rs
+++ b/crates/policy/src/dispatch/retry_after.rs
@@ -16,6 +16,9 @@
     ///
     /// [`PromptRefusal::NoEngine`]: super::PromptRefusal::NoEngine
     NoUpstream,
+    /// Upstreams hold off requests, and no other is available. The value is the
+    /// shortest time for which one still does.
+    HoldOff(Duration),
     /// The upstreams that were tried had no free capacity or failed.
     NoCapacity,
     /// The backlog of the least loaded engine is too long to wait for
@@ -46,10 +49,20 @@
 /// Range of the jitter factor.
 const JITTER_FACTORS: Range<f64> = 0.7..1.4;
 
+/// Share of a hold-off by which the delay exceeds it, at most. The callers that are
+/// refused during the hold-off return spread over this time after its end.
+const HOLD_OFF_SPREAD_SHARE: f64 = 0.5;
+
+/// Range of the time over which callers return after a hold-off.
+const HOLD_OFF_SPREAD: Range<Duration> = Duration::from_millis(200)..Duration::from_secs(2);
+
 /// Returns the delay for a caller whose deadline is in `time_left`. `jitter` is a
 /// random number, uniformly distributed between 0 and 1.
 pub fn retry_after(cause: RefusalCause, time_left: Duration, jitter: f64) -> Duration {
     let delay = match cause {
+        // The caller is certainly refused again before the end of the hold-off, so the
+        // delay isn't limited by the caller's remaining time.
+        RefusalCause::HoldOff(hold_off) => return delay_after_hold_off(hold_off, jitter),
         RefusalCause::NoUpstream => NO_UPSTREAM_DELAY,
         RefusalCause::NoCapacity => NO_CAPACITY_DELAY,
         RefusalCause::Overload(backlog) => backlog.max(MIN_OVERLOAD_DELAY),
@@ -58,3 +71,11 @@
     let max_delay = time_left.mul_f64(MAX_DELAY_SHARE).max(NO_CAPACITY_DELAY);
     delay.mul_f64(factor).min(max_delay)
 }
+
+/// Returns a delay that ends after the hold-off.
+fn delay_after_hold_off(hold_off: Duration, jitter: f64) -> Duration {
+    let spread = hold_off
+        .mul_f64(HOLD_OFF_SPREAD_SHARE)
+        .clamp(HOLD_OFF_SPREAD.start, HOLD_OFF_SPREAD.end);
+    hold_off + spread.mul_f64(jitter)
+}
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -5,11 +5,16 @@
 //! during an outage the store may have removed upstreams that are alive. Upstreams
 //! that are missing right after an outage are therefore kept for the time that live
 //! upstreams need to register again.
+//!
+//! An upstream also announces in its responses that it drains, or that it wants no
+//! request for some time. Both take precedence over the list.
 
+mod announcements;
 mod record;
 
 pub use record::{EngineRole, ListChange, UpstreamId, UpstreamPhase, UpstreamRecord};
 
+use self::announcements::Announcements;
 use super::reachability::Reachability;
 use super::{PeerLoads, UpstreamDigest};
 use crate::{Timestamp, UpstreamKey};
@@ -69,6 +74,8 @@
     /// Prefills in a row whose KV cache could not be transferred.
     failed_kv_transfers_in_row: u32,
     avoided_until: Option<Timestamp>,
+    /// Time until which the upstream wants no requests from this host.
+    held_off_until: Option<Timestamp>,
     no_prefill_until: Option<Timestamp>,
     /// Set while the entry is missing after a store outage: the time at which the
     /// upstream is removed.
@@ -76,8 +83,9 @@
 }
 
 impl Upstream {
-    fn new(record: UpstreamRecord) -> Self {
+    fn new(record: UpstreamRecord, held_off_until: Option<Timestamp>) -> Self {
         Self {
+            held_off_until,
             digest: UpstreamDigest::new(&record.id),
             record,
             in_flight: 0,
@@ -93,10 +101,22 @@
         }
     }
 
-    /// Returns whether new requests may be sent to the upstream.
+    /// Returns whether requests should be sent to the upstream: it accepts them and
+    /// isn't in backoff.
     pub fn is_usable(&self, now: Timestamp) -> bool {
-        self.record.phase == UpstreamPhase::Serving
-            && self.avoided_until.is_none_or(|until| until <= now)
+        self.accepts_requests(now) && self.avoided_until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns whether the upstream accepts requests: it neither drains nor holds them
+    /// off.
+    pub fn accepts_requests(&self, now: Timestamp) -> bool {
+        self.record.phase == UpstreamPhase::Serving && self.hold_off(now).is_none()
+    }
+
+    /// Returns the time for which the upstream still holds off requests, if it does.
+    pub fn hold_off(&self, now: Timestamp) -> Option<Duration> {
+        let until = self.held_off_until?;
+        (until > now).then(|| until.since(now))
     }
 
     /// Returns whether the engine may run prefills for a decode engine.
@@ -178,10 +198,10 @@
 pub struct UpstreamTable {
     entries: SlotMap<UpstreamKey, Upstream>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
-    /// Start times of upstreams that were observed draining, which is the phase
-    /// [`UpstreamPhase::Leaving`]. An outdated entry with the same start time does not
-    /// make the upstream usable again.
-    draining: HashMap<UpstreamId, Option<u64>>,
+    /// Upstreams that were observed draining, which is the phase
+    /// [`UpstreamPhase::Leaving`], or that hold off requests. An outdated entry of the
+    /// same incarnation does not make the upstream usable again.
+    announcements: Announcements,
     is_loaded: bool,
     is_store_unavailable: bool,
     /// Set after a store outage: entries that are missing before this time may be
@@ -232,6 +252,61 @@
             .filter(move |(_, upstream)| !skips_avoided || self.may_contact(upstream, now))
     }
 
+    /// Returns the shortest time for which an upstream of `service` still holds off
+    /// requests; `None` if none does.
+    pub fn shortest_hold_off(&self, service: &str, now: Timestamp) -> Option<Duration> {
+        let of_service = self.entries.values().filter(|upstream| {
+            upstream.record.service == service && upstream.record.phase == UpstreamPhase::Serving
+        });
+        of_service
+            .filter_map(|upstream| upstream.hold_off(now))
+            .min()
+    }
+
+    /// Records that the upstream with the entry `record` announced in a response that
+    /// it drains. The entry may have been removed since. Returns whether this is new.
+    pub fn record_draining(&mut self, now: Timestamp, record: &UpstreamRecord) -> bool {
+        if let Some(upstream) = self.incarnation_mut(record) {
+            upstream.record.phase = UpstreamPhase::Leaving;
+        }
+        self.announcements.record_draining(now, record)
+    }
+
+    /// Records that the upstream with the entry `record` refused a request and wants
+    /// none for `time`. Returns the time until which it gets none, which is up to a
+    /// fifth longer; `jitter`, a random number from 0 to 1, determines by how much.
+    pub fn record_hold_off(
+        &mut self,
+        now: Timestamp,
+        record: &UpstreamRecord,
+        time: Duration,
+        jitter: f64,
+    ) -> Timestamp {
+        let until = self
+            .announcements
+            .record_hold_off(now, record, time, jitter);
+        if let Some(upstream) = self.incarnation_mut(record) {
+            upstream.held_off_until = Some(until);
+        }
+        until
+    }
+
+    /// Records that the upstream with the entry `record` refused a request with a
+    /// malformed time to hold off. Returns whether it is its first one.
+    pub fn record_malformed_hold_off(&mut self, now: Timestamp, record: &UpstreamRecord) -> bool {
+        self.announcements.record_malformed_hold_off(now, record)
+    }
+
+    /// Returns the upstream if the incarnation of `record` is the listed one.
+    fn incarnation_mut(&mut self, record: &UpstreamRecord) -> Option<&mut Upstream> {
+        let key = *self.by_id.get(&record.id)?;
+        let upstream = self.entries.get_mut(key)?;
+        upstream
+            .record
+            .is_same_incarnation(record)
+            .then_some(upstream)
+    }
+
     /// Returns the upstreams of `service` that are neither draining nor in backoff,
     /// whether their data centres are reachable or not.
     fn serving<'a>(
@@ -316,7 +391,7 @@
     /// it, if any.
     pub fn apply(&mut self, now: Timestamp, change: ListChange) -> Option<UpstreamKey> {
         match change {
-            ListChange::Present(record) => self.insert(record),
+            ListChange::Present(record) => self.insert(now, record),
             ListChange::Removed(id) => self.apply_removal(now, &id),
         }
     }
@@ -324,6 +399,9 @@
     /// Removes the upstreams that were not listed again in time after an outage, and
     /// returns their keys.
     pub fn remove_missing(&mut self, now: Timestamp) -> Vec<UpstreamKey> {
+        let by_id = &self.by_id;
+        self.announcements
+            .remove_old(now, |id| by_id.contains_key(id));
         let is_due = |upstream: &Upstream| upstream.removal_at.is_some_and(|at| at <= now);
         let due: Vec<UpstreamId> = self
             .entries
@@ -334,12 +412,15 @@
         due.iter().filter_map(|id| self.remove(id)).collect()
     }
 
-    fn insert(&mut self, mut record: UpstreamRecord) -> Option<UpstreamKey> {
-        if self.draining.get(&record.id) == Some(&record.started_ms) {
-            record.phase = UpstreamPhase::Leaving;
-        }
-        if record.phase == UpstreamPhase::Leaving {
-            self.draining.insert(record.id.clone(), record.started_ms);
+    fn insert(&mut self, now: Timestamp, mut record: UpstreamRecord) -> Option<UpstreamKey> {
+        match record.phase {
+            UpstreamPhase::Leaving => {
+                self.announcements.record_draining(now, &record);
+            }
+            UpstreamPhase::Serving if self.announcements.is_draining(&record) => {
+                record.phase = UpstreamPhase::Leaving;
+            }
+            UpstreamPhase::Serving => {}
         }
         let known = self.by_id.get(&record.id).copied();
         let current = known.and_then(|key| self.entries.get_mut(key));
@@ -352,7 +433,8 @@
             _ => {
                 let removed = self.remove(&record.id);
                 let id = record.id.clone();
-                let key = self.entries.insert(Upstream::new(record));
+                let held_off_until = self.announcements.held_off_until(&record);
+                let key = self.entries.insert(Upstream::new(record, held_off_until));
                 self.by_id.insert(id, key);
                 removed
             }
--- a/crates/policy/tests/all/dispatch/retry_after.rs
+++ b/crates/policy/tests/all/dispatch/retry_after.rs
@@ -84,3 +84,18 @@
     let last = retry_after(cause, TIME_LEFT, 1.0);
     assert!(last >= first * 3 / 2, "{first:?} {last:?}");
 }
+
+/// All upstreams hold off requests for some time. No caller returns before the end of
+/// it, however little time it has left, and the callers return spread over time.
+#[test]
+fn callers_refused_in_a_hold_off_return_after_it_and_spread() {
+    for hold_off_ms in [100, 800, 5_000] {
+        let hold_off = Duration::from_millis(hold_off_ms);
+        let delay = |jitter| retry_after(RefusalCause::HoldOff(hold_off), TIME_LEFT, jitter);
+        let delays: Vec<Duration> = (0..100).map(|n| delay(f64::from(n) / 100.0)).collect();
+        assert!(delays.iter().all(|delay| *delay >= hold_off));
+        let slot = Duration::from_millis(20);
+        let in_first_slot = delays.iter().filter(|delay| **delay < hold_off + slot);
+        assert!(in_first_slot.count() <= 10, "{hold_off_ms} ms");
+    }
+}
--- a/crates/policy/tests/all/dispatch/schedules/mod.rs
+++ b/crates/policy/tests/all/dispatch/schedules/mod.rs
@@ -5,6 +5,7 @@
 //! failure prints. The checks use only what callers, the store and the upstreams
 //! could observe.
 
+mod announcements;
 mod attempts;
 mod config_freshness;
 
