soak: upstreams that drain or hold off in their responses

A quarter of the upstreams' faults are such announcements now, drawn by a generator of their own so that the other faults of a seed stay as they were. Checks: after a response that announces draining has been passed on, nothing that a caller sends later reaches that incarnation from that host; at most two requests of a host reach an upstream in a hold-off after half a second.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -1,6 +1,7 @@
 //! Checks the guarantees of the gateway against what callers, upstreams and the
 //! platform observed during a run.
 
+use crate::announcements::{self, Disruption};
 use crate::load::{RequestKind, SentRequest};
 use crate::support::duty::DutyCall;
 use crate::support::upstream::Received;
@@ -19,7 +20,10 @@
 /// Observations of one run, which the checks evaluate.
 pub(crate) struct RunReport {
     pub(crate) requests: Vec<SentRequest>,
-    pub(crate) received: Vec<Received>,
+    /// Requests that each upstream received.
+    pub(crate) received: Vec<Vec<Received>>,
+    /// Faults of hosts and of links to upstreams.
+    pub(crate) disruptions: Vec<Disruption>,
     pub(crate) usage: Vec<DutyCall>,
     /// Time at which the key [`OTHER_KEY`] was withdrawn; `None` if it wasn't.
     pub(crate) withdrawn_at: Option<Instant>,
@@ -55,17 +59,18 @@
 /// Returns a description of each violated guarantee, with the request or the usage
 /// window concerned.
 pub(crate) fn find_violations(report: &RunReport) -> Vec<String> {
-    let executions = count_executions(&report.received);
+    let executions = count_executions(report.received.iter().flatten());
     let keys = keys_by_request(&report.requests);
     let mut violations = Vec::new();
     for request in &report.requests {
         check_request(request, &executions, report.withdrawn_at, &mut violations);
     }
     let with_identifier = |one: &&Received| one.header("x-request-id").is_some();
-    for received in report.received.iter().filter(with_identifier) {
+    for received in report.received.iter().flatten().filter(with_identifier) {
         check_received(received, &keys, &mut violations);
     }
     check_usage(&report.usage, &mut violations);
+    announcements::check(report, &mut violations);
     if report.unclean_shutdowns > 0 {
         violations.push(format!(
             "{} hosts did not shut down cleanly in time",
@@ -103,9 +108,9 @@
     keys.collect()
 }
 
-fn count_executions(received: &[Received]) -> HashMap<String, usize> {
+fn count_executions<'a>(received: impl Iterator<Item = &'a Received>) -> HashMap<String, usize> {
     let mut executions = HashMap::new();
-    for one in received.iter().filter(|one| is_execution(one)) {
+    for one in received.filter(|one| is_execution(one)) {
         let id = one.header("x-request-id").unwrap_or_default();
         *executions.entry(id.to_owned()).or_insert(0) += 1;
     }
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -1,12 +1,15 @@
 //! The hosts, platform stand-ins, proxies and callers of one run.
 
+use crate::announcements::{Disruption, DisruptionTarget};
 use crate::checks::RunReport;
 use crate::faults::{Fault, Link, Schedule, ScheduledFault, UpstreamRole, roles};
 use crate::host::{HostProcess, PlatformAddresses};
 use crate::load::{self, CallerKind, CallerLog};
 use crate::proxy::{FaultProxy, LinkState};
 use crate::support::fleet;
-use crate::support::{DutyStandin, StoreStandin, UpstreamStandin, configuration, eventually};
+use crate::support::{
+    Behaviour, DutyStandin, StoreStandin, UpstreamStandin, configuration, eventually,
+};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,6 +49,9 @@
     callers: JoinSet<()>,
     withdrawn_at: Option<Instant>,
     active_faults: Vec<(Instant, Fault)>,
+    disruptions: Vec<Disruption>,
+    /// Number of restarts of each upstream.
+    restarts: Vec<u64>,
 }
 
 impl SoakCluster {
@@ -62,7 +68,7 @@
             store.put(
                 "servers",
                 &format!("p{number}"),
-                upstream_record_for(role, link.address),
+                upstream_record_for(role, link.address, 0),
             );
             upstreams.push(upstream);
             upstream_links.push(link);
@@ -90,6 +96,8 @@
             callers: JoinSet::new(),
             withdrawn_at: None,
             active_faults: Vec::new(),
+            disruptions: Vec::new(),
+            restarts: vec![0; roles().len()],
         };
         cluster.wait_until_serving("first").await;
         for host in &cluster.hosts {
@@ -148,11 +156,8 @@
         while self.callers.join_next().await.is_some() {}
         RunReport {
             requests: self.log.requests(),
-            received: self
-                .upstreams
-                .iter()
-                .flat_map(|one| one.received())
-                .collect(),
+            received: self.upstreams.iter().map(|one| one.received()).collect(),
+            disruptions: self.disruptions,
             usage: self.duties.calls("/usage"),
             withdrawn_at: self.withdrawn_at,
             unclean_shutdowns,
@@ -168,7 +173,25 @@
         }
     }
 
+    /// Records a fault that excuses a host, or the requests on a link.
+    fn record_disruption(&mut self, scheduled: &ScheduledFault) {
+        let target = match &scheduled.fault {
+            Fault::Suspend(host) | Fault::Kill(host) | Fault::Restart(host) => {
+                DisruptionTarget::Host(self.hosts[*host].callers)
+            }
+            Fault::Degrade(Link::Upstream(upstream), _) => DisruptionTarget::Upstream(*upstream),
+            _ => return,
+        };
+        let from = Instant::now();
+        self.disruptions.push(Disruption {
+            target,
+            from,
+            until: from + scheduled.duration,
+        });
+    }
+
     fn start_fault(&mut self, scheduled: ScheduledFault) {
+        self.record_disruption(&scheduled);
         match &scheduled.fault {
             Fault::Suspend(host) => self.hosts[*host].set_suspended(true),
             Fault::Kill(host) => self.hosts[*host].kill(),
@@ -200,8 +223,11 @@
                 Fault::Degrade(link, _) => self.link(link).set(LinkState::Open),
                 Fault::Reset(_) => {}
                 Fault::StoreDown => self.store.is_down.store(false, Ordering::SeqCst),
-                Fault::Upstream(upstream, _) => {
+                Fault::Upstream(upstream, behaviour) => {
                     self.upstreams[upstream].behave(roles()[upstream].behaviour());
+                    if behaviour == Behaviour::Draining {
+                        self.restart_upstream(upstream);
+                    }
                 }
             }
         }
@@ -214,6 +240,14 @@
         self.hosts[host].launch();
     }
 
+    /// Lists a new incarnation of an upstream, which has stopped draining.
+    fn restart_upstream(&mut self, upstream: usize) {
+        self.restarts[upstream] += 1;
+        let address = self.upstream_links[upstream].address;
+        let record = upstream_record_for(roles()[upstream], address, self.restarts[upstream]);
+        self.store.put("servers", &format!("p{upstream}"), record);
+    }
+
     fn link(&self, link: Link) -> &FaultProxy {
         match link {
             Link::Store => &self.store_link,
@@ -223,12 +257,14 @@
     }
 }
 
-/// Returns the store record of an upstream.
-fn upstream_record_for(role: UpstreamRole, address: SocketAddr) -> Value {
+/// Returns the store record of an upstream after a number of restarts.
+fn upstream_record_for(role: UpstreamRole, address: SocketAddr, restarts: u64) -> Value {
     let (service, stage) = match role {
         UpstreamRole::Plain => ("app", None),
         UpstreamRole::Prefill => ("llm", Some("prefill")),
         UpstreamRole::Decode => ("llm", Some("decode")),
     };
-    fleet::upstream_record(service, address, stage, "ready")
+    let mut record = fleet::upstream_record(service, address, stage, "ready");
+    record["born"] = Value::from(1 + restarts);
+    record
 }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -46,6 +46,16 @@
     Behaviour::InterruptedStream(2),
 ];
 
+/// Time to hold off that upstreams state, in seconds.
+pub(crate) const HOLD_OFF_S: &str = "0.9";
+
+/// One fault of an upstream in this many is an announcement instead.
+const ANNOUNCEMENT_RARITY: u32 = 4;
+
+/// Distinguishes the generator of the announcements from the one of the other faults,
+/// so that the latter stay the same for each seed.
+const ANNOUNCEMENT_SEED: u64 = 0x616e_6e6f;
+
 /// Role of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpstreamRole {
@@ -112,6 +122,7 @@
 /// Draws the faults of one run from a seeded generator.
 pub(crate) struct Schedule {
     rng: StdRng,
+    announcement_rng: StdRng,
     hosts: usize,
 }
 
@@ -119,6 +130,7 @@
     pub(crate) fn new(seed: u64, hosts: usize) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
+            announcement_rng: StdRng::seed_from_u64(seed ^ ANNOUNCEMENT_SEED),
             hosts,
         }
     }
@@ -168,6 +180,19 @@
             UpstreamRole::Prefill => &PREFILL_FAULTS,
             UpstreamRole::Decode => &DECODE_FAULTS,
         };
-        all[self.rng.random_range(0..all.len())].clone()
+        let behaviour = all[self.rng.random_range(0..all.len())].clone();
+        match self.announcement_rng.random_ratio(1, ANNOUNCEMENT_RARITY) {
+            true => self.announcement(upstream),
+            false => behaviour,
+        }
+    }
+
+    fn announcement(&mut self, upstream: usize) -> Behaviour {
+        let drains =
+            roles()[upstream] == UpstreamRole::Plain && self.announcement_rng.random_ratio(1, 2);
+        match drains {
+            true => Behaviour::Draining,
+            false => Behaviour::HoldOff(HOLD_OFF_S),
+        }
     }
 }
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -78,7 +78,11 @@
     pub(crate) id: String,
     pub(crate) kind: RequestKind,
     pub(crate) key: &'static str,
+    /// Address of the host that the request was sent to.
+    pub(crate) host: SocketAddr,
     pub(crate) sent_at: Instant,
+    /// Time at which the response had been read, or the wait for it ended.
+    pub(crate) ended_at: Instant,
     /// `None` if the connection closed or the wait timed out before a response.
     pub(crate) response: Option<Response>,
 }
@@ -134,7 +138,9 @@
                 id,
                 kind,
                 key,
+                host,
                 sent_at,
+                ended_at: Instant::now(),
                 response,
             });
         sleep(REQUEST_INTERVAL).await;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,7 @@
 //!
 //!     LAGOONLIFT_SOAK_SEEDS=1-50 cargo test --test soak -- --nocapture
 
+mod announcements;
 mod checks;
 mod cluster;
 mod faults;
