Store restored from a copy: eras, lease, sums, configuration and list

Cause: all authority rested on a store that loses nothing. The users' new drill brings it back from a copy some seconds old, with a higher era in 'Store-Era'; revisions go back and are assigned again to other contents.

- One monitor compares eras (responses and peers' messages) and wakes the parts.
A call during which the era changes fails as 'restored', whatever it says; a watch goes on only from a position of the same era.
- Lease: the object's name holds the era, so neither the restored record nor a late write of an earlier era has an effect.
The grant ends with the first sign of a new era; a successor waits a term and a margin from its first read of the new object.
- Configuration: a read that returns an older version than the one in force, or than a peer's, confirms nothing; a process that starts waits up to 0.8 s for a peer's version before it is ready.
Only store readers list at once, the others within 1.5 s.
- First fleets are kept by who has read them and are stored again.

Weighed for late writes: a guard in the contents (the store checks revisions only), a name with the era (chosen for the lease), create-only records (sums and first fleets, which say the same whichever era they land in).

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -190,6 +190,7 @@
 pub(crate) struct BufferedResponse {
     pub(crate) status: http::StatusCode,
     pub(crate) head: ResponseHead,
+    pub(crate) headers: http::HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -228,6 +229,7 @@
     Ok(BufferedResponse {
         status: parts.status,
         head,
+        headers: parts.headers,
         body,
     })
 }
--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -26,7 +26,8 @@
 /// that is being planned. The open orders of all services count against it.
 const MAX_OPEN_ORDER_SHARE: f64 = 0.34;
 
-/// What this host keeps about its orders while it holds the lease.
+/// What this host keeps about its orders. All but the initial fleets is forgotten when
+/// the lease is lost.
 #[derive(Default)]
 struct FleetOrders {
     /// Scale orders, with the initial fleets that they are based on.
@@ -42,8 +43,10 @@
     let mut fleet_orders = FleetOrders::default();
     loop {
         sleep(POLL_INTERVAL).await;
+        fleet_orders.scale.store_fleets_again(&duties).await;
         if duties.holder().is_none() {
-            fleet_orders = FleetOrders::default();
+            fleet_orders.role_orders.clear();
+            fleet_orders.scale.forget_orders();
             duties.state.open_role_orders.borrow_mut().clear();
             continue;
         }
--- a/crates/gateway/src/duty/lease.rs
+++ b/crates/gateway/src/duty/lease.rs
@@ -1,4 +1,8 @@
 //! Acquires and renews the lease for the duties.
+//!
+//! The name of the lease object holds the era of the store. After a restore from a copy
+//! a new object is used, so that neither the restored record nor a write from before
+//! the restore, which may still arrive, has any effect.
 
 use super::Duties;
 use crate::state::GatewayState;
@@ -6,11 +10,12 @@
     ReadConsistency, Revision, StoreError, StoreObject, WriteCondition,
 };
 use lagoonlift_platform::Version;
+use lagoonlift_policy::dispatch::StoreEra;
 use lagoonlift_steward::{
     BootTime, LeaseAction, LeaseCallFailure, LeaseConfig, LeaseEvent, LeaseIdentity, LeaseRecord,
     LeaseStateMachine, StoredLease,
 };
-use lagoonlift_types::{HostName, Incarnation, ProcessId, ProcessRole};
+use lagoonlift_types::{Epoch, HostName, Incarnation, ProcessId, ProcessRole};
 use serde::Deserialize;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,7 +23,8 @@
 
 /// Kind of the lease object in the store.
 const LEASE_KIND: &str = "leases";
-/// Name of the lease object in the store.
+/// Name of the lease object in a store without eras, and the start of its name in one
+/// with eras.
 const LEASE_NAME: &str = "duties";
 
 /// Shortest sleep between two steps of the lease state machine.
@@ -39,35 +45,51 @@
         term: duties.state.settings.bounds.lease_term,
     });
     let mut event = LeaseEvent::TimerFired;
-    let mut was_candidate = true;
+    // Whether the machine was told that this host is a candidate.
+    let mut told_candidate = Some(true);
+    let mut era = None;
     loop {
+        let latest = duties.state.store.era().latest();
+        if latest != era {
+            // The outcome of a call from before the restore doesn't count. Whether this
+            // host is a candidate is told again, since that event is replaced too.
+            era = latest;
+            told_candidate = None;
+            let floor = latest.map_or(0, StoreEra::fencing_floor);
+            event = LeaseEvent::StoreRestored {
+                epoch_floor: Epoch(floor),
+            };
+        }
         let action = match duties.state.is_stopping() {
             // The lease is left to expire. Releasing it early would allow two
             // changes of the holder within one term.
             true => None,
             false => machine.handle(BootTime::now(), event),
         };
-        apply_grant(&duties, &machine);
+        apply_grant(&duties, &machine, era);
         event = match action {
             Some(LeaseAction::Read) => {
                 let is_holder = machine.grant().is_some();
-                LeaseEvent::ReadCompleted(read(&duties.state, is_holder).await)
+                LeaseEvent::ReadCompleted(read(&duties.state, era, is_holder).await)
             }
             Some(LeaseAction::Write { record, condition }) => {
-                LeaseEvent::WriteCompleted(write(&duties.state, &record, condition).await)
+                LeaseEvent::WriteCompleted(write(&duties.state, era, &record, condition).await)
             }
             None => {
                 let wait = machine.wake_at().since(BootTime::now());
-                sleep(wait.clamp(MIN_SLEEP, MAX_SLEEP)).await;
+                tokio::select! {
+                    () = sleep(wait.clamp(MIN_SLEEP, MAX_SLEEP)) => {}
+                    () = duties.state.store.era().changed_from(era) => {}
+                }
                 let state = &duties.state;
                 let is_candidate = state
                     .store_readers
                     .borrow()
                     .is_lease_candidate(state.max_host_count());
-                match is_candidate == was_candidate {
+                match told_candidate == Some(is_candidate) {
                     true => LeaseEvent::TimerFired,
                     false => {
-                        was_candidate = is_candidate;
+                        told_candidate = Some(is_candidate);
                         LeaseEvent::CandidateChanged(is_candidate)
                     }
                 }
@@ -96,8 +118,9 @@
 
 /// Makes the current grant available to the duties, and logs when the lease is gained
 /// or lost.
-fn apply_grant(duties: &Duties, machine: &LeaseStateMachine) {
+fn apply_grant(duties: &Duties, machine: &LeaseStateMachine, era: Option<StoreEra>) {
     let grant = machine.grant();
+    duties.grant_era.set(era);
     let before = duties.grant.replace(grant);
     let record = machine.record();
     match (before, grant) {
@@ -119,13 +142,15 @@
 /// based on an outdated lease fails because its write is conditional.
 async fn read(
     state: &GatewayState,
+    era: Option<StoreEra>,
     is_holder: bool,
 ) -> Result<Option<Box<StoredLease>>, LeaseCallFailure> {
     let consistency = match is_holder {
         true => ReadConsistency::Linearizable,
         false => ReadConsistency::Stale,
     };
-    let object = state.store.read(LEASE_KIND, LEASE_NAME, consistency).await;
+    let name = lease_name(era);
+    let object = state.store.read(LEASE_KIND, &name, consistency).await;
     match object {
         Ok(object) => object.map(|object| stored_lease(&object)).transpose(),
         Err(error) => Err(call_failure(error)),
@@ -135,6 +160,7 @@
 /// Writes the lease. The version of the lease is the store's revision of its object.
 async fn write(
     state: &GatewayState,
+    era: Option<StoreEra>,
     record: &LeaseRecord,
     condition: Option<Version>,
 ) -> Result<Version, LeaseCallFailure> {
@@ -142,13 +168,22 @@
         Some(version) => WriteCondition::Unchanged(Revision(version.0)),
         None => WriteCondition::Absent,
     };
-    let written = state.store.write(LEASE_KIND, LEASE_NAME, record, condition);
+    let name = lease_name(era);
+    let written = state.store.write(LEASE_KIND, &name, record, condition);
     match written.await {
         Ok(object) => Ok(Version(object.revision.0)),
         Err(error) => Err(call_failure(error)),
     }
 }
 
+/// Returns the name of the lease object in an era.
+fn lease_name(era: Option<StoreEra>) -> String {
+    match era {
+        None => LEASE_NAME.to_owned(),
+        Some(era) => format!("{LEASE_NAME}-{}", era.0),
+    }
+}
+
 fn call_failure(error: StoreError) -> LeaseCallFailure {
     match error {
         StoreError::Conflict(current) => match current.map(|object| stored_lease(&object)) {
@@ -160,7 +195,9 @@
         StoreError::UnexpectedStatus(_) | StoreError::HistoryExpired => {
             LeaseCallFailure::NotApplied
         }
-        StoreError::NoResponse(_) | StoreError::Malformed(_) => LeaseCallFailure::OutcomeUnknown,
+        StoreError::NoResponse(_) | StoreError::Malformed(_) | StoreError::Restored => {
+            LeaseCallFailure::OutcomeUnknown
+        }
     }
 }
 
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -13,10 +13,12 @@
 mod lease;
 mod scale;
 mod usage;
+mod usage_report;
 
 use crate::clock;
 use crate::state::GatewayState;
 use lagoonlift_adapter::duty::{DutySet, LeaseHolder};
+use lagoonlift_policy::dispatch::StoreEra;
 use lagoonlift_steward::{BootTime, Grant};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -34,6 +36,8 @@
     address: SocketAddr,
     enabled: DutySet,
     grant: Cell<Option<Grant>>,
+    /// Era of the store in which the grant was obtained.
+    grant_era: Cell<Option<StoreEra>>,
 }
 
 impl Duties {
@@ -42,6 +46,10 @@
     /// stopping. A call that first opens a connection may end later than that.
     pub(crate) fn holder(&self) -> Option<LeaseHolder> {
         let grant = self.grant.get()?;
+        if self.grant_era.get() != self.state.store.era().latest() {
+            // The lease was lost with the restore of the store.
+            return None;
+        }
         let latest = BootTime::now() + DUTY_TIMEOUT;
         let is_valid = latest < grant.deadline && !self.state.is_stopping();
         is_valid.then(|| LeaseHolder {
@@ -64,12 +72,13 @@
         address: settings.address,
         enabled: DutySet::decode(&settings.names),
         grant: Cell::new(None),
+        grant_era: Cell::new(None),
     });
     let started_unix_us = clock::system_unix_us();
     spawn_local(lease::maintain(Rc::clone(&duties), started_unix_us));
     if duties.enabled.reports_usage {
         spawn_local(usage::publish_counts(Rc::clone(state), started_unix_us));
-        spawn_local(usage::report(Rc::clone(&duties)));
+        spawn_local(usage_report::report(Rc::clone(&duties)));
     }
     spawn_local(fleet::manage(duties));
 }
--- a/crates/gateway/src/duty/scale.rs
+++ b/crates/gateway/src/duty/scale.rs
@@ -36,8 +36,11 @@
 /// Scale orders of this host and the initial fleets that they are based on.
 #[derive(Default)]
 pub(super) struct ScaleOrders {
-    /// Complete initial fleets by service name.
+    /// Complete initial fleets by service name. They are kept when the lease is lost,
+    /// and are stored again if a restore of the store lost them.
     initial_fleets: HashMap<String, InitialFleet>,
+    /// Restores of the store after which the initial fleets have been stored again.
+    handled_restores: u64,
     /// Counts of fleets that are still registering, by service name.
     fleet_counters: HashMap<String, InitialFleetCounter>,
     last_orders: HashMap<TargetKey, LastOrder>,
@@ -67,6 +70,28 @@
 }
 
 impl ScaleOrders {
+    /// Forgets the orders of a lease that was lost.
+    pub(super) fn forget_orders(&mut self) {
+        self.fleet_counters.clear();
+        self.last_orders.clear();
+    }
+
+    /// Stores the known initial fleets again if the store was restored.
+    pub(super) async fn store_fleets_again(&mut self, duties: &Duties) {
+        let restores = duties.state.store.era().restores();
+        if restores == self.handled_restores {
+            return;
+        }
+        for (service, fleet) in &self.initial_fleets {
+            if let Err(error) = write_initial_fleet(duties, service, fleet).await {
+                tracing::warn!(service, %error, "failed to store the initial fleet again");
+                return;
+            }
+            tracing::info!(service, "initial fleet stored again");
+        }
+        self.handled_restores = restores;
+    }
+
     /// Sends the scale orders that are due for `service`.
     pub(super) async fn send_due_orders(&mut self, duties: &Duties, service: &Service) {
         let Some(scale) = &service.scaling else {
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -1,65 +1,39 @@
-//! Publishes this host's usage counts and reports the sum over all hosts.
+//! Publishes this host's usage counts.
 //!
 //! Every host keeps one object in the store with its counts of the latest usage
-//! windows. The lease holder adds them up and seals the sum: it stores the sum with
-//! a write that succeeds only once per window. Only then does it report the sum. A
-//! retry, also by a later lease holder, reports the stored sum.
+//! windows. After a write that failed, or that found another revision than the known
+//! one, the counts are written again soon.
 
-use super::{DUTY_TIMEOUT, Duties};
 use crate::clock;
-use crate::connection::{Endpoint, call};
 use crate::state::GatewayState;
-use lagoonlift_adapter::duty::usage_request;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
-use lagoonlift_policy::dispatch::{
-    HostCounts, MIN_HOSTS_FOR_SHARED_READS, SumTimeouts, UsageWindow, WindowCounts, sum_window,
-};
-use serde::{Deserialize, Serialize};
+use lagoonlift_policy::dispatch::{HostCounts, MIN_HOSTS_FOR_SHARED_READS, WindowCounts};
+use rand::RngExt;
+use serde::Deserialize;
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 
 /// Kind of the objects with the hosts' counts.
 const COUNTS_KIND: &str = "usage-counts";
-/// Kind of the objects with the sealed sums.
-const SEALED_SUM_KIND: &str = "usage-reports";
-
 /// Interval between two writes of a host's counts.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Delay between the end of a window and the write of its counts.
 const WINDOW_END_DELAY: Duration = Duration::from_millis(200);
 
-/// Polling interval for windows to report.
-const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Time after the end of a window within which all running hosts publish their
-/// counts, in microseconds.
-const SETTLE_DELAY_US: i64 = 2_000_000;
-
-/// Share of the time until a report is due after which the sum no longer waits for
-/// hosts that haven't published.
-const MAX_WAIT_SHARE: f64 = 0.75;
+/// Range of the delay after a write that found another revision than the known one.
+const OUTDATED_PAUSE: Range<Duration> = Duration::ZERO..Duration::from_millis(100);
 
-/// Time without a publication after which the sum doesn't wait for a host, in
-/// microseconds.
-const SILENT_HOST_US: i64 = 9_000_000;
-
-/// Number of sealed sums that stay in the store, so that the latest windows can be
-/// inspected.
-const KEPT_SUMS: u64 = 120;
+/// Range of the delay after a write that failed.
+const FAILED_PAUSE: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(3_000);
 
 /// Number of publications between two updates of the number of hosts and of the
 /// peers' addresses.
 const HOST_UPDATE_ROUNDS: u32 = 12;
 
-/// The sum of a window as it is stored.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct SealedSum {
-    counts: WindowCounts,
-}
-
 /// Publishes this host's counts until the process ends. `started_unix_us`, the Unix
 /// time of the process start in microseconds, distinguishes the incarnations of
 /// the host in the stored counts.
@@ -74,6 +48,11 @@
             .store
             .write(COUNTS_KIND, &name, &counts, condition)
             .await;
+        let is_written = result.is_ok();
+        let is_outdated = matches!(
+            result,
+            Err(StoreError::Conflict(_) | StoreError::NotFound | StoreError::Restored)
+        );
         condition = match result {
             Ok(object) => WriteCondition::Unchanged(object.revision),
             Err(StoreError::Conflict(Some(current))) => {
@@ -99,7 +78,12 @@
             update_hosts(&state).await;
         }
         rounds += 1;
-        sleep(publish_pause(&state)).await;
+        let pause = match () {
+            () if is_outdated => rand::rng().random_range(OUTDATED_PAUSE),
+            () if is_written => publish_pause(&state),
+            () => publish_pause(&state).min(rand::rng().random_range(FAILED_PAUSE)),
+        };
+        sleep(pause).await;
     }
 }
 
@@ -177,7 +161,7 @@
     state.peers.borrow_mut().extend(peers);
 }
 
-async fn list_counts(
+pub(super) async fn list_counts(
     state: &GatewayState,
     read: ReadConsistency,
 ) -> Result<Vec<HostCounts>, StoreError> {
@@ -193,137 +177,3 @@
     }
     Ok(published)
 }
-
-/// Reports windows while this host holds the lease, until the process ends.
-pub(crate) async fn report(duties: Rc<Duties>) {
-    let mut reported: Option<UsageWindow> = None;
-    loop {
-        sleep(REPORT_INTERVAL).await;
-        if duties.holder().is_none() {
-            continue;
-        }
-        // Another lease holder may have reported this window in the meantime.
-        // Reporting it again is harmless.
-        let following = reported.map(|window| UsageWindow(window.0 + 1));
-        let window = following.max(Some(first_window(&duties.state)));
-        let window = window.unwrap_or(UsageWindow(0));
-        if !is_settled(&duties.state, window) {
-            continue;
-        }
-        match report_window(&duties, window).await {
-            Ok(true) => reported = Some(window),
-            Ok(false) => {}
-            Err(error) => {
-                tracing::warn!(window = window.0, %error, "failed to report usage");
-            }
-        }
-    }
-}
-
-/// Returns the oldest window whose report may still be outstanding.
-fn first_window(state: &GatewayState) -> UsageWindow {
-    let due_us = state.settings.bounds.usage_due.as_micros() as i64;
-    let unix_us = state.wall_clock.borrow().unix_us(clock::now());
-    let usage = state.usage.borrow();
-    let oldest = usage.window_at(unix_us - due_us);
-    UsageWindow(oldest.0.saturating_sub(1))
-}
-
-fn is_settled(state: &GatewayState, window: UsageWindow) -> bool {
-    let unix_us = state.wall_clock.borrow().unix_us(clock::now());
-    unix_us >= state.usage.borrow().end_of(window) + SETTLE_DELAY_US
-}
-
-/// Reports a window. Returns `false` if the report must be attempted again later.
-async fn report_window(duties: &Duties, window: UsageWindow) -> Result<bool, StoreError> {
-    let state = &duties.state;
-    let name = window.0.to_string();
-    let stored = state
-        .store
-        .read(SEALED_SUM_KIND, &name, ReadConsistency::Linearizable)
-        .await?;
-    let counts = match stored {
-        Some(object) => parse_sum(&object)?,
-        None => match sum_counts(state, window).await? {
-            Some(counts) => seal_sum(state, &name, counts).await?,
-            None => return Ok(false),
-        },
-    };
-    let Some(holder) = duties.holder() else {
-        return Ok(false);
-    };
-    let request = usage_request(duties.address, &holder, window, &counts);
-    let endpoint = Endpoint::Address(duties.address);
-    let response = call(&state.pool, endpoint, duties.address, request, DUTY_TIMEOUT).await;
-    let status = match response {
-        Ok(response) => response.status,
-        Err(error) => {
-            tracing::warn!(window = window.0, %error, "no response to the usage report");
-            return Ok(false);
-        }
-    };
-    // Logged also if the platform refused the report; `status` tells.
-    tracing::info!(
-        window = window.0,
-        fencing_number = holder.fencing_token,
-        requests = counts.values().sum::<u64>(),
-        status = status.as_u16(),
-        "usage report got a response"
-    );
-    remove_old_sum(state, window).await;
-    // A report that is rejected as invalid would be rejected again, so it isn't
-    // retried. 429 is retried.
-    let is_final = status.is_success() || status.is_client_error() && status.as_u16() != 429;
-    Ok(is_final)
-}
-
-/// Removes the stored sum of a window that is too old to be reported again.
-async fn remove_old_sum(state: &GatewayState, window: UsageWindow) {
-    let name = window.0.saturating_sub(KEPT_SUMS).to_string();
-    match state.store.remove(SEALED_SUM_KIND, &name).await {
-        Ok(()) | Err(StoreError::NotFound) => {}
-        Err(error) => tracing::warn!(name, %error, "failed to remove an old sum of usage"),
-    }
-}
-
-/// Adds up the counts of all hosts. Returns `None` while the counts of a host are
-/// outstanding.
-async fn sum_counts(
-    state: &GatewayState,
-    window: UsageWindow,
-) -> Result<Option<WindowCounts>, StoreError> {
-    let published = list_counts(state, ReadConsistency::Linearizable).await?;
-    let unix_us = state.wall_clock.borrow().unix_us(clock::now());
-    let end_us = state.usage.borrow().end_of(window);
-    let due_us = state.settings.bounds.usage_due.as_micros() as f64;
-    let limits = SumTimeouts {
-        max_wait_us: (due_us * MAX_WAIT_SHARE) as i64,
-        silent_host_us: SILENT_HOST_US,
-    };
-    Ok(sum_window(&published, window, end_us, unix_us, limits))
-}
-
-/// Seals the sum of a window. Returns the stored sum, which another lease holder
-/// may have written.
-async fn seal_sum(
-    state: &GatewayState,
-    name: &str,
-    counts: WindowCounts,
-) -> Result<WindowCounts, StoreError> {
-    let sum = SealedSum { counts };
-    let written = state
-        .store
-        .write(SEALED_SUM_KIND, name, &sum, WriteCondition::Absent)
-        .await;
-    match written {
-        Ok(_) => Ok(sum.counts),
-        Err(StoreError::Conflict(Some(current))) => parse_sum(&current),
-        Err(error) => Err(error),
-    }
-}
-
-fn parse_sum(object: &StoreObject) -> Result<WindowCounts, StoreError> {
-    let sum = SealedSum::deserialize(&object.contents);
-    let sum = sum.map_err(|error| StoreError::Malformed(error.to_string()))?;
-    Ok(sum.counts)
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -143,6 +143,9 @@
         state.pool.close_expired();
         let age = state.confirmation().age(now);
         state.metrics.set_confirmation_age(age.unwrap_or_default());
+        state
+            .metrics
+            .set_store_restores(state.store.era().restores());
         state.record_gauges();
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod clock;
 mod connection;
 mod duty;
+mod era_monitor;
 mod events;
 mod gateway;
 mod handler;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     confirmation_age: Gauge<f64>,
     lease_held: Gauge<u64>,
     connections_opened: Gauge<u64>,
+    store_restores: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -69,10 +70,18 @@
                 .u64_gauge("lagoonlift_gateway_connections_opened")
                 .with_description("Connections opened to others since the start.")
                 .build(),
+            store_restores: meter
+                .u64_gauge("lagoonlift_gateway_store_restores")
+                .with_description("Restores of the store from a copy since the start.")
+                .build(),
             metrics,
         }
     }
 
+    pub(crate) fn set_store_restores(&self, restores: u64) {
+        self.store_restores.record(restores, &[]);
+    }
+
     pub(crate) fn count_request(&self, route: &str, outcome: &'static str, duration: Duration) {
         let route = KeyValue::new("route", route.to_owned());
         let labels = [route.clone(), KeyValue::new("outcome", outcome)];
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 //! from the usage counts in the store and from the datagrams that it receives.
 
 use crate::clock;
+use crate::era_monitor::EraSource;
 use crate::state::GatewayState;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
@@ -106,7 +107,16 @@
         state.peer_loads.borrow_mut().expire(clock::now());
         state.store_readers.borrow_mut().expire(clock::now());
         let report = own_report(&state);
-        let status = state.announced_store_status.get();
+        let mut status = state.announced_store_status.get();
+        let era = state.store.era().latest();
+        if status.era < era {
+            // Changes in the new era haven't been read yet.
+            status = StoreStatus {
+                era,
+                upstream_revision: 0,
+                ..status
+            };
+        }
         let is_busy = report != HostReport::default() || status.is_reading_store;
         // After the load drops to zero, one message informs the peers; further
         // ones would repeat it.
@@ -253,6 +263,9 @@
     let now = clock::now();
     match message {
         PeerMessage::Load(load) => {
+            if let Some(era) = load.status.era {
+                state.store.era().record(era, EraSource::Peer);
+            }
             let mut readers = state.store_readers.borrow_mut();
             readers.record(now, load.sender, address, load.status);
             let mut loads = state.peer_loads.borrow_mut();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,11 +20,15 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// Number of hosts assumed until the store has listed them.
 const INITIAL_HOST_COUNT: usize = 8;
 
+/// Time after the start in which peers respond to the first queries.
+const PEER_RESPONSE_TIME: Duration = Duration::from_millis(800);
+
 /// Shared state of the gateway of this host.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
@@ -127,6 +131,15 @@
             && self.config.borrow().is_some()
             && self.table.borrow().is_loaded()
             && self.confirmation().can_report_ready(now)
+            && self.has_asked_peers(now)
+    }
+
+    /// Returns whether a peer has told its configuration version since this process
+    /// started, or enough time has passed for one to do so. A store that was just
+    /// restored from a copy may return a version that is older than the one in force.
+    fn has_asked_peers(&self, now: Timestamp) -> bool {
+        self.freshness.borrow().has_peer_response()
+            || now.since(self.started_at) >= PEER_RESPONSE_TIME
     }
 
     /// Returns whether a shutdown has been requested.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,12 +1,14 @@
 //! HTTP client of the shared store.
 
 use crate::connection::{BufferedResponse, CallError, ConnectionPool, Endpoint, call};
+use crate::era_monitor::{EraMonitor, EraSource};
 use bytes::Bytes;
 use http::Request;
 use lagoonlift_adapter::store::{
     ChangePage, ObjectPage, ReadConsistency, Revision, StoreCalls, StoreError, StoreObject,
-    WriteCondition, decode_changes, decode_object, decode_page, decode_removal,
+    WriteCondition, decode_changes, decode_era, decode_object, decode_page, decode_removal,
 };
+use lagoonlift_policy::dispatch::{EraChange, StoreEra};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,12 +19,36 @@
 /// Added to the wait of a watch for its timeout.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
+/// A state of the store from which a watch continues.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WatchPosition {
+    /// Era of the revision.
+    pub(crate) era: Option<StoreEra>,
+    /// Revision after which changes are returned.
+    pub(crate) revision: Revision,
+}
+
+impl WatchPosition {
+    /// Returns the position after changes up to `revision` were returned. A stale watch
+    /// may return an older revision than the known one.
+    pub(crate) fn advanced_to(self, revision: Revision) -> Self {
+        Self {
+            revision: revision.max(self.revision),
+            ..self
+        }
+    }
+}
+
 /// Makes calls to the store; clones share the connection pool.
+///
+/// A call during which the store turns out to have been restored from a copy fails
+/// with [`StoreError::Restored`], whatever its response says.
 #[derive(Clone)]
 pub(crate) struct StoreClient {
     address: SocketAddr,
     calls: StoreCalls,
     pool: ConnectionPool,
+    era: EraMonitor,
 }
 
 impl StoreClient {
@@ -31,28 +57,41 @@
             address,
             calls: StoreCalls::new(address),
             pool,
+            era: EraMonitor::new(),
         }
     }
 
-    /// Reads all objects of a kind, page by page. The revision is that of the first
+    /// Returns the monitor of restores of the store.
+    pub(crate) fn era(&self) -> &EraMonitor {
+        &self.era
+    }
+
+    /// Reads all objects of a kind, page by page. The position is that of the first
     /// page.
     pub(crate) async fn list(
         &self,
         kind: &str,
         read: ReadConsistency,
-    ) -> Result<(Vec<StoreObject>, Revision), StoreError> {
+    ) -> Result<(Vec<StoreObject>, WatchPosition), StoreError> {
         let mut objects: Vec<StoreObject> = Vec::new();
-        let mut first_revision = None;
+        let mut position: Option<WatchPosition> = None;
         loop {
             let after = objects.last().map(|object| object.name.as_str());
             let page = self.page(kind, after, read).await?;
             // A watch from the first page's revision includes the changes made while
             // the other pages were read.
-            let revision = *first_revision.get_or_insert(page.revision);
+            let era = self.era.latest();
+            let first = *position.get_or_insert(WatchPosition {
+                era,
+                revision: page.revision,
+            });
+            if first.era != era {
+                return Err(StoreError::Restored);
+            }
             let is_last = !page.is_truncated || page.objects.is_empty();
             objects.extend(page.objects);
             if is_last {
-                return Ok((objects, revision));
+                return Ok((objects, first));
             }
         }
     }
@@ -72,15 +111,19 @@
         }
     }
 
-    /// Waits up to `wait` for changes of a kind after `revision`.
+    /// Waits up to `wait` for changes of a kind after `position`.
     pub(crate) async fn watch(
         &self,
         kind: &str,
-        revision: Revision,
+        position: WatchPosition,
         wait: Duration,
         read: ReadConsistency,
     ) -> Result<ChangePage, StoreError> {
-        let request = self.calls.watch(kind, revision, wait, read);
+        if position.era != self.era.latest() {
+            // The revision may exist again, with other changes before it.
+            return Err(StoreError::Restored);
+        }
+        let request = self.calls.watch(kind, position.revision, wait, read);
         let response = self
             .call_within(request, wait + WATCH_TIMEOUT_MARGIN)
             .await?;
@@ -126,12 +169,31 @@
         request: Request<Bytes>,
         limit: Duration,
     ) -> Result<BufferedResponse, StoreError> {
+        let era = self.era.latest();
         let endpoint = Endpoint::Address(self.address);
-        let result = call(&self.pool, endpoint, self.address, request, limit).await;
-        result.map_err(|error| match error {
+        let response = tokio::select! {
+            response = call(&self.pool, endpoint, self.address, request, limit) => response,
+            () = self.era.changed_from(era), if era.is_some() => {
+                return Err(StoreError::Restored);
+            }
+        };
+        let response = response.map_err(|error| match error {
             CallError::NotSent(detail) | CallError::NotOpened(detail) | CallError::Lost(detail) => {
                 StoreError::NoResponse(detail)
             }
-        })
+        })?;
+        self.check_era(response)
+    }
+
+    /// Returns the response unless it shows that the store was restored since the call
+    /// was sent, or is from before a restore.
+    fn check_era(&self, response: BufferedResponse) -> Result<BufferedResponse, StoreError> {
+        let Some(era) = decode_era(&response.headers) else {
+            return Ok(response);
+        };
+        match self.era.record(era, EraSource::Store) {
+            EraChange::Unchanged | EraChange::First => Ok(response),
+            EraChange::Restored(_) | EraChange::Outdated => Err(StoreError::Restored),
+        }
     }
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -2,15 +2,19 @@
 //!
 //! Each of the two is listed once and then watched from the revision of the list.
 //! After a watch that failed, or whose history the store no longer has, it is
-//! listed again, which also shows removals that the watch missed.
+//! listed again, which also shows removals that the watch missed. The same is done
+//! after the store was restored from a copy, since its revisions went back; in a large
+//! deployment, the hosts other than the store readers then wait for a random time, so
+//! that they don't all list at once.
 
 use crate::clock;
 use crate::state::GatewayState;
+use crate::store::WatchPosition;
 use lagoonlift_adapter::listing::{
     CONFIG_KIND, CONFIG_NAME, UPSTREAM_KIND, decode_config, decode_upstream,
 };
 use lagoonlift_adapter::store::{
-    ChangePage, ObjectChange, ReadConsistency, Revision, StoreError, StoreObject,
+    ChangePage, ObjectChange, ReadConsistency, StoreError, StoreObject,
 };
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
@@ -62,31 +66,32 @@
 /// Longest delay before a failed call is retried.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Longest delay in a large deployment before a host that isn't a store reader lists
+/// again after a restore of the store.
+const MAX_RELIST_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Watches the configuration until the process ends.
 pub(crate) async fn follow_config(state: Rc<GatewayState>) {
-    let mut revision = None;
+    let mut position = None;
     loop {
         let sent_at = clock::now();
-        let result = match revision {
+        let result = match position {
             None => list_config(&state)
                 .await
                 .map(|next| (next, ReadConsistency::Linearizable)),
-            Some(revision) => watch_config(&state, revision).await,
+            Some(position) => watch_config(&state, position).await,
         };
         match result {
             Ok((next, read)) => {
                 if read == ReadConsistency::Linearizable {
-                    state
-                        .freshness
-                        .borrow_mut()
-                        .record_linearizable_read(sent_at);
+                    record_confirmation(&state, sent_at);
                 }
-                revision = Some(next);
+                position = Some(next);
             }
             Err(error) => {
-                revision = None;
+                position = None;
                 record_failure(&state, "configuration", &error);
-                back_off_after(&error).await;
+                back_off_after(&state, &error).await;
             }
         }
     }
@@ -99,18 +104,30 @@
         wait_until_renewal_due(&state).await;
         let sent_at = clock::now();
         match list_config(&state).await {
-            Ok(_) => state
-                .freshness
-                .borrow_mut()
-                .record_linearizable_read(sent_at),
+            Ok(_) => {
+                if !record_confirmation(&state, sent_at) {
+                    sleep(MAX_RETRY_DELAY).await;
+                }
+            }
             Err(error) => {
                 record_failure(&state, "proof", &error);
-                back_off_after(&error).await;
+                back_off_after(&state, &error).await;
             }
         }
     }
 }
 
+/// Records a linearizable read of the configuration that was sent at `sent_at`. Returns
+/// whether it confirms the version in force.
+fn record_confirmation(state: &GatewayState, sent_at: Timestamp) -> bool {
+    let mut freshness = state.freshness.borrow_mut();
+    let is_confirmed = freshness.record_linearizable_read(sent_at);
+    if !is_confirmed {
+        tracing::warn!("the store returned an older configuration than a known one");
+    }
+    is_confirmed
+}
+
 /// Draws the age at which this host reads the store to renew the confirmation.
 fn confirmation_read_age(state: &GatewayState) -> Duration {
     let mut rng = rand::rng();
@@ -142,35 +159,37 @@
     }
 }
 
-async fn list_config(state: &GatewayState) -> Result<Revision, StoreError> {
-    let (objects, revision) = state
+async fn list_config(state: &GatewayState) -> Result<WatchPosition, StoreError> {
+    let (objects, position) = state
         .store
         .list(CONFIG_KIND, ReadConsistency::Linearizable)
         .await?;
+    if !objects.iter().any(|object| object.name == CONFIG_NAME) {
+        state.freshness.borrow_mut().record_absence();
+    }
     for object in &objects {
         apply_config(state, object);
     }
-    Ok(revision)
+    Ok(position)
 }
 
 /// Waits for changes of the configuration. A stale watch may return them late; the
 /// linearizable reads that renew the confirmation bound that delay.
 async fn watch_config(
     state: &GatewayState,
-    revision: Revision,
-) -> Result<(Revision, ReadConsistency), StoreError> {
+    position: WatchPosition,
+) -> Result<(WatchPosition, ReadConsistency), StoreError> {
     let read = watch_consistency(state);
     let started = clock::now();
     let page = state
         .store
-        .watch(CONFIG_KIND, revision, CONFIG_WATCH_WAIT, read)
+        .watch(CONFIG_KIND, position, CONFIG_WATCH_WAIT, read)
         .await?;
     pause_if_immediate(started, &page).await;
     for change in page.changes.iter().filter(|change| !change.is_removed) {
         apply_config(state, &change.object);
     }
-    // A stale read may return an older revision than the known one.
-    Ok((page.revision.max(revision), read))
+    Ok((position.advanced_to(page.revision), read))
 }
 
 /// Returns the read consistency of this host's watches: linearizable on a store
@@ -208,11 +227,11 @@
 
 /// Watches the list of upstreams until the process ends.
 pub(crate) async fn follow_upstreams(state: Rc<GatewayState>) {
-    let mut revision = None;
+    let mut position = None;
     loop {
-        let result = match revision {
+        let result = match position {
             None => list_upstreams(&state).await,
-            Some(revision) => watch_upstreams(&state, revision).await,
+            Some(position) => watch_upstreams(&state, position).await,
         };
         match result {
             Ok(next) => {
@@ -222,23 +241,23 @@
                     .record_store_available(clock::now());
                 let is_for_many = state.max_host_count() >= MIN_HOSTS_FOR_SHARED_READS;
                 announce_reading(&state, is_for_many && state.is_store_reader());
-                revision = Some(next);
+                position = Some(next);
             }
             Err(error) => {
-                revision = None;
+                position = None;
                 announce_reading(&state, false);
                 if error != StoreError::HistoryExpired {
                     state.table.borrow_mut().record_store_unavailable();
                 }
                 record_failure(&state, "upstreams", &error);
-                back_off_after(&error).await;
+                back_off_after(&state, &error).await;
             }
         }
     }
 }
 
-async fn list_upstreams(state: &GatewayState) -> Result<Revision, StoreError> {
-    let (objects, revision) = state
+async fn list_upstreams(state: &GatewayState) -> Result<WatchPosition, StoreError> {
+    let (objects, position) = state
         .store
         .list(UPSTREAM_KIND, ReadConsistency::Linearizable)
         .await?;
@@ -250,29 +269,33 @@
         table.apply_list(now, records)
     };
     state.close_idle_connections(&removed);
-    announce_change(state, revision);
+    announce_change(state, position);
     tracing::info!(
         upstreams = objects.len(),
         gone = removed.len(),
         "upstreams listed"
     );
-    Ok(revision)
+    Ok(position)
 }
 
-async fn watch_upstreams(state: &GatewayState, revision: Revision) -> Result<Revision, StoreError> {
+async fn watch_upstreams(
+    state: &GatewayState,
+    position: WatchPosition,
+) -> Result<WatchPosition, StoreError> {
     let started = clock::now();
     let page = tokio::select! {
         page = state
             .store
-            .watch(UPSTREAM_KIND, revision, UPSTREAM_WATCH_WAIT, watch_consistency(state)) => page?,
-        () = wait_until_behind(state, revision) => {
+            .watch(UPSTREAM_KIND, position, UPSTREAM_WATCH_WAIT, watch_consistency(state)) => page?,
+        () = wait_until_behind(state, position) => {
             let read = ReadConsistency::Linearizable;
-            state.store.watch(UPSTREAM_KIND, revision, CATCH_UP_WAIT, read).await?
+            state.store.watch(UPSTREAM_KIND, position, CATCH_UP_WAIT, read).await?
         }
     };
     apply_changes(state, clock::now(), &page);
+    let next = position.advanced_to(page.revision);
     if !page.changes.is_empty() {
-        announce_change(state, page.revision);
+        announce_change(state, next);
         state.update_changing_roles();
         sleep(match state.max_host_count() < MIN_HOSTS_FOR_SHARED_READS {
             true => COALESCE_DELAY,
@@ -281,7 +304,7 @@
         .await;
     }
     pause_if_immediate(started, &page).await;
-    Ok(page.revision.max(revision))
+    Ok(next)
 }
 
 /// Sleeps after a watch that returned no changes without waiting, so that a store
@@ -294,26 +317,26 @@
 
 /// Waits until a peer has announced changes that this host's stale watch should
 /// have returned by now.
-async fn wait_until_behind(state: &GatewayState, revision: Revision) {
+async fn wait_until_behind(state: &GatewayState, position: WatchPosition) {
+    let (era, revision) = (position.era, position.revision.0);
     while state.is_store_reader()
         || !state
             .store_readers
             .borrow()
-            .is_watch_behind(clock::now(), revision.0)
+            .is_watch_behind(clock::now(), era, revision)
     {
         sleep(BEHIND_POLL_INTERVAL).await;
     }
-    tracing::info!(
-        revision = revision.0,
-        "the watch of the upstreams is behind"
-    );
+    tracing::info!(revision, "the watch of the upstreams is behind");
 }
 
 /// Announces the latest change of the upstreams to the peers.
-fn announce_change(state: &GatewayState, revision: Revision) {
+fn announce_change(state: &GatewayState, position: WatchPosition) {
     let status = state.announced_store_status.get();
+    let latest = (status.era, status.upstream_revision).max((position.era, position.revision.0));
     state.announced_store_status.set(StoreStatus {
-        upstream_revision: status.upstream_revision.max(revision.0),
+        era: latest.0,
+        upstream_revision: latest.1,
         ..status
     });
 }
@@ -358,9 +381,12 @@
     tracing::warn!(subject, %error, "the store gave no answer");
 }
 
-async fn back_off_after(error: &StoreError) {
+async fn back_off_after(state: &GatewayState, error: &StoreError) {
+    let is_for_others = state.max_host_count() >= MIN_HOSTS_FOR_SHARED_READS;
     let longest = match error {
         StoreError::HistoryExpired => return,
+        StoreError::Restored if state.is_store_reader() => return,
+        StoreError::Restored if is_for_others => MAX_RELIST_DELAY,
         _ => MAX_RETRY_DELAY,
     };
     let share: f64 = rand::rng().random_range(0.4..1.0);
--- a/crates/policy/src/dispatch/config_freshness.rs
+++ b/crates/policy/src/dispatch/config_freshness.rs
@@ -5,6 +5,10 @@
 //! version is the latest, and so does a peer that has the same version and a
 //! confirmation of its own. A peer with an older version confirms nothing; a peer
 //! with a newer version shows that this host has to read the store.
+//!
+//! A store that was restored from a copy may return an older version than the one in
+//! force, until the operator has written the newer one again. Such a read confirms
+//! nothing, and neither does a read of a version that is older than a peer's.
 
 use super::{ConfigConfirmation, ConfigVersion, StalenessLimits};
 use crate::Timestamp;
@@ -35,6 +39,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigFreshness {
     version: Option<ConfigVersion>,
+    /// Version that the store returned last.
+    stored_version: Option<ConfigVersion>,
+    /// Highest version that a peer has in force.
+    peer_version: Option<ConfigVersion>,
+    has_peer_response: bool,
     confirmation: ConfigConfirmation,
 }
 
@@ -43,6 +52,9 @@
     pub fn new(limits: StalenessLimits) -> Self {
         Self {
             version: None,
+            stored_version: None,
+            peer_version: None,
+            has_peer_response: false,
             confirmation: ConfigConfirmation::new(limits),
         }
     }
@@ -63,9 +75,15 @@
         self.confirmation
     }
 
-    /// Puts `version` into force if it is newer than the current one, and returns
-    /// whether it is. The confirmation stays as it is.
+    /// Returns whether a peer has responded to a query of this process.
+    pub fn has_peer_response(&self) -> bool {
+        self.has_peer_response
+    }
+
+    /// Records that the store returned `version`, and puts it into force if it is newer
+    /// than the current one. Returns whether it is. The confirmation stays as it is.
     pub fn accept(&mut self, version: ConfigVersion) -> bool {
+        self.stored_version = Some(version);
         let is_newer = Some(version) > self.version;
         if is_newer {
             self.version = Some(version);
@@ -73,10 +91,21 @@
         is_newer
     }
 
+    /// Records that the store has no configuration.
+    pub fn record_absence(&mut self) {
+        self.stored_version = None;
+    }
+
     /// Records the response to a linearizable read that was sent at `sent_at`. The
-    /// version that it returned must have been put into force before.
-    pub fn record_linearizable_read(&mut self, sent_at: Timestamp) {
-        self.confirmation.renew(sent_at);
+    /// version that it returned must have been passed to [`ConfigFreshness::accept`]
+    /// before. Returns whether the read confirms the version in force, which it
+    /// doesn't if the store or a peer shows that a read missed a newer version.
+    pub fn record_linearizable_read(&mut self, sent_at: Timestamp) -> bool {
+        let is_latest = self.stored_version >= self.version && self.version >= self.peer_version;
+        if is_latest {
+            self.confirmation.renew(sent_at);
+        }
+        is_latest
     }
 
     /// Returns this host's response to a peer's query; `None` without a
@@ -94,6 +123,8 @@
         queried_at: Timestamp,
         peer: PeerConfirmation,
     ) -> PeerConfirmationResult {
+        self.has_peer_response = true;
+        self.peer_version = self.peer_version.max(Some(peer.version));
         match Some(peer.version).cmp(&self.version) {
             Ordering::Equal => {
                 self.confirmation.renew_from_peer(queried_at, peer.age);
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -22,8 +22,10 @@
 //!
 //! These types decide about the fleet and the work of the hosts:
 //!
+//! * [`EraTracker`] tracks restores of the store from a copy.
 //! * [`StoreReaderSelection`] selects the hosts that read the store for all.
 //! * [`UsageCounts`] counts requests by workspace and usage window.
+//! * [`SealedSums`] decides which sum of a usage window may be reported.
 //! * [`WallClock`] provides the time of day, unaffected by steps of the system
 //!   clock.
 //! * [`InitialFleetCounter`] counts the upstreams that a deployment starts with.
@@ -42,6 +44,8 @@
 mod retry_budget;
 mod roles;
 mod scaling;
+mod sealed_sums;
+mod store_era;
 mod store_readers;
 mod upstream;
 mod usage;
@@ -65,6 +69,8 @@
 pub use scaling::{
     FleetTarget, InitialFleet, InitialFleetCounter, ScalePlanner, count_standard_upstreams,
 };
+pub use sealed_sums::{SealedSums, SumSource};
+pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
 pub use upstream::{
     EngineRole, ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
--- a/crates/policy/src/dispatch/store_readers.rs
+++ b/crates/policy/src/dispatch/store_readers.rs
@@ -12,6 +12,7 @@
 //! from which it receives messages. Two hosts that receive messages from different
 //! hosts may both become store readers, which is harmless.
 
+use super::StoreEra;
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -40,7 +41,10 @@
     /// Whether the host makes linearizable reads and the store responded to the
     /// latest call.
     pub is_reading_store: bool,
-    /// Store revision of the latest change of the upstreams that the host knows.
+    /// Latest era of the store that the host knows.
+    pub era: Option<StoreEra>,
+    /// Store revision of the latest change of the upstreams that the host knows, in
+    /// that era.
     pub upstream_revision: u64,
 }
 
@@ -61,9 +65,9 @@
     /// Store statuses by the incarnation of the host that sent them. A restarted host
     /// has two entries until the one of its previous incarnation expires.
     statuses: HashMap<u64, ReceivedStatus>,
-    /// Highest store revision of a change of the upstreams in any received status, and
-    /// when it was first received.
-    latest_revision: u64,
+    /// Latest era, and highest revision in it, of a change of the upstreams in any
+    /// received status, and when it was first received.
+    latest_revision: (Option<StoreEra>, u64),
     latest_received_at: Timestamp,
 }
 
@@ -74,7 +78,7 @@
         Self {
             own_incarnation,
             statuses: HashMap::new(),
-            latest_revision: 0,
+            latest_revision: (None, 0),
             latest_received_at: Timestamp::default(),
         }
     }
@@ -94,8 +98,9 @@
             is_reading: status.is_reading_store,
         };
         self.statuses.insert(incarnation, received);
-        if status.upstream_revision > self.latest_revision {
-            self.latest_revision = status.upstream_revision;
+        let revision = (status.era, status.upstream_revision);
+        if revision > self.latest_revision {
+            self.latest_revision = revision;
             self.latest_received_at = now;
         }
     }
@@ -127,10 +132,11 @@
         readers.map(|status| status.address)
     }
 
-    /// Returns whether a host knows of a change of the upstreams after `revision` that
-    /// a stale watch of this host should have delivered by `now`.
-    pub fn is_watch_behind(&self, now: Timestamp, revision: u64) -> bool {
-        self.latest_revision > revision && now.since(self.latest_received_at) >= STALE_WATCH_GRACE
+    /// Returns whether a host knows of a change of the upstreams after `revision` of
+    /// `era` that a stale watch of this host should have delivered by `now`.
+    pub fn is_watch_behind(&self, now: Timestamp, era: Option<StoreEra>, revision: u64) -> bool {
+        self.latest_revision > (era, revision)
+            && now.since(self.latest_received_at) >= STALE_WATCH_GRACE
     }
 
     /// Returns the position of this host among the hosts from which it receives
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -425,6 +425,8 @@
         let known = self.by_id.get(&record.id).copied();
         let current = known.and_then(|key| self.entries.get_mut(key));
         match current {
+            // The list of a restored store may name an incarnation that has ended.
+            Some(upstream) if record.is_earlier_incarnation(&upstream.record) => None,
             Some(upstream) if upstream.record.is_same_incarnation(&record) => {
                 upstream.record = record;
                 upstream.removal_at = None;
--- a/crates/policy/src/dispatch/upstream/announcements.rs
+++ b/crates/policy/src/dispatch/upstream/announcements.rs
@@ -23,20 +23,22 @@
 /// Time for which the announcements of an upstream that isn't listed are kept.
 const RETENTION: Duration = Duration::from_secs(3_600);
 
-/// The latest announcements of one incarnation.
+/// Identifies an incarnation: the upstream, and the Unix time of its start in
+/// milliseconds if it reports it.
+type IncarnationKey = (UpstreamId, Option<u64>);
+
+/// The announcements of one incarnation.
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
-    /// Unix time of the incarnation's start in milliseconds, if it reports it.
-    started_ms: Option<u64>,
     is_draining: bool,
     held_off_until: Option<Timestamp>,
     has_malformed_hold_off: bool,
     recorded_at: Timestamp,
 }
 
-/// Announcements by upstream.
+/// Announcements by incarnation.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Announcements(HashMap<UpstreamId, Announcement>);
+pub(super) struct Announcements(HashMap<IncarnationKey, Announcement>);
 
 impl Announcements {
     /// Records that the incarnation of `record` drains; returns whether this is new.
@@ -86,28 +88,22 @@
     /// Removes old announcements of upstreams for which `is_listed` is false.
     pub(super) fn remove_old(&mut self, now: Timestamp, is_listed: impl Fn(&UpstreamId) -> bool) {
         self.0
-            .retain(|id, one| is_listed(id) || now.since(one.recorded_at) < RETENTION);
+            .retain(|(id, _), one| is_listed(id) || now.since(one.recorded_at) < RETENTION);
     }
 
     fn get(&self, record: &UpstreamRecord) -> Option<&Announcement> {
-        let announcement = self.0.get(&record.id)?;
-        (announcement.started_ms == record.started_ms).then_some(announcement)
+        self.0.get(&(record.id.clone(), record.started_ms))
     }
 
-    /// Returns the announcement of the incarnation of `record`. It replaces the one of
-    /// another incarnation, unless that one started later.
     fn entry(&mut self, now: Timestamp, record: &UpstreamRecord) -> &mut Announcement {
         let new = Announcement {
-            started_ms: record.started_ms,
             is_draining: false,
             held_off_until: None,
             has_malformed_hold_off: false,
             recorded_at: now,
         };
-        let announcement = self.0.entry(record.id.clone()).or_insert(new);
-        if announcement.started_ms != record.started_ms {
-            *announcement = new;
-        }
+        let key = (record.id.clone(), record.started_ms);
+        let announcement = self.0.entry(key).or_insert(new);
         announcement.recorded_at = now;
         announcement
     }
--- a/crates/policy/src/dispatch/upstream/record.rs
+++ b/crates/policy/src/dispatch/upstream/record.rs
@@ -52,6 +52,15 @@
 }
 
 impl UpstreamRecord {
+    /// Returns whether this is an earlier incarnation than `other`. Only incarnations
+    /// that report their start are compared.
+    pub(super) fn is_earlier_incarnation(&self, other: &Self) -> bool {
+        match (self.started_ms, other.started_ms) {
+            (Some(own), Some(other)) => own < other,
+            _ => false,
+        }
+    }
+
     pub(super) fn is_same_incarnation(&self, other: &Self) -> bool {
         self.address == other.address && self.started_ms == other.started_ms
     }
--- a/crates/steward/src/lease/event.rs
+++ b/crates/steward/src/lease/event.rs
@@ -2,6 +2,7 @@
 
 use super::{LeaseRecord, Predecessor};
 use lagoonlift_platform::Version;
+use lagoonlift_types::Epoch;
 
 /// The lease record with the version of its object.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +42,15 @@
     /// These predecessors are resolved: they are taken to send no more orders of their
     /// epoch.
     PredecessorsResolved(Vec<Predecessor>),
+    /// The store was restored from a copy. The lease object and its versions are gone,
+    /// and so are all calls of this state machine; their results must not be passed in
+    /// any more. The object that is read and written from now on is another one, which
+    /// no call from before the restore can reach.
+    StoreRestored {
+        /// Epochs from now on exceed this one, which exceeds all that may have been used
+        /// before the restore.
+        epoch_floor: Epoch,
+    },
     /// The lease is to be released. No order of this process is in flight.
     ReleaseRequested,
 }
--- a/crates/steward/src/lease/machine.rs
+++ b/crates/steward/src/lease/machine.rs
@@ -10,6 +10,8 @@
 //!   begins or is extended only after a read finds that write in the object.
 //! * The epoch of a grant was written by this incarnation of this process, and no
 //!   other process held the lease since.
+//! * After a restore of the store, the grant ends at once, and a successor waits for a
+//!   term and a margin from when it learnt of the restore.
 
 use super::{
     Grant, LeaseAction, LeaseCallFailure, LeaseEvent, LeaseIdentity, LeaseRecord, Predecessor,
@@ -160,6 +162,7 @@
             LeaseEvent::WriteCompleted(result) => self.end_write(now, result),
             LeaseEvent::CandidateChanged(is_candidate) => self.set_candidate(now, is_candidate),
             LeaseEvent::PredecessorsResolved(predecessors) => self.mark_resolved(now, predecessors),
+            LeaseEvent::StoreRestored { epoch_floor } => self.restart(now, epoch_floor),
             LeaseEvent::ReleaseRequested => self.release(now),
         }
         self.next_action(now)
@@ -191,6 +194,19 @@
         self.next_call_at = now;
     }
 
+    /// Starts over after a restore of the store. The new object doesn't exist yet, and an
+    /// absent lease is waited for like any other, counted from the first read. The
+    /// grant of a holder whose write was lost with the restore has ended by then.
+    fn restart(&mut self, now: BootTime, epoch_floor: Epoch) {
+        self.grant = None;
+        self.observation = None;
+        self.send_times.clear();
+        self.pending_call = None;
+        self.highest_epoch = self.highest_epoch.max(epoch_floor);
+        self.next_call_at = now;
+        self.next_read_at = now;
+    }
+
     fn end_read(
         &mut self,
         now: BootTime,
