store: one probe a host while the store is away, most hosts wait for a reader's word

Ruled out: a longer fixed delay between retries (slows the return and still grows with the hosts), peers' word alone (a host that the store refuses while it serves others, or that hears no peers, must probe by itself).

Now one task of a host probes at a time, with a list and never with a watch; the delay grows to 0.5 s on the four readers and in small deployments, to 2.5 s on the others, which probe within 0.6 s when a reader reports that the store responds again. Usage counts wait for the gate and are written again soon after a conflict or a failure.

Also: the record of an era is only taken as a restore if an earlier era is on record (found by duties::each_window_is_reported_once_with_all_requests, which failed when the first lease holder took the first era for a restore).

Test store_outage (195 hosts, 8 s): at most one call a host and second, back within 1.5 s.

--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -166,7 +166,7 @@
     // Logged also if the engine refused the order or didn't respond; `reply` tells.
     tracing::info!(
         engine = record.id.0,
-        role = ?order.role,
+        role = order.role.name(),
         order_count = status.order_count,
         fencing_number = holder.fencing_token,
         ?reply,
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -6,6 +6,7 @@
 
 use crate::clock;
 use crate::state::GatewayState;
+use crate::store_gate::StoreGate;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::dispatch::{HostCounts, MIN_HOSTS_FOR_SHARED_READS, WindowCounts};
 use rand::RngExt;
@@ -43,6 +44,7 @@
     let mut earlier = BTreeMap::new();
     let mut rounds: u32 = 0;
     loop {
+        StoreGate::wait_until_open(&state).await;
         let counts = own_counts(&state, started_unix_us, &earlier);
         let result = state
             .store
--- a/crates/gateway/src/duty/usage_report.rs
+++ b/crates/gateway/src/duty/usage_report.rs
@@ -55,8 +55,9 @@
 /// The start of an era as it is stored.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct EraRecord {
-    /// Unix time in microseconds at which a process first learnt of the era.
-    seen_unix_us: i64,
+    /// Unix time in microseconds at which a lease holder learnt of the restore that
+    /// began the era; `None` for the first era of a deployment, which no restore began.
+    restored_unix_us: Option<i64>,
 }
 
 /// Reports windows until the process ends; idles without the lease.
@@ -129,29 +130,15 @@
         Ok(())
     }
 
-    /// Determines when the store was restored to its current era, once per era. The
-    /// first lease holder in an era records the time at which it learnt of the restore,
-    /// or the current time if it started since.
+    /// Determines when the store was restored to its current era, once per era.
     async fn learn_restore_time(&mut self) -> Result<(), StoreError> {
         let state = &self.duties.state;
         let era = state.store.era().latest();
         let Some(era) = era.filter(|_| era != self.known_era) else {
             return Ok(());
         };
-        let seen_at = state.store.era().restored_at().unwrap_or(clock::now());
-        let seen_unix_us = state.wall_clock.borrow().unix_us(seen_at);
-        let record = EraRecord { seen_unix_us };
-        let name = era.0.to_string();
-        let written = state
-            .store
-            .write(ERA_KIND, &name, &record, WriteCondition::Absent)
-            .await;
-        let record = match written {
-            Ok(_) => record,
-            Err(StoreError::Conflict(Some(current))) => parse_contents(&current)?,
-            Err(error) => return Err(error),
-        };
-        self.sums.set_restore_time(Some(record.seen_unix_us));
+        let record = era_record(state, era).await?;
+        self.sums.set_restore_time(record.restored_unix_us);
         self.known_era = Some(era);
         Ok(())
     }
@@ -238,6 +225,37 @@
     }
 }
 
+/// Returns the stored record of an era. The first lease holder in the era writes it, with
+/// the time at which it learnt of the restore, or the current time if it started since.
+async fn era_record(state: &GatewayState, era: StoreEra) -> Result<EraRecord, StoreError> {
+    let (records, _) = state
+        .store
+        .list(ERA_KIND, ReadConsistency::Linearizable)
+        .await?;
+    let name = era.0.to_string();
+    if let Some(object) = records.iter().find(|object| object.name == name) {
+        return parse_contents(object);
+    }
+    let restored_at = match state.store.era().restored_at() {
+        None if records.is_empty() => None,
+        None => Some(clock::now()),
+        restored_at => restored_at,
+    };
+    let wall_clock = state.wall_clock.borrow().clone();
+    let record = EraRecord {
+        restored_unix_us: restored_at.map(|at| wall_clock.unix_us(at)),
+    };
+    let written = state
+        .store
+        .write(ERA_KIND, &name, &record, WriteCondition::Absent)
+        .await;
+    match written {
+        Ok(_) => Ok(record),
+        Err(StoreError::Conflict(Some(current))) => parse_contents(&current),
+        Err(error) => Err(error),
+    }
+}
+
 /// Returns the oldest window whose report may still be outstanding.
 fn first_window(state: &GatewayState) -> UsageWindow {
     let due_us = state.settings.bounds.usage_due.as_micros() as i64;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod server;
 mod state;
 mod store;
+mod store_gate;
 mod trace;
 mod watcher;
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use crate::connection::{ConnectionPool, Endpoint};
 use crate::metrics::GatewayMetrics;
 use crate::store::StoreClient;
+use crate::store_gate::StoreGate;
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, PeerLoads, Placement, PlacementLimits, RetryBudget,
     RetryBudgetLimits, RolePlanner, ServingConfig, StalenessLimits, StoreReaderSelection,
@@ -37,6 +38,7 @@
     pub(crate) incarnation_id: u64,
     started_at: Timestamp,
     pub(crate) store: StoreClient,
+    pub(crate) store_gate: StoreGate,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) placement: RefCell<Placement>,
@@ -83,6 +85,7 @@
         let incarnation_id = rand::random();
         Rc::new(Self {
             store: StoreClient::new(settings.store.address, pool.clone()),
+            store_gate: StoreGate::default(),
             placement: RefCell::new(Placement::new(
                 PlacementLimits::default(),
                 &settings.host.data_centre,
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -1,6 +1,8 @@
 //! Watches the configuration and the list of upstreams in the store.
 //!
 //! Each of the two is listed once and then watched from the revision of the list.
+//! While the store is unavailable, one of the tasks probes it with a list, never with a
+//! watch, on whose result the others wait; see `store_gate`.
 //! After a watch that failed, or whose history the store no longer has, it is
 //! listed again, which also shows removals that the watch missed. The same is done
 //! after the store was restored from a copy, since its revisions went back; in a large
@@ -10,6 +12,7 @@
 use crate::clock;
 use crate::state::GatewayState;
 use crate::store::WatchPosition;
+use crate::store_gate::StoreGate;
 use lagoonlift_adapter::listing::{
     CONFIG_KIND, CONFIG_NAME, UPSTREAM_KIND, decode_config, decode_upstream,
 };
@@ -18,7 +21,7 @@
 };
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId,
+    EngineRole, ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId,
 };
 use rand::RngExt;
 use std::rc::Rc;
@@ -40,6 +43,9 @@
 /// configuration has to be in force.
 const NON_READER_AGE_SHARES: std::ops::Range<f64> = 0.5..0.65;
 
+/// Age up to which a confirmation needs no renewal after the store was unavailable.
+const FRESH_CONFIRMATION: Duration = Duration::from_millis(250);
+
 /// Polling interval for the age of the confirmation.
 const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -74,6 +80,10 @@
 pub(crate) async fn follow_config(state: Rc<GatewayState>) {
     let mut position = None;
     loop {
+        let pass = StoreGate::enter(&state).await;
+        if pass.is_probe() {
+            position = None;
+        }
         let sent_at = clock::now();
         let result = match position {
             None => list_config(&state)
@@ -81,6 +91,7 @@
                 .map(|next| (next, ReadConsistency::Linearizable)),
             Some(position) => watch_config(&state, position).await,
         };
+        pass.record(&result);
         match result {
             Ok((next, read)) => {
                 if read == ReadConsistency::Linearizable {
@@ -102,8 +113,16 @@
 pub(crate) async fn renew_confirmation(state: Rc<GatewayState>) {
     loop {
         wait_until_renewal_due(&state).await;
+        let pass = StoreGate::enter(&state).await;
+        let age = state.confirmation().age(clock::now());
+        if !pass.is_probe() && age.is_some_and(|age| age < FRESH_CONFIRMATION) {
+            // Another task has read the configuration while this one waited.
+            continue;
+        }
         let sent_at = clock::now();
-        match list_config(&state).await {
+        let result = list_config(&state).await;
+        pass.record(&result);
+        match result {
             Ok(_) => {
                 if !record_confirmation(&state, sent_at) {
                     sleep(MAX_RETRY_DELAY).await;
@@ -229,10 +248,15 @@
 pub(crate) async fn follow_upstreams(state: Rc<GatewayState>) {
     let mut position = None;
     loop {
+        let pass = StoreGate::enter(&state).await;
+        if pass.is_probe() {
+            position = None;
+        }
         let result = match position {
             None => list_upstreams(&state).await,
             Some(position) => watch_upstreams(&state, position).await,
         };
+        pass.record(&result);
         match result {
             Ok(next) => {
                 state
@@ -356,17 +380,33 @@
         let Some(list_change) = decode_change(change) else {
             continue;
         };
-        tracing::info!(
-            upstream = change.object.name,
-            revision = change.object.revision.0,
-            change = ?list_change,
-            "upstream changed"
-        );
+        log_change(change, &list_change);
         let removed = state.table.borrow_mut().apply(now, list_change);
         state.close_idle_connections(removed.as_slice());
     }
 }
 
+fn log_change(change: &ObjectChange, list_change: &ListChange) {
+    let record = match list_change {
+        ListChange::Present(record) => Some(record),
+        ListChange::Removed(_) => None,
+    };
+    tracing::info!(
+        upstream = change.object.name,
+        revision = change.object.revision.0,
+        is_removed = change.is_removed,
+        service = record.map(|record| record.service.as_str()),
+        address = record.map(|record| record.address.to_string()),
+        data_centre = record.map(|record| record.data_centre.as_str()),
+        phase = record.map(|record| record.phase.name()),
+        role = record.and_then(|record| record.role).map(EngineRole::name),
+        is_spot = record.map(|record| record.is_spot),
+        started_ms = record.and_then(|record| record.started_ms),
+        order_count = record.and_then(|record| record.order_count),
+        "upstream changed"
+    );
+}
+
 /// Decodes a change. Returns `None`, which leaves the upstream unchanged, for a
 /// record that is malformed or whose state is neither ready nor draining.
 fn decode_change(change: &ObjectChange) -> Option<ListChange> {
@@ -385,6 +425,8 @@
     let is_for_others = state.max_host_count() >= MIN_HOSTS_FOR_SHARED_READS;
     let longest = match error {
         StoreError::HistoryExpired => return,
+        // The gate delays the next call.
+        StoreError::NoResponse(_) | StoreError::UnexpectedStatus(_) => return,
         StoreError::Restored if state.is_store_reader() => return,
         StoreError::Restored if is_for_others => MAX_RELIST_DELAY,
         _ => MAX_RETRY_DELAY,
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 //! These types decide about the fleet and the work of the hosts:
 //!
 //! * [`EraTracker`] tracks restores of the store from a copy.
+//! * [`StoreBackoff`] decides when to call a store again that didn't respond.
 //! * [`StoreReaderSelection`] selects the hosts that read the store for all.
 //! * [`UsageCounts`] counts requests by workspace and usage window.
 //! * [`SealedSums`] decides which sum of a usage window may be reported.
@@ -45,6 +46,7 @@
 mod roles;
 mod scaling;
 mod sealed_sums;
+mod store_backoff;
 mod store_era;
 mod store_readers;
 mod upstream;
@@ -70,6 +72,7 @@
     FleetTarget, InitialFleet, InitialFleetCounter, ScalePlanner, count_standard_upstreams,
 };
 pub use sealed_sums::{SealedSums, SumSource};
+pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
 pub use upstream::{
--- a/crates/policy/src/dispatch/store_readers.rs
+++ b/crates/policy/src/dispatch/store_readers.rs
@@ -12,7 +12,7 @@
 //! from which it receives messages. Two hosts that receive messages from different
 //! hosts may both become store readers, which is harmless.
 
-use super::StoreEra;
+use super::{ProbeRole, StoreEra};
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -114,9 +114,21 @@
     /// Returns whether this host has to be a store reader in a deployment of `hosts`
     /// hosts.
     pub fn is_reader(&self, hosts: usize) -> bool {
-        hosts < MIN_HOSTS_FOR_SHARED_READS
-            || self.rank() < STORE_READERS
-            || self.reader_addresses().next().is_none()
+        hosts < MIN_HOSTS_FOR_SHARED_READS || self.rank() < STORE_READERS || !self.has_reader()
+    }
+
+    /// Returns how often this host probes a store that doesn't respond, in a deployment
+    /// of `hosts` hosts.
+    pub fn probe_role(&self, hosts: usize) -> ProbeRole {
+        match hosts < MIN_HOSTS_FOR_SHARED_READS || self.rank() < STORE_READERS {
+            true => ProbeRole::Reader,
+            false => ProbeRole::Follower,
+        }
+    }
+
+    /// Returns whether a peer reports that it reads the store and gets responses.
+    pub fn has_reader(&self) -> bool {
+        self.reader_addresses().next().is_some()
     }
 
     /// Returns whether this host is a lease candidate in a deployment of `hosts`
--- a/crates/policy/src/dispatch/upstream/record.rs
+++ b/crates/policy/src/dispatch/upstream/record.rs
@@ -17,6 +17,16 @@
     Leaving,
 }
 
+impl UpstreamPhase {
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// The role of an engine in serving prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum EngineRole {
@@ -26,6 +36,16 @@
     Decode,
 }
 
+impl EngineRole {
+    /// Returns the name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        }
+    }
+}
+
 /// The entry of one upstream in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamRecord {
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod roles;
 mod scaling;
 mod schedules;
+mod store_outage;
 mod store_readers;
 mod support;
 mod upstreams;
--- a/crates/policy/tests/all/dispatch/schedules/mod.rs
+++ b/crates/policy/tests/all/dispatch/schedules/mod.rs
@@ -25,15 +25,15 @@
 const LONG_DELAY_FACTOR: u64 = 40;
 
 /// Makes the random choices of a schedule.
-struct Randomness(StdRng);
+pub(super) struct Randomness(StdRng);
 
 impl Randomness {
-    fn new(seed: u64) -> Self {
+    pub(super) fn new(seed: u64) -> Self {
         Self(StdRng::seed_from_u64(seed))
     }
 
     /// Returns a random number below `bound`.
-    fn below(&mut self, bound: u64) -> u64 {
+    pub(super) fn below(&mut self, bound: u64) -> u64 {
         self.0.random_range(0..bound)
     }
 
--- a/crates/policy/tests/all/dispatch/store_readers.rs
+++ b/crates/policy/tests/all/dispatch/store_readers.rs
@@ -14,6 +14,7 @@
 fn status(is_reading_store: bool, upstream_revision: u64) -> StoreStatus {
     StoreStatus {
         is_reading_store,
+        era: None,
         upstream_revision,
     }
 }
@@ -74,9 +75,9 @@
 #[test]
 fn late_watch_is_detected_from_reports_of_readers() {
     let mut selection = selection_of(70, 0..HOSTS as u64);
-    assert!(!selection.is_watch_behind(at_ms(5_000), 7));
+    assert!(!selection.is_watch_behind(at_ms(5_000), None, 7));
     selection.record(at_ms(6_000), 2, address(2), status(true, 9));
-    assert!(!selection.is_watch_behind(at_ms(6_399), 8));
-    assert!(selection.is_watch_behind(at_ms(6_400), 8));
-    assert!(!selection.is_watch_behind(at_ms(6_400), 9));
+    assert!(!selection.is_watch_behind(at_ms(6_399), None, 8));
+    assert!(selection.is_watch_behind(at_ms(6_400), None, 8));
+    assert!(!selection.is_watch_behind(at_ms(6_400), None, 9));
 }
