steward: lease schedules with restores of the store

10,000 schedules (LAGOONLIFT_SCHEDULES sets another number) in which the store comes back from copies while writes are late, responses are lost and processes pause and restart: no two holders at once, no epoch of two processes, no epoch that falls from one holder to the next.

--- a/crates/steward/tests/all/schedules/lease.rs
+++ b/crates/steward/tests/all/schedules/lease.rs
@@ -1,7 +1,8 @@
-//! Two processes never hold the lease at the same time and never share an epoch.
+//! Two processes never hold the lease at the same time and never share an epoch, also if
+//! the store is restored from copies.
 
-use super::network::{Network, ScheduleRng, SimStore};
-use super::run_schedules;
+use super::network::{Network, ScheduleRng, SimStore, StoreCopy};
+use super::{run_many_schedules, run_schedules};
 use lagoonlift_platform::Version;
 use lagoonlift_steward::{
     BootTime, Grant, LeaseAction, LeaseCallFailure, LeaseConfig, LeaseEvent, LeaseIdentity,
@@ -21,7 +22,14 @@
 const MAX_PAUSE: u64 = 3 * TERM;
 /// Duration of a step on a clock without drift.
 const STEP: Duration = Duration::from_millis(10);
-const KEY: &str = "lease";
+/// Epochs that fit into one era of the store.
+const EPOCHS_PER_ERA: u64 = 1 << 24;
+/// Steps between two copies of the store.
+const COPY_INTERVAL: u64 = 15;
+/// Number of the latest copies from which the store may be restored.
+const COPIES: usize = 12;
+/// One in this many steps restores the store, in schedules with restores.
+const RESTORE_RARITY: u64 = 250;
 
 type Store = SimStore<LeaseRecord>;
 
@@ -32,6 +40,8 @@
     /// Duration of a step on its own clock. Clocks drift by up to one per cent.
     step: Duration,
     offset: Duration,
+    /// Latest era of the store that the process knows.
+    era: u64,
     paused_until: u64,
     /// Number of the call in flight, the step of its timeout, and whether it is a
     /// write.
@@ -53,8 +63,10 @@
 }
 
 enum Message {
-    Call(usize, LeaseIdentity, u64, LeaseAction),
-    Response(usize, LeaseIdentity, u64, LeaseEvent),
+    /// A call, for the lease object of an era.
+    Call(usize, LeaseIdentity, u64, u64, LeaseAction),
+    /// A response, with the store's era.
+    Response(usize, LeaseIdentity, u64, u64, LeaseEvent),
 }
 
 fn identity(host: usize, incarnation: u64) -> LeaseIdentity {
@@ -80,6 +92,7 @@
             identity,
             step: STEP * u32::try_from(drift).expect("a small number") / 1_000,
             offset: Duration::from_secs(rng.below(1_000)),
+            era: 0,
             paused_until: 0,
             call: None,
             grant: None,
@@ -104,9 +117,18 @@
     processes: Vec<Process>,
     call_count: u64,
     spans: Vec<LeaseSpan>,
+    copies: Vec<StoreCopy<LeaseRecord>>,
+    has_restores: bool,
 }
 
 impl Simulation {
+    fn with_restores(seed: u64) -> Self {
+        Self {
+            has_restores: true,
+            ..Self::new(seed)
+        }
+    }
+
     fn new(seed: u64) -> Self {
         let mut rng = ScheduleRng::new(seed);
         let processes = (0..PROCESSES).map(|host| Process::new(host, 1, &mut rng));
@@ -118,12 +140,17 @@
             processes,
             call_count: 0,
             spans: Vec::new(),
+            copies: Vec::new(),
+            has_restores: false,
         }
     }
 
     fn run(&mut self) {
         for now in 0..STEPS {
             self.inject_fault(now);
+            if self.has_restores {
+                self.copy_or_restore(now);
+            }
             for message in self.network.arrived(now) {
                 self.deliver(now, message);
             }
@@ -133,6 +160,20 @@
         }
     }
 
+    fn copy_or_restore(&mut self, now: u64) {
+        if now.is_multiple_of(COPY_INTERVAL) {
+            self.copies.push(self.store.copy());
+            let excess = self.copies.len().saturating_sub(COPIES);
+            self.copies.drain(..excess);
+        }
+        if self.rng.one_in(RESTORE_RARITY) {
+            let index = self.rng.below(self.copies.len() as u64) as usize;
+            // Later copies are of a state that doesn't follow the restored one.
+            self.copies.truncate(index + 1);
+            self.store.restore(self.copies[index].clone());
+        }
+    }
+
     fn inject_fault(&mut self, now: u64) {
         let event = self.rng.below(1_200 * PROCESSES as u64);
         let index = usize::try_from(event).expect("a small number") % PROCESSES;
@@ -146,22 +187,31 @@
 
     fn deliver(&mut self, now: u64, message: Message) {
         match message {
-            Message::Call(index, sender, call, action) => {
-                let event = perform(&mut self.store, action);
-                let response = Message::Response(index, sender, call, event);
+            Message::Call(index, sender, call, era, action) => {
+                let event = perform(&mut self.store, era, action);
+                let response = Message::Response(index, sender, call, self.store.era, event);
                 self.network.send(self.rng.arrival(now), response);
             }
-            Message::Response(index, recipient, call, event) => {
+            Message::Response(index, recipient, call, era, event) => {
                 let process = &mut self.processes[index];
                 if process.identity != recipient || process.call.is_none_or(|c| c.0 != call) {
                     return;
                 }
                 if process.paused_until > now {
                     let later = Some(process.paused_until);
-                    let again = Message::Response(index, recipient, call, event);
+                    let again = Message::Response(index, recipient, call, era, event);
                     return self.network.send(later, again);
                 }
                 process.call = None;
+                let event = match era == process.era {
+                    true => event,
+                    false => {
+                        process.era = era;
+                        LeaseEvent::StoreRestored {
+                            epoch_floor: Epoch(era * EPOCHS_PER_ERA),
+                        }
+                    }
+                };
                 self.handle_event(now, index, event);
             }
         }
@@ -213,13 +263,15 @@
             self.call_count += 1;
             let is_write = matches!(action, LeaseAction::Write { .. });
             process.call = Some((self.call_count, now + TIMEOUT, is_write));
-            let call = Message::Call(index, process.identity.clone(), self.call_count, action);
+            let (identity, era) = (process.identity.clone(), process.era);
+            let call = Message::Call(index, identity, self.call_count, era, action);
             self.network.send(self.rng.arrival(now), call);
         }
     }
 }
 
-fn perform(store: &mut Store, action: LeaseAction) -> LeaseEvent {
+fn perform(store: &mut Store, era: u64, action: LeaseAction) -> LeaseEvent {
+    let key = format!("lease-{era}");
     let stored = |(record, version)| {
         Box::new(StoredLease {
             record,
@@ -227,9 +279,9 @@
         })
     };
     match action {
-        LeaseAction::Read => LeaseEvent::ReadCompleted(Ok(store.get(KEY).map(stored))),
+        LeaseAction::Read => LeaseEvent::ReadCompleted(Ok(store.get(&key).map(stored))),
         LeaseAction::Write { record, condition } => {
-            let written = store.put(KEY, record, condition.map(|version| version.0));
+            let written = store.put(&key, record, condition.map(|version| version.0));
             let failure = |current: Option<_>| LeaseCallFailure::Conflict(current.map(stored));
             LeaseEvent::WriteCompleted(written.map(Version).map_err(failure))
         }
@@ -278,6 +330,46 @@
     }
 }
 
+/// Checks the spans, and that epochs never decrease from one holder to the next.
+fn run_with_restores(seed: u64) -> Result<(), String> {
+    let mut simulation = Simulation::with_restores(seed);
+    simulation.run();
+    check_history(&simulation.spans)?;
+    let falls = simulation
+        .spans
+        .windows(2)
+        .find(|pair| pair[1].epoch < pair[0].epoch);
+    match falls {
+        None => Ok(()),
+        Some(pair) => Err(format!("{:?} follows {:?}", pair[1], pair[0])),
+    }
+}
+
+/// The store comes back from copies of up to 1.8 terms ago, while writes are late,
+/// responses are lost, and processes pause and restart. Fails if one object is used in
+/// all eras, if epochs of an era start from those in the restored object, or if the
+/// holder keeps its grant.
+#[test]
+fn restores_of_the_store_give_the_lease_to_one_process() {
+    run_many_schedules(run_with_restores);
+}
+
+/// The check above is vacuous unless a lease is held before and after restores.
+#[test]
+fn schedules_hold_the_lease_in_several_eras() {
+    let eras = |seed| {
+        let mut simulation = Simulation::with_restores(seed);
+        simulation.run();
+        let eras = simulation
+            .spans
+            .iter()
+            .map(|span| span.epoch.0 / EPOCHS_PER_ERA);
+        eras.collect::<std::collections::BTreeSet<u64>>().len()
+    };
+    let eras: usize = (0..20).map(eras).sum();
+    assert!(eras > 50, "{eras} eras in 20 schedules");
+}
+
 /// Fails if the deadline counts from the response, if a successor waits only half a
 /// term, or if a lost response counts as a success.
 #[test]
--- a/crates/steward/tests/all/schedules/mod.rs
+++ b/crates/steward/tests/all/schedules/mod.rs
@@ -15,9 +15,26 @@
 /// Number of schedules for each property.
 const SCHEDULES: u64 = 2_000;
 
+/// Environment variable with the number of schedules for [`run_many_schedules`].
+const SCHEDULES_VARIABLE: &str = "LAGOONLIFT_SCHEDULES";
+
+/// Number of schedules that [`run_many_schedules`] runs by default.
+const MANY_SCHEDULES: u64 = 10_000;
+
 /// Runs random schedules. `run` returns an error that describes the violation in the
 /// history of one.
 fn run_schedules(run: fn(u64) -> Result<(), String>) {
+    run_random(run, SCHEDULES);
+}
+
+/// Runs as many random schedules as the environment states, or 10,000.
+fn run_many_schedules(run: fn(u64) -> Result<(), String>) {
+    let stated = std::env::var(SCHEDULES_VARIABLE).ok();
+    let count = stated.map_or(MANY_SCHEDULES, |text| text.parse().expect("a number"));
+    run_random(run, count);
+}
+
+fn run_random(run: fn(u64) -> Result<(), String>, count: u64) {
     fn passes(result: &Result<(), String>, seed: u64) -> bool {
         if let Err(fault) = result {
             println!("schedule {seed}: {fault}");
@@ -35,5 +52,8 @@
             }
         }
     }
-    QuickCheck::new().tests(SCHEDULES).quickcheck(Property(run));
+    QuickCheck::new()
+        .tests(count)
+        .max_tests(count)
+        .quickcheck(Property(run));
 }
--- a/crates/steward/tests/all/schedules/network.rs
+++ b/crates/steward/tests/all/schedules/network.rs
@@ -90,11 +90,20 @@
 }
 
 /// Versioned objects with conditional writes, and the history of all writes that
-/// took effect.
+/// took effect. It can be restored from a copy.
 pub(crate) struct SimStore<V> {
     objects: BTreeMap<String, (V, u64)>,
     pub(crate) history: Vec<(String, V)>,
     version: u64,
+    /// Number of restores.
+    pub(crate) era: u64,
+}
+
+/// A copy of the contents of a [`SimStore`].
+#[derive(Clone)]
+pub(crate) struct StoreCopy<V> {
+    objects: BTreeMap<String, (V, u64)>,
+    version: u64,
 }
 
 impl<V: Clone> SimStore<V> {
@@ -103,9 +112,25 @@
             objects: BTreeMap::new(),
             history: Vec::new(),
             version: 0,
+            era: 0,
         }
     }
 
+    pub(crate) fn copy(&self) -> StoreCopy<V> {
+        StoreCopy {
+            objects: self.objects.clone(),
+            version: self.version,
+        }
+    }
+
+    /// Replaces the contents by a copy and starts the next era. Versions go back. The
+    /// history keeps the writes that are lost.
+    pub(crate) fn restore(&mut self, copy: StoreCopy<V>) {
+        self.objects = copy.objects;
+        self.version = copy.version;
+        self.era += 1;
+    }
+
     pub(crate) fn version(&self) -> u64 {
         self.version
     }
