--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -201,7 +201,7 @@
             Fault::Restart(_) => {}
             Fault::Degrade(link, state) => self.link(*link).set(*state),
             Fault::Reset(link) => self.link(*link).reset(),
-            Fault::StoreDown => self.store.is_down.store(true, Ordering::SeqCst),
+            Fault::StoreDown(_) => self.store.is_down.store(true, Ordering::SeqCst),
             Fault::Upstream(upstream, behaviour) => {
                 self.upstreams[*upstream].behave(behaviour.clone())
             }
@@ -222,7 +222,12 @@
                 Fault::Kill(host) | Fault::Restart(host) => self.restart(host),
                 Fault::Degrade(link, _) => self.link(link).set(LinkState::Open),
                 Fault::Reset(_) => {}
-                Fault::StoreDown => self.store.is_down.store(false, Ordering::SeqCst),
+                Fault::StoreDown(copy_age) => {
+                    if let Some(age) = copy_age {
+                        self.store.restore(age);
+                    }
+                    self.store.is_down.store(false, Ordering::SeqCst);
+                }
                 Fault::Upstream(upstream, behaviour) => {
                     self.upstreams[upstream].behave(roles()[upstream].behaviour());
                     if behaviour == Behaviour::Draining {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -52,8 +52,11 @@
 /// One fault of an upstream in this many is an announcement instead.
 const ANNOUNCEMENT_RARITY: u32 = 4;
 
-/// Distinguishes the generator of the announcements from the one of the other faults,
-/// so that the latter stay the same for each seed.
+/// Age of a copy from which the store is restored, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 100..4_000;
+
+/// Distinguishes the generator of announcements and restores from the one of the other
+/// faults, so that the latter stay the same for each seed.
 const ANNOUNCEMENT_SEED: u64 = 0x616e_6e6f;
 
 /// Role of an upstream.
@@ -107,7 +110,9 @@
     Restart(usize),
     Degrade(Link, LinkState),
     Reset(Link),
-    StoreDown,
+    /// The store is unavailable. With an age, it comes back from a copy that was that
+    /// old when the fault began.
+    StoreDown(Option<Duration>),
     Upstream(usize, Behaviour),
 }
 
@@ -151,13 +156,21 @@
             0 => Fault::Suspend(host),
             1 => Fault::Kill(host),
             2 => Fault::Restart(host),
-            3 => Fault::StoreDown,
+            3 => Fault::StoreDown(self.copy_age()),
             4..=6 => Fault::Degrade(self.link(upstream), self.state()),
             7 => Fault::Reset(self.link(upstream)),
             _ => Fault::Upstream(upstream, self.behaviour(upstream)),
         }
     }
 
+    /// Returns the age of the copy from which the store comes back; `None` if it loses
+    /// nothing.
+    fn copy_age(&mut self) -> Option<Duration> {
+        let is_restored = self.announcement_rng.random_ratio(2, 3);
+        let age_ms = self.announcement_rng.random_range(COPY_AGE_MS);
+        is_restored.then(|| Duration::from_millis(age_ms))
+    }
+
     fn link(&mut self, upstream: usize) -> Link {
         match self.rng.random_range(0..4) {
             0 | 1 => Link::Store,
