usage: peers publish the counts of hosts that can't

Ruled out: waiting longer alone (the cut outlasts the time until the report is due), counters in the store for each request.

Now each host sends its counts of the current and the unpublished windows once a second to two store readers, or two random peers; these publish them with their own if the host says it couldn't or fell silent. Sums take, of each incarnation, the latest counts, whoever published them. A process that stops publishes once more after its last connection. The sum waits up to 0.85 of the time until it is due (0.75 before), and a host counts as gone after 14 s.

The published object has the counts of earlier starts by start, under another name; those of a build before this one aren't read, so a rolling upgrade loses what a restarted host had carried over for the latest windows.

--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -15,7 +15,6 @@
 mod usage;
 mod usage_report;
 
-use crate::clock;
 use crate::state::GatewayState;
 use lagoonlift_adapter::duty::{DutySet, LeaseHolder};
 use lagoonlift_policy::dispatch::StoreEra;
@@ -74,7 +73,7 @@
         grant: Cell::new(None),
         grant_era: Cell::new(None),
     });
-    let started_unix_us = clock::system_unix_us();
+    let started_unix_us = state.started_unix_us;
     spawn_local(lease::maintain(Rc::clone(&duties), started_unix_us));
     if duties.enabled.reports_usage {
         spawn_local(usage::publish_counts(Rc::clone(state), started_unix_us));
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -1,14 +1,17 @@
 //! Publishes this host's usage counts.
 //!
 //! Every host keeps one object in the store with its counts of the latest usage
-//! windows. After a write that failed, or that found another revision than the known
-//! one, the counts are written again soon.
+//! windows, and the copies that it has to publish for its peers. After a write that
+//! failed, or that found another revision than the known one, the counts are written
+//! again soon.
 
 use crate::clock;
 use crate::state::GatewayState;
 use crate::store_gate::StoreGate;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
-use lagoonlift_policy::dispatch::{HostCounts, MIN_HOSTS_FOR_SHARED_READS, WindowCounts};
+use lagoonlift_policy::dispatch::{
+    CountsByWindow, HostCounts, MIN_HOSTS_FOR_SHARED_READS, PublishedCounts, UsageCopy,
+};
 use rand::RngExt;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -25,6 +28,10 @@
 /// Delay between the end of a window and the write of its counts.
 const WINDOW_END_DELAY: Duration = Duration::from_millis(200);
 
+/// Polling interval for copies to publish, which is also the shortest time between two
+/// publications for their sake.
+const COPIES_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Range of the delay after a write that found another revision than the known one.
 const OUTDATED_PAUSE: Range<Duration> = Duration::ZERO..Duration::from_millis(100);
 
@@ -43,14 +50,24 @@
     let mut condition = WriteCondition::Absent;
     let mut earlier = BTreeMap::new();
     let mut rounds: u32 = 0;
+    let mut is_final = false;
     loop {
-        StoreGate::wait_until_open(&state).await;
+        if !is_final {
+            StoreGate::wait_until_open(&state).await;
+        }
         let counts = own_counts(&state, started_unix_us, &earlier);
+        let copies = counts.copies.clone();
         let result = state
             .store
             .write(COUNTS_KIND, &name, &counts, condition)
             .await;
         let is_written = result.is_ok();
+        if is_written {
+            state.usage_published_us.set(counts.unix_us);
+        }
+        if is_final {
+            state.final_publication.complete();
+        }
         let is_outdated = matches!(
             result,
             Err(StoreError::Conflict(_) | StoreError::NotFound | StoreError::Restored)
@@ -62,7 +79,7 @@
                 {
                     earlier = recovered;
                     tracing::info!(
-                        windows = earlier.len(),
+                        starts = earlier.len(),
                         "carried over usage counts of earlier starts"
                     );
                 }
@@ -85,8 +102,26 @@
             () if is_written => publish_pause(&state),
             () => publish_pause(&state).min(rand::rng().random_range(FAILED_PAUSE)),
         };
-        sleep(pause).await;
+        is_final = wait_for_publication(&state, pause, &copies).await;
+    }
+}
+
+/// Waits for `pause`, until there are other copies to publish than `copies`, or until
+/// the final publication of a process that stops is requested, which it returns.
+async fn wait_for_publication(state: &GatewayState, pause: Duration, copies: &[UsageCopy]) -> bool {
+    let end = clock::now() + pause;
+    while clock::now() < end {
+        let slice = clock::time_until(end).min(COPIES_INTERVAL);
+        tokio::select! {
+            () = sleep(slice) => {}
+            () = state.final_publication.requested() => return true,
+        }
+        let is_changed = |due: Vec<UsageCopy>| due != copies;
+        if is_changed(state.usage_copies.borrow().due(clock::now())) {
+            return false;
+        }
     }
+    false
 }
 
 /// Returns the time to the next write. With many hosts, the counts of one host are
@@ -108,7 +143,7 @@
     state: &GatewayState,
     current: &StoreObject,
     started_unix_us: i64,
-) -> Option<BTreeMap<u64, WindowCounts>> {
+) -> Option<BTreeMap<i64, CountsByWindow>> {
     match HostCounts::deserialize(&current.contents) {
         Ok(counts) if counts.start_id == started_unix_us => None,
         Ok(counts) => {
@@ -126,7 +161,7 @@
 fn own_counts(
     state: &GatewayState,
     started_unix_us: i64,
-    earlier: &BTreeMap<u64, WindowCounts>,
+    earlier: &BTreeMap<i64, CountsByWindow>,
 ) -> HostCounts {
     let unix_us = state.wall_clock.borrow().unix_us(clock::now());
     let mut usage = state.usage.borrow_mut();
@@ -135,16 +170,19 @@
     let windows = recent
         .iter()
         .map(|(window, counts)| (window.0, counts.clone()));
-    let is_kept = |(window, _): &(&u64, &WindowCounts)| **window >= oldest.0;
-    let earlier = earlier.iter().filter(is_kept);
+    let mut incarnations = earlier.clone();
+    for windows in incarnations.values_mut() {
+        windows.retain(|window, _| *window >= oldest.0);
+    }
+    let mut copies = state.usage_copies.borrow_mut();
+    copies.expire(oldest);
     HostCounts {
         start_id: started_unix_us,
         unix_us,
         peer_address: state.settings.listen.peers,
         windows: windows.collect(),
-        earlier: earlier
-            .map(|(window, counts)| (*window, counts.clone()))
-            .collect(),
+        incarnations,
+        copies: copies.due(clock::now()),
     }
 }
 
@@ -159,19 +197,22 @@
         }
     };
     state.record_host_count(published.len());
-    let peers = published.iter().filter_map(|counts| counts.peer_address);
+    let peers = published.iter().filter_map(|one| one.counts.peer_address);
     state.peers.borrow_mut().extend(peers);
 }
 
 pub(super) async fn list_counts(
     state: &GatewayState,
     read: ReadConsistency,
-) -> Result<Vec<HostCounts>, StoreError> {
+) -> Result<Vec<PublishedCounts>, StoreError> {
     let (objects, _) = state.store.list(COUNTS_KIND, read).await?;
     let mut published = Vec::new();
     for object in objects {
         match HostCounts::deserialize(&object.contents) {
-            Ok(counts) => published.push(counts),
+            Ok(counts) => published.push(PublishedCounts {
+                host: object.name,
+                counts,
+            }),
             Err(error) => {
                 tracing::error!(object = object.name, %error, "malformed usage counts");
             }
--- a/crates/gateway/src/duty/usage_report.rs
+++ b/crates/gateway/src/duty/usage_report.rs
@@ -36,11 +36,11 @@
 
 /// Share of the time until a report is due after which the sum no longer waits for
 /// hosts that haven't published.
-const MAX_WAIT_SHARE: f64 = 0.75;
+const MAX_WAIT_SHARE: f64 = 0.85;
 
 /// Time without a publication after which the sum doesn't wait for a host, in
 /// microseconds.
-const SILENT_HOST_US: i64 = 9_000_000;
+const SILENT_HOST_US: i64 = 14_000_000;
 
 /// Number of sealed sums that stay in the store, so that the latest windows can be
 /// inspected.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -115,7 +115,11 @@
         while self.state.connections() > 0 && clock::now() < drain_deadline {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        tracing::info!(in_flight = self.state.in_flight(), "stopped");
+        let is_published = match self.state.settings.duties {
+            Some(_) => self.state.final_publication.run().await,
+            None => false,
+        };
+        tracing::info!(in_flight = self.state.in_flight(), is_published, "stopped");
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod duty;
 mod era_monitor;
 mod events;
+mod final_publication;
 mod gateway;
 mod handler;
 mod kv_cache;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult, StoreStatus,
-    UpstreamDigest,
+    UpstreamDigest, UsageCopy, UsageWindow,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -42,6 +42,22 @@
 /// are queried in addition.
 const CONFIRMATION_READERS: usize = 2;
 
+/// Interval between two copies of the usage counts to peers.
+const USAGE_COPY_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// The same interval of a process that stops.
+const STOPPING_USAGE_COPY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Number of peers that get copies of the usage counts while no store reader is known.
+const USAGE_COPY_PEERS: usize = 2;
+
+/// Number of the latest windows whose counts are copied to peers.
+const MAX_USAGE_COPIES: u64 = 3;
+
+/// Time after the end of a window, in microseconds, within which a host publishes its
+/// counts itself.
+const PUBLICATION_GRACE_US: i64 = 1_200_000;
+
 /// Largest datagram, in bytes. It fits into one packet at the usual MTU.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -72,6 +88,8 @@
         /// Wall clock time of the sender, as Unix time.
         unix_us: i64,
     },
+    /// Usage counts of the sender, which the receiver publishes if the sender can't.
+    Usage(UsageCopy),
 }
 
 /// Load of a host.
@@ -100,6 +118,13 @@
         Rc::clone(&socket),
         address,
     ));
+    if state.settings.duties.is_some() {
+        tokio::task::spawn_local(send_usage_copies(
+            Rc::clone(&state),
+            Rc::clone(&socket),
+            address,
+        ));
+    }
     let mut sequence = 0;
     let mut was_busy = true;
     loop {
@@ -190,6 +215,67 @@
     }
 }
 
+/// Sends this host's usage counts to a few peers, until the process ends.
+async fn send_usage_copies(state: Rc<GatewayState>, socket: Rc<UdpSocket>, own: SocketAddr) {
+    loop {
+        sleep(match state.is_stopping() {
+            true => STOPPING_USAGE_COPY_INTERVAL,
+            false => USAGE_COPY_INTERVAL,
+        })
+        .await;
+        let copies = own_usage_copies(&state);
+        if copies.is_empty() {
+            continue;
+        }
+        let readers = state
+            .store_readers
+            .borrow()
+            .readers_for(state.incarnation_id);
+        let peers = match readers.is_empty() {
+            false => readers,
+            true => next_peers(&state.peers.borrow(), own, rand::random(), USAGE_COPY_PEERS),
+        };
+        for copy in copies {
+            send(&socket, &PeerMessage::Usage(copy), &peers).await;
+        }
+    }
+}
+
+/// Returns the counts of the current window, and of the latest ones that weren't
+/// published since their end.
+fn own_usage_copies(state: &GatewayState) -> Vec<UsageCopy> {
+    let unix_us = state.wall_clock.borrow().unix_us(clock::now());
+    let published_us = state.usage_published_us.get();
+    let usage = state.usage.borrow();
+    let current = usage.window_at(unix_us);
+    let latest = (0..MAX_USAGE_COPIES).map(|age| UsageWindow(current.0.saturating_sub(age)));
+    latest
+        .filter_map(|window| {
+            let is_over = window < current;
+            let end_us = usage.end_of(window);
+            let is_unpublished = is_over && published_us < end_us && state.started_unix_us < end_us;
+            let counts = usage.counts_of(window);
+            let is_sent = is_unpublished || !is_over && !counts.is_empty();
+            is_sent.then(|| UsageCopy {
+                host: state.settings.host.name.clone(),
+                start_id: state.started_unix_us,
+                unix_us,
+                window: window.0,
+                counts,
+                is_unpublished: is_unpublished
+                    && is_publication_late(unix_us, usage.end_of(window))
+                    || state.is_stopping(),
+            })
+        })
+        .collect()
+}
+
+/// Returns whether the counts of a window that ended at `end_us` should have been
+/// published by `unix_us`.
+fn is_publication_late(unix_us: i64, end_us: i64) -> bool {
+    unix_us >= end_us + PUBLICATION_GRACE_US
+}
+
 async fn send(socket: &UdpSocket, message: &PeerMessage, peers: &[SocketAddr]) {
     let bytes = match postcard::to_stdvec(message) {
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
@@ -272,6 +358,10 @@
             loads.record(now, load.sender, load.sequence, load.report);
             None
         }
+        PeerMessage::Usage(copy) => {
+            state.usage_copies.borrow_mut().record(now, copy);
+            None
+        }
         PeerMessage::ConfirmationQuery { asked_at_us } => {
             let own = state.freshness.borrow().local_confirmation(now)?;
             Some(PeerMessage::Confirmation {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,13 +6,14 @@
 
 use crate::clock;
 use crate::connection::{ConnectionPool, Endpoint};
+use crate::final_publication::FinalPublication;
 use crate::metrics::GatewayMetrics;
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, PeerLoads, Placement, PlacementLimits, RetryBudget,
     RetryBudgetLimits, RolePlanner, ServingConfig, StalenessLimits, StoreReaderSelection,
-    StoreStatus, Upstream, UpstreamTable, UsageCounts, WallClock,
+    StoreStatus, Upstream, UpstreamTable, UsageCopies, UsageCounts, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -62,6 +63,14 @@
     pub(crate) config_outdated: Notify,
     pub(crate) table: RefCell<UpstreamTable>,
     pub(crate) usage: RefCell<UsageCounts>,
+    /// Counts of other hosts.
+    pub(crate) usage_copies: RefCell<UsageCopies>,
+    /// Unix time of the latest successful publication of the counts, in microseconds.
+    pub(crate) usage_published_us: Cell<i64>,
+    pub(crate) final_publication: FinalPublication,
+    /// Unix time of the process start in microseconds, which distinguishes the
+    /// incarnations of the host.
+    pub(crate) started_unix_us: i64,
     pub(crate) wall_clock: RefCell<WallClock>,
     retry_budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Highest number of hosts listed so far; it never decreases.
@@ -99,6 +108,10 @@
             peers: RefCell::new(BTreeSet::new()),
             freshness: RefCell::new(ConfigFreshness::new(limits)),
             usage: RefCell::new(UsageCounts::new(window_us)),
+            usage_copies: RefCell::new(UsageCopies::new()),
+            usage_published_us: Cell::new(0),
+            final_publication: FinalPublication::default(),
+            started_unix_us: clock::system_unix_us(),
             wall_clock: RefCell::new(wall_clock),
             config_outdated: Notify::new(),
             config: RefCell::new(None),
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 //! * [`StoreReaderSelection`] selects the hosts that read the store for all.
 //! * [`UsageCounts`] counts requests by workspace and usage window.
 //! * [`SealedSums`] decides which sum of a usage window may be reported.
+//! * [`UsageCopies`] keeps the counts of hosts that can't publish them.
 //! * [`WallClock`] provides the time of day, unaffected by steps of the system
 //!   clock.
 //! * [`InitialFleetCounter`] counts the upstreams that a deployment starts with.
@@ -51,6 +52,7 @@
 mod store_readers;
 mod upstream;
 mod usage;
+mod usage_copies;
 mod wall_clock;
 
 pub use attempts::{AttemptHistory, NextStep, SendResult};
@@ -78,5 +80,9 @@
 pub use upstream::{
     EngineRole, ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
-pub use usage::{HostCounts, SumTimeouts, UsageCounts, UsageWindow, WindowCounts, sum_window};
+pub use usage::{
+    CountsByWindow, HostCounts, PublishedCounts, SumTimeouts, UsageCounts, UsageWindow,
+    WindowCounts, sum_window,
+};
+pub use usage_copies::{UsageCopies, UsageCopy};
 pub use wall_clock::WallClock;
--- a/crates/policy/src/dispatch/store_readers.rs
+++ b/crates/policy/src/dispatch/store_readers.rs
@@ -25,6 +25,9 @@
 /// Number of store readers in a large deployment.
 const STORE_READERS: usize = 4;
 
+/// Number of store readers to which a host sends its usage counts.
+const READERS_PER_HOST: usize = 2;
+
 /// Number of hosts in a large deployment that are candidates for the lease of the
 /// duties that one host at a time performs, such as reporting usage and sending orders.
 const LEASE_CANDIDATES: usize = 8;
@@ -131,6 +134,19 @@
         self.reader_addresses().next().is_some()
     }
 
+    /// Returns two of the other store readers whose latest call succeeded, or fewer if
+    /// there aren't as many. Hosts with different `seed`s get different ones.
+    pub fn readers_for(&self, seed: u64) -> Vec<SocketAddr> {
+        let mut readers: Vec<SocketAddr> = self.reader_addresses().collect();
+        readers.sort_unstable();
+        if !readers.is_empty() {
+            let start = (seed % readers.len() as u64) as usize;
+            readers.rotate_left(start);
+        }
+        readers.truncate(READERS_PER_HOST);
+        readers
+    }
+
     /// Returns whether this host is a lease candidate in a deployment of `hosts`
     /// hosts.
     pub fn is_lease_candidate(&self, hosts: usize) -> bool {
--- a/crates/policy/src/dispatch/usage.rs
+++ b/crates/policy/src/dispatch/usage.rs
@@ -3,6 +3,7 @@
 //! Each host publishes its counts, and the counts of all hosts are summed for the
 //! usage report of a window.
 
+use super::UsageCopy;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -56,6 +57,11 @@
         }
     }
 
+    /// Returns the counts of a window.
+    pub fn counts_of(&self, window: UsageWindow) -> WindowCounts {
+        self.counts.get(&window).cloned().unwrap_or_default()
+    }
+
     /// Returns the oldest window that may still be reported at the Unix time
     /// `now_us` in microseconds.
     pub fn oldest_retained(&self, now_us: i64) -> UsageWindow {
@@ -71,37 +77,54 @@
     }
 }
 
+/// Counts by window number.
+pub type CountsByWindow = BTreeMap<u64, WindowCounts>;
+
 /// The published counts of one host.
 ///
 /// Each host has one such object. A new incarnation of the host carries over the
-/// counts that the previous incarnation had published.
+/// counts that the previous incarnations had published.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostCounts {
-    /// Identifies the incarnation of the host.
+    /// Identifies the incarnation of the host; later ones have higher numbers.
     pub start_id: i64,
     /// Unix time of publishing by the host's clock, in microseconds.
     pub unix_us: i64,
     /// Address at which the host receives messages from its peers.
     pub peer_address: Option<SocketAddr>,
-    /// Counts of this incarnation, by window number.
-    pub windows: BTreeMap<u64, WindowCounts>,
-    /// Counts of the previous incarnations, by window number.
-    pub earlier: BTreeMap<u64, WindowCounts>,
+    /// Counts of this incarnation.
+    pub windows: CountsByWindow,
+    /// Counts of the previous incarnations, by `start_id`.
+    #[serde(default)]
+    pub incarnations: BTreeMap<i64, CountsByWindow>,
+    /// Counts of other hosts that did not publish them.
+    #[serde(default)]
+    pub copies: Vec<UsageCopy>,
 }
 
 impl HostCounts {
     /// Returns the counts of all incarnations up to this one, for the next
     /// incarnation to carry over. Windows before `oldest` are omitted.
-    pub fn carry_over(&self, oldest: UsageWindow) -> BTreeMap<u64, WindowCounts> {
-        let mut carried = self.earlier.clone();
-        for (window, counts) in &self.windows {
-            add(carried.entry(*window).or_default(), counts);
+    pub fn carry_over(&self, oldest: UsageWindow) -> BTreeMap<i64, CountsByWindow> {
+        let mut carried = self.incarnations.clone();
+        carried.insert(self.start_id, self.windows.clone());
+        for windows in carried.values_mut() {
+            windows.retain(|window, _| *window >= oldest.0);
         }
-        carried.retain(|window, _| *window >= oldest.0);
+        carried.retain(|_, windows| !windows.is_empty());
         carried
     }
 }
 
+/// The published counts of a host, with its name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PublishedCounts {
+    /// Name of the host.
+    pub host: String,
+    /// Its counts.
+    pub counts: HostCounts,
+}
+
 /// Time limits on waiting for hosts before a window is summed, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SumTimeouts {
@@ -116,34 +139,72 @@
 ///
 /// Returns `None` while a host that may be alive has not published since the end of the
 /// window, but only until [`SumTimeouts::max_wait_us`] after the end. From then on the
-/// sum contains what has been published.
+/// sum contains what has been published. What a peer published for a host counts as
+/// published by the host.
 pub fn sum_window(
-    hosts: &[HostCounts],
+    hosts: &[PublishedCounts],
     window: UsageWindow,
     end_us: i64,
     now_us: i64,
     timeouts: SumTimeouts,
 ) -> Option<WindowCounts> {
-    let is_pending = |host: &HostCounts| {
-        host.unix_us < end_us && now_us < host.unix_us + timeouts.silent_host_us
-    };
+    let mut known = KnownCounts::default();
+    for host in hosts {
+        known.add_host(host, window);
+    }
+    let is_pending =
+        |unix_us: &i64| *unix_us < end_us && now_us < unix_us + timeouts.silent_host_us;
     let can_wait = now_us < end_us + timeouts.max_wait_us;
-    if can_wait && hosts.iter().any(is_pending) {
+    if can_wait && known.published_us.values().any(is_pending) {
         return None;
     }
     let mut sum = WindowCounts::new();
-    for host in hosts {
-        for counts in [&host.windows, &host.earlier] {
-            if let Some(counts) = counts.get(&window.0) {
-                add(&mut sum, counts);
-            }
+    for counts in known.latest.values() {
+        for (workspace, count) in *counts {
+            *sum.entry(workspace.clone()).or_default() += count;
         }
     }
     Some(sum)
 }
 
-fn add(sum: &mut WindowCounts, counts: &WindowCounts) {
-    for (workspace, count) in counts {
-        *sum.entry(workspace.clone()).or_default() += count;
+/// The latest counts of a window by host and incarnation, and when each host published
+/// last.
+#[derive(Debug, Default)]
+struct KnownCounts<'a> {
+    latest: BTreeMap<(&'a str, i64), &'a WindowCounts>,
+    published_us: BTreeMap<&'a str, i64>,
+}
+
+impl<'a> KnownCounts<'a> {
+    fn add_host(&mut self, published: &'a PublishedCounts, window: UsageWindow) {
+        let (host, counts) = (published.host.as_str(), &published.counts);
+        self.add_time(host, counts.unix_us);
+        let own = [(&counts.start_id, &counts.windows)];
+        for (start_id, windows) in own.into_iter().chain(&counts.incarnations) {
+            if let Some(counts) = windows.get(&window.0) {
+                self.add(host, *start_id, counts);
+            }
+        }
+        for copy in &counts.copies {
+            self.add_time(&copy.host, copy.unix_us);
+            if copy.window == window.0 {
+                self.add(&copy.host, copy.start_id, &copy.counts);
+            }
+        }
+    }
+
+    fn add_time(&mut self, host: &'a str, unix_us: i64) {
+        let latest = self.published_us.entry(host).or_insert(unix_us);
+        *latest = unix_us.max(*latest);
+    }
+
+    /// Adds the counts of one incarnation. They only increase, so the larger ones are the
+    /// later ones.
+    fn add(&mut self, host: &'a str, start_id: i64, counts: &'a WindowCounts) {
+        let total = |counts: &WindowCounts| counts.values().sum::<u64>();
+        let latest = self.latest.entry((host, start_id)).or_insert(counts);
+        if total(counts) > total(latest) {
+            *latest = counts;
+        }
     }
 }
--- a/crates/policy/tests/all/dispatch/usage.rs
+++ b/crates/policy/tests/all/dispatch/usage.rs
@@ -3,7 +3,8 @@
 
 use crate::dispatch::support::at_ms;
 use lagoonlift_policy::dispatch::{
-    HostCounts, SumTimeouts, UsageCounts, UsageWindow, WallClock, WindowCounts, sum_window,
+    HostCounts, PublishedCounts, SumTimeouts, UsageCopies, UsageCopy, UsageCounts, UsageWindow,
+    WallClock, WindowCounts, sum_window,
 };
 use quickcheck::quickcheck;
 use std::collections::BTreeMap;
@@ -18,6 +19,29 @@
     WindowCounts::from([("w".to_owned(), count)])
 }
 
+/// Adds the names of the hosts to their counts.
+fn published(hosts: &[HostCounts]) -> Vec<PublishedCounts> {
+    let named = hosts
+        .iter()
+        .enumerate()
+        .map(|(number, counts)| PublishedCounts {
+            host: format!("h{number}"),
+            counts: counts.clone(),
+        });
+    named.collect()
+}
+
+fn copy_of(host: usize, unix_us: i64, window: u64, count: u64) -> UsageCopy {
+    UsageCopy {
+        host: format!("h{host}"),
+        start_id: 1,
+        unix_us,
+        window,
+        counts: counts(count),
+        is_unpublished: false,
+    }
+}
+
 fn host(unix_us: i64, windows: &[(u64, u64)]) -> HostCounts {
     HostCounts {
         start_id: 1,
@@ -27,7 +51,8 @@
             .iter()
             .map(|(window, count)| (*window, counts(*count)))
             .collect(),
-        earlier: BTreeMap::new(),
+        incarnations: BTreeMap::new(),
+        copies: Vec::new(),
     }
 }
 
@@ -38,7 +63,7 @@
         let mut total = 0;
         let mut earlier = BTreeMap::new();
         let mut last = host(0, &[]);
-        for windows in incarnations {
+        for (start_id, windows) in incarnations.into_iter().enumerate() {
             let mut usage = UsageCounts::new(WINDOW_US);
             for window in &windows {
                 usage.count(i64::from(window % 3) * WINDOW_US, "w");
@@ -46,13 +71,14 @@
             }
             let recent = usage.recent(2 * WINDOW_US).clone();
             last = HostCounts {
+                start_id: start_id as i64,
                 windows: recent.into_iter().map(|(window, counts)| (window.0, counts)).collect(),
-                earlier,
+                incarnations: earlier,
                 ..host(0, &[])
             };
             earlier = last.carry_over(UsageWindow(0));
         }
-        let sum = sum_window(&[last], UsageWindow(1), 0, 0, TIMEOUTS);
+        let sum = sum_window(&published(&[last]), UsageWindow(1), 0, 0, TIMEOUTS);
         let counted = sum.map_or(0, |sum| sum.values().sum());
         counted == total
     }
@@ -63,6 +89,7 @@
 fn partitioned_host_is_waited_for() {
     let end_us = 2 * WINDOW_US;
     let hosts = [host(end_us + 100, &[(1, 10)]), host(end_us - 1, &[(1, 5)])];
+    let hosts = published(&hosts);
     let sum = |unix_us| sum_window(&hosts, UsageWindow(1), end_us, unix_us, TIMEOUTS);
     assert_eq!(sum(end_us + 2_000_000), None);
     assert_eq!(sum(end_us + 7_600_000), Some(counts(15)));
@@ -76,10 +103,85 @@
         host(end_us + 100, &[(3, 10)]),
         host(end_us - 9_000_000, &[]),
     ];
+    let hosts = published(&hosts);
     let sum = sum_window(&hosts, UsageWindow(3), end_us, end_us + 2_000_000, TIMEOUTS);
     assert_eq!(sum, Some(counts(10)));
 }
 
+/// A third of the hosts is cut off from the store when a window ends, and their last
+/// publications are from the window before. Peers publish their counts for them, so the
+/// sum is complete and isn't delayed.
+#[test]
+fn peers_publish_the_counts_of_hosts_without_a_store() {
+    let end_us = 2 * WINDOW_US;
+    let mut copies = UsageCopies::new();
+    for number in 4..6 {
+        let copy = copy_of(number, end_us + 1_000, 1, 7);
+        copies.record(
+            at_ms(0),
+            UsageCopy {
+                is_unpublished: true,
+                ..copy
+            },
+        );
+    }
+    let mut hosts: Vec<HostCounts> = (0..6)
+        .map(|number| match number < 4 {
+            true => host(end_us + 100, &[(1, 10)]),
+            false => host(end_us - WINDOW_US + 200, &[(0, 9)]),
+        })
+        .collect();
+    let sum = |hosts: &[HostCounts]| {
+        sum_window(
+            &published(hosts),
+            UsageWindow(1),
+            end_us,
+            end_us + 2_000_000,
+            TIMEOUTS,
+        )
+    };
+    assert_eq!(sum(&hosts), None);
+    hosts[0].copies = copies.due(at_ms(10));
+    assert_eq!(sum(&hosts), Some(counts(4 * 10 + 2 * 7)));
+}
+
+/// A host is killed in the middle of a window and starts again at once. What it had
+/// counted since its last publication is known from its last copy at a peer.
+#[test]
+fn counts_of_a_killed_host_are_known_from_its_last_copy() {
+    let end_us = 2 * WINDOW_US;
+    let mut copies = UsageCopies::new();
+    copies.record(at_ms(0), copy_of(1, end_us - 1_500_000, 1, 30));
+    copies.record(at_ms(900), copy_of(1, end_us - 600_000, 1, 48));
+    assert!(copies.due(at_ms(2_000)).is_empty());
+    let mut restarted = host(end_us + 100, &[(1, 5)]);
+    restarted.start_id = 2;
+    restarted.incarnations = host(end_us - 4_000_000, &[(1, 12)]).carry_over(UsageWindow(0));
+    let mut peer = host(end_us + 100, &[(1, 10)]);
+    peer.copies = copies.due(at_ms(3_500));
+    let hosts = published(&[peer, restarted]);
+    let sum = sum_window(&hosts, UsageWindow(1), end_us, end_us + 2_000_000, TIMEOUTS);
+    assert_eq!(sum, Some(counts(10 + 48 + 5)));
+}
+
+quickcheck! {
+    /// Copies at any peers, early or late and published needlessly, count no request
+    /// twice: the sum is that of the latest counts of each host.
+    fn needless_copies_change_no_sum(copied: Vec<(u8, u8, u8)>) -> bool {
+        let end_us = 2 * WINDOW_US;
+        let mut hosts: Vec<HostCounts> = (0..4).map(|_| host(end_us, &[(1, 50)])).collect();
+        let mut latest = [50_u64; 4];
+        for (holder, owner, count) in copied {
+            let owner = usize::from(owner % 4);
+            let copy = copy_of(owner, end_us - 1, 1, u64::from(count % 80));
+            latest[owner] = latest[owner].max(u64::from(count % 80));
+            hosts[usize::from(holder % 4)].copies.push(copy);
+        }
+        let sum = sum_window(&published(&hosts), UsageWindow(1), end_us, end_us, TIMEOUTS);
+        sum == Some(counts(latest.iter().sum()))
+    }
+}
+
 /// The derived time does not follow steps of the system clock.
 #[test]
 fn time_of_day_ignores_steps_after_the_start() {
