--- a/crates/gateway/src/duty/usage_report.rs
+++ b/crates/gateway/src/duty/usage_report.rs
@@ -56,8 +56,8 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct EraRecord {
     /// Unix time in microseconds at which a lease holder learnt of the restore that
-    /// began the era; `None` for the first era of a deployment, which no restore began.
-    restored_unix_us: Option<i64>,
+    /// began the era, or at which it started if it started in the era.
+    seen_unix_us: i64,
 }
 
 /// Reports windows until the process ends; idles without the lease.
@@ -138,7 +138,7 @@
             return Ok(());
         };
         let record = era_record(state, era).await?;
-        self.sums.set_restore_time(record.restored_unix_us);
+        self.sums.set_restore_time(Some(record.seen_unix_us));
         self.known_era = Some(era);
         Ok(())
     }
@@ -225,26 +225,16 @@
     }
 }
 
-/// Returns the stored record of an era. The first lease holder in the era writes it, with
-/// the time at which it learnt of the restore, or the current time if it started since.
+/// Returns the stored record of an era. The first lease holder in the era writes it. If
+/// that holder started in the era, windows that ended before its start aren't summed: it
+/// can't know whether a restore preceded it, and in a new deployment nothing was served
+/// before.
 async fn era_record(state: &GatewayState, era: StoreEra) -> Result<EraRecord, StoreError> {
-    let (records, _) = state
-        .store
-        .list(ERA_KIND, ReadConsistency::Linearizable)
-        .await?;
-    let name = era.0.to_string();
-    if let Some(object) = records.iter().find(|object| object.name == name) {
-        return parse_contents(object);
-    }
-    let restored_at = match state.store.era().restored_at() {
-        None if records.is_empty() => None,
-        None => Some(clock::now()),
-        restored_at => restored_at,
-    };
-    let wall_clock = state.wall_clock.borrow().clone();
+    let seen_at = state.store.era().restored_at().unwrap_or(state.started_at);
     let record = EraRecord {
-        restored_unix_us: restored_at.map(|at| wall_clock.unix_us(at)),
+        seen_unix_us: state.wall_clock.borrow().unix_us(seen_at),
     };
+    let name = era.0.to_string();
     let written = state
         .store
         .write(ERA_KIND, &name, &record, WriteCondition::Absent)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,7 +37,7 @@
     /// Random number that identifies this incarnation among those of all hosts, in
     /// messages between peers.
     pub(crate) incarnation_id: u64,
-    started_at: Timestamp,
+    pub(crate) started_at: Timestamp,
     pub(crate) store: StoreClient,
     pub(crate) store_gate: StoreGate,
     pub(crate) pool: ConnectionPool,
--- a/crates/policy/src/dispatch/sealed_sums.rs
+++ b/crates/policy/src/dispatch/sealed_sums.rs
@@ -45,8 +45,9 @@
         }
     }
 
-    /// Records the Unix time in microseconds at which the latest restore was learnt of;
-    /// `None` if the store has never been restored.
+    /// Records the Unix time in microseconds from which on no sum was lost: when the latest
+    /// restore was learnt of, or when the first lease holder of the era started. `None` if
+    /// the store states no eras.
     pub fn set_restore_time(&mut self, restored_us: Option<i64>) {
         self.restored_us = restored_us;
     }
--- a/crates/policy/tests/all/dispatch/schedules/mod.rs
+++ b/crates/policy/tests/all/dispatch/schedules/mod.rs
@@ -8,6 +8,7 @@
 mod announcements;
 mod attempts;
 mod config_freshness;
+mod sealed_sums;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
