usage: copies of one window go to the same two peers

During an outage each host sent its unpublished counts to two other peers each second, so that after it some ten peers published the same counts, megabytes to list for the sum (reckoned: 195 hosts, three windows, two peers a second, eight seconds; the list itself wasn't measured). Now the peers of a window stay the same, and a host tells them when it has published.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -58,6 +58,9 @@
 /// counts itself.
 const PUBLICATION_GRACE_US: i64 = 1_200_000;
 
+/// Time for which counts have just been published, in microseconds.
+const JUST_PUBLISHED_US: i64 = 2_000_000;
+
 /// Largest datagram, in bytes. It fits into one packet at the usual MTU.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -223,26 +226,31 @@
             false => USAGE_COPY_INTERVAL,
         })
         .await;
-        let copies = own_usage_copies(&state);
-        if copies.is_empty() {
-            continue;
-        }
-        let readers = state
-            .store_readers
-            .borrow()
-            .readers_for(state.incarnation_id);
-        let peers = match readers.is_empty() {
-            false => readers,
-            true => next_peers(&state.peers.borrow(), own, rand::random(), USAGE_COPY_PEERS),
-        };
-        for copy in copies {
+        for copy in own_usage_copies(&state) {
+            let peers = usage_copy_peers(&state, own, copy.window);
             send(&socket, &PeerMessage::Usage(copy), &peers).await;
         }
     }
 }
 
+/// Returns the peers that get copies of the counts of `window`: two store readers, or
+/// else two peers that stay the same for the window, so that few peers publish the
+/// same counts after an outage of the store.
+fn usage_copy_peers(state: &GatewayState, own: SocketAddr, window: u64) -> Vec<SocketAddr> {
+    let seed = state.incarnation_id;
+    let readers = state.store_readers.borrow().readers_for(seed);
+    match readers.is_empty() {
+        false => readers,
+        true => {
+            let turn = seed.wrapping_add(window);
+            next_peers(&state.peers.borrow(), own, turn, USAGE_COPY_PEERS)
+        }
+    }
+}
+
 /// Returns the counts of the current window, and of the latest ones that weren't
-/// published since their end.
+/// published since their end. Those that have just been published are included too, so
+/// that peers learn that they needn't publish them.
 fn own_usage_copies(state: &GatewayState) -> Vec<UsageCopy> {
     let unix_us = state.wall_clock.borrow().unix_us(clock::now());
     let published_us = state.usage_published_us.get();
@@ -255,7 +263,8 @@
             let end_us = usage.end_of(window);
             let is_unpublished = is_over && published_us < end_us && state.started_unix_us < end_us;
             let counts = usage.counts_of(window);
-            let is_sent = is_unpublished || !is_over && !counts.is_empty();
+            let is_just_published = is_over && unix_us < published_us + JUST_PUBLISHED_US;
+            let is_sent = is_unpublished || !counts.is_empty() && (!is_over || is_just_published);
             is_sent.then(|| UsageCopy {
                 host: state.settings.host.name.clone(),
                 start_id: state.started_unix_us,
