relay: bytes that complete no event don't extend the time for the next event

The gap limit of a resumable stream started again with every frame, so an upstream that stalled within an event and sent a byte now and then kept its caller until the deadline.

Seen failing before: stalled_stream_that_sends_single_bytes_is_resumed (the caller got three of six events at the deadline). slow_stream_stays_at_its_upstream passes before and after: sound but slow streams aren't cut.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -128,13 +128,16 @@
         }
     }
 
+    /// Waits for the next complete events. Bytes that complete no event don't extend the
+    /// time for them.
     async fn next_item(&mut self) -> StreamItem {
+        let deadline = self.run.admitted.deadline;
+        let next_event_by = match self.is_resumable() {
+            true => deadline.min(clock::now() + EVENT_GAP_TIMEOUT),
+            false => deadline,
+        };
         loop {
-            let left = clock::time_until(self.run.admitted.deadline);
-            let limit = match self.is_resumable() {
-                true => left.min(EVENT_GAP_TIMEOUT),
-                false => left,
-            };
+            let limit = clock::time_until(next_event_by);
             let Some(response) = self.response.as_mut() else {
                 return StreamItem::Broken("no upstream".to_owned());
             };
