send: the body of a plain answer is awaited up to the deadline only

The deadline bounded the head of a response; the body of a plain answer, or of a prefill, was awaited without end, so an upstream that stalled in it, silently or with a byte now and then, kept its caller past every deadline.

Seen failing before: stalled_body_ends_at_the_deadline (no answer in 10 s with a deadline of 0.9 s).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,7 +8,7 @@
 use crate::clock;
 use crate::kv_cache::HeldKvCache;
 use crate::reply::GatewayReply;
-use crate::send::{Attempt, SendOutcome, UpstreamResponse, send};
+use crate::send::{Attempt, BodyError, SendOutcome, UpstreamResponse, send};
 use crate::state::GatewayState;
 use bytes::Bytes;
 use http::response::Parts;
@@ -341,11 +341,12 @@
             true => {}
             false => return Err(SendResult::Unknown),
         }
-        let (parts, body) = match response.read_body().await {
+        let (parts, body) = match response.read_body(self.admitted.deadline).await {
             Ok((parts, body)) => (Box::new(parts), body),
-            Err(detail) => {
+            Err(error) => {
                 let request = &self.admitted.outgoing.request.id;
-                tracing::info!(request, detail, "response of the upstream was truncated");
+                tracing::info!(request, %error, "response of the upstream was truncated");
+                self.has_timed_out |= matches!(error, BodyError::TimedOut);
                 return Err(SendResult::Unknown);
             }
         };
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -35,7 +35,8 @@
         };
         let mut attempt = self.attempt(prefill_engine, task, u64::from(tokens));
         let tokens_to_prefill = self.prefill_backlog(prefill_engine) + u64::from(tokens);
-        attempt.deadline = self.prefill_deadline(tokens_to_prefill);
+        let deadline = self.prefill_deadline(tokens_to_prefill);
+        attempt.deadline = deadline;
         let Some(attempt) = self.spend_retry(attempt) else {
             self.tried.push(prefill_engine);
             return;
@@ -51,7 +52,10 @@
                     .record_prefill(tokens_to_prefill, latency);
                 self.summary.prefill_engine = self.name_of(prefill_engine);
                 self.summary.prefill_time = Some(latency);
-                match self.store_kv_cache(prefill_engine, response).await {
+                match self
+                    .store_kv_cache(prefill_engine, response, deadline)
+                    .await
+                {
                     true => return self.history.record_prefill(),
                     false => SendResult::Unknown,
                 }
@@ -100,9 +104,10 @@
         &mut self,
         prefill_engine: UpstreamKey,
         response: Box<UpstreamResponse>,
+        deadline: Timestamp,
     ) -> bool {
         let holder = self.address_of(prefill_engine);
-        let body = response.read_body().await;
+        let body = response.read_body(deadline).await;
         let handle = match (holder, &body) {
             (Some(holder), Ok((_, body))) => decode_kv_cache_handle(holder, body),
             _ => None,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,6 +13,7 @@
 use lagoonlift_policy::dispatch::UpstreamRecord;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::rc::Rc;
+use thiserror::Error;
 use tokio::time::timeout;
 
 /// Largest response body that is buffered, in bytes.
@@ -61,6 +62,17 @@
     TimedOut,
 }
 
+/// Why the body of a response wasn't read whole.
+#[derive(Debug, Error)]
+pub(crate) enum BodyError {
+    /// It wasn't complete in time.
+    #[error("the body was not complete in time")]
+    TimedOut,
+    /// The connection broke, or the body is too large.
+    #[error("{0}")]
+    Truncated(String),
+}
+
 /// The head of a response, and the connection on which its body arrives.
 pub(crate) struct UpstreamResponse {
     pub(crate) parts: Parts,
@@ -71,10 +83,15 @@
 }
 
 impl UpstreamResponse {
-    /// Reads the whole body and returns the connection to the pool.
-    pub(crate) async fn read_body(self) -> Result<(Parts, Bytes), String> {
-        let body = Limited::new(self.body, MAX_BUFFERED_BYTES).collect().await;
-        let body = body.map_err(|error| describe(error.as_ref()))?.to_bytes();
+    /// Reads the whole body and returns the connection to the pool. Fails if the body
+    /// isn't complete at `deadline`.
+    pub(crate) async fn read_body(self, deadline: Timestamp) -> Result<(Parts, Bytes), BodyError> {
+        let body = Limited::new(self.body, MAX_BUFFERED_BYTES).collect();
+        let body = timeout(clock::time_until(deadline), body)
+            .await
+            .map_err(|_| BodyError::TimedOut)?
+            .map_err(|error| BodyError::Truncated(describe(error.as_ref())))?
+            .to_bytes();
         if self.head.is_framed && !self.head.is_closing {
             self.connection.return_to_pool(self.head.idle_timeout);
         }
@@ -150,6 +167,7 @@
     if !accepts_requests(state, attempt.upstream) {
         return SendOutcome::Withheld("the upstream drains or holds off requests");
     }
+    let deadline = attempt.deadline;
     let call = UpstreamCall {
         request: &outgoing.request,
         body: outgoing.body.clone(),
@@ -177,7 +195,7 @@
         connection,
         work,
     });
-    classify(&outgoing.request.id, upstream_response).await
+    classify(&outgoing.request.id, upstream_response, deadline).await
 }
 
 /// Returns whether the upstream still accepts requests. It may have announced
@@ -190,16 +208,20 @@
 
 /// Classifies a response: as a response to this request, as a statement that the
 /// upstream has not run the request, or as invalid.
-async fn classify(request_id: &str, response: Box<UpstreamResponse>) -> SendOutcome {
+async fn classify(
+    request_id: &str,
+    response: Box<UpstreamResponse>,
+    deadline: Timestamp,
+) -> SendOutcome {
     let head = response.head.clone();
     match &head.request_id {
         Some(id) if id != request_id => SendOutcome::Lost("answer to another request".to_owned()),
         _ if head.has_not_run => {
             // The body of such a response isn't used; reading it makes the connection
             // reusable.
-            if let Err(detail) = response.read_body().await {
+            if let Err(error) = response.read_body(deadline).await {
                 tracing::debug!(
-                    detail,
+                    %error,
                     "response stating that the request has not run was truncated"
                 );
             }
