gateway, policy: split the watcher, the peers' messages and the list of upstreams

Moves only: watcher into configuration and upstreams, the copies of usage counts out of peers, one upstream and the table of all into two files.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,13 +5,15 @@
 //! message repeats the complete state. A host learns the addresses of its peers
 //! from the usage counts in the store and from the datagrams that it receives.
 
+mod usage;
+
 use crate::clock;
 use crate::era_monitor::EraSource;
 use crate::state::GatewayState;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult, StoreStatus,
-    UpstreamDigest, UsageCopy, UsageWindow,
+    UpstreamDigest, UsageCopy,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -42,25 +44,6 @@
 /// are queried in addition.
 const CONFIRMATION_READERS: usize = 2;
 
-/// Interval between two copies of the usage counts to peers.
-const USAGE_COPY_INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// The same interval of a process that stops.
-const STOPPING_USAGE_COPY_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Number of peers that get copies of the usage counts while no store reader is known.
-const USAGE_COPY_PEERS: usize = 2;
-
-/// Number of the latest windows whose counts are copied to peers.
-const MAX_USAGE_COPIES: u64 = 3;
-
-/// Time after the end of a window, in microseconds, within which a host publishes its
-/// counts itself.
-const PUBLICATION_GRACE_US: i64 = 1_200_000;
-
-/// Time for which counts have just been published, in microseconds.
-const JUST_PUBLISHED_US: i64 = 2_000_000;
-
 /// Largest datagram, in bytes. It fits into one packet at the usual MTU.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -122,7 +105,7 @@
         address,
     ));
     if state.settings.duties.is_some() {
-        tokio::task::spawn_local(send_usage_copies(
+        tokio::task::spawn_local(usage::send_copies(
             Rc::clone(&state),
             Rc::clone(&socket),
             address,
@@ -218,73 +201,6 @@
     }
 }
 
-/// Sends this host's usage counts to a few peers, until the process ends.
-async fn send_usage_copies(state: Rc<GatewayState>, socket: Rc<UdpSocket>, own: SocketAddr) {
-    loop {
-        sleep(match state.is_stopping() {
-            true => STOPPING_USAGE_COPY_INTERVAL,
-            false => USAGE_COPY_INTERVAL,
-        })
-        .await;
-        for copy in own_usage_copies(&state) {
-            let peers = usage_copy_peers(&state, own, copy.window);
-            send(&socket, &PeerMessage::Usage(copy), &peers).await;
-        }
-    }
-}
-
-/// Returns the peers that get copies of the counts of `window`: two store readers, or
-/// else two peers that stay the same for the window, so that few peers publish the
-/// same counts after an outage of the store.
-fn usage_copy_peers(state: &GatewayState, own: SocketAddr, window: u64) -> Vec<SocketAddr> {
-    let seed = state.incarnation_id;
-    let readers = state.store_readers.borrow().readers_for(seed);
-    match readers.is_empty() {
-        false => readers,
-        true => {
-            let turn = seed.wrapping_add(window);
-            next_peers(&state.peers.borrow(), own, turn, USAGE_COPY_PEERS)
-        }
-    }
-}
-
-/// Returns the counts of the current window, and of the latest ones that weren't
-/// published since their end. Those that have just been published are included too, so
-/// that peers learn that they needn't publish them.
-fn own_usage_copies(state: &GatewayState) -> Vec<UsageCopy> {
-    let unix_us = state.wall_clock.borrow().unix_us(clock::now());
-    let published_us = state.usage_published_us.get();
-    let usage = state.usage.borrow();
-    let current = usage.window_at(unix_us);
-    let latest = (0..MAX_USAGE_COPIES).map(|age| UsageWindow(current.0.saturating_sub(age)));
-    latest
-        .filter_map(|window| {
-            let is_over = window < current;
-            let end_us = usage.end_of(window);
-            let is_unpublished = is_over && published_us < end_us && state.started_unix_us < end_us;
-            let counts = usage.counts_of(window);
-            let is_just_published = is_over && unix_us < published_us + JUST_PUBLISHED_US;
-            let is_sent = is_unpublished || !counts.is_empty() && (!is_over || is_just_published);
-            is_sent.then(|| UsageCopy {
-                host: state.settings.host.name.clone(),
-                start_id: state.started_unix_us,
-                unix_us,
-                window: window.0,
-                counts,
-                is_unpublished: is_unpublished
-                    && is_publication_late(unix_us, usage.end_of(window))
-                    || state.is_stopping(),
-            })
-        })
-        .collect()
-}
-
-/// Returns whether the counts of a window that ended at `end_us` should have been
-/// published by `unix_us`.
-fn is_publication_late(unix_us: i64, end_us: i64) -> bool {
-    unix_us >= end_us + PUBLICATION_GRACE_US
-}
-
 async fn send(socket: &UdpSocket, message: &PeerMessage, peers: &[SocketAddr]) {
     let bytes = match postcard::to_stdvec(message) {
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
--- /dev/null
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -0,0 +1,197 @@
+//! Watches the list of upstreams.
+
+use super::{back_off_after, pause_if_immediate, record_failure, watch_consistency};
+use crate::clock;
+use crate::state::GatewayState;
+use crate::store::WatchPosition;
+use crate::store_gate::StoreGate;
+use lagoonlift_adapter::listing::{UPSTREAM_KIND, decode_upstream};
+use lagoonlift_adapter::store::{ChangePage, ObjectChange, ReadConsistency, StoreError};
+use lagoonlift_policy::Timestamp;
+use lagoonlift_policy::dispatch::{
+    EngineRole, ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId,
+};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Wait of a watch on the upstreams. It is short because a connection that failed
+/// without a reset is detected only when the wait is over.
+const UPSTREAM_WATCH_WAIT: Duration = Duration::from_millis(2_200);
+
+/// Wait of a linearizable watch for changes that are known to exist.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(50);
+
+/// Polling interval for whether a stale watch is behind.
+const BEHIND_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Delay after changes of the upstreams, so that changes in quick succession are
+/// read with one call.
+const COALESCE_DELAY: Duration = Duration::from_millis(150);
+
+/// The same delay with many hosts, each of which makes the call.
+const MANY_HOSTS_COALESCE_DELAY: Duration = Duration::from_millis(700);
+
+/// Watches the list of upstreams until the process ends.
+pub(crate) async fn follow_upstreams(state: Rc<GatewayState>) {
+    let mut position = None;
+    loop {
+        let pass = StoreGate::enter(&state).await;
+        if pass.is_probe() {
+            position = None;
+        }
+        let result = match position {
+            None => list_upstreams(&state).await,
+            Some(position) => watch_upstreams(&state, position).await,
+        };
+        pass.record(&result);
+        match result {
+            Ok(next) => {
+                state
+                    .table
+                    .borrow_mut()
+                    .record_store_available(clock::now());
+                let is_for_many = state.max_host_count() >= MIN_HOSTS_FOR_SHARED_READS;
+                announce_reading(&state, is_for_many && state.is_store_reader());
+                position = Some(next);
+            }
+            Err(error) => {
+                position = None;
+                announce_reading(&state, false);
+                if error != StoreError::HistoryExpired {
+                    state.table.borrow_mut().record_store_unavailable();
+                }
+                record_failure(&state, "upstreams", &error);
+                back_off_after(&state, &error).await;
+            }
+        }
+    }
+}
+
+async fn list_upstreams(state: &GatewayState) -> Result<WatchPosition, StoreError> {
+    let (objects, position) = state
+        .store
+        .list(UPSTREAM_KIND, ReadConsistency::Linearizable)
+        .await?;
+    let now = clock::now();
+    let records = objects.iter().filter_map(decode_upstream).collect();
+    let removed = {
+        let mut table = state.table.borrow_mut();
+        table.record_store_available(now);
+        table.apply_list(now, records)
+    };
+    state.close_idle_connections(&removed);
+    announce_change(state, position);
+    tracing::info!(
+        upstreams = objects.len(),
+        gone = removed.len(),
+        "upstreams listed"
+    );
+    Ok(position)
+}
+
+async fn watch_upstreams(
+    state: &GatewayState,
+    position: WatchPosition,
+) -> Result<WatchPosition, StoreError> {
+    let started = clock::now();
+    let page = tokio::select! {
+        page = state
+            .store
+            .watch(UPSTREAM_KIND, position, UPSTREAM_WATCH_WAIT, watch_consistency(state)) => page?,
+        () = wait_until_behind(state, position) => {
+            let read = ReadConsistency::Linearizable;
+            state.store.watch(UPSTREAM_KIND, position, CATCH_UP_WAIT, read).await?
+        }
+    };
+    apply_changes(state, clock::now(), &page);
+    let next = position.advanced_to(page.revision);
+    if !page.changes.is_empty() {
+        announce_change(state, next);
+        state.update_changing_roles();
+        sleep(match state.max_host_count() < MIN_HOSTS_FOR_SHARED_READS {
+            true => COALESCE_DELAY,
+            false => MANY_HOSTS_COALESCE_DELAY,
+        })
+        .await;
+    }
+    pause_if_immediate(started, &page).await;
+    Ok(next)
+}
+
+/// Waits until a peer has announced changes that this host's stale watch should
+/// have returned by now.
+async fn wait_until_behind(state: &GatewayState, position: WatchPosition) {
+    let (era, revision) = (position.era, position.revision.0);
+    while state.is_store_reader()
+        || !state
+            .store_readers
+            .borrow()
+            .is_watch_behind(clock::now(), era, revision)
+    {
+        sleep(BEHIND_POLL_INTERVAL).await;
+    }
+    tracing::info!(revision, "the watch of the upstreams is behind");
+}
+
+/// Announces the latest change of the upstreams to the peers.
+fn announce_change(state: &GatewayState, position: WatchPosition) {
+    let status = state.announced_store_status.get();
+    let latest = (status.era, status.upstream_revision).max((position.era, position.revision.0));
+    state.announced_store_status.set(StoreStatus {
+        era: latest.0,
+        upstream_revision: latest.1,
+        ..status
+    });
+}
+
+/// Announces to the peers whether this host makes linearizable reads of the store
+/// and gets responses.
+fn announce_reading(state: &GatewayState, is_reading_store: bool) {
+    let status = state.announced_store_status.get();
+    state.announced_store_status.set(StoreStatus {
+        is_reading_store,
+        ..status
+    });
+}
+
+fn apply_changes(state: &GatewayState, now: Timestamp, page: &ChangePage) {
+    for change in &page.changes {
+        let Some(list_change) = decode_change(change) else {
+            continue;
+        };
+        log_change(change, &list_change);
+        let removed = state.table.borrow_mut().apply(now, list_change);
+        state.close_idle_connections(removed.as_slice());
+    }
+}
+
+fn log_change(change: &ObjectChange, list_change: &ListChange) {
+    let record = match list_change {
+        ListChange::Present(record) => Some(record),
+        ListChange::Removed(_) => None,
+    };
+    tracing::info!(
+        upstream = change.object.name,
+        revision = change.object.revision.0,
+        is_removed = change.is_removed,
+        service = record.map(|record| record.service.as_str()),
+        address = record.map(|record| record.address.to_string()),
+        data_centre = record.map(|record| record.data_centre.as_str()),
+        phase = record.map(|record| record.phase.name()),
+        role = record.and_then(|record| record.role).map(EngineRole::name),
+        is_spot = record.map(|record| record.is_spot),
+        started_ms = record.and_then(|record| record.started_ms),
+        order_count = record.and_then(|record| record.order_count),
+        "upstream changed"
+    );
+}
+
+/// Decodes a change. Returns `None`, which leaves the upstream unchanged, for a
+/// record that is malformed or whose state is neither ready nor draining.
+fn decode_change(change: &ObjectChange) -> Option<ListChange> {
+    match change.is_removed {
+        true => Some(ListChange::Removed(UpstreamId(change.object.name.clone()))),
+        false => decode_upstream(&change.object).map(ListChange::Present),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -0,0 +1,291 @@
+//! The upstreams that the store lists, and this host's requests on them.
+//!
+//! Only listed upstreams are used. An upstream that is draining or removed gets no
+//! new requests as soon as the host observes the change. There is one exception:
+//! during an outage the store may have removed upstreams that are alive. Upstreams
+//! that are missing right after an outage are therefore kept for the time that live
+//! upstreams need to register again.
+//!
+//! An upstream also announces in its responses that it drains, or that it wants no
+//! request for some time. Both take precedence over the list.
+
+use super::announcements::Announcements;
+use super::{ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord};
+use crate::dispatch::reachability::Reachability;
+use crate::{Timestamp, UpstreamKey};
+use slotmap::SlotMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time after a store outage within which live upstreams are listed again.
+const RELIST_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// The listed upstreams of all services.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamTable {
+    entries: SlotMap<UpstreamKey, Upstream>,
+    by_id: HashMap<UpstreamId, UpstreamKey>,
+    /// Upstreams that were observed draining, which is the phase
+    /// [`UpstreamPhase::Leaving`], or that hold off requests. An outdated entry of the
+    /// same incarnation does not make the upstream usable again.
+    announcements: Announcements,
+    is_loaded: bool,
+    is_store_unavailable: bool,
+    /// Set after a store outage: entries that are missing before this time may be
+    /// listed again.
+    relist_until: Option<Timestamp>,
+    reachability: Reachability,
+}
+
+impl UpstreamTable {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether the list of upstreams has been read from the store.
+    pub fn is_loaded(&self) -> bool {
+        self.is_loaded
+    }
+
+    /// Returns the upstream with the given key.
+    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.entries.get(key)
+    }
+
+    /// Returns the upstream with the given key for modification.
+    pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        self.entries.get_mut(key)
+    }
+
+    /// Returns all upstreams in arbitrary order.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.entries.iter()
+    }
+
+    /// Returns the upstreams of `service` to which new requests may be sent.
+    /// Upstreams in a data centre that counts as unreachable are included only while a
+    /// probe of the data centre is due, or if there are no others.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a str,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+        let skips_avoided = !self.reachability.has_no_timeouts()
+            && self
+                .serving(service, now)
+                .any(|(_, upstream)| self.may_contact(upstream, now));
+        self.serving(service, now)
+            .filter(move |(_, upstream)| !skips_avoided || self.may_contact(upstream, now))
+    }
+
+    /// Returns the shortest time for which an upstream of `service` still holds off
+    /// requests; `None` if none does.
+    pub fn shortest_hold_off(&self, service: &str, now: Timestamp) -> Option<Duration> {
+        let of_service = self.entries.values().filter(|upstream| {
+            upstream.record.service == service && upstream.record.phase == UpstreamPhase::Serving
+        });
+        of_service
+            .filter_map(|upstream| upstream.hold_off(now))
+            .min()
+    }
+
+    /// Records that the upstream with the entry `record` announced in a response that
+    /// it drains. The entry may have been removed since. Returns whether this is new.
+    pub fn record_draining(&mut self, now: Timestamp, record: &UpstreamRecord) -> bool {
+        if let Some(upstream) = self.incarnation_mut(record) {
+            upstream.record.phase = UpstreamPhase::Leaving;
+        }
+        self.announcements.record_draining(now, record)
+    }
+
+    /// Records that the upstream with the entry `record` refused a request and wants
+    /// none for `time`. Returns the time until which it gets none, which is up to a
+    /// fifth longer; `jitter`, a random number from 0 to 1, determines by how much.
+    pub fn record_hold_off(
+        &mut self,
+        now: Timestamp,
+        record: &UpstreamRecord,
+        time: Duration,
+        jitter: f64,
+    ) -> Timestamp {
+        let until = self
+            .announcements
+            .record_hold_off(now, record, time, jitter);
+        if let Some(upstream) = self.incarnation_mut(record) {
+            upstream.held_off_until = Some(until);
+        }
+        until
+    }
+
+    /// Records that the upstream with the entry `record` refused a request with a
+    /// malformed time to hold off. Returns whether it is its first one.
+    pub fn record_malformed_hold_off(&mut self, now: Timestamp, record: &UpstreamRecord) -> bool {
+        self.announcements.record_malformed_hold_off(now, record)
+    }
+
+    /// Returns the upstream if the incarnation of `record` is the listed one.
+    fn incarnation_mut(&mut self, record: &UpstreamRecord) -> Option<&mut Upstream> {
+        let key = *self.by_id.get(&record.id)?;
+        let upstream = self.entries.get_mut(key)?;
+        upstream
+            .record
+            .is_same_incarnation(record)
+            .then_some(upstream)
+    }
+
+    /// Returns the upstreams of `service` that are neither draining nor in backoff,
+    /// whether their data centres are reachable or not.
+    fn serving<'a>(
+        &'a self,
+        service: &'a str,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+        self.entries.iter().filter(move |(_, upstream)| {
+            upstream.record.service == service && upstream.is_usable(now)
+        })
+    }
+
+    /// Returns whether requests may be sent to the data centre of `upstream`, because
+    /// it counts as reachable or a probe of it is due.
+    fn may_contact(&self, upstream: &Upstream, now: Timestamp) -> bool {
+        let data_centre = &upstream.record.data_centre;
+        !self.reachability.is_avoided(now, data_centre)
+    }
+
+    /// Records that a request is sent to an upstream.
+    pub fn record_send(&mut self, now: Timestamp, key: UpstreamKey) {
+        if let Some(upstream) = self.entries.get(key) {
+            let data_centre = &upstream.record.data_centre;
+            self.reachability.record_send(now, data_centre);
+        }
+    }
+
+    /// Records whether an upstream responded; `has_responded` is `false` if a
+    /// connection or a request timed out. Returns whether this changed the
+    /// reachability of the upstream's data centre.
+    pub fn record_contact(
+        &mut self,
+        now: Timestamp,
+        key: UpstreamKey,
+        has_responded: bool,
+    ) -> bool {
+        let Some(upstream) = self.entries.get(key) else {
+            return false;
+        };
+        let data_centre = &upstream.record.data_centre;
+        match has_responded {
+            true => self.reachability.record_response(data_centre),
+            false => self.reachability.record_timeout(now, data_centre, key),
+        }
+    }
+
+    /// Records that a call to the store failed.
+    pub fn record_store_unavailable(&mut self) {
+        self.is_store_unavailable = true;
+    }
+
+    /// Records that the store responded. After the first response that follows a
+    /// failure, missing upstreams have [`RELIST_TIMEOUT`] to be listed again.
+    pub fn record_store_available(&mut self, now: Timestamp) {
+        if self.is_store_unavailable {
+            self.is_store_unavailable = false;
+            self.relist_until = Some(now + RELIST_TIMEOUT);
+        }
+    }
+
+    /// Applies a complete list and returns the keys of the upstreams that were
+    /// removed.
+    pub fn apply_list(&mut self, now: Timestamp, records: Vec<UpstreamRecord>) -> Vec<UpstreamKey> {
+        self.is_loaded = true;
+        let mut removed = Vec::new();
+        let missing: Vec<UpstreamId> = self
+            .by_id
+            .keys()
+            .filter(|id| !records.iter().any(|record| record.id == **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            removed.extend(self.apply(now, ListChange::Removed(id)));
+        }
+        for record in records {
+            removed.extend(self.apply(now, ListChange::Present(record)));
+        }
+        removed
+    }
+
+    /// Applies one change and returns the key of the upstream that was removed by
+    /// it, if any.
+    pub fn apply(&mut self, now: Timestamp, change: ListChange) -> Option<UpstreamKey> {
+        match change {
+            ListChange::Present(record) => self.insert(now, record),
+            ListChange::Removed(id) => self.apply_removal(now, &id),
+        }
+    }
+
+    /// Removes the upstreams that were not listed again in time after an outage, and
+    /// returns their keys.
+    pub fn remove_missing(&mut self, now: Timestamp) -> Vec<UpstreamKey> {
+        let by_id = &self.by_id;
+        self.announcements
+            .remove_old(now, |id| by_id.contains_key(id));
+        let is_due = |upstream: &Upstream| upstream.removal_at.is_some_and(|at| at <= now);
+        let due: Vec<UpstreamId> = self
+            .entries
+            .values()
+            .filter(|upstream| is_due(upstream))
+            .map(|upstream| upstream.record.id.clone())
+            .collect();
+        due.iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    fn insert(&mut self, now: Timestamp, mut record: UpstreamRecord) -> Option<UpstreamKey> {
+        match record.phase {
+            UpstreamPhase::Leaving => {
+                self.announcements.record_draining(now, &record);
+            }
+            UpstreamPhase::Serving if self.announcements.is_draining(&record) => {
+                record.phase = UpstreamPhase::Leaving;
+            }
+            UpstreamPhase::Serving => {}
+        }
+        let known = self.by_id.get(&record.id).copied();
+        let current = known.and_then(|key| self.entries.get_mut(key));
+        match current {
+            // The list of a restored store may name an incarnation that has ended.
+            Some(upstream) if record.is_earlier_incarnation(&upstream.record) => None,
+            Some(upstream) if upstream.record.is_same_incarnation(&record) => {
+                upstream.record = record;
+                upstream.removal_at = None;
+                None
+            }
+            _ => {
+                let removed = self.remove(&record.id);
+                let id = record.id.clone();
+                let held_off_until = self.announcements.held_off_until(&record);
+                let key = self.entries.insert(Upstream::new(record, held_off_until));
+                self.by_id.insert(id, key);
+                removed
+            }
+        }
+    }
+
+    fn apply_removal(&mut self, now: Timestamp, id: &UpstreamId) -> Option<UpstreamKey> {
+        let key = *self.by_id.get(id)?;
+        let upstream = self.entries.get_mut(key)?;
+        let is_draining = upstream.record.phase == UpstreamPhase::Leaving;
+        match self.relist_until {
+            Some(until) if until > now && !is_draining => {
+                upstream.removal_at.get_or_insert(until);
+                None
+            }
+            _ => self.remove(id),
+        }
+    }
+
+    fn remove(&mut self, id: &UpstreamId) -> Option<UpstreamKey> {
+        let key = self.by_id.remove(id)?;
+        self.entries.remove(key);
+        Some(key)
+    }
+}
