prefill: a prefill isn't given up before its rate is known

A prefill was awaited for 400 ms plus three times its expected duration, which is zero until a host has 20 samples; cold prompts of 17,000 tokens take 335 ms there without any queue. So they were given up, read again elsewhere, and their engines and data centres were avoided.

Now only the caller's time limits the wait while the rate is unknown. The decision is in policy, with a test of that load: cold_burst_of_long_prompts_is_awaited (the limit was 400 ms, the third in a queue needs 1,020 ms).

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -22,6 +22,7 @@
 
 /// Kind of the objects with the hosts' counts.
 const COUNTS_KIND: &str = "usage-counts";
+
 /// Interval between two writes of a host's counts.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(1_000);
 
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -8,18 +8,6 @@
 use lagoonlift_adapter::upstream::{UpstreamTask, decode_kv_cache_handle};
 use lagoonlift_policy::dispatch::SendResult;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
-use std::time::Duration;
-
-/// Largest share of the time left that a prefill may take, so that another engine
-/// can still run it afterwards.
-const PREFILL_TIME_SHARE: f64 = 0.45;
-
-/// Timeout of a prefill as a multiple of its expected duration.
-const PREFILL_TIME_FACTOR: u32 = 3;
-
-/// Added to `PREFILL_TIME_FACTOR` times the expected duration for the timeout of a
-/// prefill. After the timeout, another engine is tried.
-const PREFILL_TIME_MARGIN: Duration = Duration::from_millis(400);
 
 impl RequestRun {
     /// Runs the prefill on `prefill_engine`, which may copy shared prefix blocks from
@@ -85,17 +73,9 @@
     /// engine's backlog including this prompt.
     fn prefill_deadline(&self, tokens_to_prefill: u64) -> Timestamp {
         let now = clock::now();
-        let longest = self
-            .admitted
-            .deadline
-            .since(now)
-            .mul_f64(PREFILL_TIME_SHARE);
-        let expected = self
-            .state
-            .placement
-            .borrow()
-            .prefill_time(tokens_to_prefill);
-        now + longest.min(PREFILL_TIME_MARGIN + expected * PREFILL_TIME_FACTOR)
+        let time_left = self.admitted.deadline.since(now);
+        let placement = self.state.placement.borrow();
+        now + placement.prefill_limit(tokens_to_prefill, time_left)
     }
 
     /// Decodes the KV cache handle from the response and stores it in
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -161,6 +161,16 @@
 /// is larger than this ratio of the speeds.
 const DECODE_BACKLOG_FACTOR: u64 = 3;
 
+/// Largest share of the time left that a prefill may take, so that another engine can
+/// still run it afterwards.
+const PREFILL_TIME_SHARE: f64 = 0.45;
+
+/// Timeout of a prefill as a multiple of its expected duration.
+const PREFILL_TIME_FACTOR: u32 = 3;
+
+/// Added to [`PREFILL_TIME_FACTOR`] times the expected duration.
+const PREFILL_TIME_MARGIN: Duration = Duration::from_millis(400);
+
 /// Failure share from which an engine counts as unhealthy. An unhealthy engine is not
 /// chosen by its rank and is never a session's preferred engine.
 const UNHEALTHY_FAILURE_SHARE: f64 = 0.5;
@@ -202,10 +212,19 @@
         self.prefill_rate.record(queued_tokens, latency);
     }
 
-    /// Returns the estimated time of a prefill engine for `tokens`; zero while the
-    /// prefill rate is unknown.
-    pub fn prefill_time(&self, tokens: u64) -> Duration {
-        self.prefill_rate.time_for(tokens)
+    /// Returns how long a prefill is awaited before another engine is tried.
+    /// `tokens_to_prefill` is the engine's backlog including the prompt, and `time_left`
+    /// the time until the caller's deadline.
+    ///
+    /// While the prefill rate is unknown, only `time_left` limits the wait. A cold engine
+    /// reads a long prompt for hundreds of milliseconds; giving up on it then wastes the
+    /// prefill and makes a sound engine, and its data centre, appear lost.
+    pub fn prefill_limit(&self, tokens_to_prefill: u64, time_left: Duration) -> Duration {
+        let longest = time_left.mul_f64(PREFILL_TIME_SHARE);
+        match self.prefill_rate.estimate(tokens_to_prefill) {
+            Some(expected) => longest.min(PREFILL_TIME_MARGIN + expected * PREFILL_TIME_FACTOR),
+            None => longest,
+        }
     }
 
     /// Chooses the upstream for a request to a plain service; `None` if none is
--- a/crates/policy/src/dispatch/prefill_rate.rs
+++ b/crates/policy/src/dispatch/prefill_rate.rs
@@ -41,12 +41,16 @@
         self.seconds_per_token += weight * (sample - self.seconds_per_token);
     }
 
+    /// Returns the estimated prefill time of `tokens`; `None` while there are too few
+    /// samples.
+    pub fn estimate(&self, tokens: u64) -> Option<Duration> {
+        let time = Duration::from_secs_f64(self.seconds_per_token * tokens as f64);
+        (self.samples >= MIN_SAMPLES).then_some(time)
+    }
+
     /// Returns the estimated prefill time of `tokens`; zero while there are too few
     /// samples.
     pub fn time_for(&self, tokens: u64) -> Duration {
-        match self.samples >= MIN_SAMPLES {
-            true => Duration::from_secs_f64(self.seconds_per_token * tokens as f64),
-            false => Duration::ZERO,
-        }
+        self.estimate(tokens).unwrap_or_default()
     }
 }
--- a/crates/policy/tests/all/dispatch/placement.rs
+++ b/crates/policy/tests/all/dispatch/placement.rs
@@ -281,3 +281,21 @@
     assert_ne!(prefill_engine, preferred);
     assert_eq!(copy_blocks_from, Some(preferred));
 }
+
+/// Traffic starts with a burst of prompts of 17,000 tokens on engines that have nothing
+/// of them in their KV caches and read 50 tokens in a millisecond. A prompt that is third
+/// in the queue of its engine is done after a second. No host knows the prefill rate yet,
+/// and none may give up on a prefill before that.
+#[test]
+fn cold_burst_of_long_prompts_is_awaited() {
+    let mut placement = Placement::new(PlacementLimits::default(), "a");
+    let time_left = Duration::from_secs(8);
+    let third_in_queue = Duration::from_millis(3 * 17_000 / 50);
+    assert!(placement.prefill_limit(3 * 17_000, time_left) > third_in_queue);
+    for _ in 0..40 {
+        placement.record_prefill(17_000, Duration::from_millis(17_000 / 50));
+    }
+    let limit = placement.prefill_limit(17_000, time_left);
+    assert!(limit > Duration::from_millis(17_000 / 50));
+    assert!(limit < Duration::from_millis(1_500), "{limit:?}");
+}
