explain: refusals in a hold-off name the upstreams that stated it

Such a request was sent nowhere, so no line of it names an upstream; the restore of the store is context too. Test: refusal_in_a_hold_off_is_explained_by_the_upstreams_that_stated_it.

--- a/src/request_history.rs
+++ b/src/request_history.rs
@@ -76,18 +76,28 @@
     }
 }
 
+/// Reason of a request that was refused because all upstreams hold off requests. No line
+/// of such a request names an upstream.
+const HOLD_OFF_REASON: &str = "the upstreams hold off";
+
 /// Returns the lines up to the timestamp `end` about the configuration, the store
-/// and the upstreams that the request was sent to.
+/// and the upstreams that the request was sent to or could not be sent to.
 fn context_of(request_lines: &[LogLine], all_lines: &[LogLine], end: &str) -> Vec<LogLine> {
     let upstreams: Vec<&str> = request_lines
         .iter()
         .filter_map(|line| line.upstream.as_deref())
         .collect();
     let is_before = |line: &&LogLine| line.request.is_none() && line.timestamp.as_str() <= end;
+    let is_held_off = request_lines.iter().any(|line| {
+        let reason = line.fields.get("reason").and_then(|reason| reason.as_str());
+        reason == Some(HOLD_OFF_REASON)
+    });
     let is_relevant = |line: &LogLine| match (&line.upstream, line.message.as_str()) {
+        (Some(_), "the upstream holds off requests") if is_held_off => true,
         (Some(upstream), _) => upstreams.contains(&upstream.as_str()),
         (None, "configuration in force" | "the store gave no answer") => true,
         (None, "the watch of the upstreams is behind" | "upstreams ordered") => true,
+        (None, "the store was restored from a copy") => true,
         _ => false,
     };
     let mut selected: Vec<LogLine> = Vec::new();
--- a/tests/all/log_story.rs
+++ b/tests/all/log_story.rs
@@ -42,3 +42,24 @@
     assert!(!story.is_found());
     assert!(story.to_string().contains("no line names it"));
 }
+
+const HOLD_OFF_LOG: &str = r#"
+{"timestamp":"10:00:01.000","level":"WARN","message":"the store was restored from a copy","era":4,"before":3,"source":"peer"}
+{"timestamp":"10:00:01.100","level":"INFO","message":"the upstream holds off requests","upstream":"i-1","stated_ms":1500,"held_off_ms":1620}
+{"timestamp":"10:00:01.200","level":"INFO","message":"the upstream announced that it drains","upstream":"i-2","started_ms":7}
+{"timestamp":"10:00:01.300","level":"INFO","message":"request ended","request":"r4","outcome":"refused","reason":"the upstreams hold off","sends":0}
+"#;
+
+/// A request that was refused because all upstreams hold off was sent to none of them.
+/// The summary names those that hold off, and the restore of the store before it.
+#[test]
+fn refusal_in_a_hold_off_is_explained_by_the_upstreams_that_stated_it() {
+    let story = RequestHistory::from_log_lines("r4", HOLD_OFF_LOG.lines()).to_string();
+    assert!(
+        story.contains("the store was restored from a copy before=3 era=4"),
+        "{story}"
+    );
+    assert!(story.contains("holds off requests upstream=i-1"), "{story}");
+    assert!(story.contains("held_off_ms=1620"), "{story}");
+    assert!(!story.contains("i-2"), "{story}");
+}
