upstreams: no time to be listed again after a cut of this host alone

The store wasn't away, only these hosts were: peers reported all the while that they read it. The time to be listed again now counts from when a peer reported that the store responds.

Ruled out: shorter probes alone (0.4 s until a connection fails, the delay, two seconds of grace and a maintenance tick leave no room below one second).

--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -47,10 +47,7 @@
         pass.record(&result);
         match result {
             Ok(next) => {
-                state
-                    .table
-                    .borrow_mut()
-                    .record_store_available(clock::now());
+                record_store_available(&state, clock::now());
                 let is_for_many = state.max_host_count() >= MIN_HOSTS_FOR_SHARED_READS;
                 announce_reading(&state, is_for_many && state.is_store_reader());
                 position = Some(next);
@@ -68,6 +65,12 @@
     }
 }
 
+fn record_store_available(state: &GatewayState, now: Timestamp) {
+    let available_since = state.store_readers.borrow().reader_since();
+    let mut table = state.table.borrow_mut();
+    table.record_store_available(now, available_since);
+}
+
 async fn list_upstreams(state: &GatewayState) -> Result<WatchPosition, StoreError> {
     let (objects, position) = state
         .store
@@ -76,8 +79,8 @@
     let now = clock::now();
     let records = objects.iter().filter_map(decode_upstream).collect();
     let removed = {
+        record_store_available(state, now);
         let mut table = state.table.borrow_mut();
-        table.record_store_available(now);
         table.apply_list(now, records)
     };
     state.close_idle_connections(&removed);
--- a/crates/policy/src/dispatch/store_backoff.rs
+++ b/crates/policy/src/dispatch/store_backoff.rs
@@ -23,16 +23,18 @@
 
 /// Longest delay between two probes of a host that reads the store for others, or of any
 /// host in a small deployment.
-const MAX_READER_DELAY: Duration = Duration::from_millis(500);
+const MAX_READER_DELAY: Duration = Duration::from_millis(250);
 
-/// Longest delay between two probes of another host.
-const MAX_DELAY: Duration = Duration::from_millis(2_500);
+/// Longest delay between two probes of another host. With the time that a connection
+/// takes to fail, it stays below the time after which a host that was cut off has to
+/// know again which upstreams drain.
+const MAX_DELAY: Duration = Duration::from_millis(2_000);
 
 /// Factor by which the delay between two probes of such a host grows.
-const FOLLOWER_GROWTH: u32 = 4;
+const FOLLOWER_GROWTH: u32 = 8;
 
 /// Number of times that a delay grows; the longest delay is reached before.
-const MAX_GROWTHS: u32 = 8;
+const MAX_GROWTHS: u32 = 4;
 
 /// Time within which the hosts probe a store of which a peer reports that it responds
 /// again.
--- a/crates/policy/src/dispatch/store_readers.rs
+++ b/crates/policy/src/dispatch/store_readers.rs
@@ -72,6 +72,9 @@
     /// received status, and when it was first received.
     latest_revision: (Option<StoreEra>, u64),
     latest_received_at: Timestamp,
+    /// Time since which some host has reported without interruption that it reads the
+    /// store; `None` while none does.
+    reader_since: Option<Timestamp>,
 }
 
 impl StoreReaderSelection {
@@ -83,6 +86,7 @@
             statuses: HashMap::new(),
             latest_revision: (None, 0),
             latest_received_at: Timestamp::default(),
+            reader_since: None,
         }
     }
 
@@ -101,6 +105,7 @@
             is_reading: status.is_reading_store,
         };
         self.statuses.insert(incarnation, received);
+        self.update_reader_since(now);
         let revision = (status.era, status.upstream_revision);
         if revision > self.latest_revision {
             self.latest_revision = revision;
@@ -112,6 +117,20 @@
     pub fn expire(&mut self, now: Timestamp) {
         self.statuses
             .retain(|_, status| now.since(status.received_at) < STORE_STATUS_TTL);
+        self.update_reader_since(now);
+    }
+
+    fn update_reader_since(&mut self, now: Timestamp) {
+        self.reader_since = match self.has_reader() {
+            true => self.reader_since.or(Some(now)),
+            false => None,
+        };
+    }
+
+    /// Returns since when some peer has reported without interruption that it reads the
+    /// store and gets responses; `None` while none does.
+    pub fn reader_since(&self) -> Option<Timestamp> {
+        self.reader_since
     }
 
     /// Returns whether this host has to be a store reader in a deployment of `hosts`
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -4,7 +4,8 @@
 //! new requests as soon as the host observes the change. There is one exception:
 //! during an outage the store may have removed upstreams that are alive. Upstreams
 //! that are missing right after an outage are therefore kept for the time that live
-//! upstreams need to register again.
+//! upstreams need to register again. That isn't done after a time in which the store
+//! responded to peers and only this host was cut off from it.
 //!
 //! An upstream also announces in its responses that it drains, or that it wants no
 //! request for some time. Both take precedence over the list.
@@ -186,11 +187,15 @@
     }
 
     /// Records that the store responded. After the first response that follows a
-    /// failure, missing upstreams have [`RELIST_TIMEOUT`] to be listed again.
-    pub fn record_store_available(&mut self, now: Timestamp) {
+    /// failure, missing upstreams have [`RELIST_TIMEOUT`] to be listed again. The time
+    /// counts from `available_since` if it is earlier: the time since which the store has
+    /// responded to a peer. If it did so all the while, only this host was cut off from
+    /// it, and an upstream that is missing is gone.
+    pub fn record_store_available(&mut self, now: Timestamp, available_since: Option<Timestamp>) {
         if self.is_store_unavailable {
             self.is_store_unavailable = false;
-            self.relist_until = Some(now + RELIST_TIMEOUT);
+            let since = available_since.map_or(now, |since| since.min(now));
+            self.relist_until = Some(since + RELIST_TIMEOUT);
         }
     }
 
