--- a/crates/gateway/src/peers/usage.rs
+++ b/crates/gateway/src/peers/usage.rs
@@ -82,8 +82,7 @@
                 unix_us,
                 window: window.0,
                 counts,
-                is_unpublished: is_unpublished
-                    && is_publication_late(unix_us, usage.end_of(window))
+                is_unpublished: is_unpublished && is_publication_late(unix_us, end_us)
                     || state.is_stopping(),
             })
         })
--- a/crates/policy/src/dispatch/store_readers.rs
+++ b/crates/policy/src/dispatch/store_readers.rs
@@ -136,7 +136,7 @@
     /// Returns whether this host has to be a store reader in a deployment of `hosts`
     /// hosts.
     pub fn is_reader(&self, hosts: usize) -> bool {
-        hosts < MIN_HOSTS_FOR_SHARED_READS || self.rank() < STORE_READERS || !self.has_reader()
+        self.probe_role(hosts) == ProbeRole::Reader || !self.has_reader()
     }
 
     /// Returns how often this host probes a store that doesn't respond, in a deployment
