--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -64,7 +64,8 @@
         };
         match relay.next_item().await {
             StreamItem::Broken(detail) => {
-                relay.request_log.record_break(&detail);
+                let upstream = relay.upstream_name();
+                relay.request_log.record_break(&detail, upstream);
                 let step = relay.run.history.record_send(SendResult::Unknown);
                 let Self {
                     run, request_log, ..
@@ -121,7 +122,8 @@
                 StreamItem::Events(events) => return Ok(Some(events)),
                 StreamItem::End => return Ok(None),
                 StreamItem::Broken(detail) => {
-                    self.request_log.record_break(&detail);
+                    let upstream = self.upstream_name();
+                    self.request_log.record_break(&detail, upstream);
                     self.resume(detail).await?;
                 }
             }
@@ -186,6 +188,10 @@
         StreamItem::End
     }
 
+    fn upstream_name(&self) -> Option<String> {
+        self.run.name_of(self.response.as_ref()?.work.key)
+    }
+
     fn is_resumable(&self) -> bool {
         self.run.admitted.route.retry_safety == RetrySafety::Stream { resumable: true }
     }
@@ -195,10 +201,11 @@
         // Closing the old connection first makes the old upstream stop generating.
         self.response = None;
         self.scanner.drop_partial();
-        if !self.is_resumable()
-            || self.run.history.record_send(SendResult::Unknown) != NextStep::Retry
-        {
-            return Err(RelayError(detail));
+        if !self.is_resumable() {
+            return self.fail(detail, "the stream is not resumable");
+        }
+        if self.run.history.record_send(SendResult::Unknown) != NextStep::Retry {
+            return self.fail(detail, "no attempt is left");
         }
         self.run.resume_after = self.scanner.last_id();
         match self.run.next_outcome().await {
@@ -207,7 +214,15 @@
                 self.response = Some(response);
                 Ok(())
             }
-            RunOutcome::Complete(..) | RunOutcome::Reply(_) => Err(RelayError(detail)),
+            RunOutcome::Complete(..) => self.fail(detail, "the upstream failed"),
+            RunOutcome::Reply(reply) => self.fail(detail, reply.reason),
         }
     }
+
+    /// Ends the caller's response before its end. `reason` says why no upstream could
+    /// continue it.
+    fn fail(&mut self, detail: String, reason: &'static str) -> Result<(), RelayError> {
+        self.request_log.record_reason(reason);
+        Err(RelayError(detail))
+    }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -101,7 +101,7 @@
         table.get(upstream).map(|one| one.record.address)
     }
 
-    fn name_of(&self, upstream: UpstreamKey) -> Option<String> {
+    pub(crate) fn name_of(&self, upstream: UpstreamKey) -> Option<String> {
         let table = self.state.table.borrow();
         table.get(upstream).map(|one| one.record.id.0.clone())
     }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -65,8 +65,15 @@
         self.state.metrics.count_first_byte(&self.route, latency);
     }
 
-    pub(crate) fn record_break(&mut self, detail: &str) {
-        tracing::info!(request = self.request_id, detail, "stream interrupted");
+    /// Logs that a stream from `upstream` was interrupted: its connection ended, or no
+    /// event came in time. The log line of the end says whether it was continued.
+    pub(crate) fn record_break(&self, detail: &str, upstream: Option<String>) {
+        tracing::info!(
+            request = self.request_id,
+            upstream,
+            detail,
+            "stream interrupted"
+        );
     }
 
     pub(crate) fn record_resume(&mut self) {
