relay: a silent upstream is kept until another one has accepted the request

Callers saw a resumable stream cut, or got 502, after its upstream had been silent for a second, although the upstream went on afterwards.

Cause: one second without an event was taken for a break. The upstream's connection was closed first; only then was another attempt looked for, which the route's attempts, the retry budget or busy engines may forbid. Class: giving up what works before its replacement is certain.

Now the silent upstream is read on while another one is looked for. Whatever comes first decides: events of the silent one cancel the attempt (counted as one that may have run), the head of the other one's response closes the silent one at once, so both don't run side by side. Without a replacement the stream waits until the connection ends or the deadline passes. The run of an upstream is recorded once, however often it is silent.

The log says how each silence ended.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,9 +1,15 @@
-//! Relays an event stream to the caller and resumes a broken stream at another
+//! Relays an event stream to the caller and continues an interrupted stream at another
 //! upstream if the route allows it.
+//!
+//! An upstream that is silent may be sound and go on, and nothing may be able to replace
+//! it: the route's attempts or the retry budget may be used up, or all engines busy. A
+//! silent upstream is therefore kept until another one has accepted the request. Only
+//! the end of its connection, or the caller's deadline, ends its stream.
 
+mod source;
+
+use self::source::{EventSource, StreamItem};
 use crate::clock;
-use crate::connection::describe;
-use crate::events::EventScanner;
 use crate::reply::{RelayError, ReplyBody};
 use crate::run::{RequestRun, RunOutcome};
 use crate::send::UpstreamResponse;
@@ -11,31 +17,32 @@
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
-use http_body_util::{BodyExt, StreamBody};
+use http::response::Parts;
+use http_body_util::StreamBody;
 use hyper::body::Frame;
 use lagoonlift_adapter::upstream::forwarded_response_headers;
 use lagoonlift_policy::dispatch::{NextStep, RetrySafety, SendResult};
+use std::pin::pin;
 use std::time::Duration;
-use tokio::time::timeout;
 
-/// Time without an event after which a resumable stream is resumed at another
-/// upstream.
+/// Time without an event after which another upstream is looked for, if the stream is
+/// resumable.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time between two attempts to replace an upstream that stays silent.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A stream that is being relayed.
 pub(crate) struct StreamRelay {
     run: RequestRun,
-    response: Option<Box<UpstreamResponse>>,
-    scanner: EventScanner,
+    source: EventSource,
+    /// Head of the response that the caller gets: that of the upstream that sends the
+    /// first event.
+    head: Parts,
     request_log: RequestLog,
-    has_started: bool,
-}
-
-/// Next item read from the upstream's connection.
-enum StreamItem {
-    Events(Bytes),
-    End,
-    Broken(String),
+    is_usage_counted: bool,
+    /// Whether the history of the request has the run of the current upstream.
+    is_run_recorded: bool,
 }
 
 /// A stream that broke before its first event.
@@ -54,19 +61,18 @@
         request_log: RequestLog,
     ) -> Result<Response<ReplyBody>, Box<StartFailure>> {
         let last_event = run.admitted.outgoing.request.last_event_id;
-        let parts = response.parts.clone();
         let mut relay = Self {
             run,
-            response: Some(response),
-            scanner: EventScanner::new(last_event),
+            head: response.parts.clone(),
+            source: EventSource::new(response, last_event),
             request_log,
-            has_started: false,
+            is_usage_counted: false,
+            is_run_recorded: false,
         };
         match relay.next_item().await {
             StreamItem::Broken(detail) => {
-                let upstream = relay.upstream_name();
-                relay.request_log.record_break(&detail, upstream);
-                let step = relay.run.history.record_send(SendResult::Unknown);
+                relay.record_break(&detail);
+                let step = relay.record_run();
                 let Self {
                     run, request_log, ..
                 } = relay;
@@ -76,15 +82,13 @@
                     step,
                 }))
             }
-            first => Ok(relay.into_response(parts, first)),
+            first => Ok(relay.into_response(first)),
         }
     }
 
-    fn into_response(
-        mut self,
-        parts: http::response::Parts,
-        first: StreamItem,
-    ) -> Response<ReplyBody> {
+    fn into_response(mut self, first: StreamItem) -> Response<ReplyBody> {
+        let status = self.head.status;
+        let headers = forwarded_response_headers(&self.head.headers);
         self.request_log.record_first_byte();
         let items = stream::unfold((Some(self), Some(first)), |(relay, first)| async move {
             let mut relay = relay?;
@@ -102,8 +106,8 @@
         });
         let body: ReplyBody = Box::pin(StreamBody::new(items));
         let mut response = Response::new(body);
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = forwarded_response_headers(&parts.headers);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
         response
     }
 
@@ -122,74 +126,116 @@
                 StreamItem::Events(events) => return Ok(Some(events)),
                 StreamItem::End => return Ok(None),
                 StreamItem::Broken(detail) => {
-                    let upstream = self.upstream_name();
-                    self.request_log.record_break(&detail, upstream);
+                    self.record_break(&detail);
                     self.resume(detail).await?;
                 }
             }
         }
     }
 
-    /// Waits for the next complete events. Bytes that complete no event don't extend the
-    /// time for them.
+    /// Waits for the next complete events, for the end or for the break of the stream.
+    /// While the upstream is silent, another one is looked for.
     async fn next_item(&mut self) -> StreamItem {
         let deadline = self.run.admitted.deadline;
-        let next_event_by = match self.is_resumable() {
+        let mut next_event_by = match self.is_resumable() {
             true => deadline.min(clock::now() + EVENT_GAP_TIMEOUT),
             false => deadline,
         };
         loop {
-            let limit = clock::time_until(next_event_by);
-            let Some(response) = self.response.as_mut() else {
-                return StreamItem::Broken("no upstream".to_owned());
-            };
-            match timeout(limit, response.body.frame()).await {
-                Err(_) => return StreamItem::Broken("no event in time".to_owned()),
-                Ok(Some(Err(error))) => return StreamItem::Broken(describe(&error)),
-                Ok(None) => return self.end(),
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    self.record_start();
-                    let events = self.scanner.push(&data);
-                    if !events.is_empty() {
-                        return StreamItem::Events(events);
-                    }
+            let item = self.source.next(next_event_by).await;
+            self.count_usage();
+            match item {
+                Some(item) => return item,
+                None if clock::now() >= deadline => {
+                    return StreamItem::Broken("no event in time".to_owned());
                 }
+                None => {}
+            }
+            if let Some(item) = self.replace_silent_upstream().await {
+                return item;
             }
+            next_event_by = match self.run.history.may_retry() {
+                true => deadline.min(clock::now() + REPLACEMENT_INTERVAL),
+                false => deadline,
+            };
         }
     }
 
-    fn record_start(&mut self) {
-        if self.has_started {
+    /// Looks for another upstream, and continues with it once it has accepted the
+    /// request. The current one is kept until then and may go on: what it sends meanwhile
+    /// is returned, and the attempt on the other one is cancelled.
+    async fn replace_silent_upstream(&mut self) -> Option<StreamItem> {
+        if self.record_run() != NextStep::Retry {
+            return None;
+        }
+        let deadline = self.run.admitted.deadline;
+        self.run.silent_upstream = self.source.upstream();
+        self.run.resume_after = self.source.last_event();
+        let (item, outcome) = {
+            let mut replacement = pin!(self.run.next_outcome());
+            tokio::select! {
+                biased;
+                item = self.source.next(deadline) => match item {
+                    // The current upstream won't go on, so the replacement is awaited.
+                    Some(StreamItem::Broken(_)) => (item, Some(replacement.await)),
+                    item => (item, None),
+                },
+                outcome = &mut replacement => (None, Some(outcome)),
+            }
+        };
+        self.run.silent_upstream = None;
+        self.count_usage();
+        let result = match outcome {
+            Some(RunOutcome::Stream(response)) => {
+                self.request_log.record_silence("replaced");
+                self.continue_with(response);
+                return None;
+            }
+            Some(RunOutcome::Complete(..)) => "the upstream failed",
+            Some(RunOutcome::Reply(reply)) => reply.reason,
+            None => {
+                self.run.record_cancelled_send();
+                "went on"
+            }
+        };
+        self.request_log.record_silence(result);
+        item
+    }
+
+    /// Continues the stream with the response of another upstream.
+    fn continue_with(&mut self, response: Box<UpstreamResponse>) {
+        self.request_log.record_resume();
+        self.head = response.parts.clone();
+        self.source.replace(response);
+        self.is_run_recorded = false;
+    }
+
+    /// Counts the run for the usage report, once, when the first data has arrived.
+    fn count_usage(&mut self) {
+        if self.is_usage_counted || !self.source.has_started() {
             return;
         }
-        self.has_started = true;
+        self.is_usage_counted = true;
         let workspace = self.run.admitted.outgoing.workspace.as_deref();
         self.run.state.count_usage(clock::now(), workspace);
-        if let Some(response) = self.response.as_mut() {
-            response.work.end_prefill();
-        }
     }
 
-    fn end(&mut self) -> StreamItem {
-        if self.scanner.is_inside_event() {
-            return StreamItem::Broken("the stream ended inside an event".to_owned());
-        }
-        if let Some(response) = self.response.take()
-            && response.head.is_framed
-            && !response.head.is_closing
-        {
-            response
-                .connection
-                .return_to_pool(response.head.idle_timeout);
-        }
-        StreamItem::End
+    fn record_break(&self, detail: &str) {
+        let upstream = self.source.upstream();
+        let name = upstream.and_then(|upstream| self.run.name_of(upstream));
+        self.request_log.record_break(detail, name);
     }
 
-    fn upstream_name(&self) -> Option<String> {
-        self.run.name_of(self.response.as_ref()?.work.key)
+    /// Records the run of the current upstream, once, and returns the next step.
+    fn record_run(&mut self) -> NextStep {
+        if !self.is_run_recorded {
+            self.is_run_recorded = true;
+            return self.run.history.record_send(SendResult::Unknown);
+        }
+        match self.run.history.may_retry() {
+            true => NextStep::Retry,
+            false => self.run.history.step_without_retry(),
+        }
     }
 
     fn is_resumable(&self) -> bool {
@@ -198,20 +244,17 @@
 
     /// Resumes the stream at another upstream after the last complete event.
     async fn resume(&mut self, detail: String) -> Result<(), RelayError> {
-        // Closing the old connection first makes the old upstream stop generating.
-        self.response = None;
-        self.scanner.drop_partial();
+        self.source.close();
         if !self.is_resumable() {
             return self.fail(detail, "the stream is not resumable");
         }
-        if self.run.history.record_send(SendResult::Unknown) != NextStep::Retry {
+        if self.record_run() != NextStep::Retry {
             return self.fail(detail, "no attempt is left");
         }
-        self.run.resume_after = self.scanner.last_id();
+        self.run.resume_after = self.source.last_event();
         match self.run.next_outcome().await {
             RunOutcome::Stream(response) => {
-                self.request_log.record_resume();
-                self.response = Some(response);
+                self.continue_with(response);
                 Ok(())
             }
             RunOutcome::Complete(..) => self.fail(detail, "the upstream failed"),
--- /dev/null
+++ b/crates/gateway/src/relay/source.rs
@@ -0,0 +1,105 @@
+//! The upstream's side of a relayed stream.
+
+use crate::clock;
+use crate::connection::describe;
+use crate::events::EventScanner;
+use crate::send::UpstreamResponse;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use lagoonlift_policy::{Timestamp, UpstreamKey};
+use tokio::time::timeout;
+
+/// Next item of a stream.
+pub(super) enum StreamItem {
+    /// Complete events.
+    Events(Bytes),
+    /// The stream is complete.
+    End,
+    /// The stream can't go on; the text says why.
+    Broken(String),
+}
+
+/// Reads complete events from the response of one upstream after another.
+pub(super) struct EventSource {
+    response: Option<Box<UpstreamResponse>>,
+    scanner: EventScanner,
+    has_started: bool,
+}
+
+impl EventSource {
+    /// Creates a source of the events after `last_event`.
+    pub(super) fn new(response: Box<UpstreamResponse>, last_event: Option<u64>) -> Self {
+        Self {
+            response: Some(response),
+            scanner: EventScanner::new(last_event),
+            has_started: false,
+        }
+    }
+
+    /// Returns whether any data has arrived.
+    pub(super) fn has_started(&self) -> bool {
+        self.has_started
+    }
+
+    /// Returns the ID of the last complete event.
+    pub(super) fn last_event(&self) -> Option<u64> {
+        self.scanner.last_id()
+    }
+
+    /// Returns the current upstream, if there is one.
+    pub(super) fn upstream(&self) -> Option<UpstreamKey> {
+        self.response.as_ref().map(|response| response.work.key)
+    }
+
+    /// Closes the connection to the current upstream, which makes it stop generating.
+    pub(super) fn close(&mut self) {
+        self.response = None;
+        self.scanner.drop_partial();
+    }
+
+    /// Closes the connection to the current upstream and continues with another one.
+    pub(super) fn replace(&mut self, response: Box<UpstreamResponse>) {
+        self.close();
+        self.response = Some(response);
+    }
+
+    /// Reads the next complete events. Returns `None` if there are none until the time
+    /// `by`, which bytes that complete no event don't extend.
+    pub(super) async fn next(&mut self, by: Timestamp) -> Option<StreamItem> {
+        loop {
+            let Some(response) = self.response.as_mut() else {
+                return Some(StreamItem::Broken("no upstream".to_owned()));
+            };
+            let frame = match timeout(clock::time_until(by), response.body.frame()).await {
+                Err(_) => return None,
+                Ok(Some(Err(error))) => return Some(StreamItem::Broken(describe(&error))),
+                Ok(None) => return Some(self.end()),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.has_started = true;
+            response.work.end_prefill();
+            let events = self.scanner.push(&data);
+            if !events.is_empty() {
+                return Some(StreamItem::Events(events));
+            }
+        }
+    }
+
+    fn end(&mut self) -> StreamItem {
+        if self.scanner.is_inside_event() {
+            return StreamItem::Broken("the stream ended inside an event".to_owned());
+        }
+        if let Some(response) = self.response.take()
+            && response.head.is_framed
+            && !response.head.is_closing
+        {
+            response
+                .connection
+                .return_to_pool(response.head.idle_timeout);
+        }
+        StreamItem::End
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -49,8 +49,13 @@
     /// Upstreams of earlier attempts and of failed prefills.
     pub(crate) tried: Vec<UpstreamKey>,
     kv_cache: Option<HeldKvCache>,
-    /// Last event that the caller has received, if a broken stream is resumed.
+    /// Last event that the caller has received, if an interrupted stream is resumed.
     pub(crate) resume_after: Option<u64>,
+    /// Upstream that still runs the request but is silent, while another one is looked
+    /// for. No attempt is made on it.
+    pub(crate) silent_upstream: Option<UpstreamKey>,
+    /// The send that is awaited, so that it is counted if its future is dropped.
+    send_in_progress: Option<SendInProgress>,
     /// Latest 5xx response of an upstream, which is forwarded if no later attempt
     /// succeeds.
     last_failure: Option<(Box<Parts>, Bytes)>,
@@ -58,6 +63,15 @@
     summary: AttemptSummary,
 }
 
+/// A send whose outcome is awaited.
+#[derive(Clone, Copy, Debug)]
+enum SendInProgress {
+    /// An attempt on this upstream.
+    Attempt(UpstreamKey),
+    /// A prefill on this engine.
+    Prefill(UpstreamKey),
+}
+
 /// Summary of a request's attempts for its log line.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AttemptSummary {
@@ -85,6 +99,8 @@
             tried: Vec::new(),
             kv_cache: None,
             resume_after: None,
+            silent_upstream: None,
+            send_in_progress: None,
             last_failure: None,
             has_timed_out: false,
             summary: AttemptSummary::default(),
@@ -190,7 +206,8 @@
         let untried = self.choose(&self.tried, |placement, view| {
             placement.choose_upstream(view)
         });
-        let any = || self.choose(&[], |placement, view| placement.choose_upstream(view));
+        let silent = self.silent_upstream.as_slice();
+        let any = || self.choose(silent, |placement, view| placement.choose_upstream(view));
         let upstream = untried
             .or_else(any)
             .ok_or_else(|| self.no_upstream("no upstream is there"))?;
@@ -270,7 +287,9 @@
     async fn send(&mut self, attempt: Attempt) -> Result<RunOutcome, NextStep> {
         let upstream = attempt.upstream;
         let uses_kv_cache = matches!(attempt.task, UpstreamTask::DecodeFrom(_));
+        self.send_in_progress = Some(SendInProgress::Attempt(upstream));
         let outcome = send(&self.state, &self.admitted.outgoing, attempt).await;
+        self.send_in_progress = None;
         self.tried.push(upstream);
         self.summary.sends += 1;
         self.summary.upstream = self.name_of(upstream);
@@ -296,6 +315,25 @@
         Err(self.history.record_send(result))
     }
 
+    /// Records the send that was in progress when the future of
+    /// [`RequestRun::next_outcome`] was dropped. It may have run.
+    pub(crate) fn record_cancelled_send(&mut self) {
+        match self.send_in_progress.take() {
+            Some(SendInProgress::Attempt(upstream)) => {
+                self.tried.push(upstream);
+                self.history.record_send(SendResult::Unknown);
+                if let Some(mut kv_cache) = self.kv_cache.take() {
+                    kv_cache.may_be_transferred = true;
+                }
+            }
+            Some(SendInProgress::Prefill(engine)) => {
+                self.tried.push(engine);
+                self.history.record_prefill_failure(SendResult::Unknown);
+            }
+            None => {}
+        }
+    }
+
     /// Records whether the decode engine may have fetched the KV cache. Any attempt that
     /// was sent counts as a transfer, also if it was lost, timed out or failed, unless
     /// the engine states that it did not run the request.
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -1,7 +1,7 @@
 //! Runs the prefill of a prompt on one engine, so that another engine can continue
 //! from its KV cache.
 
-use super::RequestRun;
+use super::{RequestRun, SendInProgress};
 use crate::clock;
 use crate::kv_cache::HeldKvCache;
 use crate::send::{SendOutcome, UpstreamResponse, send};
@@ -30,6 +30,7 @@
             return;
         };
         let sent_at = clock::now();
+        self.send_in_progress = Some(SendInProgress::Prefill(prefill_engine));
         let outcome = send(&self.state, &self.admitted.outgoing, attempt).await;
         let result = match outcome {
             SendOutcome::Responded(response) if response.head.status.is_success() => {
@@ -40,11 +41,14 @@
                     .record_prefill(tokens_to_prefill, latency);
                 self.summary.prefill_engine = self.name_of(prefill_engine);
                 self.summary.prefill_time = Some(latency);
-                match self
+                let is_stored = self
                     .store_kv_cache(prefill_engine, response, deadline)
-                    .await
-                {
-                    true => return self.history.record_prefill(),
+                    .await;
+                match is_stored {
+                    true => {
+                        self.send_in_progress = None;
+                        return self.history.record_prefill();
+                    }
                     false => SendResult::Unknown,
                 }
             }
@@ -55,6 +59,7 @@
             SendOutcome::NotRun => SendResult::NotRun,
             _ => SendResult::Unknown,
         };
+        self.send_in_progress = None;
         self.tried.push(prefill_engine);
         self.history.record_prefill_failure(result);
     }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -76,6 +76,12 @@
         );
     }
 
+    /// Logs how the silence of an upstream in a stream ended, or why no other upstream
+    /// could replace it.
+    pub(crate) fn record_silence(&self, result: &str) {
+        tracing::info!(request = self.request_id, result, "stream was silent");
+    }
+
     pub(crate) fn record_resume(&mut self) {
         self.resumes += 1;
     }
--- a/crates/policy/src/dispatch/attempts.rs
+++ b/crates/policy/src/dispatch/attempts.rs
@@ -91,15 +91,21 @@
                 self.runs += 1;
             }
         }
-        let can_run_again =
-            self.runs == 0 || (self.retry_safety.is_retryable() && self.runs < self.max_runs);
         match result {
-            _ if can_run_again && self.attempts < MAX_ATTEMPTS => NextStep::Retry,
+            _ if self.may_retry() => NextStep::Retry,
             SendResult::Failed => NextStep::ForwardFailure,
             _ => self.step_without_retry(),
         }
     }
 
+    /// Returns whether another attempt is allowed, provided that the deadline and the
+    /// retry budget allow it.
+    pub fn may_retry(&self) -> bool {
+        let can_run_again =
+            self.runs == 0 || (self.retry_safety.is_retryable() && self.runs < self.max_runs);
+        can_run_again && self.attempts < MAX_ATTEMPTS
+    }
+
     /// Records that an upstream accepted a prefill of the prompt. The first accepted
     /// prefill does not make the next send a retry; any further one does. No prefill
     /// counts towards `MAX_ATTEMPTS`.
