relay: a request is at a silent upstream and its replacement for 250 ms at most

Once the request has been sent to the other upstream, only the head of its response or 250 ms decide. Until then, events of the silent one end the search. A response that isn't forwarded counts as a run, so that upstreams that answer 4xx can't be tried beyond the route's attempts; a search is made once in a silence; a replacement gets the full time for its first event; a KV cache that no engine took over is released. The search starts after 1.4 s in place of 1 s, as sound upstreams are silent for about a second.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,8 +3,12 @@
 //!
 //! An upstream that is silent may be sound and go on, and nothing may be able to replace
 //! it: the route's attempts or the retry budget may be used up, or all engines busy. A
-//! silent upstream is therefore kept until another one has accepted the request. Only
-//! the end of its connection, or the caller's deadline, ends its stream.
+//! silent upstream is therefore kept until another one has accepted the request. Nothing
+//! else ends its stream but the end of its connection or the caller's deadline.
+//!
+//! A request must not run on two upstreams for long. The silent one is closed as soon as
+//! the head of the other one's response arrives, and the other one is given up if that
+//! takes longer than [`MAX_OVERLAP`].
 
 mod source;
 
@@ -22,15 +26,16 @@
 use hyper::body::Frame;
 use lagoonlift_adapter::upstream::forwarded_response_headers;
 use lagoonlift_policy::dispatch::{NextStep, RetrySafety, SendResult};
-use std::pin::pin;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Time without an event after which another upstream is looked for, if the stream is
-/// resumable.
-const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// resumable. A sound upstream may be silent for about a second; callers leave after two.
+const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1_400);
 
-/// Time between two attempts to replace an upstream that stays silent.
-const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time for which the request may be at a silent upstream and at the one that
+/// should replace it.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
 /// A stream that is being relayed.
 pub(crate) struct StreamRelay {
@@ -45,6 +50,16 @@
     is_run_recorded: bool,
 }
 
+/// Result of the search for an upstream that replaces a silent one.
+enum Replacement {
+    /// Another upstream continues the stream.
+    Accepted,
+    /// No upstream could replace the silent one, which may still go on.
+    None,
+    /// The silent upstream sent this before the request was sent to another one.
+    Needless(StreamItem),
+}
+
 /// A stream that broke before its first event.
 pub(crate) struct StartFailure {
     pub(crate) run: RequestRun,
@@ -134,7 +149,7 @@
     }
 
     /// Waits for the next complete events, for the end or for the break of the stream.
-    /// While the upstream is silent, another one is looked for.
+    /// If the upstream is silent, another one is looked for once.
     async fn next_item(&mut self) -> StreamItem {
         let deadline = self.run.admitted.deadline;
         let mut next_event_by = match self.is_resumable() {
@@ -151,55 +166,68 @@
                 }
                 None => {}
             }
-            if let Some(item) = self.replace_silent_upstream().await {
-                return item;
-            }
-            next_event_by = match self.run.history.may_retry() {
-                true => deadline.min(clock::now() + REPLACEMENT_INTERVAL),
-                false => deadline,
+            next_event_by = match self.replace_silent_upstream().await {
+                Replacement::Accepted => deadline.min(clock::now() + EVENT_GAP_TIMEOUT),
+                Replacement::None => deadline,
+                Replacement::Needless(item) => return item,
             };
         }
     }
 
-    /// Looks for another upstream, and continues with it once it has accepted the
-    /// request. The current one is kept until then and may go on: what it sends meanwhile
-    /// is returned, and the attempt on the other one is cancelled.
-    async fn replace_silent_upstream(&mut self) -> Option<StreamItem> {
+    /// Looks for another upstream, and continues with it if it accepts the request.
+    async fn replace_silent_upstream(&mut self) -> Replacement {
         if self.record_run() != NextStep::Retry {
-            return None;
+            return Replacement::None;
         }
-        let deadline = self.run.admitted.deadline;
         self.run.silent_upstream = self.source.upstream();
         self.run.resume_after = self.source.last_event();
-        let (item, outcome) = {
-            let mut replacement = pin!(self.run.next_outcome());
-            tokio::select! {
-                biased;
-                item = self.source.next(deadline) => match item {
-                    // The current upstream won't go on, so the replacement is awaited.
-                    Some(StreamItem::Broken(_)) => (item, Some(replacement.await)),
-                    item => (item, None),
-                },
-                outcome = &mut replacement => (None, Some(outcome)),
-            }
-        };
+        let replacement = self.look_for_replacement().await;
         self.run.silent_upstream = None;
         self.count_usage();
-        let result = match outcome {
-            Some(RunOutcome::Stream(response)) => {
-                self.request_log.record_silence("replaced");
-                self.continue_with(response);
-                return None;
-            }
-            Some(RunOutcome::Complete(..)) => "the upstream failed",
-            Some(RunOutcome::Reply(reply)) => reply.reason,
-            None => {
-                self.run.record_cancelled_send();
-                "went on"
+        replacement
+    }
+
+    async fn look_for_replacement(&mut self) -> Replacement {
+        let deadline = self.run.admitted.deadline;
+        loop {
+            // Until the request is sent to the other upstream, the silent one may go on.
+            let attempt = tokio::select! {
+                biased;
+                item = self.source.next(deadline) => {
+                    self.run.record_cancelled_send();
+                    return self.keep_upstream("went on", item);
+                }
+                attempt = self.run.prepare_attempt() => attempt,
+            };
+            let attempt = match attempt {
+                Ok(attempt) => attempt,
+                Err(refusal) => return self.keep_upstream(refusal.reason, None),
+            };
+            let step = match timeout(MAX_OVERLAP, self.run.send(attempt)).await {
+                Ok(Ok(RunOutcome::Stream(response))) => {
+                    self.request_log.record_silence("replaced");
+                    self.continue_with(response);
+                    return Replacement::Accepted;
+                }
+                Ok(Ok(_)) => self.run.history.record_send(SendResult::Failed),
+                Ok(Err(step)) => step,
+                Err(_) => {
+                    self.run.record_cancelled_send();
+                    return self.keep_upstream("the other upstream didn't respond", None);
+                }
+            };
+            if step != NextStep::Retry {
+                return self.keep_upstream("no attempt is left", None);
             }
-        };
+        }
+    }
+
+    /// Stays with the silent upstream, which may have sent `item` meanwhile. `result`
+    /// says why.
+    fn keep_upstream(&mut self, result: &str, item: Option<StreamItem>) -> Replacement {
+        self.run.release_kv_cache();
         self.request_log.record_silence(result);
-        item
+        item.map_or(Replacement::None, Replacement::Needless)
     }
 
     /// Continues the stream with the response of another upstream.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -127,17 +127,10 @@
     /// is called again to retry or resume the request.
     pub(crate) async fn next_outcome(&mut self) -> RunOutcome {
         loop {
-            if clock::now() >= self.admitted.deadline {
-                self.has_timed_out = true;
-                return self.give_up("timed out");
-            }
-            let attempt = match self.next_attempt().await {
+            let attempt = match self.prepare_attempt().await {
                 Ok(attempt) => attempt,
                 Err(reply) => return self.end_without_retry(reply),
             };
-            let Some(attempt) = self.spend_retry(attempt) else {
-                return self.give_up("no repeat is left");
-            };
             let step = match self.send(attempt).await {
                 Ok(outcome) => return outcome,
                 Err(step) => step,
@@ -149,6 +142,18 @@
         }
     }
 
+    /// Chooses the next attempt, and spends a retry if it is one. The error is the response
+    /// to a request that has not run.
+    pub(crate) async fn prepare_attempt(&mut self) -> Result<Attempt, GatewayReply> {
+        if clock::now() >= self.admitted.deadline {
+            self.has_timed_out = true;
+            return Err(self.not_run("timed out", RefusalCause::NoCapacity));
+        }
+        let attempt = self.next_attempt().await?;
+        self.spend_retry(attempt)
+            .ok_or_else(|| self.not_run("no repeat is left", RefusalCause::NoCapacity))
+    }
+
     /// Chooses the next attempt, after a prefill on another engine if the placement
     /// plans one.
     async fn next_attempt(&mut self) -> Result<Attempt, GatewayReply> {
@@ -284,12 +289,13 @@
         }
     }
 
-    async fn send(&mut self, attempt: Attempt) -> Result<RunOutcome, NextStep> {
+    /// Makes one attempt. The error is the next step after an attempt that gave no
+    /// response to forward.
+    pub(crate) async fn send(&mut self, attempt: Attempt) -> Result<RunOutcome, NextStep> {
         let upstream = attempt.upstream;
         let uses_kv_cache = matches!(attempt.task, UpstreamTask::DecodeFrom(_));
         self.send_in_progress = Some(SendInProgress::Attempt(upstream));
         let outcome = send(&self.state, &self.admitted.outgoing, attempt).await;
-        self.send_in_progress = None;
         self.tried.push(upstream);
         self.summary.sends += 1;
         self.summary.upstream = self.name_of(upstream);
@@ -298,7 +304,10 @@
         }
         let result = match outcome {
             SendOutcome::Responded(response) => match self.process_response(response).await {
-                Ok(run_outcome) => return Ok(run_outcome),
+                Ok(run_outcome) => {
+                    self.send_in_progress = None;
+                    return Ok(run_outcome);
+                }
                 Err(result) => result,
             },
             SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
@@ -312,19 +321,21 @@
             }
             SendOutcome::Lost(_) => SendResult::Unknown,
         };
+        self.send_in_progress = None;
         Err(self.history.record_send(result))
     }
 
-    /// Records the send that was in progress when the future of
-    /// [`RequestRun::next_outcome`] was dropped. It may have run.
+    /// Records the attempt or the prefill that was in progress when its future was
+    /// dropped. It may have run.
     pub(crate) fn record_cancelled_send(&mut self) {
         match self.send_in_progress.take() {
             Some(SendInProgress::Attempt(upstream)) => {
                 self.tried.push(upstream);
                 self.history.record_send(SendResult::Unknown);
-                if let Some(mut kv_cache) = self.kv_cache.take() {
+                if let Some(kv_cache) = self.kv_cache.as_mut() {
                     kv_cache.may_be_transferred = true;
                 }
+                self.kv_cache = None;
             }
             Some(SendInProgress::Prefill(engine)) => {
                 self.tried.push(engine);
@@ -334,6 +345,11 @@
         }
     }
 
+    /// Releases the KV cache of a prefill that no decode engine continues from.
+    pub(crate) fn release_kv_cache(&mut self) {
+        self.kv_cache = None;
+    }
+
     /// Records whether the decode engine may have fetched the KV cache. Any attempt that
     /// was sent counts as a transfer, also if it was lost, timed out or failed, unless
     /// the engine states that it did not run the request.
