admit: a refusal is sent after the request's body has been read

Callers that were still sending their body saw the connection reset in place of the refusal. Cause: a host that can't confirm its configuration, or finds no route or key, responded before it had read the body; the connection was closed with bytes unread or arriving, which resets it. Around a change of the configuration these refusals are usual. Class: closing a connection on which the other end may still send.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -11,13 +11,15 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{Route, ServingConfig};
 use rand::RngExt;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// `Retry-After` of the response of a host whose configuration isn't confirmed to be
 /// current. The next read of the store is due earlier than that.
 const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Largest body that is read, in bytes, while no configuration states a limit.
+const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
+
 /// Range of the urgency that upstreams accept. 0 is the most urgent, 9 the least.
 const URGENCY_RANGE: std::ops::RangeInclusive<u32> = 0..=9;
 
@@ -47,16 +49,23 @@
     body: Incoming,
     arrived: Timestamp,
 ) -> Result<Admitted, GatewayReply> {
-    let config = state.config().ok_or(undecided("no configuration yet"))?;
-    let resolved = resolve_request(state, &config, &request, arrived)?;
-    if config.has_workspaces() {
+    let config = state.config();
+    let resolved = resolve_request(state, config.as_deref(), &request, arrived);
+    let max_bytes = config.as_ref().map_or(DEFAULT_MAX_BODY_BYTES, |config| {
+        config.limits().max_body_bytes
+    });
+    // A refusal, too, waits for the body: a connection that is closed while the caller is
+    // still sending is reset, and the caller may never see the response.
+    let body = read_body(body, max_bytes).await;
+    let resolved = resolved?;
+    let body = body?;
+    if config.is_some_and(|config| config.has_workspaces()) {
         request.remove_key();
     }
     let wait = match request.deadline {
         Some(deadline) => deadline.min(resolved.route.timeout),
         None => resolved.route.timeout,
     };
-    let body = read_body(body, config.limits().max_body_bytes).await?;
     Ok(Admitted {
         outgoing: OutgoingRequest {
             request,
@@ -74,10 +83,11 @@
 
 fn resolve_request(
     state: &GatewayState,
-    config: &Rc<ServingConfig>,
+    config: Option<&ServingConfig>,
     request: &CallerRequest,
     now: Timestamp,
 ) -> Result<ResolvedRequest, GatewayReply> {
+    let config = config.ok_or(undecided("no configuration yet"))?;
     let confirmation = state.confirmation();
     let deny = |status, reason| match confirmation.can_report_absence(now) {
         true => GatewayReply::without_retry_after(status, reason),
@@ -128,6 +138,14 @@
         .map(|share| share.service.clone())
 }
 
+/// Reads the body of a request that is refused for its head, so that the caller gets the
+/// response.
+pub(crate) async fn discard_body(body: Incoming) {
+    if let Err(reply) = read_body(body, DEFAULT_MAX_BODY_BYTES).await {
+        tracing::debug!(reason = reply.reason, "body of a refused request");
+    }
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, GatewayReply> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -1,6 +1,6 @@
 //! Handles a caller's request from its arrival to the response.
 
-use crate::admit::admit;
+use crate::admit::{admit, discard_body};
 use crate::clock;
 use crate::relay::StreamRelay;
 use crate::reply::{GatewayReply, ReplyBody, full_response};
@@ -46,6 +46,7 @@
         Ok(request) => request,
         Err(error) => {
             tracing::info!(%error, "malformed request refused");
+            discard_body(body).await;
             return GatewayReply::without_retry_after(StatusCode::BAD_REQUEST, "malformed request")
                 .response_to("");
         }
