admit: a body that doesn't arrive ends with 408 at the request's deadline

Callers whose body stopped on the way were held without an answer until their connection ended: reading the body had no time limit. The status says that the request has not run. body_that_never_arrives_ends_at_the_deadline had no response after 2 s before (deadline 400 ms) and passes now; the known reds fail as listed, 65 other tests of the adapter pass.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -12,6 +12,7 @@
 use lagoonlift_policy::dispatch::{Route, ServingConfig};
 use rand::RngExt;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// `Retry-After` of the response of a host whose configuration isn't confirmed to be
 /// current. The next read of the store is due earlier than that.
@@ -20,6 +21,9 @@
 /// Largest body that is read, in bytes, while no configuration states a limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// Time for the body of a request that is refused for its head.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Range of the urgency that upstreams accept. 0 is the most urgent, 9 the least.
 const URGENCY_RANGE: std::ops::RangeInclusive<u32> = 0..=9;
 
@@ -56,16 +60,16 @@
     });
     // A refusal, too, waits for the body: a connection that is closed while the caller is
     // still sending is reset, and the caller may never see the response.
-    let body = read_body(body, max_bytes).await;
+    let wait = match &resolved {
+        Ok(resolved) => waiting_time(&request, &resolved.route),
+        Err(_) => REFUSED_BODY_TIMEOUT,
+    };
+    let body = read_body(body, max_bytes, wait).await;
     let resolved = resolved?;
     let body = body?;
     if config.is_some_and(|config| config.has_workspaces()) {
         request.remove_key();
     }
-    let wait = match request.deadline {
-        Some(deadline) => deadline.min(resolved.route.timeout),
-        None => resolved.route.timeout,
-    };
     Ok(Admitted {
         outgoing: OutgoingRequest {
             request,
@@ -81,6 +85,14 @@
     })
 }
 
+/// Returns the time for which the caller waits at most.
+fn waiting_time(request: &CallerRequest, route: &Route) -> Duration {
+    match request.deadline {
+        Some(deadline) => deadline.min(route.timeout),
+        None => route.timeout,
+    }
+}
+
 fn resolve_request(
     state: &GatewayState,
     config: Option<&ServingConfig>,
@@ -141,13 +153,24 @@
 /// Reads the body of a request that is refused for its head, so that the caller gets the
 /// response.
 pub(crate) async fn discard_body(body: Incoming) {
-    if let Err(reply) = read_body(body, DEFAULT_MAX_BODY_BYTES).await {
+    if let Err(reply) = read_body(body, DEFAULT_MAX_BODY_BYTES, REFUSED_BODY_TIMEOUT).await {
         tracing::debug!(reason = reply.reason, "body of a refused request");
     }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, GatewayReply> {
-    match Limited::new(body, limit).collect().await {
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    wait: Duration,
+) -> Result<Bytes, GatewayReply> {
+    let Ok(body) = timeout(wait, Limited::new(body, max_bytes).collect()).await else {
+        let reply = GatewayReply::without_retry_after(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time",
+        );
+        return Err(reply.closing_connection());
+    };
+    match body {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(GatewayReply::without_retry_after(
             StatusCode::PAYLOAD_TOO_LARGE,
