attempts: a prefill after an accepted one is a retry before it is sent

Cause: the budget was asked whether any attempt had reached an upstream. After a prefill whose KV cache no decode engine took over none has, so the next prefill was free; it was counted only afterwards. Class: a limit that is checked with other books than those that record. Elsewhere: attempts, resumed streams and replacements ask the same history; the orders and probes of the fleet have limits of their own.

Ruled out: the division of the budget among hosts (each host's part was kept; 950 prompts of one host alone show it).

The schedules of attempts now have prefills.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -271,7 +271,7 @@
     /// Spends a retry from the budget if the attempt is a retry. Returns `None` if
     /// the budget is exhausted.
     fn spend_retry(&self, attempt: Attempt) -> Option<Attempt> {
-        let is_retry = self.history.next_is_retry();
+        let is_retry = self.is_retry(&attempt.task);
         let is_allowed = !is_retry
             || self
                 .state
@@ -281,9 +281,18 @@
         is_allowed.then_some(attempt)
     }
 
-    /// Returns a retry to the budget after an attempt that was not sent.
-    fn refund_retry(&self) {
-        if self.history.next_is_retry() {
+    /// Returns whether the next send counts as a retry if it is for `task`.
+    fn is_retry(&self, task: &UpstreamTask) -> bool {
+        match task {
+            UpstreamTask::Prefill { .. } => self.history.next_prefill_is_retry(),
+            UpstreamTask::Run | UpstreamTask::DecodeFrom(_) => self.history.next_is_retry(),
+        }
+    }
+
+    /// Returns a retry to the budget after a send that did not reach its upstream.
+    /// `was_retry` says whether it was one.
+    fn refund_retry(&self, was_retry: bool) {
+        if was_retry {
             self.state
                 .with_retry_budget(&self.admitted.service, |retry_budget| retry_budget.refund());
         }
@@ -294,6 +303,7 @@
     pub(crate) async fn send(&mut self, attempt: Attempt) -> Result<RunOutcome, NextStep> {
         let upstream = attempt.upstream;
         let uses_kv_cache = matches!(attempt.task, UpstreamTask::DecodeFrom(_));
+        let is_retry = self.is_retry(&attempt.task);
         self.send_in_progress = Some(SendInProgress::Attempt(upstream));
         let outcome = send(&self.state, &self.admitted.outgoing, attempt).await;
         self.tried.push(upstream);
@@ -311,7 +321,7 @@
                 Err(result) => result,
             },
             SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
-                self.refund_retry();
+                self.refund_retry(is_retry);
                 SendResult::NotSent
             }
             SendOutcome::NotRun => SendResult::NotRun,
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -25,6 +25,7 @@
         let tokens_to_prefill = self.prefill_backlog(prefill_engine) + u64::from(tokens);
         let deadline = self.prefill_deadline(tokens_to_prefill);
         attempt.deadline = deadline;
+        let is_retry = self.is_retry(&attempt.task);
         let Some(attempt) = self.spend_retry(attempt) else {
             self.tried.push(prefill_engine);
             return;
@@ -53,7 +54,7 @@
                 }
             }
             SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::NotOpened(_) => {
-                self.refund_retry();
+                self.refund_retry(is_retry);
                 SendResult::NotSent
             }
             SendOutcome::NotRun => SendResult::NotRun,
--- a/crates/policy/src/dispatch/attempts.rs
+++ b/crates/policy/src/dispatch/attempts.rs
@@ -67,11 +67,18 @@
         }
     }
 
-    /// Returns whether the next send, an attempt or a prefill, counts as a retry.
+    /// Returns whether the next attempt counts as a retry. See
+    /// [`AttemptHistory::next_prefill_is_retry`] for prefills.
     pub fn next_is_retry(&self) -> bool {
         self.arrivals > 0
     }
 
+    /// Returns whether the next prefill counts as a retry: another one was accepted, or
+    /// another send reached an upstream.
+    pub fn next_prefill_is_retry(&self) -> bool {
+        self.arrivals > 0 || !self.awaits_first_prefill
+    }
+
     /// Returns whether it is certain that the request has not run.
     pub fn has_not_run(&self) -> bool {
         self.runs == 0
--- a/crates/policy/tests/all/dispatch/attempts.rs
+++ b/crates/policy/tests/all/dispatch/attempts.rs
@@ -205,6 +205,38 @@
     assert_eq!(history.step_without_retry(), NextStep::Refuse);
 }
 
+/// Guards against prefills that are repeated without a retry in the budget. All decode
+/// engines refuse connections for a window: each of 950 prompts is prefilled, its decode
+/// isn't sent twice, and it is prefilled again if that is allowed.
+#[test]
+fn prefills_repeated_for_crashed_decode_engines_are_retries() {
+    let limits = RetryBudgetLimits {
+        ratio: 0.2,
+        slack: 52.0,
+        window: WINDOW,
+    };
+    let mut budget = RetryBudget::new(limits, 1, at_ms(0));
+    let mut repeated = 0;
+    for number in 0..950 {
+        let now = at_ms(20_000 + number * 10);
+        budget.record_request(now);
+        let mut history = AttemptHistory::new(RetrySafety::Stream { resumable: false }, 2);
+        assert!(!history.next_prefill_is_retry());
+        history.record_prefill();
+        for _ in 0..2 {
+            assert_eq!(history.record_send(SendResult::NotSent), NextStep::Retry);
+        }
+        if !history.next_prefill_is_retry() || budget.try_spend(now) {
+            repeated += 1;
+        }
+    }
+    let allowed = (950.0 * limits.ratio + limits.slack) as u32;
+    assert!(
+        repeated <= allowed,
+        "{repeated} repeated prefills, {allowed} allowed"
+    );
+}
+
 /// All hosts are killed twice within one window, and each process spends its whole
 /// retry budget.
 #[test]
--- a/crates/policy/tests/all/dispatch/schedules/attempts.rs
+++ b/crates/policy/tests/all/dispatch/schedules/attempts.rs
@@ -81,14 +81,33 @@
     Unknown,
 }
 
+/// The sends of one request, as the upstreams see them.
+#[derive(Debug, Default)]
+struct ObservedSends {
+    has_attempt: bool,
+    has_accepted_prefill: bool,
+}
+
+impl ObservedSends {
+    /// Records an attempt or a refused prefill; returns whether it isn't the first.
+    fn record_attempt(&mut self) -> bool {
+        std::mem::replace(&mut self.has_attempt, true)
+    }
+
+    /// Records an accepted prefill; returns whether it isn't the first.
+    fn record_accepted_prefill(&mut self) -> bool {
+        std::mem::replace(&mut self.has_accepted_prefill, true)
+    }
+}
+
 struct Simulation {
     randomness: Randomness,
     now: u64,
     budgets: Vec<RetryBudget>,
     /// Times at which the requests arrived at their hosts.
     requests: Vec<u64>,
-    /// Times of the attempts that reached an upstream, of all requests, except the first
-    /// such attempt of each request.
+    /// Times of the sends that reached an upstream, of all requests, except the first
+    /// attempt and the first accepted prefill of each request.
     retries: Vec<u64>,
 }
 
@@ -123,17 +142,25 @@
         let max_upstreams = 1 + self.randomness.below(3) as u32;
         let mut history = AttemptHistory::new(safety, max_upstreams);
         let mut fates = Vec::new();
+        let mut sends = ObservedSends::default();
         self.requests.push(self.now);
         self.budgets[host].record_request(at_ms(self.now));
+        let is_disaggregated = self.randomness.once_in(2);
+        let mut has_kv_cache = false;
         let outcome = loop {
+            if is_disaggregated && !has_kv_cache {
+                has_kv_cache = self.prefill(host, &mut history, &mut sends);
+                if !has_kv_cache {
+                    break outcome_of(history.step_without_retry());
+                }
+            }
             let is_retry = history.next_is_retry();
             if is_retry && !self.budgets[host].try_spend(at_ms(self.now)) {
                 break outcome_of(history.step_without_retry());
             }
             let fate = FATES[self.randomness.below(FATES.len() as u64) as usize];
-            let has_arrived = fates.iter().any(|one: &AttemptFate| one.arrives());
             fates.push(fate);
-            if has_arrived && fate.arrives() {
+            if fate.arrives() && sends.record_attempt() {
                 self.retries.push(self.now);
             }
             if is_retry && !fate.arrives() {
@@ -142,6 +169,8 @@
             let Some(result) = fate.observed() else {
                 break RequestOutcome::Answered;
             };
+            // After some failures the KV cache is still there, after others it isn't.
+            has_kv_cache = has_kv_cache && self.randomness.once_in(2);
             self.now += self.randomness.below(40);
             match history.record_send(result) {
                 NextStep::Retry => {}
@@ -151,6 +180,42 @@
         check_outcome(safety, max_upstreams, &fates, outcome)
     }
 
+    /// Tries up to two prefills; returns whether one was accepted.
+    fn prefill(
+        &mut self,
+        host: usize,
+        history: &mut AttemptHistory,
+        sends: &mut ObservedSends,
+    ) -> bool {
+        for _ in 0..2 {
+            let is_retry = history.next_prefill_is_retry();
+            if is_retry && !self.budgets[host].try_spend(at_ms(self.now)) {
+                return false;
+            }
+            let fate = FATES[self.randomness.below(FATES.len() as u64) as usize];
+            let is_extra = match fate {
+                AttemptFate::NotConnected => false,
+                AttemptFate::Refused | AttemptFate::RefusalLost => sends.record_attempt(),
+                _ => sends.record_accepted_prefill(),
+            };
+            if is_extra {
+                self.retries.push(self.now);
+            }
+            if is_retry && !fate.arrives() {
+                self.budgets[host].refund();
+            }
+            self.now += self.randomness.below(40);
+            match fate.observed() {
+                None => {
+                    history.record_prefill();
+                    return true;
+                }
+                Some(result) => history.record_prefill_failure(result),
+            }
+        }
+        false
+    }
+
     fn choose_safety(&mut self) -> RetrySafety {
         match self.randomness.below(4) {
             0 => RetrySafety::Idempotent,
@@ -226,8 +291,8 @@
 /// does not run later either, and retries stay within the budget of all hosts.
 ///
 /// The test fails if the code is changed so that every request counts as retryable, that
-/// an unknown outcome is refused as not run, or that each host may spend the whole slack
-/// instead of its part.
+/// an unknown outcome is refused as not run, that each host may spend the whole slack
+/// instead of its part, or that a repeated prefill isn't a retry.
 #[test]
 fn requests_run_no_more_than_they_may() {
     run_schedules(|seed| Simulation::new(seed).run());
