--- a/crates/policy/tests/all/dispatch/schedules/attempts.rs
+++ b/crates/policy/tests/all/dispatch/schedules/attempts.rs
@@ -291,8 +291,8 @@
 /// does not run later either, and retries stay within the budget of all hosts.
 ///
 /// The test fails if the code is changed so that every request counts as retryable, that
-/// an unknown outcome is refused as not run, that each host may spend the whole slack
-/// instead of its part, or that a repeated prefill isn't a retry.
+/// an unknown outcome is refused as not run, or that each host may spend the whole slack
+/// instead of its part.
 #[test]
 fn requests_run_no_more_than_they_may() {
     run_schedules(|seed| Simulation::new(seed).run());
