gateway: give every body that is read whole a size limit

A call to the store, a duty endpoint or an engine collected the body of its response without a limit of size: a fast body without end filled memory until the time limit. The body of a prefill's response was read to the 4 MiB of an answer. Each body now has the limit of what it is: 256 KiB for a control call, 8 MiB for the store (an object has up to 1 MiB, a page about 1 MB), 64 KiB for the handle of a KV cache, 4 MiB for an answer, as before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -9,7 +9,7 @@
 use crate::clock;
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -46,6 +46,10 @@
 /// that a request isn't sent while the server closes the connection.
 const REUSABLE_IDLE_SHARE: f64 = 0.6;
 
+/// Largest body of the response to a control call: a status of an engine, or the
+/// response to an order, a usage report or the release of a KV cache.
+const MAX_CONTROL_BYTES: usize = 256 * 1024;
+
 /// Remote end of a connection, as the key of the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Endpoint {
@@ -194,33 +198,55 @@
     pub(crate) body: Bytes,
 }
 
+/// Limits of one call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallLimits {
+    /// Applies twice: to opening the connection, where it is capped at
+    /// `CONNECT_TIMEOUT`, and then to the exchange. The call can therefore take up to
+    /// the sum of both.
+    pub(crate) time: Duration,
+    /// Largest body of the response in bytes.
+    pub(crate) body_bytes: usize,
+}
+
+impl CallLimits {
+    /// Returns the limits of a control call.
+    pub(crate) fn control(time: Duration) -> Self {
+        Self {
+            time,
+            body_bytes: MAX_CONTROL_BYTES,
+        }
+    }
+}
+
 /// Makes one call and reads the whole response. Requests of callers don't use
 /// this function, since their responses may be streams.
 ///
-/// `limit` applies twice: to opening the connection, where it is capped at
-/// `CONNECT_TIMEOUT`, and then to the exchange. The call can therefore take up to
-/// the sum of both. If the exchange isn't complete within `limit`, the connection
-/// is closed, and the call may have taken effect.
+/// If the exchange isn't complete within `limits`, the connection is closed, and the
+/// call may have taken effect.
 pub(crate) async fn call(
     pool: &ConnectionPool,
     endpoint: Endpoint,
     address: SocketAddr,
     request: Request<Bytes>,
-    limit: Duration,
+    limits: CallLimits,
 ) -> Result<BufferedResponse, CallError> {
-    let mut connection = pool.take(endpoint, address, limit).await?;
+    let mut connection = pool.take(endpoint, address, limits.time).await?;
     let exchange = async {
         let response = connection.send(request).await?;
         let (parts, body) = response.into_parts();
-        let body = body
+        let body = Limited::new(body, limits.body_bytes)
             .collect()
             .await
-            .map_err(|error| CallError::Lost(describe(&error)))?;
+            .map_err(|error| CallError::Lost(describe(error.as_ref())))?;
         Ok((parts, body.to_bytes()))
     };
-    let (parts, body) = match timeout(limit, exchange).await {
+    let (parts, body) = match timeout(limits.time, exchange).await {
         Ok(result) => result?,
-        Err(_) => return Err(CallError::Lost(format!("no answer within {limit:?}"))),
+        Err(_) => {
+            let detail = format!("no answer within {:?}", limits.time);
+            return Err(CallError::Lost(detail));
+        }
     };
     let head = ResponseHead::decode(&parts);
     if !head.is_closing {
--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -5,7 +5,7 @@
 use super::{DUTY_TIMEOUT, Duties};
 use crate::announcements::record_announcements;
 use crate::clock;
-use crate::connection::{Endpoint, call};
+use crate::connection::{CallLimits, Endpoint, call};
 use lagoonlift_adapter::duty::{EngineOrder, OrderResponse, decode_order_response, engine_request};
 use lagoonlift_adapter::upstream::{EngineStatus, decode_status, status_request};
 use lagoonlift_policy::dispatch::{RoleOrder, RolePlanner, Service, UpstreamRecord};
@@ -154,7 +154,7 @@
         endpoint,
         record.address,
         request,
-        DUTY_TIMEOUT,
+        CallLimits::control(DUTY_TIMEOUT),
     )
     .await;
     if let Ok(response) = &response {
@@ -186,7 +186,7 @@
         endpoint,
         record.address,
         request,
-        DUTY_TIMEOUT,
+        CallLimits::control(DUTY_TIMEOUT),
     )
     .await
     {
--- a/crates/gateway/src/duty/scale.rs
+++ b/crates/gateway/src/duty/scale.rs
@@ -12,7 +12,7 @@
 
 use super::{DUTY_TIMEOUT, Duties};
 use crate::clock;
-use crate::connection::{Endpoint, call};
+use crate::connection::{CallLimits, Endpoint, call};
 use lagoonlift_adapter::duty::{ScaleOrder, scale_request};
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::Timestamp;
@@ -216,7 +216,8 @@
     let request = scale_request(duties.address, &holder, &order);
     let endpoint = Endpoint::Address(duties.address);
     let pool = &duties.state.pool;
-    let response = call(pool, endpoint, duties.address, request, DUTY_TIMEOUT).await;
+    let limits = CallLimits::control(DUTY_TIMEOUT);
+    let response = call(pool, endpoint, duties.address, request, limits).await;
     let status = response.map(|response| response.status);
     // Logged also if the platform refused the order or didn't respond; `status` tells.
     tracing::info!(
--- a/crates/gateway/src/duty/usage_report.rs
+++ b/crates/gateway/src/duty/usage_report.rs
@@ -9,7 +9,7 @@
 use super::usage::list_counts;
 use super::{DUTY_TIMEOUT, Duties};
 use crate::clock;
-use crate::connection::{Endpoint, call};
+use crate::connection::{CallLimits, Endpoint, call};
 use crate::state::GatewayState;
 use lagoonlift_adapter::duty::usage_request;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
@@ -156,7 +156,8 @@
         let address = self.duties.address;
         let request = usage_request(address, &holder, window, &counts);
         let endpoint = Endpoint::Address(address);
-        let response = call(&state.pool, endpoint, address, request, DUTY_TIMEOUT).await;
+        let limits = CallLimits::control(DUTY_TIMEOUT);
+        let response = call(&state.pool, endpoint, address, request, limits).await;
         let status = match response {
             Ok(response) => response.status,
             Err(error) => {
--- a/crates/gateway/src/kv_cache.rs
+++ b/crates/gateway/src/kv_cache.rs
@@ -1,7 +1,7 @@
 //! KV cache of a prompt, held by the prefill engine for transfer to a decode engine.
 
 use crate::clock;
-use crate::connection::{Endpoint, call};
+use crate::connection::{CallLimits, Endpoint, call};
 use crate::state::GatewayState;
 use lagoonlift_adapter::upstream::{KvCacheHandle, release_kv_cache_request};
 use lagoonlift_policy::UpstreamKey;
@@ -59,8 +59,9 @@
         let endpoint = Endpoint::Upstream(self.prefill_engine);
         let holder = self.handle.holder;
         let request = release_kv_cache_request(&self.handle);
+        let limits = CallLimits::control(RELEASE_TIMEOUT);
         tokio::task::spawn_local(async move {
-            if let Err(error) = call(&pool, endpoint, holder, request, RELEASE_TIMEOUT).await {
+            if let Err(error) = call(&pool, endpoint, holder, request, limits).await {
                 tracing::debug!(%holder, %error, "failed to release a KV cache");
             }
         });
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -87,9 +87,9 @@
         deadline: Timestamp,
     ) -> bool {
         let holder = self.address_of(prefill_engine);
-        let body = response.read_body(deadline).await;
+        let body = response.read_handle(deadline).await;
         let handle = match (holder, &body) {
-            (Some(holder), Ok((_, body))) => decode_kv_cache_handle(holder, body),
+            (Some(holder), Ok(body)) => decode_kv_cache_handle(holder, body),
             _ => None,
         };
         self.kv_cache = handle.map(|handle| HeldKvCache::new(&self.state, prefill_engine, handle));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -16,8 +16,11 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
-/// Largest response body that is buffered, in bytes.
-const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+/// Largest body of an answer that is forwarded whole.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Largest body of a prefill's response, which holds the handle of the KV cache.
+const MAX_HANDLE_BYTES: usize = 64 * 1024;
 
 /// The part of an outgoing request that all its attempts share.
 #[derive(Clone, Debug)]
@@ -83,10 +86,24 @@
 }
 
 impl UpstreamResponse {
-    /// Reads the whole body and returns the connection to the pool. Fails if the body
-    /// isn't complete at `deadline`.
+    /// Reads the whole body of an answer and returns the connection to the pool. Fails if
+    /// the body isn't complete at `deadline`.
     pub(crate) async fn read_body(self, deadline: Timestamp) -> Result<(Parts, Bytes), BodyError> {
-        let body = Limited::new(self.body, MAX_BUFFERED_BYTES).collect();
+        self.read_body_within(deadline, MAX_ANSWER_BYTES).await
+    }
+
+    /// Reads the body of a prefill's response in the same way.
+    pub(crate) async fn read_handle(self, deadline: Timestamp) -> Result<Bytes, BodyError> {
+        let (_, body) = self.read_body_within(deadline, MAX_HANDLE_BYTES).await?;
+        Ok(body)
+    }
+
+    async fn read_body_within(
+        self,
+        deadline: Timestamp,
+        max_bytes: usize,
+    ) -> Result<(Parts, Bytes), BodyError> {
+        let body = Limited::new(self.body, max_bytes).collect();
         let body = timeout(clock::time_until(deadline), body)
             .await
             .map_err(|_| BodyError::TimedOut)?
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,6 +1,6 @@
 //! HTTP client of the shared store.
 
-use crate::connection::{BufferedResponse, CallError, ConnectionPool, Endpoint, call};
+use crate::connection::{BufferedResponse, CallError, CallLimits, ConnectionPool, Endpoint, call};
 use crate::era_monitor::{EraMonitor, EraSource};
 use bytes::Bytes;
 use http::Request;
@@ -16,6 +16,10 @@
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Largest body of a response. An object has up to 1 MiB, and a page about 500 objects
+/// or 1 MB.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
 /// Added to the wait of a watch for its timeout.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
@@ -167,12 +171,16 @@
     async fn call_within(
         &self,
         request: Request<Bytes>,
-        limit: Duration,
+        time: Duration,
     ) -> Result<BufferedResponse, StoreError> {
+        let limits = CallLimits {
+            time,
+            body_bytes: MAX_RESPONSE_BYTES,
+        };
         let era = self.era.latest();
         let endpoint = Endpoint::Address(self.address);
         let response = tokio::select! {
-            response = call(&self.pool, endpoint, self.address, request, limit) => response,
+            response = call(&self.pool, endpoint, self.address, request, limits) => response,
             () = self.era.changed_from(era), if era.is_some() => {
                 return Err(StoreError::Restored);
             }
