gateway: retry at once after a refusal whose body doesn't end

The body of a response that states "not run" was read up to 4 MiB and until the request's deadline, only to reuse the connection: the retry, or the refusal to the caller, waited for it. The statement now counts from its head. The body is read in the background, for 50 ms and up to 4 KiB; a longer or later one closes the connection.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,6 +13,7 @@
 use lagoonlift_policy::dispatch::UpstreamRecord;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::time::timeout;
 
@@ -22,6 +23,12 @@
 /// Largest body of a prefill's response, which holds the handle of the KV cache.
 const MAX_HANDLE_BYTES: usize = 64 * 1024;
 
+/// Largest body of a refusal that is read to reuse the connection.
+const MAX_REFUSAL_BYTES: usize = 4 * 1024;
+
+/// Time for which the body of a refusal is read to reuse the connection.
+const REFUSAL_READ_TIME: Duration = Duration::from_millis(50);
+
 /// The part of an outgoing request that all its attempts share.
 #[derive(Clone, Debug)]
 pub(crate) struct OutgoingRequest {
@@ -103,17 +110,52 @@
         deadline: Timestamp,
         max_bytes: usize,
     ) -> Result<(Parts, Bytes), BodyError> {
-        let body = Limited::new(self.body, max_bytes).collect();
-        let body = timeout(clock::time_until(deadline), body)
-            .await
-            .map_err(|_| BodyError::TimedOut)?
-            .map_err(|error| BodyError::Truncated(describe(error.as_ref())))?
-            .to_bytes();
-        if self.head.is_framed && !self.head.is_closing {
-            self.connection.return_to_pool(self.head.idle_timeout);
-        }
+        let connection = self.connection;
+        let body = read_whole(self.body, &self.head, connection, deadline, max_bytes).await?;
         Ok((self.parts, body))
     }
+
+    /// Reads the body of a refusal in the background, which makes the connection reusable.
+    /// A body that is long or late closes it.
+    fn discard_body(self) {
+        let Self {
+            head,
+            body,
+            connection,
+            ..
+        } = self;
+        tokio::task::spawn_local(async move {
+            let deadline = clock::now() + REFUSAL_READ_TIME;
+            let read = read_whole(body, &head, connection, deadline, MAX_REFUSAL_BYTES);
+            if let Err(error) = read.await {
+                tracing::debug!(
+                    %error,
+                    "connection closed: the body of a refusal was truncated, long or late"
+                );
+            }
+        });
+    }
+}
+
+/// Reads a body of up to `max_bytes` and returns the connection to the pool. Closes the
+/// connection if the body isn't complete at `deadline`.
+async fn read_whole(
+    body: Incoming,
+    head: &ResponseHead,
+    connection: PooledConnection,
+    deadline: Timestamp,
+    max_bytes: usize,
+) -> Result<Bytes, BodyError> {
+    let body = Limited::new(body, max_bytes).collect();
+    let body = timeout(clock::time_until(deadline), body)
+        .await
+        .map_err(|_| BodyError::TimedOut)?
+        .map_err(|error| BodyError::Truncated(describe(error.as_ref())))?
+        .to_bytes();
+    if head.is_framed && !head.is_closing {
+        connection.return_to_pool(head.idle_timeout);
+    }
+    Ok(body)
 }
 
 /// Sends a request and waits for the head of the response. Updates the recorded
@@ -184,7 +226,6 @@
     if !accepts_requests(state, attempt.upstream) {
         return SendOutcome::Withheld("the upstream drains or holds off requests");
     }
-    let deadline = attempt.deadline;
     let call = UpstreamCall {
         request: &outgoing.request,
         body: outgoing.body.clone(),
@@ -212,7 +253,7 @@
         connection,
         work,
     });
-    classify(&outgoing.request.id, upstream_response, deadline).await
+    classify(&outgoing.request.id, upstream_response)
 }
 
 /// Returns whether the upstream still accepts requests. It may have announced
@@ -225,23 +266,12 @@
 
 /// Classifies a response: as a response to this request, as a statement that the
 /// upstream has not run the request, or as invalid.
-async fn classify(
-    request_id: &str,
-    response: Box<UpstreamResponse>,
-    deadline: Timestamp,
-) -> SendOutcome {
+fn classify(request_id: &str, response: Box<UpstreamResponse>) -> SendOutcome {
     let head = response.head.clone();
     match &head.request_id {
         Some(id) if id != request_id => SendOutcome::Lost("answer to another request".to_owned()),
         _ if head.has_not_run => {
-            // The body of such a response isn't used; reading it makes the connection
-            // reusable.
-            if let Err(error) = response.read_body(deadline).await {
-                tracing::debug!(
-                    %error,
-                    "response stating that the request has not run was truncated"
-                );
-            }
+            response.discard_body();
             SendOutcome::NotRun
         }
         _ if head.is_encoded => SendOutcome::Lost("answer in an encoding".to_owned()),
