gateway: end a stream whose event is longer than 1 MiB

EventScanner kept an event without an end without a limit, and searched it from its start at each chunk. An event now has up to 1 MiB; a longer one breaks the stream like a lost connection, after the events before it have been returned. The search goes on at the first byte that it hasn't seen, and one before. relay.rs changes in the one place that calls push.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,18 +1,29 @@
 //! Splits an event stream into events, so that a truncated event isn't passed on.
 
 use bytes::{Bytes, BytesMut};
+use thiserror::Error;
 
 /// Delimiter at the end of an event.
 const EVENT_END: &[u8] = b"\n\n";
 
+/// Largest event in bytes, with its delimiter.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Field name of the line that carries the event's ID. IDs are numbers that increase
 /// within a stream.
 const ID_FIELD: &[u8] = b"id:";
 
+/// An event is longer than `MAX_EVENT_BYTES`.
+#[derive(Debug, Error)]
+#[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
+pub(crate) struct EventTooLong;
+
 /// Splits chunks of bytes into complete events and drops duplicates.
 #[derive(Debug, Default)]
 pub(crate) struct EventScanner {
     pending: BytesMut,
+    /// Number of bytes at the start of `pending` in which no delimiter starts.
+    searched: usize,
     last_id: Option<u64>,
 }
 
@@ -20,8 +31,8 @@
     /// Creates a scanner for a stream that continues after the event `last_id`.
     pub(crate) fn new(last_id: Option<u64>) -> Self {
         Self {
-            pending: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -38,20 +49,41 @@
     /// Discards the incomplete event at the end.
     pub(crate) fn drop_partial(&mut self) {
         self.pending.clear();
+        self.searched = 0;
     }
 
     /// Appends bytes and returns the events that they complete, without events
-    /// that were returned before.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
+    /// that were returned before. Fails if the next event is too long; the events
+    /// before it are returned first.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         self.pending.extend_from_slice(bytes);
         let mut events = BytesMut::new();
-        while let Some(end) = find(&self.pending, EVENT_END) {
-            let event = self.pending.split_to(end + EVENT_END.len());
+        while let Some(event) = self.next_event() {
             if self.accept(&event) {
                 events.unsplit(event);
             }
         }
-        events.freeze()
+        match events.is_empty() && self.pending.len() > MAX_EVENT_BYTES {
+            true => Err(EventTooLong),
+            false => Ok(events.freeze()),
+        }
+    }
+
+    /// Removes the next complete event. One that is too long isn't returned.
+    fn next_event(&mut self) -> Option<BytesMut> {
+        let unsearched = &self.pending[self.searched..];
+        match find(unsearched, EVENT_END).map(|start| self.searched + start + EVENT_END.len()) {
+            Some(end) if end <= MAX_EVENT_BYTES => {
+                self.searched = 0;
+                Some(self.pending.split_to(end))
+            }
+            Some(_) => None,
+            None => {
+                let overlap = EVENT_END.len() - 1;
+                self.searched = self.pending.len().saturating_sub(overlap);
+                None
+            }
+        }
     }
 
     fn accept(&mut self, event: &[u8]) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -150,7 +150,10 @@
                         continue;
                     };
                     self.record_start();
-                    let events = self.scanner.push(&data);
+                    let events = match self.scanner.push(&data) {
+                        Ok(events) => events,
+                        Err(error) => return StreamItem::Broken(error.to_string()),
+                    };
                     if !events.is_empty() {
                         return StreamItem::Events(events);
                     }
