gateway: limit the head of a response to 64 KiB and 100 lines

The client's limits of a head were hyper's defaults, about 400 KiB and 100 lines. Both are named now, and a head has up to 64 KiB.

Seen to fail on the code before: - responses::endless_head_ends_at_its_size_limit: 581,700 bytes written (with those in the kernel's buffers) for one line without end; 139,332 now. These passed before too and keep the final answers: endless_head_ends_at_the_deadline (single bytes; interim responses without end) and idempotent_request_goes_on_after_an_endless_response.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -46,6 +46,12 @@
 /// that a request isn't sent while the server closes the connection.
 const REUSABLE_IDLE_SHARE: f64 = 0.6;
 
+/// Largest head of a response in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Largest number of header lines in the head of a response.
+const MAX_HEAD_LINES: usize = 100;
+
 /// Largest body of the response to a control call: a status of an engine, or the
 /// response to an order, a usage report or the release of a KV cache.
 const MAX_CONTROL_BYTES: usize = 256 * 1024;
@@ -272,7 +278,10 @@
         .map_err(|error| not_sent(error.to_string()))?;
     set_options(&stream);
     reset_on_close(&stream);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEAD_LINES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
     let driver = tokio::task::spawn_local(async move {
