gateway: end a response after 100 interim responses

hyper reads over interim responses (1xx) without a limit. An upstream that sends them without end kept the gateway's thread busy: a request with a deadline of 0.9 s got its 504 after 4.44 s, in 1 of 8 runs beside 6 busy processes (and failed once in a run of the whole suite beside the same load). Reading the connection now fails after 100 of them, so what may have run gets 502 at once and idempotent requests go on at another upstream.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -7,12 +7,13 @@
 //! request.
 
 use crate::clock;
+use crate::interim::{GuardedStream, InterimCount};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use hyper::ext::on_informational;
 use lagoonlift_adapter::upstream::ResponseHead;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use socket2::{SockRef, TcpKeepalive};
@@ -85,6 +86,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    interim_count: InterimCount,
     idle_until: Timestamp,
 }
 
@@ -170,7 +172,10 @@
         &mut self,
         request: Request<Bytes>,
     ) -> Result<Response<Incoming>, CallError> {
-        let request = request.map(Full::new);
+        let mut request = request.map(Full::new);
+        let interim_count = self.connection.interim_count.clone();
+        interim_count.reset();
+        on_informational(&mut request, move |_| interim_count.increment());
         match self.connection.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
@@ -278,10 +283,12 @@
         .map_err(|error| not_sent(error.to_string()))?;
     set_options(&stream);
     reset_on_close(&stream);
+    let interim_count = InterimCount::default();
+    let stream = GuardedStream::new(stream, interim_count.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEAD_LINES)
-        .handshake(TokioIo::new(stream))
+        .handshake(stream)
         .await
         .map_err(|error| not_sent(error.to_string()))?;
     let driver = tokio::task::spawn_local(async move {
@@ -292,6 +299,7 @@
     Ok(Connection {
         sender,
         driver: driver.abort_handle(),
+        interim_count,
         idle_until: Timestamp::default(),
     })
 }
