--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -81,7 +81,10 @@
             };
             self.has_started = true;
             response.work.end_prefill();
-            let events = self.scanner.push(&data);
+            let events = match self.scanner.push(&data) {
+                Ok(events) => events,
+                Err(error) => return Some(StreamItem::Broken(error.to_string())),
+            };
             if !events.is_empty() {
                 return Some(StreamItem::Events(events));
             }
