--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -6,6 +6,7 @@
 use crate::state::{GatewayState, UpstreamWork};
 use bytes::Bytes;
 use http::response::Parts;
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use lagoonlift_adapter::caller::CallerRequest;
@@ -124,6 +125,9 @@
             connection,
             ..
         } = self;
+        if body.is_end_stream() && head.is_framed && !head.is_closing {
+            return connection.return_to_pool(head.idle_timeout);
+        }
         tokio::task::spawn_local(async move {
             let deadline = clock::now() + REFUSAL_READ_TIME;
             let read = read_whole(body, &head, connection, deadline, MAX_REFUSAL_BYTES);
