--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -67,10 +67,15 @@
     /// `by`, which bytes that complete no event don't extend.
     pub(super) async fn next(&mut self, by: Timestamp) -> Option<StreamItem> {
         loop {
+            // A timeout that starts anew at each chunk may never end while chunks come.
+            let limit = clock::time_until(by);
+            if limit.is_zero() {
+                return None;
+            }
             let Some(response) = self.response.as_mut() else {
                 return Some(StreamItem::Broken("no upstream".to_owned()));
             };
-            let frame = match timeout(clock::time_until(by), response.body.frame()).await {
+            let frame = match timeout(limit, response.body.frame()).await {
                 Err(_) => return None,
                 Ok(Some(Err(error))) => return Some(StreamItem::Broken(describe(&error))),
                 Ok(None) => return Some(self.end()),
