connections: one lost keepalive probe doesn't end a connection

With 2.5 s two probes in a row must be lost.

A connection that is silent for good is noticed after 3 s in place of 2 s.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -31,13 +31,17 @@
 /// after one second, so waiting longer than a few round trips doesn't help.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time for which sent bytes may stay unacknowledged before the connection fails.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which sent bytes or keepalive probes may stay unacknowledged before the
+/// connection fails. Linux goes by this time, not by the number of probes; two probes
+/// fit into it, so that the loss of one packet ends no connection.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Idle time before the first TCP keepalive probe, and interval between probes.
+/// Idle time before the first TCP keepalive probe, and interval between probes. The
+/// kernel takes whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Unacknowledged keepalive probes after which a connection fails.
+/// Unacknowledged keepalive probes after which a connection fails, where the time above
+/// doesn't apply.
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Idle timeout assumed for a server that announces none.
