server: the idle timeout of a caller's connection follows the configuration

Callers that reused an open connection after a change of the configuration had raised the idle timeout found it closed: the timeout was the one in force when the connection was accepted. Now the longest one since the connection became idle applies, so neither a raised nor a lowered one closes a connection that its caller may still use. A request that arrives as the connection is closed for idleness is still answered.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -2,6 +2,7 @@
 
 use crate::admit::{admit, discard_body};
 use crate::clock;
+use crate::idle::RequestInUse;
 use crate::relay::StreamRelay;
 use crate::reply::{GatewayReply, ReplyBody, full_response};
 use crate::run::{RequestRun, RunOutcome};
@@ -16,10 +17,11 @@
 use lagoonlift_policy::dispatch::NextStep;
 use std::rc::Rc;
 
-/// Handles one request of a caller.
+/// Handles one request of a caller. `in_use` is dropped with the response's body.
 pub(crate) async fn handle(
     state: Rc<GatewayState>,
     request: Request<Incoming>,
+    in_use: RequestInUse,
 ) -> Response<ReplyBody> {
     let in_flight = InFlight::new(&state);
     let mut response = respond(&state, request).await;
@@ -31,7 +33,7 @@
     // passed on.
     response.map(|body| {
         let body = body.map_frame(move |frame| {
-            let _ = &in_flight;
+            let _ = (&in_flight, &in_use);
             frame
         });
         let body: ReplyBody = Box::pin(body);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod final_publication;
 mod gateway;
 mod handler;
+mod idle;
 mod interim;
 mod kv_cache;
 mod metrics;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::{describe, set_options};
 use crate::handler;
+use crate::idle::ConnectionUse;
 use crate::reply::{ReplyBody, full_response};
 use crate::state::{GatewayState, OpenConnection};
 use bytes::Bytes;
@@ -18,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Backlog of the listening sockets.
 const LISTEN_BACKLOG: u32 = 1_024;
@@ -26,8 +27,8 @@
 /// Delay after a failed accept, whose usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Idle timeout of a caller's connection until a configuration sets one.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time for a connection that was idle for too long to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
@@ -77,15 +78,17 @@
     let _open = OpenConnection::new(&state);
     set_options(&stream);
     let limits = state.config().map(|config| config.limits());
-    let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let head_bytes = limits.map_or(MIN_HEAD_BYTES, |limits| limits.max_head_bytes);
+    let connection_use = ConnectionUse::new(&state);
+    let of_requests = Rc::clone(&connection_use);
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(handler::handle(state, request).await) }
+        let in_use = of_requests.begin_request();
+        async move { Ok::<_, Infallible>(handler::handle(state, request, in_use).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(None)
         .max_buf_size(head_bytes.max(MIN_HEAD_BYTES) * 2)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
@@ -95,6 +98,17 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = connection_use.expired() => {
+            connection.as_mut().graceful_shutdown();
+            // A request that has just arrived is still answered.
+            loop {
+                match timeout(CLOSE_TIMEOUT, connection.as_mut()).await {
+                    Ok(result) => break result,
+                    Err(_) if connection_use.has_requests() => {}
+                    Err(_) => break Ok(()),
+                }
+            }
+        }
     };
     if let Err(error) = result {
         tracing::debug!(error = %describe(&error), "caller connection failed");
