--- /dev/null
+++ b/crates/policy/src/dispatch/block_quarantine/successes.rs
@@ -0,0 +1,33 @@
+//! The latest success of each block, for a bounded number of blocks.
+
+use super::BlockKey;
+use crate::Timestamp;
+use std::collections::HashMap;
+
+/// Number of blocks in one generation of remembered successes.
+const GENERATION_BLOCKS: usize = 4_096;
+
+/// Latest successes in two generations. When the younger one is full, it replaces the
+/// older one; blocks that succeed often are therefore always remembered.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RememberedSuccesses {
+    younger: HashMap<BlockKey, Timestamp>,
+    older: HashMap<BlockKey, Timestamp>,
+}
+
+impl RememberedSuccesses {
+    /// Records a success at the time `at`.
+    pub(super) fn record(&mut self, key: BlockKey, at: Timestamp) {
+        let latest = self.latest(key).max(Some(at)).unwrap_or(at);
+        if self.younger.len() >= GENERATION_BLOCKS && !self.younger.contains_key(&key) {
+            self.older = std::mem::take(&mut self.younger);
+        }
+        self.younger.insert(key, latest);
+    }
+
+    /// Returns the time of the block's latest success.
+    pub(super) fn latest(&self, key: BlockKey) -> Option<Timestamp> {
+        let younger = self.younger.get(&key);
+        younger.or_else(|| self.older.get(&key)).copied()
+    }
+}
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 //! * [`AttemptHistory`] decides whether a request may be retried.
 //! * [`RetryBudget`] limits the retries of all hosts together.
 //! * [`Placement`] chooses an upstream, or reports that none can serve in time.
+//! * [`BlockQuarantine`] finds the prefix block whose prompts crash engines.
 //! * [`retry_after`] computes when a refused caller may retry.
 //! * [`PeerLoads`] tracks the in-flight load and the role changes of other hosts.
 //!
@@ -35,6 +36,7 @@
 //! * [`RolePlanner`] decides which engines are prefill engines.
 
 mod attempts;
+mod block_quarantine;
 mod config_confirmation;
 mod config_freshness;
 mod configuration;
@@ -56,6 +58,9 @@
 mod wall_clock;
 
 pub use attempts::{AttemptHistory, NextStep, SendResult};
+pub use block_quarantine::{
+    BlameNews, BlockKey, BlockQuarantine, CrashId, QuarantineSource, QuarantinedBlock,
+};
 pub use config_confirmation::{ConfigConfirmation, StalenessLimits};
 pub use config_freshness::{ConfigFreshness, PeerConfirmation, PeerConfirmationResult};
 pub use configuration::{
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -48,6 +48,14 @@
             [.., session, _] => Some(*session),
         }
     }
+
+    /// Returns the blocks that other prompts may share: all but the last one.
+    pub fn shared_blocks(&self) -> &[PrefixBlock] {
+        match self.blocks.as_slice() {
+            [] => &[],
+            [shared @ .., _] => shared,
+        }
+    }
 }
 
 /// The plan for serving a prompt.
