--- a/crates/policy/tests/all/dispatch/schedules/mod.rs
+++ b/crates/policy/tests/all/dispatch/schedules/mod.rs
@@ -7,6 +7,7 @@
 
 mod announcements;
 mod attempts;
+mod block_quarantine;
 mod config_freshness;
 mod sealed_sums;
 
