--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -308,6 +309,13 @@
     })
 }
 
+/// Returns whether nothing accepts connections at `address`. An address from which no
+/// response comes doesn't count.
+pub(crate) async fn refuses_connections(address: SocketAddr) -> bool {
+    let result = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Sets the TCP options that make the process detect a connection that failed
 /// without a reset.
 pub(crate) fn set_options(stream: &TcpStream) {
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -1,5 +1,6 @@
 //! Duties that one host at a time performs: reporting usage, requesting the number
-//! of upstreams of each service from the platform, and assigning roles to engines.
+//! of upstreams of each service from the platform, assigning roles to engines, and
+//! storing which prefix blocks are in quarantine.
 //!
 //! The holder of a lease in the store performs the duties. A call with an effect
 //! is made only if the grant lasts for more than another `DUTY_TIMEOUT`. That
@@ -11,6 +12,7 @@
 
 mod fleet;
 mod lease;
+mod quarantine;
 mod scale;
 mod usage;
 mod usage_report;
@@ -79,5 +81,6 @@
         spawn_local(usage::publish_counts(Rc::clone(state), started_unix_us));
         spawn_local(usage_report::report(Rc::clone(&duties)));
     }
+    spawn_local(quarantine::sync(Rc::clone(&duties)));
     spawn_local(fleet::manage(duties));
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,9 +1,11 @@
 //! Starts and stops the tasks of the process.
 
 use crate::clock;
+use crate::crash_monitor;
 use crate::duty;
 use crate::metrics::GatewayMetrics;
 use crate::peers;
+use crate::quarantine_store;
 use crate::reload;
 use crate::server;
 use crate::state::GatewayState;
@@ -68,6 +70,7 @@
         spawn_local(watcher::renew_confirmation(Rc::clone(&state)));
         spawn_local(watcher::follow_upstreams(Rc::clone(&state)));
         spawn_local(run_maintenance(Rc::clone(&state)));
+        spawn_local(quarantine_store::restore_at_start(Rc::clone(&state)));
         duty::start(&state);
         if let Some(address) = state.settings.listen.peers {
             spawn_local(peers::exchange(Rc::clone(&state), address));
@@ -137,6 +140,7 @@
         }
         state.close_idle_connections(&removed);
         state.update_changing_roles();
+        crash_monitor::decide(&state);
         // Corrects this process's own estimate of the time, not the system clock.
         if let Some(correction_us) = state.wall_clock.borrow_mut().synchronize(now) {
             tracing::warn!(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     lease_held: Gauge<u64>,
     connections_opened: Gauge<u64>,
     store_restores: Gauge<u64>,
+    quarantined_blocks: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -70,6 +71,12 @@
                 .u64_gauge("lagoonlift_gateway_connections_opened")
                 .with_description("Connections opened to others since the start.")
                 .build(),
+            quarantined_blocks: meter
+                .u64_gauge("lagoonlift_gateway_quarantined_blocks")
+                .with_description(
+                    "Prefix blocks in quarantine because their prompts crash engines.",
+                )
+                .build(),
             store_restores: meter
                 .u64_gauge("lagoonlift_gateway_store_restores")
                 .with_description("Restores of the store from a copy since the start.")
@@ -78,6 +85,10 @@
         }
     }
 
+    pub(crate) fn set_quarantined_blocks(&self, blocks: usize) {
+        self.quarantined_blocks.record(blocks as u64, &[]);
+    }
+
     pub(crate) fn set_store_restores(&self, restores: u64) {
         self.store_restores.record(restores, &[]);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,8 +12,8 @@
 use crate::state::GatewayState;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult, StoreStatus,
-    UpstreamDigest, UsageCopy,
+    BlameNews, ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult,
+    StoreStatus, UpstreamDigest, UsageCopy,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -76,6 +76,8 @@
     },
     /// Usage counts of the sender, which the receiver publishes if the sender can't.
     Usage(UsageCopy),
+    /// What the sender knows about prefix blocks whose prompts crash engines.
+    Blame(BlameNews),
 }
 
 /// Load of a host.
@@ -113,8 +115,13 @@
     }
     let mut sequence = 0;
     let mut was_busy = true;
-    loop {
+    for turn in 0_u64.. {
         sleep(SEND_INTERVAL).await;
+        let news = state.block_quarantine.borrow_mut().news(clock::now());
+        if let Some(news) = news {
+            let peers = next_peers(&state.peers.borrow(), address, turn, PEERS_PER_INTERVAL);
+            send(&socket, &PeerMessage::Blame(news), &peers).await;
+        }
         state.peer_loads.borrow_mut().expire(clock::now());
         state.store_readers.borrow_mut().expire(clock::now());
         let report = own_report(&state);
@@ -283,6 +290,10 @@
             loads.record(now, load.sender, load.sequence, load.report);
             None
         }
+        PeerMessage::Blame(news) => {
+            state.block_quarantine.borrow_mut().record_news(now, &news);
+            None
+        }
         PeerMessage::Usage(copy) => {
             state.usage_copies.borrow_mut().record(now, copy);
             None
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use lagoonlift_adapter::upstream::forwarded_response_headers;
+use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{NextStep, RetrySafety, SendResult};
 use std::time::Duration;
 use tokio::time::timeout;
@@ -33,6 +34,10 @@
 /// resumable. A sound upstream may be silent for about a second; callers leave after two.
 const EVENT_GAP_TIMEOUT: Duration = Duration::from_millis(1_400);
 
+/// Time after its first event from which on a stream shows that its prompt crashes no
+/// engine.
+const SUCCESS_TIME: Duration = Duration::from_secs(1);
+
 /// Longest time for which the request may be at a silent upstream and at the one that
 /// should replace it.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
@@ -46,6 +51,10 @@
     head: Parts,
     request_log: RequestLog,
     is_usage_counted: bool,
+    /// Time of the first event of the current upstream.
+    first_event_at: Option<Timestamp>,
+    /// Whether an engine has answered the prompt without a crash.
+    has_succeeded: bool,
     /// Whether the history of the request has the run of the current upstream.
     is_run_recorded: bool,
 }
@@ -82,6 +91,8 @@
             source: EventSource::new(response, last_event),
             request_log,
             is_usage_counted: false,
+            first_event_at: None,
+            has_succeeded: false,
             is_run_recorded: false,
         };
         match relay.next_item().await {
@@ -159,6 +170,7 @@
         loop {
             let item = self.source.next(next_event_by).await;
             self.count_usage();
+            self.record_progress(item.as_ref());
             match item {
                 Some(item) => return item,
                 None if clock::now() >= deadline => {
@@ -184,6 +196,9 @@
         let replacement = self.look_for_replacement().await;
         self.run.silent_upstream = None;
         self.count_usage();
+        if let Replacement::Needless(item) = &replacement {
+            self.record_progress(Some(item));
+        }
         replacement
     }
 
@@ -230,11 +245,37 @@
         item.map_or(Replacement::None, Replacement::Needless)
     }
 
+    /// Records what the next item says about the prompt: whether an engine has answered it,
+    /// or may have crashed on it.
+    fn record_progress(&mut self, item: Option<&StreamItem>) {
+        let now = clock::now();
+        let is_success = match item {
+            Some(StreamItem::Events(_)) => {
+                let first_event_at = *self.first_event_at.get_or_insert(now);
+                now.since(first_event_at) >= SUCCESS_TIME
+            }
+            Some(StreamItem::End) => self.source.was_framed(),
+            Some(StreamItem::Broken(_)) if !self.has_succeeded => {
+                if let Some(upstream) = self.source.upstream() {
+                    self.run.record_interruption(upstream);
+                }
+                false
+            }
+            Some(StreamItem::Broken(_)) | None => false,
+        };
+        if is_success && !self.has_succeeded {
+            self.has_succeeded = true;
+            self.run.record_success();
+        }
+    }
+
     /// Continues the stream with the response of another upstream.
     fn continue_with(&mut self, response: Box<UpstreamResponse>) {
         self.request_log.record_resume();
         self.head = response.parts.clone();
         self.source.replace(response);
+        self.first_event_at = None;
+        self.has_succeeded = false;
         self.is_run_recorded = false;
     }
 
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -24,6 +24,8 @@
     response: Option<Box<UpstreamResponse>>,
     scanner: EventScanner,
     has_started: bool,
+    /// Whether the last response that ended had a length or chunks.
+    was_framed: bool,
 }
 
 impl EventSource {
@@ -33,6 +35,7 @@
             response: Some(response),
             scanner: EventScanner::new(last_event),
             has_started: false,
+            was_framed: false,
         }
     }
 
@@ -41,6 +44,12 @@
         self.has_started
     }
 
+    /// Returns whether the end of the stream was stated, by a length or by chunks, and not
+    /// only by the end of the connection.
+    pub(super) fn was_framed(&self) -> bool {
+        self.was_framed
+    }
+
     /// Returns the ID of the last complete event.
     pub(super) fn last_event(&self) -> Option<u64> {
         self.scanner.last_id()
@@ -100,13 +109,12 @@
         if self.scanner.is_inside_event() {
             return StreamItem::Broken("the stream ended inside an event".to_owned());
         }
-        if let Some(response) = self.response.take()
-            && response.head.is_framed
-            && !response.head.is_closing
-        {
-            response
-                .connection
-                .return_to_pool(response.head.idle_timeout);
+        if let Some(response) = self.response.take() {
+            self.was_framed = response.head.is_framed;
+            if response.head.is_framed && !response.head.is_closing {
+                let idle_timeout = response.head.idle_timeout;
+                response.connection.return_to_pool(idle_timeout);
+            }
         }
         StreamItem::End
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 
 use crate::admit::Admitted;
 use crate::clock;
+use crate::crash_monitor;
 use crate::kv_cache::HeldKvCache;
 use crate::reply::GatewayReply;
 use crate::send::{Attempt, BodyError, SendOutcome, UpstreamResponse, send};
@@ -15,8 +16,8 @@
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    AttemptHistory, FleetView, NextStep, Placement, PromptPlan, PromptRefusal, RefusalCause,
-    SendResult, retry_after,
+    AttemptHistory, BlockKey, FleetView, NextStep, Placement, PromptPlan, PromptRefusal,
+    RefusalCause, SendResult, retry_after,
 };
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -46,6 +47,8 @@
     pub(crate) state: Rc<GatewayState>,
     pub(crate) admitted: Rc<Admitted>,
     pub(crate) history: AttemptHistory,
+    /// Blocks that other prompts may share; empty for a request without a prompt.
+    pub(crate) shared_blocks: Vec<BlockKey>,
     /// Upstreams of earlier attempts and of failed prefills.
     pub(crate) tried: Vec<UpstreamKey>,
     kv_cache: Option<HeldKvCache>,
@@ -92,10 +95,13 @@
             retry_budget.record_request(clock::now())
         });
         let history = AttemptHistory::new(route.retry_safety, route.max_upstreams);
+        let prompt = &admitted.outgoing.request.prompt;
+        let shared_blocks = BlockKey::shared_of(&admitted.service, prompt);
         Self {
             state,
             admitted,
             history,
+            shared_blocks,
             tried: Vec::new(),
             kv_cache: None,
             resume_after: None,
@@ -149,11 +155,43 @@
             self.has_timed_out = true;
             return Err(self.not_run("timed out", RefusalCause::NoCapacity));
         }
+        self.check_quarantine()?;
         let attempt = self.next_attempt().await?;
+        // A prefill may have taken some time.
+        self.check_quarantine()?;
         self.spend_retry(attempt)
             .ok_or_else(|| self.not_run("no repeat is left", RefusalCause::NoCapacity))
     }
 
+    /// Returns the response to a request that no engine may get, because one of its prefix
+    /// blocks crashes them.
+    fn check_quarantine(&self) -> Result<(), GatewayReply> {
+        let quarantine = self.state.block_quarantine.borrow();
+        match quarantine.find(clock::now(), &self.shared_blocks) {
+            None => Ok(()),
+            Some(found) => {
+                let cause = RefusalCause::Quarantine(found.time_left);
+                Err(self.not_run("a prefix block crashes engines", cause))
+            }
+        }
+    }
+
+    /// Records that the connection of an attempt ended early; the upstream may have
+    /// crashed.
+    pub(crate) fn record_interruption(&self, upstream: UpstreamKey) {
+        let table = self.state.table.borrow();
+        if let Some(one) = table.get(upstream) {
+            let blocks = &self.shared_blocks;
+            crash_monitor::record_interruption(&self.state, upstream, &one.record, blocks);
+        }
+    }
+
+    /// Records that an engine answered the prompt without a crash.
+    pub(crate) fn record_success(&self) {
+        let mut quarantine = self.state.block_quarantine.borrow_mut();
+        quarantine.record_success(clock::now(), &self.shared_blocks);
+    }
+
     /// Chooses the next attempt, after a prefill on another engine if the placement
     /// plans one.
     async fn next_attempt(&mut self) -> Result<Attempt, GatewayReply> {
@@ -329,7 +367,10 @@
                 self.has_timed_out = true;
                 SendResult::Unknown
             }
-            SendOutcome::Lost(_) => SendResult::Unknown,
+            SendOutcome::Lost(_) => {
+                self.record_interruption(upstream);
+                SendResult::Unknown
+            }
         };
         self.send_in_progress = None;
         Err(self.history.record_send(result))
@@ -405,9 +446,14 @@
             true => {}
             false => return Err(SendResult::Unknown),
         }
+        let upstream = response.work.key;
+        let is_framed = response.head.is_framed;
         let (parts, body) = match response.read_body(self.admitted.deadline).await {
             Ok((parts, body)) => (Box::new(parts), body),
             Err(error) => {
+                if matches!(error, BodyError::Truncated(_)) {
+                    self.record_interruption(upstream);
+                }
                 let request = &self.admitted.outgoing.request.id;
                 tracing::info!(request, %error, "response of the upstream was truncated");
                 self.has_timed_out |= matches!(error, BodyError::TimedOut);
@@ -416,6 +462,9 @@
         };
         let workspace = self.admitted.outgoing.workspace.as_deref();
         self.state.count_usage(clock::now(), workspace);
+        if status.is_success() && is_framed {
+            self.record_success();
+        }
         match status.is_server_error() {
             false => Ok(RunOutcome::Complete(parts, body)),
             true => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,14 +6,16 @@
 
 use crate::clock;
 use crate::connection::{ConnectionPool, Endpoint};
+use crate::crash_monitor::CrashMonitor;
 use crate::final_publication::FinalPublication;
 use crate::metrics::GatewayMetrics;
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use lagoonlift_policy::dispatch::{
-    ConfigConfirmation, ConfigFreshness, PeerLoads, Placement, PlacementLimits, RetryBudget,
-    RetryBudgetLimits, RolePlanner, ServingConfig, StalenessLimits, StoreReaderSelection,
-    StoreStatus, Upstream, UpstreamTable, UsageCopies, UsageCounts, WallClock,
+    BlockQuarantine, ConfigConfirmation, ConfigFreshness, PeerLoads, Placement, PlacementLimits,
+    RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig, StalenessLimits,
+    StoreReaderSelection, StoreStatus, Upstream, UpstreamTable, UsageCopies, UsageCounts,
+    WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -50,6 +52,9 @@
     /// host as open orders.
     pub(crate) changing_role: RefCell<Vec<UpstreamKey>>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
+    /// Prefix blocks whose prompts crash engines.
+    pub(crate) block_quarantine: RefCell<BlockQuarantine>,
+    pub(crate) crash_monitor: RefCell<CrashMonitor>,
     pub(crate) store_readers: RefCell<StoreReaderSelection>,
     /// Selects which successful requests get a log line.
     pub(crate) success_log_sampler: RefCell<LogSampler>,
@@ -102,6 +107,8 @@
             open_role_orders: RefCell::new(Vec::new()),
             changing_role: RefCell::new(Vec::new()),
             peer_loads: RefCell::new(PeerLoads::new()),
+            block_quarantine: RefCell::new(BlockQuarantine::new()),
+            crash_monitor: RefCell::new(CrashMonitor::default()),
             store_readers: RefCell::new(StoreReaderSelection::new(incarnation_id)),
             success_log_sampler: RefCell::new(LogSampler::new()),
             announced_store_status: Cell::new(StoreStatus::default()),
--- a/crates/policy/src/dispatch/retry_after.rs
+++ b/crates/policy/src/dispatch/retry_after.rs
@@ -19,6 +19,9 @@
     /// Upstreams hold off requests, and no other is available. The value is the
     /// shortest time for which one still does.
     HoldOff(Duration),
+    /// The prompt has a block that crashes engines. The value is the time until the end
+    /// of its quarantine.
+    Quarantine(Duration),
     /// The upstreams that were tried had no free capacity or failed.
     NoCapacity,
     /// The backlog of the least loaded engine is too long to wait for
@@ -63,6 +66,8 @@
         // The caller is certainly refused again before the end of the hold-off, so the
         // delay isn't limited by the caller's remaining time.
         RefusalCause::HoldOff(hold_off) => return delay_after_hold_off(hold_off, jitter),
+        // A request that comes earlier is refused again.
+        RefusalCause::Quarantine(time_left) => return time_left,
         RefusalCause::NoUpstream => NO_UPSTREAM_DELAY,
         RefusalCause::NoCapacity => NO_CAPACITY_DELAY,
         RefusalCause::Overload(backlog) => backlog.max(MIN_OVERLOAD_DELAY),
