--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,11 +2,12 @@
 //! as the route and the retry budget allow, and returns an upstream's response or
 //! one of the gateway's own.
 
+mod choice;
 mod prefill;
+mod quarantine;
 
 use crate::admit::Admitted;
 use crate::clock;
-use crate::crash_monitor;
 use crate::kv_cache::HeldKvCache;
 use crate::reply::GatewayReply;
 use crate::send::{Attempt, BodyError, SendOutcome, UpstreamResponse, send};
@@ -16,8 +17,7 @@
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    AttemptHistory, BlockKey, FleetView, NextStep, Placement, PromptPlan, PromptRefusal,
-    RefusalCause, SendResult, retry_after,
+    AttemptHistory, BlockKey, NextStep, PromptPlan, RefusalCause, SendResult, retry_after,
 };
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -163,35 +163,6 @@
             .ok_or_else(|| self.not_run("no repeat is left", RefusalCause::NoCapacity))
     }
 
-    /// Returns the response to a request that no engine may get, because one of its prefix
-    /// blocks crashes them.
-    fn check_quarantine(&self) -> Result<(), GatewayReply> {
-        let quarantine = self.state.block_quarantine.borrow();
-        match quarantine.find(clock::now(), &self.shared_blocks) {
-            None => Ok(()),
-            Some(found) => {
-                let cause = RefusalCause::Quarantine(found.time_left);
-                Err(self.not_run("a prefix block crashes engines", cause))
-            }
-        }
-    }
-
-    /// Records that the connection of an attempt ended early; the upstream may have
-    /// crashed.
-    pub(crate) fn record_interruption(&self, upstream: UpstreamKey) {
-        let table = self.state.table.borrow();
-        if let Some(one) = table.get(upstream) {
-            let blocks = &self.shared_blocks;
-            crash_monitor::record_interruption(&self.state, upstream, &one.record, blocks);
-        }
-    }
-
-    /// Records that an engine answered the prompt without a crash.
-    pub(crate) fn record_success(&self) {
-        let mut quarantine = self.state.block_quarantine.borrow_mut();
-        quarantine.record_success(clock::now(), &self.shared_blocks);
-    }
-
     /// Chooses the next attempt, after a prefill on another engine if the placement
     /// plans one.
     async fn next_attempt(&mut self) -> Result<Attempt, GatewayReply> {
@@ -220,92 +191,6 @@
         Err(self.not_run("the prompt was not read", RefusalCause::NoCapacity))
     }
 
-    fn is_prompt(&self) -> bool {
-        let request = &self.admitted.outgoing.request;
-        self.admitted.route.has_prompt && request.prompt.prompt_tokens > 0
-    }
-
-    /// Calls `choose` with the placement policy and the current view of the fleet.
-    fn choose<T>(
-        &self,
-        tried: &[UpstreamKey],
-        choose: impl FnOnce(&Placement, FleetView<'_>) -> T,
-    ) -> T {
-        let view = FleetView {
-            table: &self.state.table.borrow(),
-            peers: &self.state.peer_loads.borrow(),
-            service: &self.admitted.service,
-            tried,
-            changing_role: &self.state.changing_role.borrow(),
-            now: clock::now(),
-            tie_breaker: rand::rng().random(),
-        };
-        choose(&self.state.placement.borrow(), view)
-    }
-
-    /// Returns an attempt of a request without a prompt, preferably on an upstream
-    /// that has not been tried.
-    fn plain_attempt(&self) -> Result<Attempt, GatewayReply> {
-        let untried = self.choose(&self.tried, |placement, view| {
-            placement.choose_upstream(view)
-        });
-        let silent = self.silent_upstream.as_slice();
-        let any = || self.choose(silent, |placement, view| placement.choose_upstream(view));
-        let upstream = untried
-            .or_else(any)
-            .ok_or_else(|| self.no_upstream("no upstream is there"))?;
-        Ok(self.attempt(upstream, UpstreamTask::Run, 0))
-    }
-
-    fn prompt_plan(&self) -> Result<PromptPlan, GatewayReply> {
-        let prompt = &self.admitted.outgoing.request.prompt;
-        let goal = self.admitted.route.latency_goal;
-        let time_left = clock::time_until(self.admitted.deadline);
-        let plan = self.choose(&self.tried, |placement, view| {
-            placement.plan_prompt(view, prompt, goal, time_left)
-        });
-        plan.map_err(|refusal| match refusal {
-            PromptRefusal::NoEngine => self.no_upstream("no engine is there"),
-            PromptRefusal::Overload(wait) => {
-                self.not_run("all engines are busy reading", RefusalCause::Overload(wait))
-            }
-        })
-    }
-
-    /// Returns an attempt with prefill and decode on one engine.
-    fn single_engine_attempt(&self, upstream: UpstreamKey) -> Attempt {
-        let tokens = self.admitted.outgoing.request.prompt.prompt_tokens;
-        self.attempt(upstream, UpstreamTask::Run, u64::from(tokens))
-    }
-
-    /// Returns an attempt to continue from the KV cache on a decode engine, or `None`
-    /// if there is no KV cache, it has used up its attempts, or no engine is
-    /// available.
-    fn decode_attempt(&mut self) -> Option<Attempt> {
-        let kv_cache = self.kv_cache.as_mut()?;
-        if kv_cache.attempts >= KV_CACHE_ATTEMPTS {
-            self.kv_cache = None;
-            return None;
-        }
-        kv_cache.attempts += 1;
-        let (prefill_engine, handle) = (kv_cache.prefill_engine, kv_cache.handle.clone());
-        let upstream = self.choose(&self.tried, |placement, view| {
-            placement.choose_decode_engine(view, prefill_engine)
-        })?;
-        Some(self.attempt(upstream, UpstreamTask::DecodeFrom(handle), 0))
-    }
-
-    fn attempt(&self, upstream: UpstreamKey, task: UpstreamTask, prefill_tokens: u64) -> Attempt {
-        Attempt {
-            upstream,
-            task,
-            resume_after: self.resume_after,
-            prefill_tokens,
-            caller_deadline: self.admitted.deadline,
-            deadline: self.admitted.deadline,
-        }
-    }
-
     /// Spends a retry from the budget if the attempt is a retry. Returns `None` if
     /// the budget is exhausted.
     fn spend_retry(&self, attempt: Attempt) -> Option<Attempt> {
--- /dev/null
+++ b/crates/gateway/src/run/choice.rs
@@ -0,0 +1,103 @@
+//! Chooses the upstream and the work of the next attempt.
+
+use super::{KV_CACHE_ATTEMPTS, RequestRun};
+use crate::clock;
+use crate::reply::GatewayReply;
+use crate::send::Attempt;
+use lagoonlift_adapter::upstream::UpstreamTask;
+use lagoonlift_policy::UpstreamKey;
+use lagoonlift_policy::dispatch::{FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause};
+use rand::RngExt;
+
+impl RequestRun {
+    pub(super) fn is_prompt(&self) -> bool {
+        let request = &self.admitted.outgoing.request;
+        self.admitted.route.has_prompt && request.prompt.prompt_tokens > 0
+    }
+
+    /// Calls `choose` with the placement policy and the current view of the fleet.
+    pub(super) fn choose<T>(
+        &self,
+        tried: &[UpstreamKey],
+        choose: impl FnOnce(&Placement, FleetView<'_>) -> T,
+    ) -> T {
+        let view = FleetView {
+            table: &self.state.table.borrow(),
+            peers: &self.state.peer_loads.borrow(),
+            service: &self.admitted.service,
+            tried,
+            changing_role: &self.state.changing_role.borrow(),
+            now: clock::now(),
+            tie_breaker: rand::rng().random(),
+        };
+        choose(&self.state.placement.borrow(), view)
+    }
+
+    /// Returns an attempt of a request without a prompt, preferably on an upstream
+    /// that has not been tried.
+    pub(super) fn plain_attempt(&self) -> Result<Attempt, GatewayReply> {
+        let untried = self.choose(&self.tried, |placement, view| {
+            placement.choose_upstream(view)
+        });
+        let silent = self.silent_upstream.as_slice();
+        let any = || self.choose(silent, |placement, view| placement.choose_upstream(view));
+        let upstream = untried
+            .or_else(any)
+            .ok_or_else(|| self.no_upstream("no upstream is there"))?;
+        Ok(self.attempt(upstream, UpstreamTask::Run, 0))
+    }
+
+    pub(super) fn prompt_plan(&self) -> Result<PromptPlan, GatewayReply> {
+        let prompt = &self.admitted.outgoing.request.prompt;
+        let goal = self.admitted.route.latency_goal;
+        let time_left = clock::time_until(self.admitted.deadline);
+        let plan = self.choose(&self.tried, |placement, view| {
+            placement.plan_prompt(view, prompt, goal, time_left)
+        });
+        plan.map_err(|refusal| match refusal {
+            PromptRefusal::NoEngine => self.no_upstream("no engine is there"),
+            PromptRefusal::Overload(wait) => {
+                self.not_run("all engines are busy reading", RefusalCause::Overload(wait))
+            }
+        })
+    }
+
+    /// Returns an attempt with prefill and decode on one engine.
+    pub(super) fn single_engine_attempt(&self, upstream: UpstreamKey) -> Attempt {
+        let tokens = self.admitted.outgoing.request.prompt.prompt_tokens;
+        self.attempt(upstream, UpstreamTask::Run, u64::from(tokens))
+    }
+
+    /// Returns an attempt to continue from the KV cache on a decode engine, or `None`
+    /// if there is no KV cache, it has used up its attempts, or no engine is
+    /// available.
+    pub(super) fn decode_attempt(&mut self) -> Option<Attempt> {
+        let kv_cache = self.kv_cache.as_mut()?;
+        if kv_cache.attempts >= KV_CACHE_ATTEMPTS {
+            self.kv_cache = None;
+            return None;
+        }
+        kv_cache.attempts += 1;
+        let (prefill_engine, handle) = (kv_cache.prefill_engine, kv_cache.handle.clone());
+        let upstream = self.choose(&self.tried, |placement, view| {
+            placement.choose_decode_engine(view, prefill_engine)
+        })?;
+        Some(self.attempt(upstream, UpstreamTask::DecodeFrom(handle), 0))
+    }
+
+    pub(super) fn attempt(
+        &self,
+        upstream: UpstreamKey,
+        task: UpstreamTask,
+        prefill_tokens: u64,
+    ) -> Attempt {
+        Attempt {
+            upstream,
+            task,
+            resume_after: self.resume_after,
+            prefill_tokens,
+            caller_deadline: self.admitted.deadline,
+            deadline: self.admitted.deadline,
+        }
+    }
+}
