gateway: prompts with a prefix block that crashes engines are refused on all hosts

Cause: a crash was taken for a fault of its engine. The request went to the next engine, new requests with the block were admitted, and no host knew of crashes that others saw. Class: a fault of the input that is treated as a fault of the server (a query of death).

Streams that had run for half a second when their engine crashed aren't suspects; a second of events, or a complete framed response, shows that a block is sound. The engine's entry is kept from before the send: it may be listed again before its crash is noticed.

--- a/crates/gateway/src/crash_monitor.rs
+++ b/crates/gateway/src/crash_monitor.rs
@@ -87,7 +87,4 @@
             "prefix block in quarantine: its prompts crash engines"
         );
     }
-    state
-        .metrics
-        .set_quarantined_blocks(quarantine.active(now).count());
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 mod usage;
 
 use crate::clock;
+use crate::crash_monitor;
 use crate::era_monitor::EraSource;
 use crate::state::GatewayState;
 use lagoonlift_policy::Timestamp;
@@ -117,6 +118,7 @@
     let mut was_busy = true;
     for turn in 0_u64.. {
         sleep(SEND_INTERVAL).await;
+        crash_monitor::decide(&state);
         let news = state.block_quarantine.borrow_mut().news(clock::now());
         if let Some(news) = news {
             let peers = next_peers(&state.peers.borrow(), address, turn, PEERS_PER_INTERVAL);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,10 @@
 /// engine.
 const SUCCESS_TIME: Duration = Duration::from_secs(1);
 
+/// Time after its first event from which on a stream isn't suspected of the crash of its
+/// engine.
+const MAX_CRASH_DELAY: Duration = Duration::from_millis(500);
+
 /// Longest time for which the request may be at a silent upstream and at the one that
 /// should replace it.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
@@ -255,13 +259,11 @@
                 now.since(first_event_at) >= SUCCESS_TIME
             }
             Some(StreamItem::End) => self.source.was_framed(),
-            Some(StreamItem::Broken(_)) if !self.has_succeeded => {
-                if let Some(upstream) = self.source.upstream() {
-                    self.run.record_interruption(upstream);
-                }
+            Some(StreamItem::Broken(_)) => {
+                self.record_interruption(now);
                 false
             }
-            Some(StreamItem::Broken(_)) | None => false,
+            None => false,
         };
         if is_success && !self.has_succeeded {
             self.has_succeeded = true;
@@ -269,6 +271,18 @@
         }
     }
 
+    /// Records that the upstream may have crashed on the prompt. Crashes that a prompt
+    /// causes come when its generation begins.
+    fn record_interruption(&self, now: Timestamp) {
+        let has_begun_before = self
+            .first_event_at
+            .is_some_and(|at| now.since(at) >= MAX_CRASH_DELAY);
+        match self.source.upstream() {
+            Some(upstream) if !has_begun_before => self.run.record_interruption(upstream),
+            Some(_) | None => {}
+        }
+    }
+
     /// Continues the stream with the response of another upstream.
     fn continue_with(&mut self, response: Box<UpstreamResponse>) {
         self.request_log.record_resume();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,8 @@
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    AttemptHistory, BlockKey, NextStep, PromptPlan, RefusalCause, SendResult, retry_after,
+    AttemptHistory, BlockKey, NextStep, PromptPlan, RefusalCause, SendResult, UpstreamRecord,
+    retry_after,
 };
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -49,6 +50,9 @@
     pub(crate) history: AttemptHistory,
     /// Blocks that other prompts may share; empty for a request without a prompt.
     pub(crate) shared_blocks: Vec<BlockKey>,
+    /// Entry of the latest attempt's engine when it was sent, if there are shared blocks.
+    /// A crashed engine may be listed again before its crash is noticed.
+    engine: Option<(UpstreamKey, UpstreamRecord)>,
     /// Upstreams of earlier attempts and of failed prefills.
     pub(crate) tried: Vec<UpstreamKey>,
     kv_cache: Option<HeldKvCache>,
@@ -102,6 +106,7 @@
             admitted,
             history,
             shared_blocks,
+            engine: None,
             tried: Vec::new(),
             kv_cache: None,
             resume_after: None,
@@ -227,6 +232,12 @@
         let upstream = attempt.upstream;
         let uses_kv_cache = matches!(attempt.task, UpstreamTask::DecodeFrom(_));
         let is_retry = self.is_retry(&attempt.task);
+        if !self.shared_blocks.is_empty() {
+            let table = self.state.table.borrow();
+            self.engine = table
+                .get(upstream)
+                .map(|one| (upstream, one.record.clone()));
+        }
         self.send_in_progress = Some(SendInProgress::Attempt(upstream));
         let outcome = send(&self.state, &self.admitted.outgoing, attempt).await;
         self.tried.push(upstream);
--- a/crates/gateway/src/run/quarantine.rs
+++ b/crates/gateway/src/run/quarantine.rs
@@ -25,10 +25,12 @@
     /// Records that the connection of an attempt ended early; the upstream may have
     /// crashed.
     pub(crate) fn record_interruption(&self, upstream: UpstreamKey) {
-        let table = self.state.table.borrow();
-        if let Some(one) = table.get(upstream) {
-            let blocks = &self.shared_blocks;
-            crash_monitor::record_interruption(&self.state, upstream, &one.record, blocks);
+        let blocks = &self.shared_blocks;
+        match &self.engine {
+            Some((engine, record)) if *engine == upstream => {
+                crash_monitor::record_interruption(&self.state, upstream, record, blocks);
+            }
+            Some(_) | None => {}
         }
     }
 
