--- a/crates/gateway/src/quarantine_store.rs
+++ b/crates/gateway/src/quarantine_store.rs
@@ -7,6 +7,7 @@
 
 use crate::clock;
 use crate::state::GatewayState;
+use crate::store_gate::StoreGate;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, WriteCondition};
 use lagoonlift_policy::dispatch::{BlockKey, QuarantinedBlock};
 use serde::{Deserialize, Serialize};
@@ -17,10 +18,7 @@
 /// Kind of the objects.
 const QUARANTINE_KIND: &str = "quarantined-blocks";
 
-/// Number of attempts to read the objects at the start.
-const START_READS: u32 = 20;
-
-/// Delay between two of these attempts.
+/// Delay between two attempts to read the objects at the start.
 const START_READ_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Contents of an object.
@@ -33,7 +31,8 @@
 
 /// Reads the quarantines at the start of the process.
 pub(crate) async fn restore_at_start(state: Rc<GatewayState>) {
-    for _ in 0..START_READS {
+    loop {
+        StoreGate::wait_until_open(&state).await;
         match restore(&state).await {
             Ok(blocks) => {
                 tracing::info!(blocks = blocks.len(), "quarantined blocks read");
@@ -43,7 +42,6 @@
         }
         sleep(START_READ_INTERVAL).await;
     }
-    tracing::warn!("the quarantined blocks can't be read; peers tell of them");
 }
 
 /// Reads the quarantines and puts them into force; returns the blocks.
