--- a/tests/soak/announcements.rs
+++ b/tests/soak/announcements.rs
@@ -33,7 +33,7 @@
     Upstream(usize),
 }
 
-/// A fault of a host or of a link to an upstream.
+/// A fault of a host or of a link to an upstream, or the crash of an upstream.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Disruption {
     pub(crate) target: DisruptionTarget,
@@ -146,8 +146,17 @@
     from: Instant,
     until: Instant,
 ) -> bool {
-    let of_target = report.disruptions.iter().filter(|one| one.target == target);
-    of_target
-        .into_iter()
-        .any(|one| one.from <= until && from <= one.until)
+    has_overlap(&report.disruptions, target, from, until)
+}
+
+/// Returns whether one of `disruptions` of `target` overlaps the time from `from` to
+/// `until`.
+pub(crate) fn has_overlap(
+    disruptions: &[Disruption],
+    target: DisruptionTarget,
+    from: Instant,
+    until: Instant,
+) -> bool {
+    let mut of_target = disruptions.iter().filter(|one| one.target == target);
+    of_target.any(|one| one.from <= until && from <= one.until)
 }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -2,6 +2,7 @@
 //! platform observed during a run.
 
 use crate::announcements::{self, Disruption};
+use crate::engines;
 use crate::load::{RequestKind, SentRequest};
 use crate::support::duty::DutyCall;
 use crate::support::upstream::Received;
@@ -22,8 +23,15 @@
     pub(crate) requests: Vec<SentRequest>,
     /// Requests that each upstream received.
     pub(crate) received: Vec<Vec<Received>>,
-    /// Faults of hosts and of links to upstreams.
+    /// Faults of hosts and of links to upstreams as scheduled, and crashes of upstreams.
     pub(crate) disruptions: Vec<Disruption>,
+    /// Faults of hosts and of links to upstreams, resets of links included, until they
+    /// in fact ended.
+    pub(crate) actual_disruptions: Vec<Disruption>,
+    /// Times at which each upstream crashed.
+    pub(crate) crashes: Vec<Vec<Instant>>,
+    /// Prefix block on which the decode engines crashed, if there was one.
+    pub(crate) crashing_block: Option<&'static str>,
     pub(crate) usage: Vec<DutyCall>,
     /// Time at which the key [`OTHER_KEY`] was withdrawn; `None` if it wasn't.
     pub(crate) withdrawn_at: Option<Instant>,
@@ -41,12 +49,13 @@
         };
         write!(
             f,
-            "{} requests, {} answered, {} refused, {} unknown, {} usage reports",
+            "{} requests, {} answered, {} refused, {} unknown, {} usage reports, {} crashes",
             self.requests.len(),
             status(200),
             status(503),
             status(502) + status(504),
-            self.usage.len()
+            self.usage.len(),
+            self.crashes.iter().map(Vec::len).sum::<usize>()
         )
     }
 }
@@ -71,6 +80,7 @@
     }
     check_usage(&report.usage, &mut violations);
     announcements::check(report, &mut violations);
+    engines::check(report, &mut violations);
     if report.unclean_shutdowns > 0 {
         violations.push(format!(
             "{} hosts did not shut down cleanly in time",
@@ -146,9 +156,9 @@
         RequestKind::Idempotent | RequestKind::NonIdempotent => {
             response.is_whole && response.body == format!("ok {id}")
         }
-        RequestKind::NonIdempotentStream | RequestKind::ResumableStream => {
-            is_in_order(&response.body, response.is_whole)
-        }
+        RequestKind::NonIdempotentStream
+        | RequestKind::ResumableStream
+        | RequestKind::CrashingStream => is_in_order(&response.body, response.is_whole),
     };
     if response.status == 200 && !(is_expected && response.header("x-response-seal").is_some()) {
         violations.push(format!(
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -2,13 +2,14 @@
 
 use crate::announcements::{Disruption, DisruptionTarget};
 use crate::checks::RunReport;
-use crate::faults::{Fault, Link, Schedule, ScheduledFault, UpstreamRole, roles};
+use crate::faults::{self, Fault, Link, Schedule, ScheduledFault, UpstreamRole, roles};
 use crate::host::{HostProcess, PlatformAddresses};
 use crate::load::{self, CallerKind, CallerLog};
 use crate::proxy::{FaultProxy, LinkState};
 use crate::support::fleet;
+use crate::support::upstream::RESTART_TIME;
 use crate::support::{
-    Behaviour, DutyStandin, StoreStandin, UpstreamStandin, configuration, eventually,
+    Behaviour, DutyStandin, KEY, StoreStandin, UpstreamStandin, configuration, eventually,
 };
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -28,6 +29,13 @@
 /// withdrawn.
 const KEY_WITHDRAWAL_DELAY: Duration = Duration::from_secs(2);
 
+/// Time from the start of the fault phase until requests come that crash engines. The
+/// hosts have learned by then which blocks are sound.
+const CRASH_DELAY: Duration = Duration::from_secs(2);
+
+/// Time from the return of a crashed engine until it is listed again.
+const LISTING_DELAY: Duration = Duration::from_millis(50);
+
 /// Time after the faults in which the hosts send their last usage reports and finish
 /// requests in flight.
 const SETTLE_TIME: Duration = Duration::from_secs(6);
@@ -50,6 +58,12 @@
     withdrawn_at: Option<Instant>,
     active_faults: Vec<(Instant, Fault)>,
     disruptions: Vec<Disruption>,
+    actual_disruptions: Vec<Disruption>,
+    crashing_block: Option<&'static str>,
+    /// Whether callers send requests that crash engines.
+    has_crashing_callers: bool,
+    /// Tasks that list crashed engines again.
+    listings: JoinSet<()>,
     /// Number of restarts of each upstream.
     restarts: Vec<u64>,
 }
@@ -64,7 +78,8 @@
         let mut upstream_links = Vec::new();
         for (number, role) in roles().into_iter().enumerate() {
             let upstream = UpstreamStandin::start(role.behaviour()).await;
-            let link = FaultProxy::start(upstream.address).await;
+            let crashes = upstream.crash_times();
+            let link = FaultProxy::start_with_crashes(upstream.address, crashes).await;
             store.put(
                 "servers",
                 &format!("p{number}"),
@@ -97,21 +112,68 @@
             withdrawn_at: None,
             active_faults: Vec::new(),
             disruptions: Vec::new(),
+            actual_disruptions: Vec::new(),
+            crashing_block: faults::crashing_block(seed),
+            has_crashing_callers: false,
+            listings: JoinSet::new(),
             restarts: vec![0; roles().len()],
         };
         cluster.wait_until_serving("first").await;
-        for host in &cluster.hosts {
-            for key in load::keys() {
-                for caller in [CallerKind::Plain, CallerKind::Stream] {
-                    let log = Arc::clone(&cluster.log);
-                    let caller_task = load::run_caller(log, host.callers, key, caller);
-                    cluster.callers.spawn(caller_task);
-                }
+        for key in load::keys() {
+            for caller in [CallerKind::Plain, CallerKind::Stream] {
+                cluster.start_callers(key, caller);
             }
         }
+        if let Some(block) = cluster.crashing_block {
+            cluster.let_engines_crash(block);
+            cluster.start_callers(KEY, CallerKind::ResumableStream);
+        }
         cluster
     }
 
+    /// Starts one caller of each host.
+    fn start_callers(&mut self, key: &'static str, caller: CallerKind) {
+        for host in &self.hosts {
+            let log = Arc::clone(&self.log);
+            let caller_task = load::run_caller(log, host.callers, key, caller);
+            self.callers.spawn(caller_task);
+        }
+    }
+
+    /// Lets the decode engines crash on a prefix block, and lists them again after each
+    /// crash.
+    fn let_engines_crash(&mut self, block: &'static str) {
+        for (number, role) in roles().into_iter().enumerate() {
+            if role != UpstreamRole::Decode {
+                continue;
+            }
+            self.upstreams[number].crash_on(block);
+            let mut crashes = self.upstreams[number].crash_times();
+            let store = self.store.clone();
+            let address = self.upstream_links[number].address;
+            self.listings.spawn(async move {
+                while crashes.changed().await.is_ok() {
+                    sleep(RESTART_TIME + LISTING_DELAY).await;
+                    let count = crashes.borrow_and_update().len() as u64;
+                    let record = upstream_record_for(role, address, count);
+                    store.put("servers", &format!("p{number}"), record);
+                }
+            });
+        }
+    }
+
+    /// Lists the engines that have crashed again, after the store has lost their records.
+    fn list_crashed_engines(&self) {
+        for (number, upstream) in self.upstreams.iter().enumerate() {
+            let count = upstream.crashes() as u64;
+            if count > 0 {
+                let address = self.upstream_links[number].address;
+                let record = upstream_record_for(roles()[number], address, count);
+                self.store.put("servers", &format!("p{number}"), record);
+            }
+        }
+    }
+
     /// Runs the fault phase: starts and ends faults as scheduled, and withdraws one key.
     pub(crate) async fn run_faults(&mut self) {
         let start = Instant::now();
@@ -123,7 +185,14 @@
                 self.store.put("config", "main", configuration(2));
                 self.withdrawn_at = Some(Instant::now());
             }
+            let is_due = start.elapsed() > CRASH_DELAY;
+            if self.crashing_block.is_some() && is_due && !self.has_crashing_callers {
+                self.has_crashing_callers = true;
+                self.start_callers(KEY, CallerKind::CrashingStream);
+            }
             self.start_fault(scheduled);
+            let trouble = self.schedule.next_trouble();
+            self.start_fault(trouble);
         }
     }
 
@@ -154,10 +223,22 @@
         }
         self.log.stop();
         while self.callers.join_next().await.is_some() {}
+        let crashes: Vec<Vec<Instant>> = self
+            .upstreams
+            .iter()
+            .map(|one| one.crash_times().borrow().clone())
+            .collect();
         RunReport {
             requests: self.log.requests(),
             received: self.upstreams.iter().map(|one| one.received()).collect(),
-            disruptions: self.disruptions,
+            disruptions: self
+                .disruptions
+                .into_iter()
+                .chain(crashes_as_disruptions(&crashes))
+                .collect(),
+            actual_disruptions: self.actual_disruptions,
+            crashes,
+            crashing_block: self.crashing_block,
             usage: self.duties.calls("/usage"),
             withdrawn_at: self.withdrawn_at,
             unclean_shutdowns,
@@ -190,8 +271,56 @@
         });
     }
 
+    /// Records a fault of a host, or of the requests on a link, that lasts until `end`.
+    fn record_actual_disruption(&mut self, fault: &Fault, end: Instant) {
+        let from = Instant::now();
+        let until = match fault {
+            Fault::Reset(_) => from,
+            _ => end,
+        };
+        let Some(target) = self.target(fault) else {
+            return;
+        };
+        self.actual_disruptions.push(Disruption {
+            target,
+            from,
+            until,
+        });
+    }
+
+    /// Records that a fault that should last until `end` has ended now.
+    fn record_end(&mut self, fault: &Fault, end: Instant) {
+        let target = self.target(fault);
+        let ended = self.actual_disruptions.iter_mut();
+        for one in ended.filter(|one| Some(one.target) == target && one.until == end) {
+            one.until = Instant::now();
+        }
+    }
+
+    /// Returns the host or the link of an upstream that a fault affects.
+    fn target(&self, fault: &Fault) -> Option<DisruptionTarget> {
+        match fault {
+            Fault::Suspend(host) | Fault::Kill(host) | Fault::Restart(host) => {
+                Some(DisruptionTarget::Host(self.hosts[*host].callers))
+            }
+            Fault::Degrade(Link::Upstream(upstream), _)
+            | Fault::Reset(Link::Upstream(upstream)) => Some(DisruptionTarget::Upstream(*upstream)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether an upstream has a fault or trouble now.
+    fn is_faulty(&self, upstream: usize) -> bool {
+        let mut active = self.active_faults.iter();
+        active.any(|(_, fault)| {
+            matches!(fault, Fault::Upstream(one, _) | Fault::Trouble(one, _) if *one == upstream)
+        })
+    }
+
     fn start_fault(&mut self, scheduled: ScheduledFault) {
+        let end = Instant::now() + scheduled.duration;
         self.record_disruption(&scheduled);
+        self.record_actual_disruption(&scheduled.fault, end);
         match &scheduled.fault {
             Fault::Suspend(host) => self.hosts[*host].set_suspended(true),
             Fault::Kill(host) => self.hosts[*host].kill(),
@@ -205,9 +334,12 @@
             Fault::Upstream(upstream, behaviour) => {
                 self.upstreams[*upstream].behave(behaviour.clone())
             }
+            Fault::Trouble(upstream, _) if self.is_faulty(*upstream) => return,
+            Fault::Trouble(upstream, behaviour) => {
+                self.upstreams[*upstream].behave(behaviour.clone());
+            }
         }
-        self.active_faults
-            .push((Instant::now() + scheduled.duration, scheduled.fault));
+        self.active_faults.push((end, scheduled.fault));
     }
 
     /// Ends the faults whose end time is not after `now`.
@@ -216,7 +348,8 @@
         let (expired, remaining): (Vec<_>, Vec<_>) =
             active.into_iter().partition(|(end, _)| *end <= now);
         self.active_faults = remaining;
-        for (_, fault) in expired {
+        for (end, fault) in expired {
+            let ended = fault.clone();
             match fault {
                 Fault::Suspend(host) => self.hosts[host].set_suspended(false),
                 Fault::Kill(host) | Fault::Restart(host) => self.restart(host),
@@ -225,6 +358,7 @@
                 Fault::StoreDown(copy_age) => {
                     if let Some(age) = copy_age {
                         self.store.restore(age);
+                        self.list_crashed_engines();
                     }
                     self.store.is_down.store(false, Ordering::SeqCst);
                 }
@@ -234,7 +368,12 @@
                         self.restart_upstream(upstream);
                     }
                 }
+                Fault::Trouble(upstream, _) if self.is_faulty(upstream) => {}
+                Fault::Trouble(upstream, _) => {
+                    self.upstreams[upstream].behave(roles()[upstream].behaviour());
+                }
             }
+            self.record_end(&ended, end);
         }
     }
 
@@ -262,6 +401,19 @@
     }
 }
 
+/// Returns the times for which upstreams were down after their crashes. An engine that
+/// returns knows nothing of what it announced before.
+fn crashes_as_disruptions(crashes: &[Vec<Instant>]) -> impl Iterator<Item = Disruption> {
+    let with_number = crashes.iter().enumerate();
+    with_number.flat_map(|(upstream, times)| {
+        times.iter().map(move |from| Disruption {
+            target: DisruptionTarget::Upstream(upstream),
+            from: *from,
+            until: *from + RESTART_TIME,
+        })
+    })
+}
+
 /// Returns the store record of an upstream after a number of restarts.
 fn upstream_record_for(role: UpstreamRole, address: SocketAddr, restarts: u64) -> Value {
     let (service, stage) = match role {
--- /dev/null
+++ b/tests/soak/engines.rs
@@ -0,0 +1,297 @@
+//! Checks of responses whose upstream was silent, broke off or crashed, and of the prefix
+//! block that crashes engines.
+
+use crate::announcements::{DisruptionTarget, has_overlap};
+use crate::checks::RunReport;
+use crate::load::{RequestKind, SentRequest};
+use crate::support::upstream::Received;
+use crate::support::{Behaviour, KEY, UnframedEnd};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time from a request until its deadline, which is also the timeout of its route.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Number of the crash after which the block must be known.
+const KNOWN_AFTER_CRASHES: usize = 5;
+
+/// Time after that crash, or after a fault of a host, within which requests with the block
+/// may still reach engines.
+const QUARANTINE_DELAY: Duration = Duration::from_secs(3);
+
+/// Requests with the block that may reach engines later.
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// Reason that a refusal because of a block in quarantine states.
+const QUARANTINE_REASON: &str = "a prefix block crashes engines";
+
+/// A request that an upstream received.
+#[derive(Clone, Copy)]
+struct Arrival<'a> {
+    upstream: usize,
+    received: &'a Received,
+}
+
+/// How a response of an upstream ends, as far as its behaviour tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponseEnd {
+    /// It is complete.
+    Whole,
+    /// It ends early.
+    Broken,
+}
+
+/// Appends a description of each violated guarantee.
+pub(crate) fn check(report: &RunReport, violations: &mut Vec<String>) {
+    let arrivals = arrivals_by_request(report);
+    for request in &report.requests {
+        let arrivals = arrivals.get(request.id.as_str());
+        let arrivals = arrivals.map_or(&[][..], Vec::as_slice);
+        check_incomplete_stream(report, request, arrivals, violations);
+        check_broken_response(request, arrivals, violations);
+        check_unframed_response(report, request, arrivals, violations);
+        check_refusal_reason(request, violations);
+    }
+    if report.crashing_block.is_some() {
+        check_quarantine(report, &arrivals, violations);
+        check_sound_prompts(report, &arrivals, violations);
+    }
+}
+
+/// Returns the requests that upstreams received, without prefills and releases of a KV
+/// cache, by request identifier.
+fn arrivals_by_request(report: &RunReport) -> HashMap<&str, Vec<Arrival<'_>>> {
+    let mut arrivals: HashMap<&str, Vec<Arrival<'_>>> = HashMap::new();
+    for (upstream, all) in report.received.iter().enumerate() {
+        let attempts = all.iter().filter(|one| {
+            one.header("x-stage") != Some("prefill") && !one.line.starts_with("DELETE")
+        });
+        for received in attempts {
+            let id = received.header("x-request-id").unwrap_or_default();
+            let arrival = Arrival { upstream, received };
+            arrivals.entry(id).or_default().push(arrival);
+        }
+    }
+    arrivals
+}
+
+/// Returns how a response with this behaviour ends; `None` if the upstream refuses the
+/// request or sends a response that is wrong in another way.
+fn response_end(behaviour: &Behaviour) -> Option<ResponseEnd> {
+    match behaviour {
+        Behaviour::Respond
+        | Behaviour::Draining
+        | Behaviour::Unframed
+        | Behaviour::Stream(_)
+        | Behaviour::SlowStream(_)
+        | Behaviour::PausedSlowStream(..)
+        | Behaviour::UnframedStream(_, UnframedEnd::Close) => Some(ResponseEnd::Whole),
+        Behaviour::Close
+        | Behaviour::Truncate
+        | Behaviour::UnframedReset
+        | Behaviour::CrashOn(_)
+        | Behaviour::InterruptedStream(_)
+        | Behaviour::UnframedStream(..) => Some(ResponseEnd::Broken),
+        _ => None,
+    }
+}
+
+/// Returns whether a fault affected the request's host, or the link to one of the
+/// upstreams that received it, or whether one of these crashed.
+fn is_disturbed(report: &RunReport, request: &SentRequest, arrivals: &[Arrival<'_>]) -> bool {
+    let (from, until) = (request.sent_at, request.ended_at);
+    let is_disrupted = |target| has_overlap(&report.actual_disruptions, target, from, until);
+    let has_crashed = |upstream: usize| {
+        let mut times = report.crashes[upstream].iter();
+        times.any(|at| from <= *at && *at <= until)
+    };
+    is_disrupted(DisruptionTarget::Host(request.host))
+        || arrivals.iter().any(|one| {
+            is_disrupted(DisruptionTarget::Upstream(one.upstream)) || has_crashed(one.upstream)
+        })
+}
+
+/// Checks that a stream that ended early had a reason for it outside the gateway.
+fn check_incomplete_stream(
+    report: &RunReport,
+    request: &SentRequest,
+    arrivals: &[Arrival<'_>],
+    violations: &mut Vec<String>,
+) {
+    let Some(response) = &request.response else {
+        return;
+    };
+    let is_cut = response.status == 200 && !response.is_whole;
+    // An upstream that closes the connection before its head can't have been the one that
+    // the caller got events from.
+    let has_broken = arrivals.iter().any(|one| {
+        one.received.behaviour != Behaviour::Close
+            && response_end(&one.received.behaviour) == Some(ResponseEnd::Broken)
+    });
+    let is_in_time = request.ended_at < request.sent_at + DEADLINE;
+    if is_cut && is_in_time && !has_broken && !is_disturbed(report, request, arrivals) {
+        let behaviours: Vec<_> = arrivals.iter().map(|one| &one.received.behaviour).collect();
+        violations.push(format!(
+            "{} ended early after {:?} without a reason: {behaviours:?}",
+            request.id,
+            request.ended_at - request.sent_at
+        ));
+    }
+}
+
+/// Checks that a response that each upstream broke off isn't complete for the caller.
+fn check_broken_response(
+    request: &SentRequest,
+    arrivals: &[Arrival<'_>],
+    violations: &mut Vec<String>,
+) {
+    let Some(response) = &request.response else {
+        return;
+    };
+    let mut ends = arrivals
+        .iter()
+        .filter_map(|one| response_end(&one.received.behaviour))
+        .peekable();
+    let is_broken = ends.peek().is_some() && ends.all(|end| end == ResponseEnd::Broken);
+    if response.status == 200 && response.is_whole && is_broken {
+        violations.push(format!(
+            "{} is complete though its upstreams broke off",
+            request.id
+        ));
+    }
+}
+
+/// Checks that a complete response without a length is complete for the caller.
+fn check_unframed_response(
+    report: &RunReport,
+    request: &SentRequest,
+    arrivals: &[Arrival<'_>],
+    violations: &mut Vec<String>,
+) {
+    let Some(last) = arrivals.iter().max_by_key(|one| one.received.at) else {
+        return;
+    };
+    let is_unframed = matches!(
+        last.received.behaviour,
+        Behaviour::Unframed | Behaviour::UnframedStream(_, UnframedEnd::Close)
+    );
+    let response = request.response.as_ref();
+    let is_whole = response.is_some_and(|one| one.status == 200 && one.is_whole);
+    let is_in_time = request.ended_at < request.sent_at + DEADLINE;
+    if is_unframed && !is_whole && is_in_time && !is_disturbed(report, request, arrivals) {
+        violations.push(format!(
+            "{} isn't complete though its upstream's response without a length was",
+            request.id
+        ));
+    }
+}
+
+/// Checks that no sound prompt is refused as one that crashes engines.
+fn check_refusal_reason(request: &SentRequest, violations: &mut Vec<String>) {
+    let Some(response) = &request.response else {
+        return;
+    };
+    let is_sound = request.kind != RequestKind::CrashingStream;
+    if is_sound && response.body.contains(QUARANTINE_REASON) {
+        violations.push(format!("{} was refused for a block", request.id));
+    }
+}
+
+/// Returns the time of the crash after which the block must be known, or of the last one
+/// if there were fewer; `None` if no engine crashed.
+fn decisive_crash(report: &RunReport) -> Option<Instant> {
+    let mut times: Vec<Instant> = report.crashes.iter().flatten().copied().collect();
+    times.sort_unstable();
+    times.into_iter().take(KNOWN_AFTER_CRASHES).next_back()
+}
+
+/// Checks that requests with the block that crashes engines soon stop to reach them.
+fn check_quarantine(
+    report: &RunReport,
+    arrivals: &HashMap<&str, Vec<Arrival<'_>>>,
+    violations: &mut Vec<String>,
+) {
+    let Some(decisive) = decisive_crash(report) else {
+        violations.push("no engine crashed".to_owned());
+        return;
+    };
+    let known_from = decisive + QUARANTINE_DELAY;
+    let crashing = report
+        .requests
+        .iter()
+        .filter(|one| one.kind == RequestKind::CrashingStream);
+    let late: Vec<&str> = crashing
+        .filter(|request| {
+            let of_request = arrivals.get(request.id.as_str());
+            of_request.into_iter().flatten().any(|one| {
+                let at = one.received.at;
+                let host = DisruptionTarget::Host(request.host);
+                let since = at - QUARANTINE_DELAY;
+                at > known_from && !has_overlap(&report.actual_disruptions, host, since, at)
+            })
+        })
+        .map(|request| request.id.as_str())
+        .collect();
+    if late.len() > MAX_LATE_ARRIVALS {
+        violations.push(format!(
+            "{} requests with a block that crashes engines reached them, the first was {}",
+            late.len(),
+            late[0]
+        ));
+    }
+}
+
+/// Checks that sound prompts that share the first block are still served.
+fn check_sound_prompts(
+    report: &RunReport,
+    arrivals: &HashMap<&str, Vec<Arrival<'_>>>,
+    violations: &mut Vec<String>,
+) {
+    let first_crash = report.crashes.iter().flatten().min();
+    let (Some(first_crash), Some(decisive)) = (first_crash, decisive_crash(report)) else {
+        return;
+    };
+    let known_from = decisive + QUARANTINE_DELAY;
+    let sound = report
+        .requests
+        .iter()
+        .filter(|one| one.kind == RequestKind::ResumableStream && one.key == KEY);
+    let (mut before, mut after) = (ServedShare::default(), ServedShare::default());
+    for request in sound {
+        let share = match request {
+            one if one.ended_at < *first_crash => &mut before,
+            one if one.sent_at > known_from => &mut after,
+            _ => continue,
+        };
+        let attempts = arrivals.get(request.id.as_str()).map_or(0, Vec::len);
+        share.count(request, attempts);
+    }
+    println!("sound prompts: before {before:?}, after {after:?}");
+    if 2.0 * after.ratio() < before.ratio() {
+        violations.push(format!(
+            "sound prompts were served at the first attempt less often than before the \
+             crashes: {before:?}, {after:?}"
+        ));
+    }
+}
+
+/// Number of requests, and of those served at the first attempt.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServedShare {
+    requests: u32,
+    served: u32,
+}
+
+impl ServedShare {
+    fn count(&mut self, request: &SentRequest, attempts: usize) {
+        let response = request.response.as_ref();
+        let is_served = response.is_some_and(|one| one.status == 200 && one.is_whole);
+        self.requests += 1;
+        self.served += u32::from(is_served && attempts == 1);
+    }
+
+    fn ratio(self) -> f64 {
+        f64::from(self.served) / f64::from(self.requests.max(1))
+    }
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -3,7 +3,7 @@
 
 use crate::checks::STREAM_EVENTS;
 use crate::proxy::LinkState;
-use crate::support::Behaviour;
+use crate::support::{Behaviour, UnframedEnd};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
@@ -59,6 +59,24 @@
 /// faults, so that the latter stay the same for each seed.
 const ANNOUNCEMENT_SEED: u64 = 0x616e_6e6f;
 
+/// Distinguishes the generator of troubles from those of the other faults.
+const TROUBLE_SEED: u64 = 0x7472_6f75;
+
+/// Silence of a decode engine in the middle of a stream, in milliseconds.
+const SILENCE_MS: std::ops::Range<u64> = 900..1_800;
+
+/// Prefix block on which all decode engines of some runs crash.
+const CRASHING_BLOCK: &str = "bad";
+
+/// One seed in this many has the crashing block.
+const CRASHING_BLOCK_RARITY: u64 = 2;
+
+/// Returns the prefix block on which the decode engines of a run crash, if there is one.
+pub(crate) fn crashing_block(seed: u64) -> Option<&'static str> {
+    seed.is_multiple_of(CRASHING_BLOCK_RARITY)
+        .then_some(CRASHING_BLOCK)
+}
+
 /// Role of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpstreamRole {
@@ -114,6 +132,8 @@
     /// old when the fault began.
     StoreDown(Option<Duration>),
     Upstream(usize, Behaviour),
+    /// A behaviour that starts only at an upstream without another fault.
+    Trouble(usize, Behaviour),
 }
 
 /// A fault, the delay before its start, and its duration.
@@ -128,6 +148,7 @@
 pub(crate) struct Schedule {
     rng: StdRng,
     announcement_rng: StdRng,
+    trouble_rng: StdRng,
     hosts: usize,
 }
 
@@ -136,6 +157,7 @@
         Self {
             rng: StdRng::seed_from_u64(seed),
             announcement_rng: StdRng::seed_from_u64(seed ^ ANNOUNCEMENT_SEED),
+            trouble_rng: StdRng::seed_from_u64(seed ^ TROUBLE_SEED),
             hosts,
         }
     }
@@ -149,6 +171,39 @@
         }
     }
 
+    /// Returns a trouble that starts together with the next fault.
+    pub(crate) fn next_trouble(&mut self) -> ScheduledFault {
+        let role = match self.trouble_rng.random_ratio(2, 3) {
+            true => UpstreamRole::Decode,
+            false => UpstreamRole::Plain,
+        };
+        let numbers: Vec<usize> = (0..roles().len())
+            .filter(|number| roles()[*number] == role)
+            .collect();
+        let upstream = numbers[self.trouble_rng.random_range(0..numbers.len())];
+        let behaviour = match role {
+            UpstreamRole::Decode => self.stream_trouble(),
+            _ if self.trouble_rng.random_ratio(1, 2) => Behaviour::Unframed,
+            _ => Behaviour::UnframedReset,
+        };
+        ScheduledFault {
+            delay: Duration::ZERO,
+            fault: Fault::Trouble(upstream, behaviour),
+            duration: Duration::from_millis(self.trouble_rng.random_range(FAULT_DURATION_MS)),
+        }
+    }
+
+    fn stream_trouble(&mut self) -> Behaviour {
+        let silence = Duration::from_millis(self.trouble_rng.random_range(SILENCE_MS));
+        let broken_after = self.trouble_rng.random_range(1..=STREAM_EVENTS);
+        match self.trouble_rng.random_range(0..6) {
+            0..=2 => Behaviour::PausedSlowStream(STREAM_EVENTS, silence),
+            3 => Behaviour::UnframedStream(STREAM_EVENTS, UnframedEnd::Close),
+            4 => Behaviour::UnframedStream(broken_after, UnframedEnd::CloseInsideEvent),
+            _ => Behaviour::UnframedStream(broken_after, UnframedEnd::Reset),
+        }
+    }
+
     fn fault(&mut self) -> Fault {
         let host = self.rng.random_range(0..self.hosts);
         let upstream = self.rng.random_range(0..roles().len());
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -1,11 +1,17 @@
 //! Runs a gateway as a separate process.
 
 use rustix::process::{Pid, Signal, kill_process};
+use std::env;
+use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use tempfile::NamedTempFile;
 
+/// Environment variable with the directory for the logs of the gateways.
+const LOGS_VARIABLE: &str = "LAGOONLIFT_SOAK_LOGS";
+
 /// Addresses of the platform services that the gateways use.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlatformAddresses {
@@ -18,6 +24,7 @@
 pub(crate) struct HostProcess {
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
+    number: usize,
     child: Option<Child>,
     settings: NamedTempFile,
 }
@@ -43,6 +50,7 @@
         let mut host = Self {
             callers,
             readiness,
+            number,
             child: None,
             settings,
         };
@@ -56,11 +64,21 @@
         let child = Command::new(program)
             .arg("--settings")
             .arg(self.settings.path())
-            .stdout(Stdio::null())
+            .stdout(self.log())
             .spawn();
         self.child = Some(child.expect("the gateway binary can be started"));
     }
 
+    /// Returns where the process writes its log.
+    fn log(&self) -> Stdio {
+        let Some(directory) = env::var_os(LOGS_VARIABLE) else {
+            return Stdio::null();
+        };
+        let path = Path::new(&directory).join(format!("host-{}.log", self.number));
+        let file = File::options().create(true).append(true).open(path);
+        Stdio::from(file.expect("the log of the gateway can be opened"))
+    }
+
     /// Suspends or resumes the process.
     pub(crate) fn set_suspended(&self, is_suspended: bool) {
         self.signal(match is_suspended {
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -28,6 +28,10 @@
     NonIdempotentStream,
     /// A stream with a short prompt that another engine can resume.
     ResumableStream,
+    /// A stream like [`Self::ResumableStream`], whose prompt has the block that crashes
+    /// engines. No two prompts are alike; they share the first block with those of the
+    /// resumable streams.
+    CrashingStream,
 }
 
 impl RequestKind {
@@ -48,6 +52,11 @@
             Self::NonIdempotent => Request::new("GET", "/book/1", id, key),
             Self::NonIdempotentStream => prompt("/tell/1", "9190,6", "a1:2520,b2:3780,c3:2890"),
             Self::ResumableStream => prompt("/talk/1", "220,6", "d4:79,e5:141"),
+            Self::CrashingStream => {
+                let number = id.trim_start_matches('s');
+                let blocks = format!("d4:79,bad:100,f{number}:41");
+                prompt("/talk/1", "220,6", &blocks)
+            }
         }
     }
 }
@@ -59,6 +68,10 @@
     Plain,
     /// Streams from the engines.
     Stream,
+    /// Resumable streams only.
+    ResumableStream,
+    /// Streams whose prompts crash engines.
+    CrashingStream,
 }
 
 impl CallerKind {
@@ -67,7 +80,8 @@
             (Self::Plain, true) => RequestKind::Idempotent,
             (Self::Plain, false) => RequestKind::NonIdempotent,
             (Self::Stream, true) => RequestKind::NonIdempotentStream,
-            (Self::Stream, false) => RequestKind::ResumableStream,
+            (Self::Stream, false) | (Self::ResumableStream, _) => RequestKind::ResumableStream,
+            (Self::CrashingStream, _) => RequestKind::CrashingStream,
         }
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,17 +3,23 @@
 //! Three gateways run against stand-ins of the platform. While callers send
 //! requests, a schedule drawn from a seed suspends, kills, restarts and stops
 //! gateways, and delays, resets or blocks their connections to the store, to the
-//! upstreams and to the duties endpoint through proxies. Faults overlap. Afterwards
-//! the test checks the observations of callers and upstreams against the guarantees
-//! of the project.
+//! upstreams and to the duties endpoint through proxies. Faults overlap. Decode engines
+//! fall silent in the middle of a stream and go on, and upstreams send responses without
+//! length or chunks, whole and broken ones. In the runs with an even seed, prompts with
+//! one prefix block crash the decode engines. Afterwards the test checks the observations
+//! of callers and upstreams against the guarantees of the project.
 //!
 //! To run it with other seeds:
 //!
 //!     LAGOONLIFT_SOAK_SEEDS=1-50 cargo test --test soak -- --nocapture
+//!
+//! With a directory in `LAGOONLIFT_SOAK_LOGS`, each gateway appends its log to a file
+//! there.
 
 mod announcements;
 mod checks;
 mod cluster;
+mod engines;
 mod faults;
 mod host;
 mod load;
