--- a/tests/soak/engines.rs
+++ b/tests/soak/engines.rs
@@ -82,6 +82,8 @@
     match behaviour {
         Behaviour::Respond
         | Behaviour::Draining
+        // The first of its responses is whole.
+        | Behaviour::SecondResponse
         | Behaviour::Unframed
         | Behaviour::Stream(_)
         | Behaviour::SlowStream(_)
@@ -97,6 +99,12 @@
     }
 }
 
+/// Returns the behaviours of the upstreams that received a request.
+fn behaviours<'a>(arrivals: &[Arrival<'a>]) -> Vec<&'a Behaviour> {
+    let behaviours = arrivals.iter().map(|one| &one.received.behaviour);
+    behaviours.collect()
+}
+
 /// Returns whether a fault affected the request's host, or the link to one of the
 /// upstreams that received it, or whether one of these crashed.
 fn is_disturbed(report: &RunReport, request: &SentRequest, arrivals: &[Arrival<'_>]) -> bool {
@@ -131,11 +139,11 @@
     });
     let is_in_time = request.ended_at < request.sent_at + DEADLINE;
     if is_cut && is_in_time && !has_broken && !is_disturbed(report, request, arrivals) {
-        let behaviours: Vec<_> = arrivals.iter().map(|one| &one.received.behaviour).collect();
         violations.push(format!(
-            "{} ended early after {:?} without a reason: {behaviours:?}",
+            "{} ended early after {:?} without a reason: {:?}",
             request.id,
-            request.ended_at - request.sent_at
+            request.ended_at - request.sent_at,
+            behaviours(arrivals)
         ));
     }
 }
@@ -156,8 +164,9 @@
     let is_broken = ends.peek().is_some() && ends.all(|end| end == ResponseEnd::Broken);
     if response.status == 200 && response.is_whole && is_broken {
         violations.push(format!(
-            "{} is complete though its upstreams broke off",
-            request.id
+            "{} is complete though its upstreams broke off: {:?}",
+            request.id,
+            behaviours(arrivals)
         ));
     }
 }
@@ -181,8 +190,9 @@
     let is_in_time = request.ended_at < request.sent_at + DEADLINE;
     if is_unframed && !is_whole && is_in_time && !is_disturbed(report, request, arrivals) {
         violations.push(format!(
-            "{} isn't complete though its upstream's response without a length was",
-            request.id
+            "{} isn't complete though its upstream's response without a length was: {:?}",
+            request.id,
+            behaviours(arrivals)
         ));
     }
 }
