stand-ins: listeners that are opened again have an address of their own

A gateway that was started again exited because its port was in use: 'failed to listen on 127.0.0.1:35465, Address already in use'. While a host or an engine is down, an outgoing connection on loopback may get its port. Outgoing connections have the source address 127.0.0.1, so the listeners now use 127.0.0.2.

--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -1,5 +1,6 @@
 //! Runs a gateway as a separate process.
 
+use crate::support::upstream::LISTEN_ADDRESS;
 use rustix::process::{Pid, Signal, kill_process};
 use std::env;
 use std::fs::File;
@@ -127,7 +128,7 @@
 }
 
 fn free_tcp_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let listener = TcpListener::bind((LISTEN_ADDRESS, 0)).expect("loopback has a free port");
     listener
         .local_addr()
         .expect("a bound socket has an address")
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,6 +1,6 @@
 //! A TCP proxy on loopback that injects faults into the connections through it.
 
-use crate::support::upstream::RESTART_TIME;
+use crate::support::upstream::{LISTEN_ADDRESS, RESTART_TIME};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -67,7 +67,7 @@
         target: SocketAddr,
         crashes: watch::Receiver<Vec<Instant>>,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0")
+        let listener = TcpListener::bind((LISTEN_ADDRESS, 0))
             .await
             .expect("loopback has a free port");
         let (resets, _) = watch::channel(0);
