soak: refusals during an outage of the store don't count as loss of sound prompts

Trace: the store was down from 5.2 s to 7.0 s after the minute; in that time 357 requests were refused with 'keys not proven current' or 'configuration not proven current', as the bounds demand, and all other talk requests after the quarantine were served at the first attempt. Such refusals are left out, before and after, only if a fault of the store overlaps the request or ended up to a second before.

--- a/tests/soak/announcements.rs
+++ b/tests/soak/announcements.rs
@@ -31,6 +31,8 @@
     Host(SocketAddr),
     /// The link to the upstream with this index.
     Upstream(usize),
+    /// The store, or the link to it.
+    Store,
 }
 
 /// A fault of a host or of a link to an upstream, or the crash of an upstream.
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -25,8 +25,8 @@
     pub(crate) received: Vec<Vec<Received>>,
     /// Faults of hosts and of links to upstreams as scheduled, and crashes of upstreams.
     pub(crate) disruptions: Vec<Disruption>,
-    /// Faults of hosts and of links to upstreams, resets of links included, until they
-    /// in fact ended.
+    /// Faults of hosts, of the store and of links to upstreams, resets of links included,
+    /// until they in fact ended.
     pub(crate) actual_disruptions: Vec<Disruption>,
     /// Times at which each upstream crashed.
     pub(crate) crashes: Vec<Vec<Instant>>,
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -297,7 +297,7 @@
         }
     }
 
-    /// Returns the host or the link of an upstream that a fault affects.
+    /// Returns the host, the link of an upstream or the store that a fault affects.
     fn target(&self, fault: &Fault) -> Option<DisruptionTarget> {
         match fault {
             Fault::Suspend(host) | Fault::Kill(host) | Fault::Restart(host) => {
@@ -305,6 +305,9 @@
             }
             Fault::Degrade(Link::Upstream(upstream), _)
             | Fault::Reset(Link::Upstream(upstream)) => Some(DisruptionTarget::Upstream(*upstream)),
+            Fault::StoreDown(_) | Fault::Degrade(Link::Store, _) | Fault::Reset(Link::Store) => {
+                Some(DisruptionTarget::Store)
+            }
             _ => None,
         }
     }
