--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -41,8 +41,11 @@
 
 /// Seeds that run by default. A seed that has failed stays in this list, with the
 /// cause of the failure: seed 2 found two lease holders with the same fencing token,
-/// because the store stand-in let two creations of the lease succeed.
-const SHORT_SEEDS: [u64; 3] = [1, 2, 3];
+/// because the store stand-in let two creations of the lease succeed; seed 3 took the first
+/// of two responses for a broken one; in the run of seed 1005 an outgoing connection had
+/// the port of a host that was started again; seed 1010 took refusals during an outage of
+/// the store for lost sound prompts.
+const SHORT_SEEDS: [u64; 5] = [1, 2, 3, 1005, 1010];
 
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
