--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -6,7 +6,7 @@
 
 use crate::clock;
 use crate::state::GatewayState;
-use lagoonlift_adapter::upstream::{HoldOff, ResponseHead};
+use lagoonlift_adapter::upstream::{HoldOff, ResponseHead, StatedRate};
 use lagoonlift_policy::dispatch::UpstreamRecord;
 use rand::RngExt;
 use std::time::Duration;
@@ -26,6 +26,41 @@
         HoldOff::For(time) => record_hold_off(state, record, *time),
         HoldOff::Malformed(value) => record_malformed(state, record, value),
     }
+    match &head.stated_rate {
+        StatedRate::None => record_rate(state, record, None),
+        StatedRate::PerSecond(rate) => record_rate(state, record, Some(*rate)),
+        StatedRate::Malformed(value) => record_malformed_rate(state, record, value),
+    }
+}
+
+fn record_rate(state: &GatewayState, record: &UpstreamRecord, per_second: Option<f64>) {
+    let change = state
+        .table
+        .borrow_mut()
+        .record_stated_rate(clock::now(), record, per_second);
+    if let Some(change) = change {
+        tracing::info!(
+            upstream = record.id.0,
+            started_ms = record.started_ms,
+            per_second,
+            previous = change.previous,
+            "the upstream stated another rate for all hosts"
+        );
+    }
+}
+
+fn record_malformed_rate(state: &GatewayState, record: &UpstreamRecord, value: &str) {
+    let is_first = state
+        .table
+        .borrow_mut()
+        .record_malformed_rate(clock::now(), record);
+    if is_first {
+        tracing::warn!(
+            upstream = record.id.0,
+            value,
+            "the upstream stated a malformed rate"
+        );
+    }
 }
 
 fn record_draining(state: &GatewayState, record: &UpstreamRecord) {
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -4,6 +4,7 @@
 mod record;
 mod table;
 
+pub use announcements::RateChange;
 pub use record::{EngineRole, ListChange, UpstreamId, UpstreamPhase, UpstreamRecord};
 pub use table::UpstreamTable;
 
--- a/crates/policy/src/dispatch/upstream/announcements.rs
+++ b/crates/policy/src/dispatch/upstream/announcements.rs
@@ -27,12 +27,23 @@
 /// milliseconds if it reports it.
 type IncarnationKey = (UpstreamId, Option<u64>);
 
+/// A change of the rate that an upstream states.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateChange {
+    /// The rate before, in requests a second; `None` is any rate.
+    pub previous: Option<f64>,
+}
+
 /// The announcements of one incarnation.
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
     is_draining: bool,
     held_off_until: Option<Timestamp>,
     has_malformed_hold_off: bool,
+    /// Requests a second that the upstream takes from all hosts together; `None` if it
+    /// takes any number.
+    per_second: Option<f64>,
+    has_malformed_rate: bool,
     recorded_at: Timestamp,
 }
 
@@ -75,6 +86,33 @@
         !std::mem::replace(&mut announcement.has_malformed_hold_off, true)
     }
 
+    /// Records that the incarnation of `record` stated the rate that it takes. Returns the
+    /// previous one if it is another one.
+    pub(super) fn record_stated_rate(
+        &mut self,
+        now: Timestamp,
+        record: &UpstreamRecord,
+        per_second: Option<f64>,
+    ) -> Option<RateChange> {
+        if per_second.is_none() && self.get(record).is_none() {
+            return None;
+        }
+        let announcement = self.entry(now, record);
+        let previous = std::mem::replace(&mut announcement.per_second, per_second);
+        (previous != per_second).then_some(RateChange { previous })
+    }
+
+    /// Records that the incarnation of `record` stated a malformed rate; returns whether
+    /// this is the first one.
+    pub(super) fn record_malformed_rate(
+        &mut self,
+        now: Timestamp,
+        record: &UpstreamRecord,
+    ) -> bool {
+        let announcement = self.entry(now, record);
+        !std::mem::replace(&mut announcement.has_malformed_rate, true)
+    }
+
     /// Returns whether the incarnation of `record` drains.
     pub(super) fn is_draining(&self, record: &UpstreamRecord) -> bool {
         self.get(record).is_some_and(|one| one.is_draining)
@@ -100,6 +138,8 @@
             is_draining: false,
             held_off_until: None,
             has_malformed_hold_off: false,
+            per_second: None,
+            has_malformed_rate: false,
             recorded_at: now,
         };
         let key = (record.id.clone(), record.started_ms);
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -10,7 +10,7 @@
 //! An upstream also announces in its responses that it drains, or that it wants no
 //! request for some time. Both take precedence over the list.
 
-use super::announcements::Announcements;
+use super::announcements::{Announcements, RateChange};
 use super::{ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord};
 use crate::dispatch::reachability::{ContactEffect, ContactResult, Reachability};
 use crate::{Timestamp, UpstreamKey};
@@ -125,6 +125,25 @@
         self.announcements.record_malformed_hold_off(now, record)
     }
 
+    /// Records that the upstream with the entry `record` stated the rate that it takes from
+    /// all hosts together, in requests a second; `None` is any rate. Returns the previous one
+    /// if it is another one.
+    pub fn record_stated_rate(
+        &mut self,
+        now: Timestamp,
+        record: &UpstreamRecord,
+        per_second: Option<f64>,
+    ) -> Option<RateChange> {
+        self.announcements
+            .record_stated_rate(now, record, per_second)
+    }
+
+    /// Records that the upstream with the entry `record` stated a malformed rate. Returns
+    /// whether it is its first one.
+    pub fn record_malformed_rate(&mut self, now: Timestamp, record: &UpstreamRecord) -> bool {
+        self.announcements.record_malformed_rate(now, record)
+    }
+
     /// Returns the upstream if the incarnation of `record` is the listed one.
     fn incarnation_mut(&mut self, record: &UpstreamRecord) -> Option<&mut Upstream> {
         let key = *self.by_id.get(&record.id)?;
