dispatch: hosts share the rate that an upstream states for all of them

The rate is a third announcement of an incarnation. Time is divided into slots of a second; the requests of a slot are dealt out to the hosts in turn, by the roster of hosts and the time of day, without a question. A part that isn't used lapses, so nothing is in store after an idle time or a pause. Every request is counted right before it is sent (prefills, retries, resumed streams, releases of KV caches, orders). A response to a later request ends or raises the rate; of two that may have overtaken each other the lower one holds. Peers are told. A process takes part 3 s after its start, having announced itself.

--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -132,6 +132,9 @@
     let Some(record) = record else {
         return;
     };
+    if !takes_request(duties, order.upstream) {
+        return;
+    }
     let Some(status) = engine_status(duties, order.upstream, &record).await else {
         return;
     };
@@ -141,6 +144,9 @@
     let Some(holder) = duties.holder() else {
         return;
     };
+    if !takes_request(duties, order.upstream) {
+        return;
+    }
     let engine_order = EngineOrder {
         engine: record.id.clone(),
         address: record.address,
@@ -149,6 +155,7 @@
     };
     let request = engine_request(&holder, &engine_order);
     let endpoint = Endpoint::Upstream(order.upstream);
+    let sent_at = clock::now();
     let response = call(
         &duties.state.pool,
         endpoint,
@@ -158,7 +165,7 @@
     )
     .await;
     if let Ok(response) = &response {
-        record_announcements(&duties.state, &record, &response.head);
+        record_announcements(&duties.state, &record, &response.head, sent_at);
     }
     let reply: Result<OrderResponse, String> = response
         .map(|response| decode_order_response(response.status))
@@ -174,6 +181,13 @@
     );
 }
 
+/// Counts a call to an engine against this host's share of its rate. Returns whether the
+/// call may be made.
+fn takes_request(duties: &Duties, engine: UpstreamKey) -> bool {
+    let mut table = duties.state.table.borrow_mut();
+    table.take_rate_share(clock::now(), engine)
+}
+
 async fn engine_status(
     duties: &Duties,
     key: UpstreamKey,
@@ -181,6 +195,7 @@
 ) -> Option<EngineStatus> {
     let request = status_request(record.address);
     let endpoint = Endpoint::Upstream(key);
+    let sent_at = clock::now();
     match call(
         &duties.state.pool,
         endpoint,
@@ -191,7 +206,7 @@
     .await
     {
         Ok(response) => {
-            record_announcements(&duties.state, record, &response.head);
+            record_announcements(&duties.state, record, &response.head, sent_at);
             decode_status(&response.body)
         }
         Err(error) => {
--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -10,7 +10,7 @@
 use crate::store_gate::StoreGate;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::dispatch::{
-    CountsByWindow, HostCounts, MIN_HOSTS_FOR_SHARED_READS, PublishedCounts, UsageCopy,
+    CountsByWindow, HOST_TTL, HostCounts, MIN_HOSTS_FOR_SHARED_READS, PublishedCounts, UsageCopy,
 };
 use rand::RngExt;
 use serde::Deserialize;
@@ -198,8 +198,16 @@
         }
     };
     state.record_host_count(published.len());
-    let peers = published.iter().filter_map(|one| one.counts.peer_address);
-    state.peers.borrow_mut().extend(peers);
+    let now = clock::now();
+    let unix_us = state.wall_clock.borrow().unix_us(now);
+    let ttl_us = HOST_TTL.as_micros() as u64;
+    let is_live = |one: &&PublishedCounts| unix_us.abs_diff(one.counts.unix_us) < ttl_us;
+    let live: Vec<&PublishedCounts> = published.iter().filter(is_live).collect();
+    let addresses = live.iter().filter_map(|one| one.counts.peer_address);
+    state
+        .roster
+        .borrow_mut()
+        .record_list(now, live.len(), addresses);
 }
 
 pub(super) async fn list_counts(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -143,6 +143,7 @@
             );
         }
         state.close_idle_connections(&removed);
+        state.update_rate_sharing(now);
         state.update_changing_roles();
         crash_monitor::decide(&state);
         // Corrects this process's own estimate of the time, not the system clock.
@@ -161,6 +162,8 @@
         let quarantine = state.crash_quarantine.borrow();
         state.metrics.set_quarantined(quarantine.active(now));
         drop(quarantine);
+        let limited = state.table.borrow().limited_count();
+        state.metrics.set_limited_upstreams(limited);
         state.record_gauges();
     }
 }
--- a/crates/gateway/src/kv_cache.rs
+++ b/crates/gateway/src/kv_cache.rs
@@ -41,18 +41,20 @@
 }
 
 impl HeldKvCache {
-    /// Returns whether the prefill engine holds off requests. Its KV cache is then left
-    /// to expire.
-    fn is_held_off(&self) -> bool {
-        let table = self.state.table.borrow();
+    /// Returns whether the prefill engine takes another request. If it doesn't, its KV cache
+    /// is left to expire.
+    fn may_release(&self) -> bool {
+        let mut table = self.state.table.borrow_mut();
+        let now = clock::now();
         let engine = table.get(self.prefill_engine);
-        engine.is_some_and(|one| one.hold_off(clock::now()).is_some())
+        let is_held_off = engine.is_some_and(|one| one.hold_off(now).is_some());
+        !is_held_off && table.take_rate_share(now, self.prefill_engine)
     }
 }
 
 impl Drop for HeldKvCache {
     fn drop(&mut self) {
-        if self.may_be_transferred || self.is_held_off() {
+        if self.may_be_transferred || !self.may_release() {
             return;
         }
         let pool = self.state.pool.clone();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,7 @@
     store_restores: Gauge<u64>,
     quarantined_blocks: Gauge<u64>,
     quarantined_requests: Gauge<u64>,
+    limited_upstreams: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -79,6 +80,10 @@
                     "Prefix blocks in quarantine because their prompts crash engines.",
                 )
                 .build(),
+            limited_upstreams: meter
+                .u64_gauge("lagoonlift_gateway_limited_upstreams")
+                .with_description("Upstreams that state a rate for all hosts together.")
+                .build(),
             quarantined_requests: meter
                 .u64_gauge("lagoonlift_gateway_quarantined_requests")
                 .with_description("Requests in quarantine because they crash upstreams.")
@@ -91,6 +96,12 @@
         }
     }
 
+    /// Records the number of upstreams that state a rate for all hosts together.
+    pub(crate) fn set_limited_upstreams(&self, count: usize) {
+        self.limited_upstreams.record(count as u64, &[]);
+    }
+
+    /// Records the prefix blocks and requests in quarantine.
     pub(crate) fn set_quarantined(&self, active: impl Iterator<Item = QuarantinedSuspect>) {
         let (blocks, requests): (Vec<_>, Vec<_>) =
             active.partition(|suspect| suspect.key.kind == SuspectKind::Block);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 
 mod usage;
 
+use crate::announcements;
 use crate::clock;
 use crate::crash_monitor;
 use crate::era_monitor::EraSource;
@@ -14,11 +15,10 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     BlameNews, ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult,
-    StoreStatus, UpstreamDigest, UsageCopy,
+    RateNotice, StoreStatus, UpstreamDigest, UsageCopy,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -80,8 +80,11 @@
     Usage(UsageCopy),
     /// What the sender knows about prefix blocks and requests that crash upstreams.
     Blame(BlameNews),
-    /// Queries what is in quarantine. The response consists of messages `Blame`.
+    /// Queries what is in quarantine and which rates upstreams state. The response consists
+    /// of messages `Blame` and `Rates`.
     QuarantineQuery,
+    /// What upstreams stated about the rates that they take from all hosts together.
+    Rates(Vec<RateNotice>),
 }
 
 /// Load of a host.
@@ -105,24 +108,17 @@
         }
     };
     tokio::task::spawn_local(receive(Rc::clone(&state), Rc::clone(&socket)));
-    tokio::task::spawn_local(query_confirmations(
-        Rc::clone(&state),
-        Rc::clone(&socket),
-        address,
-    ));
+    tokio::task::spawn_local(query_confirmations(Rc::clone(&state), Rc::clone(&socket)));
     if state.settings.duties.is_some() {
-        tokio::task::spawn_local(usage::send_copies(
-            Rc::clone(&state),
-            Rc::clone(&socket),
-            address,
-        ));
+        tokio::task::spawn_local(usage::send_copies(Rc::clone(&state), Rc::clone(&socket)));
     }
     let mut sequence = 0;
     let mut was_busy = true;
     for turn in 0_u64.. {
-        wait_for_turn(&state, &socket, address).await;
+        wait_for_turn(&state, &socket).await;
         crash_monitor::decide(&state);
-        send_crash_news(&state, &socket, address, turn).await;
+        send_crash_news(&state, &socket, turn).await;
+        send_rate_news(&state, &socket, turn).await;
         state.peer_loads.borrow_mut().expire(clock::now());
         state.store_readers.borrow_mut().expire(clock::now());
         let report = own_report(&state);
@@ -136,7 +132,8 @@
                 ..status
             };
         }
-        let is_busy = report != HostReport::default() || status.is_reading_store;
+        let is_joining = state.roster.borrow().is_joining(clock::now());
+        let is_busy = report != HostReport::default() || status.is_reading_store || is_joining;
         // After the load drops to zero, one message informs the peers; further
         // ones would repeat it.
         if is_busy || was_busy {
@@ -147,7 +144,7 @@
                 status,
                 report,
             };
-            let peers = next_peers(&state.peers.borrow(), address, sequence, PEERS_PER_INTERVAL);
+            let peers = next_peers(&state, sequence, PEERS_PER_INTERVAL);
             send(&socket, &PeerMessage::Load(message), &peers).await;
         }
         was_busy = is_busy;
@@ -155,27 +152,36 @@
 }
 
 /// Waits for the next interval. A crash is told at once meanwhile.
-async fn wait_for_turn(state: &GatewayState, socket: &UdpSocket, own: SocketAddr) {
+async fn wait_for_turn(state: &GatewayState, socket: &UdpSocket) {
     let mut interval = pin!(sleep(SEND_INTERVAL));
     loop {
         tokio::select! {
             () = interval.as_mut() => return,
             () = state.crash_news.notified() => {
-                send_crash_news(state, socket, own, rand::random()).await;
+                send_crash_news(state, socket, rand::random()).await;
             }
         }
     }
 }
 
 /// Tells the peers of the round `turn` what is new of crashes and quarantines.
-async fn send_crash_news(state: &GatewayState, socket: &UdpSocket, own: SocketAddr, turn: u64) {
+async fn send_crash_news(state: &GatewayState, socket: &UdpSocket, turn: u64) {
     let news = state.crash_quarantine.borrow_mut().news(clock::now());
     if let Some(news) = news {
-        let peers = next_peers(&state.peers.borrow(), own, turn, PEERS_PER_INTERVAL);
+        let peers = next_peers(state, turn, PEERS_PER_INTERVAL);
         send(socket, &PeerMessage::Blame(news), &peers).await;
     }
 }
 
+/// Tells the peers of the round `turn` which rates upstreams stated lately.
+async fn send_rate_news(state: &GatewayState, socket: &UdpSocket, turn: u64) {
+    let news = state.table.borrow_mut().rate_news(clock::now());
+    if !news.is_empty() {
+        let peers = next_peers(state, turn, PEERS_PER_INTERVAL);
+        send(socket, &PeerMessage::Rates(news), &peers).await;
+    }
+}
+
 /// Returns the loads of this host. If there are too many for a datagram, only the
 /// largest are included.
 fn own_report(state: &GatewayState) -> HostReport {
@@ -203,16 +209,11 @@
 }
 
 /// Queries peers while this host's confirmation is old, until the process ends.
-async fn query_confirmations(state: Rc<GatewayState>, socket: Rc<UdpSocket>, own: SocketAddr) {
+async fn query_confirmations(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     loop {
         sleep(CONFIRMATION_QUERY_INTERVAL).await;
         if !state.has_heard_quarantines.get() {
-            let peers = next_peers(
-                &state.peers.borrow(),
-                own,
-                rand::random(),
-                CONFIRMATION_PEERS,
-            );
+            let peers = next_peers(&state, rand::random(), CONFIRMATION_PEERS);
             send(&socket, &PeerMessage::QuarantineQuery, &peers).await;
         }
         let asked_at = clock::now();
@@ -223,12 +224,7 @@
         let query = PeerMessage::ConfirmationQuery {
             asked_at_us: asked_at.0,
         };
-        let mut peers = next_peers(
-            &state.peers.borrow(),
-            own,
-            rand::random(),
-            CONFIRMATION_PEERS,
-        );
+        let mut peers = next_peers(&state, rand::random(), CONFIRMATION_PEERS);
         peers.extend(
             state
                 .store_readers
@@ -262,14 +258,9 @@
     }
 }
 
-/// Returns `count` peers in rotation: those of the round `turn`, without `own`.
-fn next_peers(
-    peers: &BTreeSet<SocketAddr>,
-    own: SocketAddr,
-    turn: u64,
-    count: usize,
-) -> Vec<SocketAddr> {
-    let others: Vec<SocketAddr> = peers.iter().copied().filter(|peer| *peer != own).collect();
+/// Returns `count` peers in rotation: those of the round `turn`.
+fn next_peers(state: &GatewayState, turn: u64, count: usize) -> Vec<SocketAddr> {
+    let others: Vec<SocketAddr> = state.roster.borrow().peers().collect();
     if others.is_empty() {
         return others;
     }
@@ -297,7 +288,7 @@
                 continue;
             }
         };
-        state.peers.borrow_mut().insert(peer);
+        state.roster.borrow_mut().record_message(clock::now(), peer);
         for reply in handle_message(&state, peer, message) {
             send(&socket, &reply, &[peer]).await;
         }
@@ -315,7 +306,9 @@
         PeerMessage::QuarantineQuery => {
             let quarantine = state.crash_quarantine.borrow();
             let news = quarantine.all_quarantines(now).into_iter();
-            return news.map(PeerMessage::Blame).collect();
+            let rates = state.table.borrow().all_rates(now).into_iter();
+            let rates = rates.map(PeerMessage::Rates);
+            return news.map(PeerMessage::Blame).chain(rates).collect();
         }
         PeerMessage::ConfirmationQuery { asked_at_us } => {
             return confirmation(state, now, asked_at_us).into_iter().collect();
@@ -333,6 +326,11 @@
             state.crash_quarantine.borrow_mut().record_news(now, &news);
             state.has_heard_quarantines.set(true);
         }
+        PeerMessage::Rates(notices) => {
+            for notice in &notices {
+                announcements::record_rate_notice(state, address, notice);
+            }
+        }
         PeerMessage::Usage(copy) => {
             state.usage_copies.borrow_mut().record(now, copy);
         }
--- a/crates/gateway/src/peers/usage.rs
+++ b/crates/gateway/src/peers/usage.rs
@@ -30,7 +30,7 @@
 const JUST_PUBLISHED_US: i64 = 2_000_000;
 
 /// Sends this host's usage counts to a few peers, until the process ends.
-pub(super) async fn send_copies(state: Rc<GatewayState>, socket: Rc<UdpSocket>, own: SocketAddr) {
+pub(super) async fn send_copies(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     loop {
         sleep(match state.is_stopping() {
             true => STOPPING_USAGE_COPY_INTERVAL,
@@ -38,7 +38,7 @@
         })
         .await;
         for copy in own_copies(&state) {
-            let peers = copy_peers(&state, own, copy.window);
+            let peers = copy_peers(&state, copy.window);
             send(&socket, &PeerMessage::Usage(copy), &peers).await;
         }
     }
@@ -47,14 +47,14 @@
 /// Returns the peers that get copies of the counts of `window`: two store readers, or
 /// else two peers that stay the same for the window, so that few peers publish the
 /// same counts after an outage of the store.
-fn copy_peers(state: &GatewayState, own: SocketAddr, window: u64) -> Vec<SocketAddr> {
+fn copy_peers(state: &GatewayState, window: u64) -> Vec<SocketAddr> {
     let seed = state.incarnation_id;
     let readers = state.store_readers.borrow().readers_for(seed);
     match readers.is_empty() {
         false => readers,
         true => {
             let turn = seed.wrapping_add(window);
-            next_peers(&state.peers.borrow(), own, turn, USAGE_COPY_PEERS)
+            next_peers(state, turn, USAGE_COPY_PEERS)
         }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -395,10 +395,16 @@
     }
 
     /// Returns the response to a request that has not run because no upstream is
-    /// available, or because those that would be hold off requests.
+    /// available, or because those that would be hold off requests or take no more of
+    /// them at this time.
     fn no_upstream(&self, reason: &'static str) -> GatewayReply {
         let table = self.state.table.borrow();
-        match table.shortest_hold_off(&self.admitted.service, clock::now()) {
+        let (service, now) = (&self.admitted.service, clock::now());
+        if let Some(wait) = table.time_to_next_share(service, now) {
+            let reason = "the rates of the upstreams are used up";
+            return self.not_run(reason, RefusalCause::UsedUp(wait));
+        }
+        match table.shortest_hold_off(service, now) {
             Some(time) => self.not_run("the upstreams hold off", RefusalCause::HoldOff(time)),
             None => self.not_run(reason, RefusalCause::NoUpstream),
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -241,8 +241,8 @@
         }
         Err(error) => return SendOutcome::NotSent(error.to_string()),
     };
-    if !accepts_requests(state, attempt.upstream) {
-        return SendOutcome::Withheld("the upstream drains or holds off requests");
+    if let Err(reason) = begin_request(state, attempt.upstream) {
+        return SendOutcome::Withheld(reason);
     }
     let call = UpstreamCall {
         request: &outgoing.request,
@@ -255,6 +255,7 @@
         resume_after: attempt.resume_after,
     };
     attempt.is_sent.set(true);
+    let sent_at = clock::now();
     let response = match connection.send(call.encode()).await {
         Ok(response) => response,
         Err(CallError::NotSent(detail) | CallError::NotOpened(detail)) => {
@@ -264,7 +265,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = ResponseHead::decode(&parts);
-    record_announcements(state, record, &head);
+    record_announcements(state, record, &head, sent_at);
     let upstream_response = Box::new(UpstreamResponse {
         parts,
         head,
@@ -275,12 +276,20 @@
     classify(&outgoing.request.id, upstream_response)
 }
 
-/// Returns whether the upstream still accepts requests. It may have announced
-/// otherwise while the connection was opened.
-fn accepts_requests(state: &GatewayState, upstream: UpstreamKey) -> bool {
-    let table = state.table.borrow();
-    let upstream = table.get(upstream);
-    upstream.is_some_and(|one| one.accepts_requests(clock::now()))
+/// Counts a request that is about to be sent. The error says why the upstream takes none; it
+/// may have announced that while the connection was opened, or other requests may have used
+/// up this host's share of its rate.
+fn begin_request(state: &GatewayState, upstream: UpstreamKey) -> Result<(), &'static str> {
+    let mut table = state.table.borrow_mut();
+    let now = clock::now();
+    match table.get(upstream) {
+        Some(one) if one.accepts_requests(now) => {}
+        Some(_) | None => return Err("the upstream drains or holds off requests"),
+    }
+    match table.take_rate_share(now, upstream) {
+        true => Ok(()),
+        false => Err("this host's share of the upstream's rate is used up"),
+    }
 }
 
 /// Classifies a response: as a response to this request, as a statement that the
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,17 +12,16 @@
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use lagoonlift_policy::dispatch::{
-    ConfigConfirmation, ConfigFreshness, CrashQuarantine, PeerLoads, Placement, PlacementLimits,
-    RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig, StalenessLimits,
-    StoreReaderSelection, StoreStatus, Upstream, UpstreamTable, UsageCopies, UsageCounts,
-    WallClock,
+    ConfigConfirmation, ConfigFreshness, CrashQuarantine, HostRoster, PeerLoads, Placement,
+    PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig,
+    StalenessLimits, StoreReaderSelection, StoreStatus, Upstream, UpstreamTable, UsageCopies,
+    UsageCounts, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
 use lagoonlift_telemetry::LogSampler;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -69,8 +68,8 @@
     pub(crate) success_log_sampler: RefCell<LogSampler>,
     /// What this host announces to its peers about its reads of the upstream list.
     pub(crate) announced_store_status: Cell<StoreStatus>,
-    /// Addresses of the peers that receive load messages.
-    pub(crate) peers: RefCell<BTreeSet<SocketAddr>>,
+    /// The hosts that receive messages and share what upstreams take.
+    pub(crate) roster: RefCell<HostRoster>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
     pub(crate) freshness: RefCell<ConfigFreshness>,
     /// Notified when a peer has a newer configuration.
@@ -125,7 +124,11 @@
             store_readers: RefCell::new(StoreReaderSelection::new(incarnation_id)),
             success_log_sampler: RefCell::new(LogSampler::new()),
             announced_store_status: Cell::new(StoreStatus::default()),
-            peers: RefCell::new(BTreeSet::new()),
+            roster: RefCell::new(HostRoster::new(
+                settings.listen.peers,
+                incarnation_id,
+                clock::now(),
+            )),
             freshness: RefCell::new(ConfigFreshness::new(limits)),
             usage: RefCell::new(UsageCounts::new(window_us)),
             usage_copies: RefCell::new(UsageCopies::new()),
@@ -227,6 +230,16 @@
         *self.changing_role.borrow_mut() = changing;
     }
 
+    /// Updates by which position and time of day this host shares the rates that upstreams
+    /// state.
+    pub(crate) fn update_rate_sharing(&self, now: Timestamp) {
+        let sharing = RateSharing {
+            host: self.roster.borrow().position(now),
+            unix_offset_us: self.wall_clock.borrow().unix_us(Timestamp::default()),
+        };
+        self.table.borrow_mut().set_rate_sharing(sharing);
+    }
+
     /// Returns the number of open connections from callers.
     pub(crate) fn connections(&self) -> usize {
         self.connections.get()
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 //! * [`Placement`] chooses an upstream, or reports that none can serve in time.
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
 //! * [`retry_after`] computes when a refused caller may retry.
+//! * [`HostRoster`] counts the hosts among which the rates that upstreams state are shared.
 //! * [`PeerLoads`] tracks the in-flight load and the role changes of other hosts.
 //!
 //! These types decide about the fleet and the work of the hosts:
@@ -40,6 +41,7 @@
 mod config_freshness;
 mod configuration;
 mod crash_quarantine;
+mod host_roster;
 mod peer_load;
 mod placement;
 mod prefill_rate;
@@ -68,6 +70,7 @@
     BlameNews, CrashId, CrashQuarantine, ProbeHistory, QuarantineSource, QuarantinedSuspect,
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
+pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
     FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan, PromptRefusal,
@@ -85,8 +88,8 @@
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
 pub use upstream::{
-    EngineRole, ListChange, RateChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord,
-    UpstreamTable,
+    EngineRole, ListChange, RateChange, RateNotice, RateSharing, RateStatement, Upstream,
+    UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
 pub use usage::{
     CountsByWindow, HostCounts, PublishedCounts, SumTimeouts, UsageCounts, UsageWindow,
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -29,6 +29,11 @@
         id.hash(&mut hasher);
         Self(hasher.finish() as u32)
     }
+
+    /// Returns the hash as a number.
+    pub(super) fn as_u64(self) -> u64 {
+        u64::from(self.0)
+    }
 }
 
 /// The in-flight load of one or more hosts on one upstream.
--- a/crates/policy/src/dispatch/retry_after.rs
+++ b/crates/policy/src/dispatch/retry_after.rs
@@ -19,6 +19,9 @@
     /// Upstreams hold off requests, and no other is available. The value is the
     /// shortest time for which one still does.
     HoldOff(Duration),
+    /// The shares of the rates that the upstreams take are used up. The value is the time
+    /// until one of them takes a request again, from any host.
+    UsedUp(Duration),
     /// The request, or a block of its prompt, crashes upstreams. The value is the time
     /// until it may be sent again.
     Quarantine(Duration),
@@ -70,7 +73,7 @@
         RefusalCause::Quarantine(time_left) => return time_left,
         RefusalCause::NoUpstream => NO_UPSTREAM_DELAY,
         RefusalCause::NoCapacity => NO_CAPACITY_DELAY,
-        RefusalCause::Overload(backlog) => backlog.max(MIN_OVERLOAD_DELAY),
+        RefusalCause::UsedUp(wait) | RefusalCause::Overload(wait) => wait.max(MIN_OVERLOAD_DELAY),
     };
     let factor = JITTER_FACTORS.start + (JITTER_FACTORS.end - JITTER_FACTORS.start) * jitter;
     let max_delay = time_left.mul_f64(MAX_DELAY_SHARE).max(NO_CAPACITY_DELAY);
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -1,10 +1,11 @@
 //! One incarnation of an upstream, with the state that this host keeps for it.
 
 mod announcements;
+mod rate;
 mod record;
 mod table;
 
-pub use announcements::RateChange;
+pub use rate::{RateChange, RateNotice, RateSharing, RateStatement};
 pub use record::{EngineRole, ListChange, UpstreamId, UpstreamPhase, UpstreamRecord};
 pub use table::UpstreamTable;
 
@@ -65,6 +66,8 @@
     avoided_until: Option<Timestamp>,
     /// Time until which the upstream wants no requests from this host.
     held_off_until: Option<Timestamp>,
+    /// Whether the upstream states how many requests it takes from all hosts together.
+    has_rate: bool,
     no_prefill_until: Option<Timestamp>,
     /// Set while the entry is missing after a store outage: the time at which the
     /// upstream is removed.
@@ -72,9 +75,10 @@
 }
 
 impl Upstream {
-    fn new(record: UpstreamRecord, held_off_until: Option<Timestamp>) -> Self {
+    fn new(record: UpstreamRecord) -> Self {
         Self {
-            held_off_until,
+            held_off_until: None,
+            has_rate: false,
             digest: UpstreamDigest::new(&record.id),
             record,
             in_flight: 0,
--- a/crates/policy/src/dispatch/upstream/announcements.rs
+++ b/crates/policy/src/dispatch/upstream/announcements.rs
@@ -4,7 +4,8 @@
 //! store's list says: the entry of an upstream may be older than its response, and it
 //! may be removed and listed again while the upstream runs.
 
-use super::{UpstreamId, UpstreamRecord};
+use super::rate::{RateChange, RateNotice, RateRecord, RateSharing, RateStatement};
+use super::{UpstreamDigest, UpstreamId, UpstreamRecord};
 use crate::Timestamp;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -23,26 +24,20 @@
 /// Time for which the announcements of an upstream that isn't listed are kept.
 const RETENTION: Duration = Duration::from_secs(3_600);
 
+/// Largest number of notices in a message about rates, so that it fits into a datagram.
+const MAX_RATE_NOTICES: usize = 20;
+
 /// Identifies an incarnation: the upstream, and the Unix time of its start in
 /// milliseconds if it reports it.
 type IncarnationKey = (UpstreamId, Option<u64>);
 
-/// A change of the rate that an upstream states.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateChange {
-    /// The rate before, in requests a second; `None` is any rate.
-    pub previous: Option<f64>,
-}
-
 /// The announcements of one incarnation.
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
     is_draining: bool,
     held_off_until: Option<Timestamp>,
     has_malformed_hold_off: bool,
-    /// Requests a second that the upstream takes from all hosts together; `None` if it
-    /// takes any number.
-    per_second: Option<f64>,
+    rate: RateRecord,
     has_malformed_rate: bool,
     recorded_at: Timestamp,
 }
@@ -86,20 +81,95 @@
         !std::mem::replace(&mut announcement.has_malformed_hold_off, true)
     }
 
-    /// Records that the incarnation of `record` stated the rate that it takes. Returns the
-    /// previous one if it is another one.
+    /// Records what a response of the incarnation of `record` said about its rate. Returns
+    /// the previous rate if it is another one.
     pub(super) fn record_stated_rate(
         &mut self,
         now: Timestamp,
         record: &UpstreamRecord,
-        per_second: Option<f64>,
+        statement: RateStatement,
     ) -> Option<RateChange> {
-        if per_second.is_none() && self.get(record).is_none() {
+        if statement.per_second.is_none() && self.get(record).is_none() {
             return None;
         }
         let announcement = self.entry(now, record);
-        let previous = std::mem::replace(&mut announcement.per_second, per_second);
-        (previous != per_second).then_some(RateChange { previous })
+        announcement.rate.record_response(now, statement)
+    }
+
+    /// Records what a peer tells of the rate of an incarnation of the upstream `id`.
+    pub(super) fn record_rate_notice(
+        &mut self,
+        now: Timestamp,
+        id: &UpstreamId,
+        notice: &RateNotice,
+    ) -> Option<RateChange> {
+        let statement = notice.statement(now)?;
+        let key = (id.clone(), notice.started_ms);
+        let announcement = self.entry_of(now, key);
+        announcement.rate.record_notice(now, statement)
+    }
+
+    /// Returns the rate that the incarnation of `record` states; `None` is any rate.
+    pub(super) fn per_second(&self, record: &UpstreamRecord) -> Option<f64> {
+        self.get(record)?.rate.per_second()
+    }
+
+    /// Returns whether this host's share of the rate of the incarnation of `record` allows
+    /// another request.
+    pub(super) fn has_rate_share(
+        &self,
+        now: Timestamp,
+        record: &UpstreamRecord,
+        sharing: &RateSharing,
+    ) -> bool {
+        let offset = UpstreamDigest::new(&record.id).as_u64();
+        self.get(record)
+            .is_none_or(|one| one.rate.room(now, sharing, offset) > 0)
+    }
+
+    /// Counts a request that is sent to the incarnation of `record`.
+    pub(super) fn record_send(
+        &mut self,
+        now: Timestamp,
+        record: &UpstreamRecord,
+        sharing: &RateSharing,
+    ) {
+        let key = (record.id.clone(), record.started_ms);
+        if let Some(announcement) = self.0.get_mut(&key) {
+            announcement.rate.record_send(now, sharing);
+        }
+    }
+
+    /// Returns the next message to peers about rates that were stated lately, those first
+    /// that were told least often.
+    pub(super) fn rate_news(&mut self, now: Timestamp) -> Vec<RateNotice> {
+        let mut news: Vec<_> = self
+            .0
+            .iter_mut()
+            .filter(|(_, one)| one.rate.is_news(now))
+            .collect();
+        news.sort_unstable_by_key(|(_, one)| one.rate.tells);
+        let mut notices = Vec::new();
+        for ((id, started_ms), announcement) in news.into_iter().take(MAX_RATE_NOTICES) {
+            announcement.rate.tells += 1;
+            notices.extend(announcement.rate.notice(now, &id.0, *started_ms));
+        }
+        notices
+    }
+
+    /// Returns all rates, in messages.
+    pub(super) fn all_rates(&self, now: Timestamp) -> Vec<Vec<RateNotice>> {
+        let limited = self
+            .0
+            .iter()
+            .filter(|(_, one)| one.rate.per_second().is_some());
+        let notices: Vec<RateNotice> = limited
+            .filter_map(|((id, started_ms), one)| one.rate.notice(now, &id.0, *started_ms))
+            .collect();
+        notices
+            .chunks(MAX_RATE_NOTICES)
+            .map(<[_]>::to_vec)
+            .collect()
     }
 
     /// Records that the incarnation of `record` stated a malformed rate; returns whether
@@ -134,15 +204,18 @@
     }
 
     fn entry(&mut self, now: Timestamp, record: &UpstreamRecord) -> &mut Announcement {
+        self.entry_of(now, (record.id.clone(), record.started_ms))
+    }
+
+    fn entry_of(&mut self, now: Timestamp, key: IncarnationKey) -> &mut Announcement {
         let new = Announcement {
             is_draining: false,
             held_off_until: None,
             has_malformed_hold_off: false,
-            per_second: None,
+            rate: RateRecord::default(),
             has_malformed_rate: false,
             recorded_at: now,
         };
-        let key = (record.id.clone(), record.started_ms);
         let announcement = self.0.entry(key).or_insert(new);
         announcement.recorded_at = now;
         announcement
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -7,10 +7,14 @@
 //! upstreams need to register again. That isn't done after a time in which the store
 //! responded to peers and only this host was cut off from it.
 //!
-//! An upstream also announces in its responses that it drains, or that it wants no
-//! request for some time. Both take precedence over the list.
+//! An upstream also announces in its responses that it drains, that it wants no request
+//! for some time, or how many requests it takes from all hosts together. All take
+//! precedence over the list.
 
-use super::announcements::{Announcements, RateChange};
+mod rates;
+
+use super::announcements::Announcements;
+use super::rate::RateSharing;
 use super::{ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord};
 use crate::dispatch::reachability::{ContactEffect, ContactResult, Reachability};
 use crate::{Timestamp, UpstreamKey};
@@ -36,6 +40,7 @@
     /// listed again.
     relist_until: Option<Timestamp>,
     reachability: Reachability,
+    rate_sharing: RateSharing,
 }
 
 impl UpstreamTable {
@@ -125,25 +130,6 @@
         self.announcements.record_malformed_hold_off(now, record)
     }
 
-    /// Records that the upstream with the entry `record` stated the rate that it takes from
-    /// all hosts together, in requests a second; `None` is any rate. Returns the previous one
-    /// if it is another one.
-    pub fn record_stated_rate(
-        &mut self,
-        now: Timestamp,
-        record: &UpstreamRecord,
-        per_second: Option<f64>,
-    ) -> Option<RateChange> {
-        self.announcements
-            .record_stated_rate(now, record, per_second)
-    }
-
-    /// Records that the upstream with the entry `record` stated a malformed rate. Returns
-    /// whether it is its first one.
-    pub fn record_malformed_rate(&mut self, now: Timestamp, record: &UpstreamRecord) -> bool {
-        self.announcements.record_malformed_rate(now, record)
-    }
-
     /// Returns the upstream if the incarnation of `record` is the listed one.
     fn incarnation_mut(&mut self, record: &UpstreamRecord) -> Option<&mut Upstream> {
         let key = *self.by_id.get(&record.id)?;
@@ -154,15 +140,17 @@
             .then_some(upstream)
     }
 
-    /// Returns the upstreams of `service` that are neither draining nor in backoff,
-    /// whether their data centres are reachable or not.
+    /// Returns the upstreams of `service` that are neither draining nor in backoff and of
+    /// whose rate this host has a share left, whether their data centres are reachable or not.
     fn serving<'a>(
         &'a self,
         service: &'a str,
         now: Timestamp,
     ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
         self.entries.iter().filter(move |(_, upstream)| {
-            upstream.record.service == service && upstream.is_usable(now)
+            upstream.record.service == service
+                && upstream.is_usable(now)
+                && self.has_rate_share(now, upstream)
         })
     }
 
@@ -284,8 +272,10 @@
             _ => {
                 let removed = self.remove(&record.id);
                 let id = record.id.clone();
-                let held_off_until = self.announcements.held_off_until(&record);
-                let key = self.entries.insert(Upstream::new(record, held_off_until));
+                let mut upstream = Upstream::new(record);
+                upstream.held_off_until = self.announcements.held_off_until(&upstream.record);
+                upstream.has_rate = self.announcements.per_second(&upstream.record).is_some();
+                let key = self.entries.insert(upstream);
                 self.by_id.insert(id, key);
                 removed
             }
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod config_confirmation;
 mod peer_loads;
 mod placement;
+mod rate_sizes;
 mod reachability;
 mod request_quarantine;
 mod retry_after;
