--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -91,6 +91,8 @@
     pub(crate) prefill_time: Option<Duration>,
     /// Upstream of the last attempt.
     pub(crate) upstream: Option<String>,
+    /// Version of that upstream's software.
+    pub(crate) version: Option<String>,
     /// Attempts so far, without prefills.
     pub(crate) sends: u32,
 }
@@ -142,6 +144,12 @@
         Some((upstream, one.record.clone()))
     }
 
+    /// Returns the software version of the latest attempt's upstream.
+    fn version_name(&self) -> Option<String> {
+        let (_, record) = self.sent_to.as_ref()?;
+        record.version.as_ref().map(|version| version.0.clone())
+    }
+
     pub(crate) fn name_of(&self, upstream: UpstreamKey) -> Option<String> {
         let table = self.state.table.borrow();
         table.get(upstream).map(|one| one.record.id.0.clone())
@@ -242,6 +250,7 @@
         self.tried.push(upstream);
         self.summary.sends += 1;
         self.summary.upstream = self.name_of(upstream);
+        self.summary.version = self.version_name();
         if uses_kv_cache {
             self.record_possible_transfer(&outcome);
         }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -20,6 +20,8 @@
     request_id: String,
     route: String,
     workspace: Option<String>,
+    /// The attempt that the caller takes up again, if it does.
+    resumed_attempt: Option<String>,
     arrived: Timestamp,
     first_byte: Option<Duration>,
     summary: AttemptSummary,
@@ -35,6 +37,7 @@
             request_id: request_id.to_owned(),
             route: String::new(),
             workspace: None,
+            resumed_attempt: None,
             arrived,
             first_byte: None,
             summary: AttemptSummary::default(),
@@ -47,6 +50,8 @@
     pub(crate) fn record_admitted(&mut self, admitted: &Admitted) {
         self.route.clone_from(&admitted.route.name);
         self.workspace.clone_from(&admitted.outgoing.workspace);
+        let resumed_attempt = &admitted.outgoing.request.resumed_attempt;
+        self.resumed_attempt.clone_from(resumed_attempt);
     }
 
     pub(crate) fn record_attempts(&mut self, summary: AttemptSummary) {
@@ -123,6 +128,8 @@
                 .prefill_time
                 .map(|time| time.as_millis() as u64),
             upstream = self.summary.upstream,
+            version = self.summary.version,
+            resumed_attempt = self.resumed_attempt,
             resumes = self.resumes,
             first_byte_ms = self.first_byte.map(|latency| latency.as_millis() as u64),
             duration_ms = duration.as_millis() as u64,
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -181,6 +181,7 @@
         service = record.map(|record| record.service.as_str()),
         address = record.map(|record| record.address.to_string()),
         data_centre = record.map(|record| record.data_centre.as_str()),
+        version = record.and_then(|record| record.version.as_ref().map(|one| one.0.as_str())),
         phase = record.map(|record| record.phase.name()),
         role = record.and_then(|record| record.role).map(EngineRole::name),
         is_spot = record.map(|record| record.is_spot),
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -88,8 +88,8 @@
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
 pub use upstream::{
-    EngineRole, ListChange, RateChange, RateNotice, RateSharing, RateStatement, Upstream,
-    UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
+    EngineRole, ListChange, RateChange, RateNotice, RateSharing, RateStatement, SoftwareVersion,
+    Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
 pub use usage::{
     CountsByWindow, HostCounts, PublishedCounts, SumTimeouts, UsageCounts, UsageWindow,
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -6,7 +6,9 @@
 mod table;
 
 pub use rate::{RateChange, RateNotice, RateSharing, RateStatement};
-pub use record::{EngineRole, ListChange, UpstreamId, UpstreamPhase, UpstreamRecord};
+pub use record::{
+    EngineRole, ListChange, SoftwareVersion, UpstreamId, UpstreamPhase, UpstreamRecord,
+};
 pub use table::UpstreamTable;
 
 use super::{PeerLoads, UpstreamDigest};
--- a/crates/policy/src/dispatch/upstream/record.rs
+++ b/crates/policy/src/dispatch/upstream/record.rs
@@ -46,6 +46,11 @@
     }
 }
 
+/// Version of the software that an upstream runs. What upstreams of different versions
+/// produce doesn't fit together: streams and KV caches.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SoftwareVersion(pub String);
+
 /// The entry of one upstream in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamRecord {
@@ -59,6 +64,8 @@
     pub data_centre: String,
     /// Whether the upstream accepts new requests.
     pub phase: UpstreamPhase,
+    /// Version of its software, if the upstream reports it.
+    pub version: Option<SoftwareVersion>,
     /// Role; `None` if the upstream is not an engine.
     pub role: Option<EngineRole>,
     /// Requests that the upstream runs concurrently.
--- a/crates/policy/tests/all/dispatch/support.rs
+++ b/crates/policy/tests/all/dispatch/support.rs
@@ -1,8 +1,8 @@
 //! Test fixtures: fleets and prompts.
 
 use lagoonlift_policy::dispatch::{
-    EngineRole, FleetView, ListChange, PeerLoads, PrefixBlock, PromptFacts, UpstreamId,
-    UpstreamPhase, UpstreamRecord, UpstreamTable,
+    EngineRole, FleetView, ListChange, PeerLoads, PrefixBlock, PromptFacts, SoftwareVersion,
+    UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::time::Duration;
@@ -24,6 +24,7 @@
             .expect("an address"),
         data_centre: ["a", "b", "c"][number % 3].to_owned(),
         phase: UpstreamPhase::Serving,
+        version: Some(SoftwareVersion("v1".to_owned())),
         role: Some(role),
         slots: 32,
         is_spot: false,
