dispatch: streams and KV caches stay at the software version that began them

Callers got streams with events of two versions: within one response (prefill at v1.2, first events from v1.1, the rest from v1), and over their tries at other hosts. Class: state that one upstream began and another continues, taken to fit because service and model are the same.

Before the caller gets the first event, the host that began the stream records its version and sends copies to four hosts, which follow from the attempt and the roster. A host that takes a stream up asks these, then more, for 150 ms at most; without an answer it refuses with a time to come back. Resumptions, replacements of silent upstreams, retries after the first event and callers' own tries all choose through the same view, which requires the version. A decode engine has the version of the prefill engine, prefix blocks are copied within a version, and no prefill runs at a version without a decode engine. An entry without a version continues nothing.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -66,6 +66,9 @@
     };
     request_log.record_admitted(&admitted);
     let mut run = RequestRun::new(Rc::clone(state), admitted);
+    if let Err(reply) = run.find_version().await {
+        return end_with_reply(reply, &id, request_log);
+    }
     loop {
         let outcome = run.next_outcome().await;
         request_log.record_attempts(run.summary());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     BlameNews, ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult,
-    RateNotice, StoreStatus, UpstreamDigest, UsageCopy,
+    RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest, UsageCopy,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -85,6 +85,11 @@
     QuarantineQuery,
     /// What upstreams stated about the rates that they take from all hosts together.
     Rates(Vec<RateNotice>),
+    /// Software versions at which streams began.
+    Streams(Vec<StreamNotice>),
+    /// Queries the version of a stream. The response is a message `Streams` if the receiver
+    /// knows it.
+    StreamQuery(StreamKey),
 }
 
 /// Load of a host.
@@ -151,7 +156,8 @@
     }
 }
 
-/// Waits for the next interval. A crash is told at once meanwhile.
+/// Waits for the next interval. Crashes, and the versions of streams, are told at once
+/// meanwhile.
 async fn wait_for_turn(state: &GatewayState, socket: &UdpSocket) {
     let mut interval = pin!(sleep(SEND_INTERVAL));
     loop {
@@ -160,6 +166,7 @@
             () = state.crash_news.notified() => {
                 send_crash_news(state, socket, rand::random()).await;
             }
+            () = state.stream_news.notified() => send_stream_news(state, socket).await,
         }
     }
 }
@@ -182,6 +189,22 @@
     }
 }
 
+/// Sends copies of the versions of streams that have just begun, and questions about others.
+async fn send_stream_news(state: &GatewayState, socket: &UdpSocket) {
+    let (copies, questions) = {
+        let roster = state.roster.borrow();
+        let mut versions = state.stream_versions.borrow_mut();
+        let copies = versions.take_news(roster.peers());
+        (copies, versions.take_questions(roster.peers()))
+    };
+    for (peer, notices) in copies {
+        send(socket, &PeerMessage::Streams(notices), &[peer]).await;
+    }
+    for (stream, peers) in questions {
+        send(socket, &PeerMessage::StreamQuery(stream), &peers).await;
+    }
+}
+
 /// Returns the loads of this host. If there are too many for a datagram, only the
 /// largest are included.
 fn own_report(state: &GatewayState) -> HostReport {
@@ -310,6 +333,12 @@
             let rates = rates.map(PeerMessage::Rates);
             return news.map(PeerMessage::Blame).chain(rates).collect();
         }
+        PeerMessage::StreamQuery(stream) => {
+            let version = state.stream_versions.borrow().find(now, stream);
+            let notice = version.map(|version| StreamNotice { stream, version });
+            let reply = notice.map(|notice| PeerMessage::Streams(vec![notice]));
+            return reply.into_iter().collect();
+        }
         PeerMessage::ConfirmationQuery { asked_at_us } => {
             return confirmation(state, now, asked_at_us).into_iter().collect();
         }
@@ -326,6 +355,13 @@
             state.crash_quarantine.borrow_mut().record_news(now, &news);
             state.has_heard_quarantines.set(true);
         }
+        PeerMessage::Streams(notices) => {
+            let mut versions = state.stream_versions.borrow_mut();
+            for notice in notices {
+                versions.record_notice(now, notice);
+            }
+            state.streams_heard.notify_waiters();
+        }
         PeerMessage::Rates(notices) => {
             for notice in &notices {
                 announcements::record_rate_notice(state, address, notice);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -153,7 +153,10 @@
                 None => self.next_item().await,
             };
             match current {
-                StreamItem::Events(events) => return Ok(Some(events)),
+                StreamItem::Events(events) => {
+                    self.run.record_event(self.source.version()).await;
+                    return Ok(Some(events));
+                }
                 StreamItem::End => return Ok(None),
                 StreamItem::Broken(detail) => {
                     self.record_break(&detail);
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -6,6 +6,7 @@
 use crate::send::UpstreamResponse;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use lagoonlift_policy::dispatch::VersionDigest;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use tokio::time::timeout;
 
@@ -22,6 +23,7 @@
 /// Reads complete events from the response of one upstream.
 pub(super) struct EventSource {
     response: Option<Box<UpstreamResponse>>,
+    version: Option<VersionDigest>,
     scanner: EventScanner,
     has_started: bool,
     /// Whether the response, once it has ended, had a length or chunks.
@@ -32,6 +34,7 @@
     /// Creates a source of the events after `last_event`.
     pub(super) fn new(response: Box<UpstreamResponse>, last_event: Option<u64>) -> Self {
         Self {
+            version: response.version,
             response: Some(response),
             scanner: EventScanner::new(last_event),
             has_started: false,
@@ -55,6 +58,11 @@
         self.scanner.last_id()
     }
 
+    /// Returns the software version of the upstream, if it is known.
+    pub(super) fn version(&self) -> Option<VersionDigest> {
+        self.version
+    }
+
     /// Returns the current upstream, if there is one.
     pub(super) fn upstream(&self) -> Option<UpstreamKey> {
         self.response.as_ref().map(|response| response.work.key)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod prefill;
 mod quarantine;
+mod version;
 
 use self::prefill::SentPrefill;
 use self::quarantine::ClaimedProbe;
@@ -20,7 +21,8 @@
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    AttemptHistory, NextStep, RefusalCause, SendResult, SuspectKey, UpstreamRecord, retry_after,
+    AttemptHistory, NextStep, RefusalCause, RequiredVersion, SendResult, SuspectKey,
+    UpstreamRecord, retry_after,
 };
 use rand::RngExt;
 use std::cell::Cell;
@@ -63,6 +65,10 @@
     /// Upstreams of earlier attempts and of failed prefills.
     pub(crate) tried: Vec<UpstreamKey>,
     kv_cache: Option<HeldKvCache>,
+    /// Software version that the upstreams must have.
+    required_version: RequiredVersion,
+    /// Whether the version is recorded that has begun the stream.
+    has_recorded_version: bool,
     /// Last event that the caller has received, if an interrupted stream is resumed.
     pub(crate) resume_after: Option<u64>,
     /// Upstream that still runs the request but is silent, while another one is looked
@@ -117,6 +123,8 @@
             claimed_probe: None,
             tried: Vec::new(),
             kv_cache: None,
+            required_version: RequiredVersion::Any,
+            has_recorded_version: false,
             resume_after: None,
             silent_upstream: None,
             attempt_in_progress: None,
@@ -415,7 +423,13 @@
         }
         match table.shortest_hold_off(service, now) {
             Some(time) => self.not_run("the upstreams hold off", RefusalCause::HoldOff(time)),
-            None => self.not_run(reason, RefusalCause::NoUpstream),
+            None => {
+                let reason = match self.required_version {
+                    RequiredVersion::Any => reason,
+                    _ => "no upstream of the stream's version is there",
+                };
+                self.not_run(reason, RefusalCause::NoUpstream)
+            }
         }
     }
 
--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -26,6 +26,7 @@
             table: &self.state.table.borrow(),
             peers: &self.state.peer_loads.borrow(),
             service: &self.admitted.service,
+            version: self.required_version,
             tried,
             changing_role: &self.state.changing_role.borrow(),
             now: clock::now(),
--- /dev/null
+++ b/crates/gateway/src/run/version.rs
@@ -0,0 +1,106 @@
+//! The software version that a stream requires.
+
+use super::RequestRun;
+use crate::clock;
+use crate::reply::GatewayReply;
+use lagoonlift_policy::dispatch::{
+    RefusalCause, RequiredVersion, RetrySafety, StreamKey, VersionDigest,
+};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time for which other hosts are asked for the version of a stream.
+const LOOKUP_TIME: Duration = Duration::from_millis(150);
+
+/// Interval between two questions about it.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(40);
+
+impl RequestRun {
+    /// Finds out which version a stream requires that the caller takes up. The error is the
+    /// response if it can't be known: a stream that goes on at another version is worse than
+    /// one that goes on later.
+    pub(crate) async fn find_version(&mut self) -> Result<(), GatewayReply> {
+        let request = &self.admitted.outgoing.request;
+        if self.admitted.route.retry_safety != (RetrySafety::Stream { resumable: true }) {
+            return Ok(());
+        }
+        let version = match (&request.resumed_attempt, request.last_event_id) {
+            (None, None) => return Ok(()),
+            (Some(attempt), _) => self.look_up(self.stream_key(attempt)).await,
+            (None, Some(_)) => {
+                let table = self.state.table.borrow();
+                table.sole_version(&self.admitted.service)
+            }
+        };
+        self.required_version = RequiredVersion::of_stream(version);
+        match version {
+            Some(_) => Ok(()),
+            None => {
+                let reason = "the version that began the stream is not known";
+                Err(self.not_run(reason, RefusalCause::NoUpstream))
+            }
+        }
+    }
+
+    /// Returns the version at which a stream began, from this host or another one.
+    async fn look_up(&self, stream: StreamKey) -> Option<VersionDigest> {
+        let state = &self.state;
+        let end = clock::now() + LOOKUP_TIME;
+        for round in 0.. {
+            let known = state.stream_versions.borrow().find(clock::now(), stream);
+            if known.is_some() || clock::now() >= end {
+                return known;
+            }
+            state.stream_versions.borrow_mut().ask(stream, round);
+            state.stream_news.notify_one();
+            let next_question = clock::now() + QUESTION_INTERVAL;
+            while clock::now() < next_question {
+                let heard = state.streams_heard.notified();
+                if timeout(clock::time_until(next_question), heard)
+                    .await
+                    .is_err()
+                    || state
+                        .stream_versions
+                        .borrow()
+                        .find(clock::now(), stream)
+                        .is_some()
+                {
+                    break;
+                }
+            }
+        }
+        None
+    }
+
+    /// Records that an upstream of `version` has sent an event of the stream, before the
+    /// caller gets it. Only this version may go on with the stream.
+    pub(crate) async fn record_event(&mut self, version: Option<VersionDigest>) {
+        if self.has_recorded_version {
+            return;
+        }
+        self.has_recorded_version = true;
+        if self.required_version == RequiredVersion::Any {
+            self.required_version = RequiredVersion::of_stream(version);
+        }
+        let is_resumable =
+            self.admitted.route.retry_safety == RetrySafety::Stream { resumable: true };
+        let RequiredVersion::Only(version) = self.required_version else {
+            return;
+        };
+        if is_resumable {
+            let stream = self.stream_key(&self.admitted.outgoing.request.id);
+            self.state
+                .stream_versions
+                .borrow_mut()
+                .record_begin(clock::now(), stream, version);
+            self.state.stream_news.notify_one();
+            // The copies are sent before the caller gets the event.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn stream_key(&self, attempt: &str) -> StreamKey {
+        let workspace = self.admitted.outgoing.workspace.as_deref();
+        StreamKey::new(workspace, attempt)
+    }
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_adapter::upstream::{ResponseHead, UpstreamCall, UpstreamTask};
-use lagoonlift_policy::dispatch::{ContactResult, SuspectKey, UpstreamRecord};
+use lagoonlift_policy::dispatch::{ContactResult, SuspectKey, UpstreamRecord, VersionDigest};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -99,6 +99,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: PooledConnection,
     pub(crate) work: UpstreamWork,
+    /// Software version of the upstream when the request was sent, if it is known.
+    pub(crate) version: Option<VersionDigest>,
 }
 
 impl UpstreamResponse {
@@ -272,6 +274,7 @@
         body,
         connection,
         work,
+        version: record.version_digest(),
     });
     classify(&outgoing.request.id, upstream_response)
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,8 +14,8 @@
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HostRoster, PeerLoads, Placement,
     PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig,
-    StalenessLimits, StoreReaderSelection, StoreStatus, Upstream, UpstreamTable, UsageCopies,
-    UsageCounts, WallClock,
+    StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream, UpstreamTable,
+    UsageCopies, UsageCounts, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -54,6 +54,12 @@
     /// Prefix blocks and requests that crash upstreams.
     pub(crate) crash_quarantine: RefCell<CrashQuarantine>,
     pub(crate) crash_monitor: RefCell<CrashMonitor>,
+    /// Software versions at which streams began.
+    pub(crate) stream_versions: RefCell<StreamVersions>,
+    /// Notified when peers have to get or to be asked for the version of a stream at once.
+    pub(crate) stream_news: Notify,
+    /// Notified when a peer has told the versions of streams.
+    pub(crate) streams_heard: Notify,
     /// Notified when peers have to be told of a crash at once.
     pub(crate) crash_news: Notify,
     /// Whether the quarantines in the store have been read since the start.
@@ -117,6 +123,9 @@
             peer_loads: RefCell::new(PeerLoads::new()),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             crash_monitor: RefCell::new(CrashMonitor::default()),
+            stream_versions: RefCell::new(StreamVersions::new()),
+            stream_news: Notify::new(),
+            streams_heard: Notify::new(),
             crash_news: Notify::new(),
             has_read_quarantines: Cell::new(false),
             probe_claimed_at: Cell::new(None),
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 //! * [`RetryBudget`] limits the retries of all hosts together.
 //! * [`Placement`] chooses an upstream, or reports that none can serve in time.
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
+//! * [`StreamVersions`] knows the software versions at which streams began.
 //! * [`retry_after`] computes when a refused caller may retry.
 //! * [`HostRoster`] counts the hosts among which the rates that upstreams state are shared.
 //! * [`PeerLoads`] tracks the in-flight load and the role changes of other hosts.
@@ -54,6 +55,7 @@
 mod store_backoff;
 mod store_era;
 mod store_readers;
+mod stream_versions;
 mod upstream;
 mod usage;
 mod usage_copies;
@@ -74,6 +76,7 @@
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
     FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan, PromptRefusal,
+    RequiredVersion,
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
@@ -87,6 +90,7 @@
 pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
+pub use stream_versions::{StreamKey, StreamNotice, StreamVersions, VersionDigest};
 pub use upstream::{
     EngineRole, ListChange, RateChange, RateNotice, RateSharing, RateStatement, SoftwareVersion,
     Upstream, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -12,7 +12,7 @@
 //! delays every response. A prompt that would have to wait for longer than its
 //! latency goal allows is therefore refused at once.
 
-use super::{EngineRole, PeerLoads, PrefillRate, Upstream, UpstreamTable};
+use super::{EngineRole, PeerLoads, PrefillRate, Upstream, UpstreamTable, VersionDigest};
 use crate::{Timestamp, UpstreamKey};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -104,6 +104,8 @@
     pub peers: &'a PeerLoads,
     /// Name of the service that the request is for.
     pub service: &'a str,
+    /// Software version that the upstream must have.
+    pub version: RequiredVersion,
     /// Upstreams that earlier attempts of the request were sent to.
     pub tried: &'a [UpstreamKey],
     /// Engines whose role is being changed.
@@ -114,6 +116,56 @@
     pub tie_breaker: f64,
 }
 
+impl<'a> FleetView<'a> {
+    /// Returns the usable upstreams of the required version, in arbitrary order.
+    fn usable(self) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+        let usable = self.table.usable(self.service, self.now);
+        usable.filter(move |(_, upstream)| self.version.is_met_by(upstream))
+    }
+
+    /// Returns the versions of the engines that can decode this request.
+    fn decode_versions(self) -> Vec<Option<VersionDigest>> {
+        let engines = self.usable().filter(|(key, one)| {
+            one.record.role != Some(EngineRole::Prefill) && !self.tried.contains(key)
+        });
+        let mut versions = Vec::new();
+        for (_, engine) in engines {
+            if !versions.contains(&engine.version) {
+                versions.push(engine.version);
+            }
+        }
+        versions
+    }
+}
+
+/// The software version that an upstream must have for a request. What upstreams of
+/// different versions write doesn't fit together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RequiredVersion {
+    /// Any version: no upstream has begun the response yet.
+    #[default]
+    Any,
+    /// The version that has begun the stream.
+    Only(VersionDigest),
+    /// The version that has begun the stream isn't known, so no upstream can continue it.
+    Unknown,
+}
+
+impl RequiredVersion {
+    /// Returns what a stream requires that an upstream of `version` has begun.
+    pub fn of_stream(version: Option<VersionDigest>) -> Self {
+        version.map_or(Self::Unknown, Self::Only)
+    }
+
+    fn is_met_by(self, upstream: &Upstream) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(version) => upstream.version == Some(version),
+            Self::Unknown => false,
+        }
+    }
+}
+
 /// Thresholds for the choice of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementLimits {
@@ -198,6 +250,7 @@
     /// first in the ranking.
     score: u64,
     key: UpstreamKey,
+    version: Option<VersionDigest>,
     /// Prefill backlog of all hosts in tokens, multiplied by the [`backlog_factor`]
     /// of the engine's role.
     backlog: u64,
@@ -238,10 +291,7 @@
     /// Chooses the upstream for a request to a plain service; `None` if none is
     /// usable.
     pub fn choose_upstream(&self, view: FleetView<'_>) -> Option<UpstreamKey> {
-        let candidates = view
-            .table
-            .usable(view.service, view.now)
-            .filter(|(key, _)| !view.tried.contains(key));
+        let candidates = view.usable().filter(|(key, _)| !view.tried.contains(key));
         let load = |upstream: &Upstream| {
             let is_same_data_centre = upstream.record.data_centre == self.data_centre;
             let penalty = if is_same_data_centre {
@@ -273,12 +323,19 @@
             return engine.map(PromptPlan::SingleEngine);
         }
         let wait = self.allowed_wait(prompt, latency_goal, time_left);
-        let prefill_engines = self.ranked_engines(view, prompt, EngineRole::Prefill);
+        let mut prefill_engines = self.ranked_engines(view, prompt, EngineRole::Prefill);
+        let has_prefill_engine = !prefill_engines.is_empty();
+        let decode_versions = view.decode_versions();
+        prefill_engines.retain(|engine| decode_versions.contains(&engine.version));
         match prefill_engines.is_empty() {
-            false if self.has_no_decode_engine(view) => Err(PromptRefusal::NoEngine),
+            _ if has_prefill_engine && decode_versions.is_empty() => Err(PromptRefusal::NoEngine),
             false => {
                 let prefill_engine = self.choose_engine(&prefill_engines, wait)?;
-                let preferred = prefill_engines.iter().find(|engine| engine.is_healthy);
+                let version_of = |key| view.table.get(key).and_then(|one| one.version);
+                let version = version_of(prefill_engine);
+                let preferred = prefill_engines
+                    .iter()
+                    .find(|engine| engine.is_healthy && engine.version == version);
                 let preferred = preferred.map(|engine| engine.key);
                 Ok(PromptPlan::Disaggregated {
                     prefill_engine,
@@ -291,27 +348,23 @@
         }
     }
 
-    /// Chooses the decode engine after a prefill on `prefill_engine`. Engines in the
-    /// same data centre are preferred, since the KV cache has to be transferred.
+    /// Chooses the decode engine after a prefill on `prefill_engine`, which wrote the KV
+    /// cache for engines of its own version. Engines in the same data centre are preferred, since the KV cache has to be transferred.
     pub fn choose_decode_engine(
         &self,
         view: FleetView<'_>,
         prefill_engine: UpstreamKey,
     ) -> Option<UpstreamKey> {
-        let prefill_data_centre = view
-            .table
-            .get(prefill_engine)
-            .map(|one| one.record.data_centre.as_str());
+        let prefill_engine = view.table.get(prefill_engine)?;
+        let prefill_data_centre = &prefill_engine.record.data_centre;
         let is_candidate = |(key, upstream): &(UpstreamKey, &Upstream)| {
-            upstream.record.role != Some(EngineRole::Prefill) && !view.tried.contains(key)
+            upstream.record.role != Some(EngineRole::Prefill)
+                && upstream.version == prefill_engine.version
+                && !view.tried.contains(key)
         };
-        let candidates = view
-            .table
-            .usable(view.service, view.now)
-            .filter(is_candidate);
+        let candidates = view.usable().filter(is_candidate);
         let load = |upstream: &Upstream| {
-            let is_same_data_centre =
-                prefill_data_centre == Some(upstream.record.data_centre.as_str());
+            let is_same_data_centre = *prefill_data_centre == upstream.record.data_centre;
             let penalty = if is_same_data_centre {
                 0.0
             } else {
@@ -327,13 +380,6 @@
         choose(available).or_else(|| choose(changing))
     }
 
-    /// Returns whether no engine can continue after a prefill on another engine, so
-    /// that the prefill would be wasted.
-    fn has_no_decode_engine(&self, view: FleetView<'_>) -> bool {
-        let mut engines = view.table.usable(view.service, view.now);
-        !engines.any(|(_, one)| one.record.role != Some(EngineRole::Prefill))
-    }
-
     /// Returns how long a prompt may wait before its prefill starts.
     fn allowed_wait(
         &self,
@@ -358,8 +404,7 @@
         role: EngineRole,
     ) -> Vec<PrefillCandidate> {
         let candidates = view
-            .table
-            .usable(view.service, view.now)
+            .usable()
             .filter(|(key, one)| one.record.role == Some(role) && !view.tried.contains(key))
             .filter(|(_, one)| role == EngineRole::Decode || one.can_prefill(view.now));
         let mut ranked_engines: Vec<PrefillCandidate> = candidates
@@ -367,6 +412,7 @@
             .map(|(key, one)| PrefillCandidate {
                 score: rendezvous_score(prompt, one),
                 key,
+                version: one.version,
                 backlog: one.prefill_backlog(view.peers) * backlog_factor(role),
                 is_healthy: one.failure_share < UNHEALTHY_FAILURE_SHARE,
             })
--- /dev/null
+++ b/crates/policy/src/dispatch/stream_versions.rs
@@ -0,0 +1,211 @@
+//! The software versions at which streams began.
+//!
+//! What upstreams of two versions write doesn't fit together, so a stream goes on only at
+//! the version that began it. A caller that takes a stream up names the attempt that brought
+//! its first event, at any host. Each host keeps the versions of the streams that began
+//! there, and sends a copy to a few others before the caller gets the first event. Which
+//! hosts have the copy follows from the attempt and the roster of hosts, so that another
+//! host knows whom to ask, also when the first one has ended.
+
+use super::SoftwareVersion;
+use crate::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Number of hosts that get a copy of a stream's version.
+const COPIES: usize = 4;
+
+/// Time for which the version of a stream is kept after its beginning. Callers come back
+/// within the deadline of their first attempt.
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// Largest number of streams whose version is kept. The oldest ones are forgotten first.
+const MAX_STREAMS: usize = 40_000;
+
+/// Largest number of copies and of questions that wait to be sent.
+const MAX_NEWS: usize = 4_096;
+
+/// Largest number of times that a question reaches three times as many hosts.
+const MAX_WIDENING: u32 = 3;
+
+/// Largest number of notices in a message, so that it fits into a datagram.
+const MAX_NOTICES: usize = 60;
+
+/// Hash of the caller's attempt that brought the first event of a stream, and of its
+/// workspace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamKey(u64);
+
+impl StreamKey {
+    /// Returns the key of the attempt with the identifier `attempt`.
+    pub fn new(workspace: Option<&str>, attempt: &str) -> Self {
+        Self(hash_of((workspace, attempt)))
+    }
+}
+
+/// Hash of a service and a version of its upstreams' software, the same on all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct VersionDigest(u64);
+
+impl VersionDigest {
+    /// Returns the hash of `version` at `service`.
+    pub fn new(service: &str, version: &SoftwareVersion) -> Self {
+        Self(hash_of((service, &version.0)))
+    }
+}
+
+fn hash_of(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A host's message about the version of one stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamNotice {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The version that began it.
+    pub version: VersionDigest,
+}
+
+/// What is known of a stream.
+#[derive(Clone, Copy, Debug)]
+struct KnownStream {
+    /// `None` if streams of several versions have the same key.
+    version: Option<VersionDigest>,
+    begun_at: Timestamp,
+}
+
+/// The versions of the streams that began here, and copies from other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct StreamVersions {
+    streams: HashMap<StreamKey, KnownStream>,
+    /// The streams in the order in which they became known.
+    order: VecDeque<StreamKey>,
+    /// Streams of which other hosts have no copy yet.
+    news: Vec<StreamNotice>,
+    /// Streams whose version other hosts are asked for, and the number of the question.
+    questions: Vec<(StreamKey, u32)>,
+}
+
+impl StreamVersions {
+    /// Creates an instance without streams.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a stream begins at `version`, and copies it to other hosts.
+    pub fn record_begin(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest) {
+        self.record(now, stream, version);
+        if self.news.len() < MAX_NEWS {
+            self.news.push(StreamNotice { stream, version });
+        }
+    }
+
+    /// Records the version of a stream that another host knows.
+    pub fn record_notice(&mut self, now: Timestamp, notice: StreamNotice) {
+        self.record(now, notice.stream, notice.version);
+    }
+
+    /// Asks other hosts for the version of a stream. `round` counts the questions about it,
+    /// from 0.
+    pub fn ask(&mut self, stream: StreamKey, round: u32) {
+        if self.questions.len() < MAX_NEWS {
+            self.questions.push((stream, round));
+        }
+    }
+
+    /// Removes and returns the questions, and the hosts to ask: at first those that should
+    /// have a copy, then also others, whose views of the hosts may differ.
+    pub fn take_questions(
+        &mut self,
+        peers: impl Iterator<Item = SocketAddr> + Clone,
+    ) -> Vec<(StreamKey, Vec<SocketAddr>)> {
+        let questions = std::mem::take(&mut self.questions).into_iter();
+        let asked = questions.map(|(stream, round)| {
+            let count = COPIES * 3_usize.pow(round.min(MAX_WIDENING));
+            (stream, nearest(stream, peers.clone(), count))
+        });
+        asked.collect()
+    }
+
+    /// Returns the version at which a stream began, if it is known.
+    pub fn find(&self, now: Timestamp, stream: StreamKey) -> Option<VersionDigest> {
+        let known = self.streams.get(&stream)?;
+        let is_kept = now.since(known.begun_at) < RETENTION;
+        known.version.filter(|_| is_kept)
+    }
+
+    /// Returns the number of streams whose version is kept.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    /// Removes and returns the notices that other hosts have to get, by host.
+    pub fn take_news(
+        &mut self,
+        peers: impl Iterator<Item = SocketAddr> + Clone,
+    ) -> Vec<(SocketAddr, Vec<StreamNotice>)> {
+        let mut by_host: HashMap<SocketAddr, Vec<StreamNotice>> = HashMap::new();
+        for notice in std::mem::take(&mut self.news) {
+            for holder in nearest(notice.stream, peers.clone(), COPIES) {
+                by_host.entry(holder).or_default().push(notice);
+            }
+        }
+        let messages = by_host.into_iter().flat_map(|(host, notices)| {
+            let chunks: Vec<_> = notices.chunks(MAX_NOTICES).map(<[_]>::to_vec).collect();
+            chunks.into_iter().map(move |chunk| (host, chunk))
+        });
+        messages.collect()
+    }
+
+    fn record(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest) {
+        match self.streams.get_mut(&stream) {
+            Some(known) if known.version == Some(version) => {}
+            Some(known) => known.version = None,
+            None => {
+                let known = KnownStream {
+                    version: Some(version),
+                    begun_at: now,
+                };
+                self.streams.insert(stream, known);
+                self.order.push_back(stream);
+            }
+        }
+        self.remove_old(now);
+    }
+
+    fn remove_old(&mut self, now: Timestamp) {
+        while let Some(oldest) = self.order.front() {
+            let begun_at = self.streams.get(oldest).map(|known| known.begun_at);
+            let is_kept = begun_at.is_some_and(|at| now.since(at) < RETENTION);
+            if is_kept && self.order.len() <= MAX_STREAMS {
+                return;
+            }
+            self.streams.remove(oldest);
+            self.order.pop_front();
+        }
+    }
+}
+
+/// Returns the `count` hosts among `peers` with the highest rendezvous scores for a stream.
+fn nearest(
+    stream: StreamKey,
+    peers: impl Iterator<Item = SocketAddr>,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let mut peers: Vec<SocketAddr> = peers.collect();
+    peers.sort_by_cached_key(|peer| Reverse(hash_of((stream, peer))));
+    peers.truncate(count);
+    peers
+}
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -11,7 +11,7 @@
 };
 pub use table::UpstreamTable;
 
-use super::{PeerLoads, UpstreamDigest};
+use super::{PeerLoads, UpstreamDigest, VersionDigest};
 use crate::Timestamp;
 use std::time::Duration;
 
@@ -49,6 +49,8 @@
     pub record: UpstreamRecord,
     /// Hash of the identifier, as used in messages between hosts.
     pub digest: UpstreamDigest,
+    /// Version of its software, if the entry states it.
+    pub version: Option<VersionDigest>,
     /// This host's requests in flight on the upstream.
     pub in_flight: u32,
     /// Prompt tokens of this host's requests that wait for prefill or are in prefill
@@ -82,6 +84,7 @@
             held_off_until: None,
             has_rate: false,
             digest: UpstreamDigest::new(&record.id),
+            version: record.version_digest(),
             record,
             in_flight: 0,
             prefill_tokens: 0,
--- a/crates/policy/src/dispatch/upstream/record.rs
+++ b/crates/policy/src/dispatch/upstream/record.rs
@@ -1,5 +1,6 @@
 //! The entries of upstreams in the store.
 
+use crate::dispatch::VersionDigest;
 use std::net::SocketAddr;
 
 /// Identifier of an upstream. Several incarnations of the upstream may use the same
@@ -88,6 +89,13 @@
         }
     }
 
+    /// Returns the version of the upstream's software as hosts tell it each other, if the
+    /// entry states it.
+    pub fn version_digest(&self) -> Option<VersionDigest> {
+        let version = self.version.as_ref()?;
+        Some(VersionDigest::new(&self.service, version))
+    }
+
     pub(super) fn is_same_incarnation(&self, other: &Self) -> bool {
         self.address == other.address && self.started_ms == other.started_ms
     }
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -16,6 +16,7 @@
 use super::announcements::Announcements;
 use super::rate::RateSharing;
 use super::{ListChange, Upstream, UpstreamId, UpstreamPhase, UpstreamRecord};
+use crate::dispatch::VersionDigest;
 use crate::dispatch::reachability::{ContactEffect, ContactResult, Reachability};
 use crate::{Timestamp, UpstreamKey};
 use slotmap::SlotMap;
@@ -85,6 +86,18 @@
             .filter(move |(_, upstream)| !skips_avoided || self.may_contact(upstream, now))
     }
 
+    /// Returns the only version that the listed upstreams of `service` have, draining ones
+    /// included; `None` if there are several, or one isn't known.
+    pub fn sole_version(&self, service: &str) -> Option<VersionDigest> {
+        let of_service = self
+            .entries
+            .values()
+            .filter(|one| one.record.service == service);
+        let mut versions = of_service.map(|one| one.version);
+        let first = versions.next()??;
+        versions.all(|other| other == Some(first)).then_some(first)
+    }
+
     /// Returns the shortest time for which an upstream of `service` still holds off
     /// requests; `None` if none does.
     pub fn shortest_hold_off(&self, service: &str, now: Timestamp) -> Option<Duration> {
@@ -265,6 +278,7 @@
             // The list of a restored store may name an incarnation that has ended.
             Some(upstream) if record.is_earlier_incarnation(&upstream.record) => None,
             Some(upstream) if upstream.record.is_same_incarnation(&record) => {
+                upstream.version = record.version_digest();
                 upstream.record = record;
                 upstream.removal_at = None;
                 None
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod schedules;
 mod store_outage;
 mod store_readers;
+mod stream_versions;
 mod support;
 mod upstreams;
 mod usage;
--- /dev/null
+++ b/crates/policy/tests/all/dispatch/stream_versions.rs
@@ -0,0 +1,151 @@
+//! Tests of the knowledge at which software version a stream began, and of choices that
+//! depend on versions.
+
+use super::support::{SERVICE, at_ms, engine, key_of, prompt, table_of, view};
+use lagoonlift_policy::dispatch::{
+    EngineRole, ListChange, PeerLoads, Placement, PlacementLimits, PromptPlan, PromptRefusal,
+    RequiredVersion, SoftwareVersion, StreamKey, StreamVersions, UpstreamRecord, VersionDigest,
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn version(name: &str) -> VersionDigest {
+    VersionDigest::new(SERVICE, &SoftwareVersion(name.to_owned()))
+}
+
+fn engine_of(number: usize, role: EngineRole, version: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        version: Some(SoftwareVersion(version.to_owned())),
+        ..engine(number, role)
+    }
+}
+
+fn peers(count: usize) -> Vec<SocketAddr> {
+    let address = |number| format!("10.1.{}.{}:7662", number / 200, number % 200 + 1);
+    let parsed = (0..count).map(|number| address(number).parse().expect("an address"));
+    parsed.collect()
+}
+
+/// Guards against knowledge that is lost with a host: at all sizes, a few hosts have a copy
+/// of each stream, and the hosts that any other one asks first have it.
+#[test]
+fn version_is_found_from_the_attempt_alone() {
+    for count in [5, 29, 194, 756] {
+        let peers = peers(count);
+        let mut first = StreamVersions::new();
+        let mut found = 0;
+        for number in 0..200 {
+            let stream = StreamKey::new(Some("north"), &format!("a{number}"));
+            first.record_begin(at_ms(0), stream, version("v1"));
+            let copies = first.take_news(peers.iter().copied());
+            let holders: Vec<SocketAddr> = copies.iter().map(|(holder, _)| *holder).collect();
+            assert!(holders.len() <= 4, "{} copies", holders.len());
+            // The host that asks isn't the first one's peer number `number`, and asks the others.
+            let mut asking = StreamVersions::new();
+            asking.ask(stream, 0);
+            let others = peers.iter().copied().skip(1);
+            let questions = asking.take_questions(others);
+            let asked = &questions[0].1;
+            found += usize::from(asked.iter().any(|host| holders.contains(host)));
+        }
+        assert_eq!(found, 200, "{count} peers");
+    }
+}
+
+/// Guards against a guess: attempts of two callers, or two streams with the same identifier
+/// at different versions, tell nothing.
+#[test]
+fn ambiguous_attempts_are_unknown() {
+    let mut versions = StreamVersions::new();
+    let stream = StreamKey::new(Some("north"), "a1");
+    versions.record_begin(at_ms(0), stream, version("v1"));
+    assert_eq!(versions.find(at_ms(1), stream), Some(version("v1")));
+    let other = StreamKey::new(Some("south"), "a1");
+    assert_eq!(versions.find(at_ms(1), other), None);
+    versions.record_begin(at_ms(2), stream, version("v2"));
+    assert_eq!(versions.find(at_ms(3), stream), None);
+}
+
+/// Guards against knowledge that grows without bound.
+#[test]
+fn old_streams_are_forgotten() {
+    let mut versions = StreamVersions::new();
+    for number in 0..50_000_u64 {
+        let stream = StreamKey::new(None, &number.to_string());
+        versions.record_begin(at_ms(number / 10), stream, version("v1"));
+    }
+    assert!(versions.len() <= 40_000);
+    let late = at_ms(5_000) + Duration::from_secs(61);
+    versions.record_begin(late, StreamKey::new(None, "late"), version("v1"));
+    assert_eq!(versions.len(), 1);
+}
+
+/// Guards against a stream that goes on at the version of an entry that has been replaced:
+/// an upstream started again under its identifier with another version, or its entry states
+/// none.
+#[test]
+fn version_is_that_of_the_listed_incarnation() {
+    let mut table = table_of(vec![engine_of(0, EngineRole::Decode, "v1")]);
+    let placement = Placement::new(PlacementLimits::default(), "a");
+    let loads = PeerLoads::new();
+    let choice = |table: &_| {
+        let mut view = view(table, &loads, &[], 0);
+        view.version = RequiredVersion::Only(version("v1"));
+        placement.choose_upstream(view)
+    };
+    assert!(choice(&table).is_some());
+    let mut restarted = engine_of(0, EngineRole::Decode, "v2");
+    restarted.started_ms = Some(8);
+    table.apply(at_ms(1), ListChange::Present(restarted));
+    assert_eq!(choice(&table), None);
+    let mut unknown = engine(0, EngineRole::Decode);
+    unknown.version = None;
+    unknown.started_ms = Some(9);
+    table.apply(at_ms(2), ListChange::Present(unknown));
+    assert_eq!(choice(&table), None);
+    assert_eq!(table.sole_version(SERVICE), None);
+}
+
+/// Guards against KV caches and prefix blocks that one version writes and another reads, and
+/// against prefills at a version that has no decode engine.
+#[test]
+fn prompts_stay_at_one_version() {
+    let table = table_of(vec![
+        engine_of(0, EngineRole::Prefill, "v1"),
+        engine_of(1, EngineRole::Prefill, "v1"),
+        engine_of(2, EngineRole::Prefill, "v2"),
+        engine_of(3, EngineRole::Prefill, "v3"),
+        engine_of(4, EngineRole::Decode, "v1"),
+        engine_of(5, EngineRole::Decode, "v2"),
+    ]);
+    let placement = Placement::new(PlacementLimits::default(), "a");
+    let loads = PeerLoads::new();
+    let version_of = |key| table.get(key).expect("listed").version;
+    let second = Duration::from_secs(1);
+    for session in 0..100 {
+        let view = view(&table, &loads, &[], 0);
+        let plan = placement.plan_prompt(view, &prompt(session, 2_890), second, second);
+        let Ok(PromptPlan::Disaggregated {
+            prefill_engine,
+            copy_blocks_from,
+        }) = plan
+        else {
+            panic!("{plan:?}");
+        };
+        assert_ne!(version_of(prefill_engine), Some(version("v3")));
+        if let Some(holder) = copy_blocks_from {
+            assert_eq!(version_of(holder), version_of(prefill_engine));
+        }
+        let decode_engine = placement.choose_decode_engine(view, prefill_engine);
+        let decode_engine = decode_engine.expect("a decode engine");
+        assert_eq!(version_of(decode_engine), version_of(prefill_engine));
+    }
+    let tried = [key_of(&table, 5)];
+    let mut only = view(&table, &loads, &tried, 0);
+    only.version = RequiredVersion::Only(version("v2"));
+    let plan = placement.plan_prompt(only, &prompt(1, 2_890), second, second);
+    assert_eq!(plan, Err(PromptRefusal::NoEngine));
+    only.version = RequiredVersion::Unknown;
+    let plan = placement.plan_prompt(only, &prompt(1, 2_890), second, second);
+    assert_eq!(plan, Err(PromptRefusal::NoEngine));
+}
--- a/crates/policy/tests/all/dispatch/support.rs
+++ b/crates/policy/tests/all/dispatch/support.rs
@@ -1,8 +1,8 @@
 //! Test fixtures: fleets and prompts.
 
 use lagoonlift_policy::dispatch::{
-    EngineRole, FleetView, ListChange, PeerLoads, PrefixBlock, PromptFacts, SoftwareVersion,
-    UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
+    EngineRole, FleetView, ListChange, PeerLoads, PrefixBlock, PromptFacts, RequiredVersion,
+    SoftwareVersion, UpstreamId, UpstreamPhase, UpstreamRecord, UpstreamTable,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::time::Duration;
@@ -59,6 +59,7 @@
         table,
         peers,
         service: SERVICE,
+        version: RequiredVersion::Any,
         tried,
         changing_role: &[],
         now: at_ms(ms),
