roles: each software version has decode engines of its own

A stream goes on only at the version that began it, and only decode engines run streams. A release that left all engines of a version in the prefill role stopped its streams, and its prefill engines were of no use. Roles are planned for each version. The new test failed before (all 14 engines of v1 stayed in one role).

--- a/crates/policy/src/dispatch/roles.rs
+++ b/crates/policy/src/dispatch/roles.rs
@@ -7,7 +7,7 @@
 //! engine unavailable for seconds, so the share of decode engines is fixed and does not
 //! follow the traffic.
 
-use super::{EngineRole, Upstream, UpstreamPhase, UpstreamTable};
+use super::{EngineRole, Upstream, UpstreamPhase, UpstreamTable, VersionDigest};
 use crate::UpstreamKey;
 use std::collections::{BTreeMap, HashMap};
 
@@ -41,6 +41,7 @@
 pub struct RolePlanner;
 
 /// An engine with the role that it has or will have after open orders.
+#[derive(Clone)]
 struct PlannedEngine<'a> {
     key: UpstreamKey,
     upstream: &'a Upstream,
@@ -61,25 +62,12 @@
         service: &str,
         open: &[RoleOrder],
     ) -> Vec<RoleOrder> {
-        let mut engines = planned_engines(table, service, open);
-        let wanted = wanted_decode_engines(engines.len());
-        let mut decode_engines = count_decode_engines(&engines);
+        let engines = planned_engines(table, service, open);
         let mut orders = Vec::new();
-        let role = match decode_engines {
-            count if count > wanted + MAX_EXTRA_DECODE_ENGINES => EngineRole::Prefill,
-            count if count < wanted => EngineRole::Decode,
-            _ => return orders,
-        };
-        while decode_engines != wanted {
-            let Some(position) = next_engine(&engines, role) else {
-                break;
-            };
-            engines[position].role = role;
-            orders.push(RoleOrder {
-                upstream: engines[position].key,
-                role,
-            });
-            decode_engines = count_decode_engines(&engines);
+        for version in versions_of(&engines) {
+            let is_of_version = |engine: &&PlannedEngine<'_>| engine.upstream.version == version;
+            let mut pool: Vec<_> = engines.iter().filter(is_of_version).cloned().collect();
+            plan_pool(&mut pool, &mut orders);
         }
         // An engine with an open order is unavailable and is not changed back yet.
         let is_open = |order: &RoleOrder| open.iter().any(|one| one.upstream == order.upstream);
@@ -88,6 +76,40 @@
     }
 }
 
+/// Returns the versions of the engines in the order in which they appear.
+fn versions_of(engines: &[PlannedEngine<'_>]) -> Vec<Option<VersionDigest>> {
+    let mut versions = Vec::new();
+    for engine in engines {
+        if !versions.contains(&engine.upstream.version) {
+            versions.push(engine.upstream.version);
+        }
+    }
+    versions
+}
+
+/// Adds the orders for the engines of one software version. KV caches of other versions
+/// don't fit, so each version needs decode engines of its own.
+fn plan_pool(engines: &mut [PlannedEngine<'_>], orders: &mut Vec<RoleOrder>) {
+    let wanted = wanted_decode_engines(engines.len());
+    let mut decode_engines = count_decode_engines(engines);
+    let role = match decode_engines {
+        count if count > wanted + MAX_EXTRA_DECODE_ENGINES => EngineRole::Prefill,
+        count if count < wanted => EngineRole::Decode,
+        _ => return,
+    };
+    while decode_engines != wanted {
+        let Some(position) = next_engine(engines, role) else {
+            break;
+        };
+        engines[position].role = role;
+        orders.push(RoleOrder {
+            upstream: engines[position].key,
+            role,
+        });
+        decode_engines = count_decode_engines(engines);
+    }
+}
+
 fn planned_engines<'a>(
     table: &'a UpstreamTable,
     service: &str,
--- a/crates/policy/tests/all/dispatch/stream_versions.rs
+++ b/crates/policy/tests/all/dispatch/stream_versions.rs
@@ -4,8 +4,10 @@
 use super::support::{SERVICE, at_ms, engine, key_of, prompt, table_of, view};
 use lagoonlift_policy::dispatch::{
     EngineRole, ListChange, PeerLoads, Placement, PlacementLimits, PromptPlan, PromptRefusal,
-    RequiredVersion, SoftwareVersion, StreamKey, StreamVersions, UpstreamRecord, VersionDigest,
+    RequiredVersion, RolePlanner, SoftwareVersion, StreamKey, StreamVersions, UpstreamRecord,
+    VersionDigest,
 };
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -149,3 +151,32 @@
     let plan = placement.plan_prompt(only, &prompt(1, 2_890), second, second);
     assert_eq!(plan, Err(PromptRefusal::NoEngine));
 }
+
+/// Guards against a version all of whose engines have one role, so that none of its streams
+/// can go on: after a release of half of the engines, each version has both.
+#[test]
+fn each_version_has_decode_engines() {
+    let mut records: Vec<UpstreamRecord> = (0..14)
+        .map(|number| engine_of(number, EngineRole::Prefill, "v1"))
+        .collect();
+    records.extend((14..26).map(|number| engine_of(number, EngineRole::Decode, "v2")));
+    records.push(engine_of(26, EngineRole::Prefill, "v3"));
+    records.push(engine_of(27, EngineRole::Prefill, "v3"));
+    let mut table = table_of(records.clone());
+    let orders = RolePlanner::new().orders(&table, SERVICE, &[]);
+    for order in &orders {
+        let id = table.get(order.upstream).expect("listed").record.id.clone();
+        let record = records.iter_mut().find(|one| one.id == id);
+        record.expect("a record").role = Some(order.role);
+    }
+    table.apply_list(at_ms(1), records);
+    let mut counts: HashMap<_, [usize; 2]> = HashMap::new();
+    for (_, upstream) in table.iter() {
+        let is_decode = upstream.record.role == Some(EngineRole::Decode);
+        counts.entry(upstream.version).or_default()[usize::from(is_decode)] += 1;
+    }
+    assert_eq!(counts[&Some(version("v1"))], [11, 3]);
+    assert_eq!(counts[&Some(version("v2"))], [9, 3]);
+    assert_eq!(counts[&Some(version("v3"))], [1, 1]);
+    assert!(RolePlanner::new().orders(&table, SERVICE, &[]).is_empty());
+}
