--- a/crates/policy/tests/all/dispatch/schedules/mod.rs
+++ b/crates/policy/tests/all/dispatch/schedules/mod.rs
@@ -12,6 +12,7 @@
 mod rate_limits;
 mod request_quarantine;
 mod sealed_sums;
+mod stream_versions;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
