--- a/crates/policy/tests/all/dispatch/schedules/stream_versions.rs
+++ b/crates/policy/tests/all/dispatch/schedules/stream_versions.rs
@@ -16,10 +16,10 @@
 const STEP_MS: u64 = 10;
 /// Largest number of hosts.
 const MAX_HOSTS: u64 = 30;
-/// A stream begins, or is taken up, in one of this many steps.
-const STREAM_RARITY: u64 = 3;
+/// A stream begins, or is taken up, each in one of this many steps.
+const STREAM_RARITY: u64 = 5;
 /// A host restarts or is cut off in one of this many steps.
-const FAULT_RARITY: u64 = 60;
+const FAULT_RARITY: u64 = 25;
 /// Longest cut, in milliseconds.
 const MAX_CUT_MS: u64 = 1_500;
 /// One in this many hosts doesn't know another one.
@@ -31,6 +31,8 @@
 const MAX_TRANSIT_MS: u64 = 20;
 /// One in this many messages is lost.
 const LOSS_RARITY: u64 = 30;
+/// Streams of a host that has ended whose callers come back at once.
+const STREAMS_OF_A_HOST: usize = 40;
 /// Streams that have to be taken up in a schedule before their share is judged.
 const MIN_JUDGED: u32 = 12;
 
@@ -52,6 +54,14 @@
     cut_off_until_ms: u64,
 }
 
+/// A stream, the version that began it, and the host at which it began.
+#[derive(Clone, Copy)]
+struct BegunStream {
+    stream: StreamKey,
+    version: VersionDigest,
+    host: usize,
+}
+
 /// A host that looks for the version of a stream.
 struct Lookup {
     host: usize,
@@ -65,8 +75,7 @@
     network: Network<Message>,
     hosts: Vec<Host>,
     addresses: HashMap<SocketAddr, usize>,
-    /// The streams, and the versions that began them.
-    begun: Vec<(StreamKey, VersionDigest)>,
+    begun: Vec<BegunStream>,
     lookups: Vec<Lookup>,
     release: u64,
     taken_up: u32,
@@ -136,7 +145,10 @@
         let number = self.randomness.below(self.hosts.len() as u64) as usize;
         self.lookups.retain(|lookup| lookup.host != number);
         match self.randomness.once_in(2) {
-            true => self.hosts[number].versions = StreamVersions::new(),
+            true => {
+                self.hosts[number].versions = StreamVersions::new();
+                self.take_up_streams_of(now, number);
+            }
             false => {
                 let until = now + self.randomness.below(MAX_CUT_MS);
                 self.hosts[number].cut_off_until_ms = until;
@@ -150,7 +162,11 @@
         // Upstreams of the last three releases serve side by side.
         let version = version(self.release.saturating_sub(self.randomness.below(3)));
         let stream = StreamKey::new(Some("north"), &format!("a{}", self.begun.len()));
-        self.begun.push((stream, version));
+        self.begun.push(BegunStream {
+            stream,
+            version,
+            host: number,
+        });
         let host = &mut self.hosts[number];
         host.versions.record_begin(at_ms(now), stream, version);
         let copies = host.versions.take_news(host.peers.iter().copied());
@@ -167,7 +183,25 @@
             return;
         };
         let back = self.randomness.below(30.min(latest as u64 + 1)) as usize;
-        let (stream, _) = self.begun[latest - back];
+        let stream = self.begun[latest - back].stream;
+        self.look_up(now, host, stream);
+    }
+
+    /// Lets the callers of the latest streams of a host that has ended take them up at
+    /// others.
+    fn take_up_streams_of(&mut self, now: u64, ended: usize) {
+        let of_host = self.begun.iter().rev().filter(|begun| begun.host == ended);
+        let streams: Vec<StreamKey> = of_host
+            .take(STREAMS_OF_A_HOST)
+            .map(|one| one.stream)
+            .collect();
+        for stream in streams {
+            let host = self.randomness.below(self.hosts.len() as u64) as usize;
+            self.look_up(now, host, stream);
+        }
+    }
+
+    fn look_up(&mut self, now: u64, host: usize, stream: StreamKey) {
         self.lookups.push(Lookup {
             host,
             stream,
@@ -181,11 +215,11 @@
             let begun = self
                 .begun
                 .iter()
-                .find(|(stream, _)| *stream == lookup.stream);
+                .find(|begun| begun.stream == lookup.stream);
             let host = &mut self.hosts[lookup.host];
             let known = host.versions.find(at_ms(now), lookup.stream);
-            if let (Some(known), Some((_, version))) = (known, begun)
-                && known != *version
+            if let (Some(known), Some(begun)) = (known, begun)
+                && known != begun.version
             {
                 return Err(format!("{now} ms: a stream goes on at another version"));
             }
