soak: two software versions side by side, and an upstream that states a rate

In the runs without crashing requests, engines of two versions serve side by side and callers take broken streams up at another host, and a plain upstream states 12 requests a second.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -3,10 +3,12 @@
 
 use crate::announcements::{self, Disruption};
 use crate::engines;
-use crate::load::{RequestKind, SentRequest};
+use crate::load::{RequestKind, SentRequest, TakenUpStream};
+use crate::rates;
 use crate::support::duty::DutyCall;
 use crate::support::upstream::Received;
 use crate::support::{KEY, OTHER_KEY};
+use crate::versions;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::time::Duration;
@@ -21,6 +23,10 @@
 /// Observations of one run, which the checks evaluate.
 pub(crate) struct RunReport {
     pub(crate) requests: Vec<SentRequest>,
+    /// Streams that callers took up at another host.
+    pub(crate) taken_up: Vec<TakenUpStream>,
+    /// Whether engines of two software versions served, and an upstream stated a rate.
+    pub(crate) has_versions: bool,
     /// Requests that each upstream received.
     pub(crate) received: Vec<Vec<Received>>,
     /// Faults of hosts and of links to upstreams as scheduled, and crashes of upstreams.
@@ -81,6 +87,10 @@
     check_usage(&report.usage, &mut violations);
     announcements::check(report, &mut violations);
     engines::check(report, &mut violations);
+    if report.has_versions {
+        rates::check(report, &mut violations);
+        versions::check(report, &mut violations);
+    }
     if report.unclean_shutdowns > 0 {
         violations.push(format!(
             "{} hosts did not shut down cleanly in time",
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -22,6 +22,9 @@
 
 const HOSTS: usize = 3;
 
+/// Callers that take up broken streams at other hosts.
+const RESUMING_CALLERS: usize = 4;
+
 /// Length of the phase in which new faults start.
 const FAULT_PHASE: Duration = Duration::from_secs(6);
 
@@ -45,6 +48,7 @@
 
 /// All processes and stand-ins of one run.
 pub(crate) struct SoakCluster {
+    seed: u64,
     schedule: Schedule,
     store: StoreStandin,
     duties: DutyStandin,
@@ -83,7 +87,7 @@
             store.put(
                 "servers",
                 &format!("p{number}"),
-                upstream_record_for(role, link.address, 0),
+                upstream_record_for(seed, number, link.address, 0),
             );
             upstreams.push(upstream);
             upstream_links.push(link);
@@ -98,7 +102,11 @@
         let hosts: Vec<HostProcess> = (0..HOSTS)
             .map(|number| HostProcess::start(number, platform))
             .collect();
+        if faults::has_versions(seed) {
+            upstreams[faults::LIMITED_UPSTREAM].state_rate(faults::STATED_RATE);
+        }
         let mut cluster = Self {
+            seed,
             schedule: Schedule::new(seed, HOSTS),
             store,
             duties,
@@ -124,6 +132,13 @@
                 cluster.start_callers(key, caller);
             }
         }
+        if faults::has_versions(seed) {
+            let hosts: Vec<SocketAddr> = cluster.hosts.iter().map(|host| host.callers).collect();
+            for _ in 0..RESUMING_CALLERS {
+                let caller = load::run_resuming_caller(Arc::clone(&cluster.log), hosts.clone());
+                cluster.callers.spawn(caller);
+            }
+        }
         if let Some(block) = cluster.crashing_block {
             cluster.let_upstreams_crash(block);
             cluster.start_callers(KEY, CallerKind::ResumableStream);
@@ -153,11 +168,12 @@
             let mut crashes = self.upstreams[number].crash_times();
             let store = self.store.clone();
             let address = self.upstream_links[number].address;
+            let seed = self.seed;
             self.listings.spawn(async move {
                 while crashes.changed().await.is_ok() {
                     sleep(RESTART_TIME + LISTING_DELAY).await;
                     let count = crashes.borrow_and_update().len() as u64;
-                    let record = upstream_record_for(role, address, count);
+                    let record = upstream_record_for(seed, number, address, count);
                     store.put("servers", &format!("p{number}"), record);
                 }
             });
@@ -170,7 +186,7 @@
             let count = upstream.crashes() as u64;
             if count > 0 {
                 let address = self.upstream_links[number].address;
-                let record = upstream_record_for(roles()[number], address, count);
+                let record = upstream_record_for(self.seed, number, address, count);
                 self.store.put("servers", &format!("p{number}"), record);
             }
         }
@@ -233,6 +249,8 @@
             .collect();
         RunReport {
             requests: self.log.requests(),
+            taken_up: self.log.taken_up(),
+            has_versions: faults::has_versions(self.seed),
             received: self.upstreams.iter().map(|one| one.received()).collect(),
             disruptions: self
                 .disruptions
@@ -394,7 +412,7 @@
     fn restart_upstream(&mut self, upstream: usize) {
         self.restarts[upstream] += 1;
         let address = self.upstream_links[upstream].address;
-        let record = upstream_record_for(roles()[upstream], address, self.restarts[upstream]);
+        let record = upstream_record_for(self.seed, upstream, address, self.restarts[upstream]);
         self.store.put("servers", &format!("p{upstream}"), record);
     }
 
@@ -420,14 +438,17 @@
     })
 }
 
-/// Returns the store record of an upstream after a number of restarts.
-fn upstream_record_for(role: UpstreamRole, address: SocketAddr, restarts: u64) -> Value {
-    let (service, stage) = match role {
+/// Returns the store record of an upstream of the run after a number of restarts.
+fn upstream_record_for(seed: u64, upstream: usize, address: SocketAddr, restarts: u64) -> Value {
+    let (service, stage) = match roles()[upstream] {
         UpstreamRole::Plain => ("app", None),
         UpstreamRole::Prefill => ("llm", Some("prefill")),
         UpstreamRole::Decode => ("llm", Some("decode")),
     };
     let mut record = fleet::upstream_record(service, address, stage, "ready");
     record["born"] = Value::from(1 + restarts);
+    if faults::has_versions(seed) {
+        record["version"] = Value::from(faults::version_of(upstream));
+    }
     record
 }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -77,6 +77,27 @@
         .then_some(CRASHING_BLOCK)
 }
 
+/// Upstream that states a rate in the runs with several versions.
+pub(crate) const LIMITED_UPSTREAM: usize = 2;
+
+/// Requests a second that it takes from all hosts together.
+pub(crate) const STATED_RATE: &str = "12";
+
+/// Returns whether engines of two software versions serve side by side in a run, and a plain
+/// upstream states a rate. These are the runs without crashing blocks.
+pub(crate) fn has_versions(seed: u64) -> bool {
+    crashing_block(seed).is_none()
+}
+
+/// Returns the software version of an upstream in a run with several versions.
+pub(crate) fn version_of(upstream: usize) -> &'static str {
+    match roles()[upstream] {
+        UpstreamRole::Plain => "v1",
+        _ if upstream.is_multiple_of(2) => "v1",
+        _ => "v2",
+    }
+}
+
 /// Role of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpstreamRole {
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -111,10 +111,20 @@
     pub(crate) response: Option<Response>,
 }
 
-/// State that all callers of a run share: the requests sent so far, the next request
-/// number and the stop flag.
+/// An attempt of a caller that takes up a stream, which began in another attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct TakenUpStream {
+    pub(crate) id: String,
+    /// Identifier of the attempt that brought the first event.
+    pub(crate) first: String,
+    pub(crate) is_continued: bool,
+}
+
+/// State that all callers of a run share: the requests sent so far, the streams taken up,
+/// the next request number and the stop flag.
 #[derive(Default)]
 pub(crate) struct CallerLog {
+    taken_up: Mutex<Vec<TakenUpStream>>,
     requests: Mutex<Vec<SentRequest>>,
     next_id: AtomicU64,
     is_stopped: AtomicBool,
@@ -128,6 +138,13 @@
             .clone()
     }
 
+    pub(crate) fn taken_up(&self) -> Vec<TakenUpStream> {
+        self.taken_up
+            .lock()
+            .expect("the lock is not poisoned")
+            .clone()
+    }
+
     pub(crate) fn stop(&self) {
         self.is_stopped.store(true, Ordering::SeqCst);
     }
@@ -171,6 +188,47 @@
     }
 }
 
+/// Sends resumable streams to `hosts` in turn until the load is stopped, and takes each one
+/// that breaks up again at the next host.
+pub(crate) async fn run_resuming_caller(log: Arc<CallerLog>, hosts: Vec<SocketAddr>) {
+    let mut turns = hosts.iter().cycle();
+    while !log.is_stopped.load(Ordering::SeqCst) {
+        let number = log.next_id.fetch_add(1, Ordering::SeqCst);
+        let first = format!("f{number}");
+        let request = RequestKind::ResumableStream.request(&first, KEY);
+        let host = *turns.next().expect("there are hosts");
+        let response = match send(&mut None, host, &request).await {
+            SendResult::Responded(response) => response,
+            SendResult::ConnectionLost | SendResult::ConnectFailed => {
+                sleep(REQUEST_INTERVAL).await;
+                continue;
+            }
+        };
+        let events = response.body.matches("\n\n").count();
+        if response.status == 200 && !response.is_whole && events > 0 {
+            sleep(REQUEST_INTERVAL).await;
+            let id = format!("u{number}");
+            let request = RequestKind::ResumableStream
+                .request(&id, KEY)
+                .with("Resumes", &first)
+                .with("Last-Event-Id", &events.to_string());
+            let host = *turns.next().expect("there are hosts");
+            let result = send(&mut None, host, &request).await;
+            let is_continued =
+                matches!(result, SendResult::Responded(response) if response.status == 200);
+            log.taken_up
+                .lock()
+                .expect("the lock is not poisoned")
+                .push(TakenUpStream {
+                    id,
+                    first,
+                    is_continued,
+                });
+        }
+        sleep(REQUEST_INTERVAL).await;
+    }
+}
+
 /// Returns whether a host currently responds to a request with status 200.
 pub(crate) async fn is_serving(host: SocketAddr, id: &str) -> bool {
     let request = RequestKind::Idempotent.request(id, KEY);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,7 +7,9 @@
 //! fall silent in the middle of a stream and go on, and upstreams send responses without
 //! length or chunks, whole and broken ones. In the runs with an even seed, prompts with
 //! one prefix block crash the decode engines, and one request that comes again and again
-//! crashes the plain upstreams. Afterwards the test checks the observations of callers and upstreams against the guarantees of the project.
+//! crashes the plain upstreams. In the others, engines of two
+//! software versions serve side by side, callers take broken streams up at other hosts, and
+//! a plain upstream states a rate for all hosts. Afterwards the test checks the observations of callers and upstreams against the guarantees of the project.
 //!
 //! To run it with other seeds:
 //!
@@ -24,6 +26,7 @@
 mod host;
 mod load;
 mod proxy;
+mod rates;
 #[path = "../../platform/tests/all/support/mod.rs"]
 #[expect(
     dead_code,
@@ -31,6 +34,7 @@
     reason = "shared with the tests of the adapter"
 )]
 mod support;
+mod versions;
 
 use cluster::SoakCluster;
 use std::env;
