entry: a host's share is taken from its mean demand

Cause: a request was added to the demand before the time since the last one was credited, and demand just after a request exceeds its mean by one request in the averaging time.

--- a/crates/entry/src/limit.rs
+++ b/crates/entry/src/limit.rs
@@ -208,8 +208,10 @@
         max_output_tokens: u64,
     ) -> Result<TokenCharge, Duration> {
         let charged_tokens = prompt_tokens as f64 + max_output_tokens as f64 * self.output_share;
-        self.meter.add(now, charged_tokens);
+        // Demand just after a request exceeds the mean demand, so the time before it is
+        // credited first.
         self.refill(now);
+        self.meter.add(now, charged_tokens);
         let (requests, tokens) = self.host_shares(now);
         // A charge may exceed the bucket's capacity, so the level only has to
         // be positive. The resulting debt delays later requests.
