entry: traffic that begins at all hosts gets the limit

Callers of a workspace got 19 % more than its limit in the window in which traffic begins at six hosts. A host that knew of no demand elsewhere took the whole limit. Now it takes an equal share for the time of the first exchange. Ruled out: the share as of the last exchange throughout, which leaves a host nothing to which traffic has just moved.

--- a/crates/entry/src/limit.rs
+++ b/crates/entry/src/limit.rs
@@ -119,6 +119,11 @@
     }
 }
 
+/// Time after the first request in which a host takes an equal share if it knows of no
+/// demand elsewhere: the others may have begun at the same time, and their first reports are
+/// on the way.
+const FIRST_EXCHANGE_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum `Retry-After` value, in seconds.
 const MAX_RETRY_AFTER_SECONDS: f64 = 60.0;
 
@@ -146,6 +151,8 @@
     hosts: u32,
     other_hosts: WorkspaceDemand,
     meter: DemandMeter,
+    /// Time of the first request since there was no demand.
+    began_at: Instant,
     requests: ShareBucket,
     tokens: ShareBucket,
     output_share: f64,
@@ -162,6 +169,7 @@
             hosts,
             other_hosts: WorkspaceDemand::default(),
             meter: DemandMeter::new(now),
+            began_at: now,
             requests: ShareBucket::new(
                 now,
                 LimitShare::new(limits.requests_per_second, burst, host_share),
@@ -211,6 +219,9 @@
         // Demand just after a request exceeds the mean demand, so the time before it is
         // credited first.
         self.refill(now);
+        if self.demand(now).requests == 0.0 {
+            self.began_at = now;
+        }
         self.meter.add(now, charged_tokens);
         let (requests, tokens) = self.host_shares(now);
         // A charge may exceed the bucket's capacity, so the level only has to
@@ -258,7 +269,11 @@
     fn host_shares(&self, now: Instant) -> (LimitShare, LimitShare) {
         let local = self.demand(now);
         let burst = self.limits.burst_seconds;
-        let host_share = |local_demand, other_demand| self.host_share(local_demand, other_demand);
+        let has_just_begun = now.saturating_duration_since(self.began_at) < FIRST_EXCHANGE_TIME;
+        let host_share = |local_demand, other_demand| match has_just_begun && other_demand == 0.0 {
+            true => self.equal_share(),
+            false => self.host_share(local_demand, other_demand),
+        };
         (
             LimitShare::new(
                 self.limits.requests_per_second,
@@ -278,7 +293,11 @@
     fn host_share(&self, local_demand: f64, other_demand: f64) -> f64 {
         match local_demand + other_demand > 0.0 {
             true => local_demand / (local_demand + other_demand),
-            false => 1.0 / f64::from(self.hosts.max(1)),
+            false => self.equal_share(),
         }
     }
+
+    fn equal_share(&self) -> f64 {
+        1.0 / f64::from(self.hosts.max(1))
+    }
 }
