steward: a holder that never learned of its lease steps down

Known red a_paused_holder_writes_nothing_when_it_wakes, traced: the steward was paused after its write had given it the lease and before it had read the response. When it woke, its grant had ended before it was published, so the writer of step-downs never saw the epoch. Its successor waited for it for ever, and engines that ignore fencing tokens got no orders. The successor names the epoch in the lease object; a process writes a step-down for those of its own, too.

--- a/crates/steward/src/handover.rs
+++ b/crates/steward/src/handover.rs
@@ -54,20 +54,48 @@
 impl StepDownWriter {
     /// Writes a step-down for each epoch that this process loses. Runs until
     /// dropped.
+    ///
+    /// A process may have an epoch without ever learning of its grant: it was paused
+    /// before it had read the response to its write. Its successor names the epoch in the
+    /// lease object.
     pub(crate) async fn run(mut self) {
         let mut tasks = JoinSet::new();
         let mut epochs = BTreeSet::new();
+        loop {
+            let owned = tokio::select! {
+                epoch = self.next_grant(&epochs) => vec![epoch],
+                () = sleep(POLL_INTERVAL) => self.replaced_epochs().await,
+            };
+            for epoch in owned {
+                if epochs.insert(epoch) {
+                    let writer = self.clone();
+                    tasks.spawn(async move { writer.step_down(epoch).await });
+                }
+            }
+            while tasks.try_join_next().is_some() {}
+        }
+    }
+
+    /// Waits for a grant with an epoch that isn't one of `known`.
+    async fn next_grant(&mut self, known: &BTreeSet<Epoch>) -> Epoch {
         loop {
             let epoch = self.authority.wait_for_grant().await;
-            if epochs.insert(epoch) {
-                let writer = self.clone();
-                tasks.spawn(async move { writer.step_down(epoch).await });
+            if !known.contains(&epoch) {
+                return epoch;
             }
             self.authority.wait_for_end(epoch).await;
-            while tasks.try_join_next().is_some() {}
         }
     }
 
+    /// Returns the epochs of this process that the current holder takes for unresolved.
+    async fn replaced_epochs(&self) -> Vec<Epoch> {
+        let status = self.lease.send(GetStatus).await;
+        let record = status.ok().and_then(|status| status.record);
+        let predecessors = record.into_iter().flat_map(|record| record.predecessors);
+        let own = predecessors.filter(|predecessor| predecessor.identity == self.identity);
+        own.map(|predecessor| predecessor.epoch).collect()
+    }
+
     async fn step_down(&self, epoch: Epoch) {
         // While the lease object still names this epoch, this process may regain
         // it.
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -2,6 +2,7 @@
 
 use crate::support::stewards::StewardGroup;
 use crate::support::{ProcessSignal, eventually};
+use lagoonlift_standins::platform::{FaultEffect, FaultRule};
 use std::time::Instant;
 
 /// Guards against a lease without takeover. The test timed out when the successor
@@ -22,7 +23,24 @@
 /// ignored the deadline of its lease and wrote without the version as a condition.
 #[tokio::test]
 async fn a_paused_holder_writes_nothing_when_it_wakes() {
-    let mut group = StewardGroup::start().await;
+    let group = StewardGroup::start().await;
+    check_takeover_from_paused_holder(group).await;
+}
+
+/// Guards against a successor that waits for ever for the step-down of a holder that was
+/// paused before it had read the response to the write that gave it the lease, and never
+/// learned that it held it.
+#[tokio::test]
+async fn a_holder_paused_before_it_knows_steps_down_when_it_wakes() {
+    let group = StewardGroup::start().await;
+    let lost = FaultRule::new("/objects/leases/", FaultEffect::LoseAnswer);
+    group.platform.faults().add(lost.with_remaining(1));
+    check_takeover_from_paused_holder(group).await;
+}
+
+/// Pauses the first steward when it has the lease, lets another one take over, and checks
+/// what the first one writes when it wakes.
+async fn check_takeover_from_paused_holder(mut group: StewardGroup) {
     group.add_steward();
     let epoch = group.wait_for_holder(0).await;
     group.add_steward();
