scaling: standard upstreams replace reclaimable ones that are lost

After a reclaim the lease holder only repeated the orders for reclaimable upstreams, which were refused for 9 s or more, and the fleet stayed below the demand for that time.

Standard upstreams are now ordered as soon as two reclaimable ones of a data centre drain, or an order for them is refused. Their number follows the peak of the requests in flight of the last 10 s at 60 % of the slots, the initial fleet at least and the lost upstreams at most. They go to the data centre with the most missing ones, then to the cheapest with room; a third of the reclaimable places stays free for their return. They are released 2 s after fewer suffice. A new lease holder keeps what it finds for the boot time and a second. A refused order is repeated after 1.5 s also if its count has changed.

Policy tests (162 passed): with 12 places a data centre and one reclaim, capacity is back to the demand within the boot time and a second; after two reclaims at least 12 replacements serve within 9 s, and the fleet returns to its targets without falling below that. Not yet measured on a deployment.

--- a/crates/gateway/src/duty/scale.rs
+++ b/crates/gateway/src/duty/scale.rs
@@ -17,8 +17,9 @@
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    FleetTarget, InitialFleet, InitialFleetCounter, ScalePlanner, ScalingSpec, Service,
-    UpstreamPhase, count_standard_upstreams,
+    FleetTarget, InitialFleet, InitialFleetCounter, PeakWindow, ReplacementFacts, ScalePlanner,
+    ScalingSpec, Service, SpotReplacement, UpstreamPhase, UpstreamTable, count_in_flight,
+    count_listed_fleets, count_standard_upstreams,
 };
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -33,6 +34,10 @@
 /// Time after which an order that was not accepted is sent again.
 const REFUSED_RESEND_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Time over whose peak of requests in flight replacements are sized. It spans several
+/// swings of the mix of requests.
+const PEAK_DURATION: Duration = Duration::from_secs(10);
+
 /// Scale orders of this host and the initial fleets that they are based on.
 #[derive(Default)]
 pub(super) struct ScaleOrders {
@@ -44,6 +49,10 @@
     /// Counts of fleets that are still registering, by service name.
     fleet_counters: HashMap<String, InitialFleetCounter>,
     last_orders: HashMap<TargetKey, LastOrder>,
+    /// Replacements of reclaimable upstreams by service name.
+    replacements: HashMap<String, SpotReplacement>,
+    /// Requests in flight by service name.
+    in_flight_peaks: HashMap<String, PeakWindow>,
 }
 
 /// Identifies a target count: the spot or the standard upstreams of one
@@ -58,6 +67,7 @@
 /// The last order for one target count.
 struct LastOrder {
     count: u32,
+    is_accepted: bool,
     resend_at: Timestamp,
 }
 
@@ -74,6 +84,8 @@
     pub(super) fn forget_orders(&mut self) {
         self.fleet_counters.clear();
         self.last_orders.clear();
+        self.replacements.clear();
+        self.in_flight_peaks.clear();
     }
 
     /// Stores the known initial fleets again if the store was restored.
@@ -120,8 +132,13 @@
         scale: &ScalingSpec,
     ) -> Result<Vec<FleetTarget>, StoreError> {
         let plan = ScalePlanner::new();
+        let is_takeover = !self.fleet_counters.contains_key(&service.name);
         Ok(match self.initial_fleet(duties, service).await? {
-            FleetKnowledge::Complete(counts) => plan.targets(&counts, scale),
+            FleetKnowledge::Complete(counts) => {
+                let mut targets = plan.targets(&counts, scale);
+                self.replace_spot(duties, service, &counts, is_takeover, &mut targets);
+                targets
+            }
             FleetKnowledge::Registering(counts) => {
                 let mut targets = plan.targets(&counts, scale);
                 targets.retain(|target| target.is_spot);
@@ -130,6 +147,58 @@
         })
     }
 
+    /// Adds the replacements of lost reclaimable upstreams to `targets`.
+    fn replace_spot(
+        &mut self,
+        duties: &Duties,
+        service: &Service,
+        initial: &InitialFleet,
+        is_takeover: bool,
+        targets: &mut [FleetTarget],
+    ) {
+        let Some(scaling) = &service.scaling else {
+            return;
+        };
+        let now = clock::now();
+        let name = &service.name;
+        let table = duties.state.table.borrow();
+        let in_flight = count_in_flight(&table, &duties.state.peer_loads.borrow(), name);
+        let peaks = self.in_flight_peaks.entry(name.clone());
+        let peaks = peaks.or_insert_with(|| PeakWindow::new(PEAK_DURATION));
+        peaks.record(now, in_flight);
+        let facts = ReplacementFacts {
+            listed: &count_listed_fleets(&table, name),
+            initial,
+            scaling,
+            slots: slots_of(&table, service),
+            peak_in_flight: peaks.peak(now),
+        };
+        let replacement = self.replacements.entry(name.clone());
+        let replacement = replacement.or_insert_with(|| match is_takeover {
+            true => SpotReplacement::with_takeover(now, scaling),
+            false => SpotReplacement::new(),
+        });
+        let last_replaced = replacement.summary().replaced;
+        replacement.apply(now, targets, &facts);
+        let summary = replacement.summary();
+        if summary.replaced != last_replaced {
+            tracing::info!(
+                service = name,
+                ?summary,
+                peak_in_flight = facts.peak_in_flight,
+                "number of replacements for reclaimable upstreams changed"
+            );
+        }
+    }
+
+    /// Returns whether an order would release standard upstreams which the previous
+    /// lease holder may have ordered on purpose.
+    fn may_undo_order(&self, key: &TargetKey, count: u32, present: u32) -> bool {
+        let replacement = self.replacements.get(&key.service);
+        let is_adopting = replacement.is_some_and(|one| one.is_adopting(clock::now()));
+        is_adopting && !key.is_spot && count <= present
+    }
+
     /// Returns the initial fleet of `service` as far as it is known. Once it is
     /// complete, it is stored for later lease holders.
     async fn initial_fleet(
@@ -174,10 +243,12 @@
         let present = count_present(duties, &key);
         let is_due = match self.last_orders.get(&key) {
             None => true,
-            Some(last) if last.count != target.count => true,
+            Some(last) if last.count != target.count && last.is_accepted => true,
+            // The count of a refused order may change with each pass.
+            Some(last) if last.count != target.count => clock::now() >= last.resend_at,
             Some(last) => clock::now() >= last.resend_at && present != target.count,
         };
-        if !is_due {
+        if !is_due || self.may_undo_order(&key, target.count, present) {
             return;
         }
         let Some(is_accepted) = send_order(duties, &key, target.count, present).await else {
@@ -195,8 +266,13 @@
                 ..key.clone()
             });
         }
+        if !is_accepted && target.is_spot {
+            let replacement = self.replacements.entry(service.name.clone()).or_default();
+            replacement.record_refusal(&target.data_centre);
+        }
         let last = LastOrder {
             count: target.count,
+            is_accepted,
             resend_at: clock::now() + pause,
         };
         self.last_orders.insert(key, last);
@@ -265,6 +341,16 @@
         .map_err(|error| StoreError::Malformed(error.to_string()))
 }
 
+/// Returns the requests that one upstream of `service` runs concurrently.
+fn slots_of(table: &UpstreamTable, service: &Service) -> u32 {
+    let by_engine = service.engine.as_ref().map(|engine| engine.slots);
+    let mut listed = table
+        .iter()
+        .filter(|(_, one)| one.record.service == service.name);
+    let by_listed = listed.next().map(|(_, one)| one.record.slots);
+    by_engine.or(by_listed).unwrap_or(1)
+}
+
 fn count_present(duties: &Duties, key: &TargetKey) -> u32 {
     let table = duties.state.table.borrow();
     let present = table.iter().filter(|(_, one)| {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -35,6 +35,8 @@
 //!   clock.
 //! * [`InitialFleetCounter`] counts the upstreams that a deployment starts with.
 //! * [`ScalePlanner`] decides how many upstreams to pay for.
+//! * [`SpotReplacement`] decides how many standard upstreams stand in for lost reclaimable
+//!   ones.
 //! * [`RolePlanner`] decides which engines are prefill engines.
 
 mod attempts;
@@ -42,6 +44,7 @@
 mod config_freshness;
 mod configuration;
 mod crash_quarantine;
+mod demand;
 mod host_roster;
 mod peer_load;
 mod placement;
@@ -52,6 +55,7 @@
 mod roles;
 mod scaling;
 mod sealed_sums;
+mod spot_replacement;
 mod store_backoff;
 mod store_era;
 mod store_readers;
@@ -72,6 +76,7 @@
     BlameNews, CrashId, CrashQuarantine, ProbeHistory, QuarantineSource, QuarantinedSuspect,
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
+pub use demand::{PeakWindow, count_in_flight};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
@@ -87,6 +92,10 @@
     FleetTarget, InitialFleet, InitialFleetCounter, ScalePlanner, count_standard_upstreams,
 };
 pub use sealed_sums::{SealedSums, SumSource};
+pub use spot_replacement::{
+    ListedFleet, ListedFleets, ReplacementFacts, ReplacementSummary, SpotReplacement,
+    count_listed_fleets,
+};
 pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod roles;
 mod scaling;
 mod schedules;
+mod spot_replacement;
 mod store_outage;
 mod store_readers;
 mod stream_versions;
