roles: as many decode engines as the requests in flight call for

After a reclaim of half of the engines the fixed share left three decode engines, and four that served were changed to prefill engines. The three were saturated while prefill engines had free slots.

The lease holder now estimates the number from the peaks of the requests in flight of 10 s: decode engines with work keep their role when the fleet shrinks, and get a tenth of the engines as company when their slots are exceeded and the prefill engines keep free ones. The fixed share stays the minimum, half of the engines the maximum. The holder announces the number in its load messages, so all hosts derive the same orders; hosts that hear nothing for 10 s expect no change between minimum and maximum.

Not yet measured on a deployment.

--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -8,7 +8,10 @@
 use crate::connection::{CallLimits, Endpoint, call};
 use lagoonlift_adapter::duty::{EngineOrder, OrderResponse, decode_order_response, engine_request};
 use lagoonlift_adapter::upstream::{EngineStatus, decode_status, status_request};
-use lagoonlift_policy::dispatch::{RoleOrder, RolePlanner, Service, UpstreamRecord};
+use lagoonlift_policy::dispatch::{
+    DecodeWorkEstimate, EngineSpec, RoleLoads, RoleOrder, RolePlanner, Service, ServiceDigest,
+    UpstreamRecord,
+};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -36,6 +39,15 @@
     /// An order that could not be sent is kept open and announced to the peers like
     /// one that was sent.
     role_orders: HashMap<UpstreamKey, (RoleOrder, Timestamp)>,
+    /// Estimates of the needed decode engines by service name.
+    decode_work: HashMap<String, DecodeWorkEstimate>,
+}
+
+impl FleetOrders {
+    fn open_orders(&self) -> Vec<RoleOrder> {
+        let orders = self.role_orders.values();
+        orders.map(|(order, _)| *order).collect()
+    }
 }
 
 /// Manages the fleet until the process ends; idles without the lease.
@@ -46,6 +58,8 @@
         fleet_orders.scale.store_fleets_again(&duties).await;
         if duties.holder().is_none() {
             fleet_orders.role_orders.clear();
+            fleet_orders.decode_work.clear();
+            duties.state.decode_work.borrow_mut().clear();
             fleet_orders.scale.forget_orders();
             duties.state.open_role_orders.borrow_mut().clear();
             continue;
@@ -57,24 +71,66 @@
             if duties.enabled.scales_services {
                 fleet_orders.scale.send_due_orders(&duties, service).await;
             }
-            if service.engine.is_some() {
+            if let Some(engine) = &service.engine {
+                update_decode_work(&duties, service, engine, &mut fleet_orders);
                 order_roles(&duties, service, &mut fleet_orders).await;
             }
         }
     }
 }
 
+/// Updates the number of decode engines that the work of `service` calls for, and
+/// announces it to all hosts.
+fn update_decode_work(
+    duties: &Duties,
+    service: &Service,
+    engine: &EngineSpec,
+    fleet_orders: &mut FleetOrders,
+) {
+    remove_closed_orders(duties, fleet_orders);
+    let now = clock::now();
+    let open = fleet_orders.open_orders();
+    let table = duties.state.table.borrow();
+    let mut peers = duties.state.peer_loads.borrow_mut();
+    let loads = RoleLoads::new(&table, &peers, &service.name, &open);
+    let estimate = fleet_orders.decode_work.entry(service.name.clone());
+    let estimate = estimate
+        .or_insert_with(|| DecodeWorkEstimate::new(now, peers.decode_work(now, &service.name)));
+    let last_engines = estimate.engines();
+    let (decode_peak, prefill_peak) = estimate.peaks(now);
+    estimate.record(now, loads, engine);
+    if estimate.engines() != last_engines {
+        tracing::info!(
+            service = service.name,
+            last_engines,
+            engines = estimate.engines(),
+            ?loads,
+            decode_peak,
+            prefill_peak,
+            "number of decode engines that the work calls for changed"
+        );
+    }
+    let digest = ServiceDigest::new(&service.name);
+    let mut announced = duties.state.decode_work.borrow_mut();
+    announced.retain(|(service, _)| *service != digest);
+    if estimate.is_announced(now) {
+        announced.push((digest, estimate.engines()));
+    }
+    peers.record_decode_work(now, &announced);
+}
+
 async fn order_roles(duties: &Duties, service: &Service, fleet_orders: &mut FleetOrders) {
     remove_closed_orders(duties, fleet_orders);
     let orders = {
         let table = duties.state.table.borrow();
-        let open: Vec<RoleOrder> = fleet_orders
-            .role_orders
-            .values()
-            .map(|(order, _)| *order)
-            .collect();
+        let open = fleet_orders.open_orders();
         let now = clock::now();
-        let mut orders = RolePlanner::new().orders(&table, &service.name, &open);
+        let work = duties
+            .state
+            .peer_loads
+            .borrow()
+            .decode_work(now, &service.name);
+        let mut orders = RolePlanner::with_work(work).orders(&table, &service.name, &open);
         orders.retain(|order| {
             let engine = table.get(order.upstream);
             engine.is_some_and(|one| one.hold_off(now).is_none())
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -228,6 +228,7 @@
     HostReport {
         loads,
         changing_role: changing.take(MAX_CHANGING).map(|one| one.digest).collect(),
+        decode_work: state.decode_work.borrow().clone(),
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,9 +13,9 @@
 use crate::store_gate::StoreGate;
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HostRoster, PeerLoads, Placement,
-    PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig,
-    StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream, UpstreamTable,
-    UsageCopies, UsageCounts, WallClock,
+    PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServiceDigest,
+    ServingConfig, StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream,
+    UpstreamTable, UsageCopies, UsageCounts, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -51,6 +51,8 @@
     /// host as open orders.
     pub(crate) changing_role: RefCell<Vec<UpstreamKey>>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
+    /// Numbers of decode engines that this host announces while it holds the lease.
+    pub(crate) decode_work: RefCell<Vec<(ServiceDigest, u32)>>,
     /// Prefix blocks and requests that crash upstreams.
     pub(crate) crash_quarantine: RefCell<CrashQuarantine>,
     pub(crate) crash_monitor: RefCell<CrashMonitor>,
@@ -120,6 +122,7 @@
             )),
             open_role_orders: RefCell::new(Vec::new()),
             changing_role: RefCell::new(Vec::new()),
+            decode_work: RefCell::new(Vec::new()),
             peer_loads: RefCell::new(PeerLoads::new()),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             crash_monitor: RefCell::new(CrashMonitor::default()),
@@ -229,10 +232,13 @@
             .services()
             .iter()
             .filter(|service| service.engine.is_some());
-        let orders =
-            engines.flat_map(|service| RolePlanner::new().orders(&table, &service.name, &[]));
-        let mut changing: Vec<UpstreamKey> = orders.map(|order| order.upstream).collect();
+        let now = clock::now();
         let peers = self.peer_loads.borrow();
+        let orders = engines.flat_map(|service| {
+            let work = peers.decode_work(now, &service.name);
+            RolePlanner::with_work(work).orders(&table, &service.name, &[])
+        });
+        let mut changing: Vec<UpstreamKey> = orders.map(|order| order.upstream).collect();
         let is_ordered = |(_, one): &(UpstreamKey, &Upstream)| peers.is_changing(one.digest);
         changing.extend(table.iter().filter(is_ordered).map(|(key, _)| key));
         changing.extend(self.open_role_orders.borrow().iter());
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -37,6 +37,7 @@
 //! * [`ScalePlanner`] decides how many upstreams to pay for.
 //! * [`SpotReplacement`] decides how many standard upstreams stand in for lost reclaimable
 //!   ones.
+//! * [`DecodeWorkEstimate`] estimates how many decode engines the work calls for.
 //! * [`RolePlanner`] decides which engines are prefill engines.
 
 mod attempts;
@@ -44,6 +45,7 @@
 mod config_freshness;
 mod configuration;
 mod crash_quarantine;
+mod decode_work;
 mod demand;
 mod host_roster;
 mod peer_load;
@@ -76,6 +78,7 @@
     BlameNews, CrashId, CrashQuarantine, ProbeHistory, QuarantineSource, QuarantinedSuspect,
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
+pub use decode_work::{DecodeWork, DecodeWorkEstimate, RoleLoads, ServiceDigest};
 pub use demand::{PeakWindow, count_in_flight};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -6,7 +6,7 @@
 //! in-flight load, and each host adds the load of its peers to its own. Reports
 //! that are not renewed expire.
 
-use super::UpstreamId;
+use super::{DecodeWork, ServiceDigest, UpstreamId};
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -16,6 +16,10 @@
 /// Time after which the report of a silent host expires.
 const HOST_REPORT_TTL: Duration = Duration::from_millis(350);
 
+/// Time after which an announced number of decode engines is outdated. It covers a change
+/// of the lease holder.
+const DECODE_WORK_TTL: Duration = Duration::from_secs(10);
+
 /// 32-bit hash of an upstream's identifier, the same on all hosts.
 ///
 /// It keeps datagrams small; a collision within one fleet is unlikely.
@@ -52,6 +56,9 @@
     pub loads: Vec<(UpstreamDigest, InFlightLoad)>,
     /// Engines that were ordered to change their role and have not done so yet.
     pub changing_role: Vec<UpstreamDigest>,
+    /// Numbers of decode engines that the work calls for, from the lease holder. Zero means
+    /// no more than the minimum.
+    pub decode_work: Vec<(ServiceDigest, u32)>,
 }
 
 /// The latest reports of the other hosts, and the sum of their loads.
@@ -61,6 +68,8 @@
     /// one of its previous incarnation expires.
     hosts: HashMap<u64, ReceivedReport>,
     totals: HashMap<UpstreamDigest, InFlightLoad>,
+    /// The latest announced numbers of decode engines.
+    decode_work: HashMap<ServiceDigest, (Timestamp, u32)>,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +92,7 @@
         if latest.is_some_and(|latest| latest >= sequence) {
             return;
         }
+        self.record_decode_work(now, &report.decode_work);
         let received = ReceivedReport {
             sequence,
             received_at: now,
@@ -112,6 +122,27 @@
         self.totals.get(&upstream).copied().unwrap_or_default()
     }
 
+    /// Records the numbers of decode engines that a lease holder announced.
+    pub fn record_decode_work(&mut self, now: Timestamp, work: &[(ServiceDigest, u32)]) {
+        for (service, engines) in work {
+            match engines {
+                0 => self.decode_work.remove(service),
+                _ => self.decode_work.insert(*service, (now, *engines)),
+            };
+        }
+    }
+
+    /// Returns what is known of the decode engines that the work of `service` calls for.
+    pub fn decode_work(&self, now: Timestamp, service: &str) -> DecodeWork {
+        match self.decode_work.get(&ServiceDigest::new(service)) {
+            None => DecodeWork::Unknown,
+            Some((at, engines)) if now.since(*at) < DECODE_WORK_TTL => {
+                DecodeWork::Announced(*engines)
+            }
+            Some(_) => DecodeWork::Outdated,
+        }
+    }
+
     /// Returns whether another host is changing an engine's role.
     pub fn is_changing(&self, upstream: UpstreamDigest) -> bool {
         let mut hosts = self.hosts.values();
--- a/crates/policy/src/dispatch/roles.rs
+++ b/crates/policy/src/dispatch/roles.rs
@@ -4,18 +4,18 @@
 //! compares backlogs, it weights that of a decode engine with a larger factor, 3.)
 //! Decoding short responses takes little compute, so a few decode engines are enough;
 //! they are limited by the bandwidth for receiving KV caches. A role change makes an
-//! engine unavailable for seconds, so the share of decode engines is fixed and does not
-//! follow the traffic.
+//! engine unavailable for seconds, so the number of decode engines is a fixed share. It is
+//! higher only where the lease holder has announced that the work calls for more.
 
-use super::{EngineRole, Upstream, UpstreamPhase, UpstreamTable, VersionDigest};
+use super::{DecodeWork, EngineRole, Upstream, UpstreamPhase, UpstreamTable, VersionDigest};
 use crate::UpstreamKey;
 use std::collections::{BTreeMap, HashMap};
 
-/// Wanted share of decode engines.
+/// Wanted share of decode engines, unless the work calls for more.
 const DECODE_ENGINE_SHARE: f64 = 0.2;
 
 /// Minimum number of decode engines, so that others remain when one is lost.
-const MIN_DECODE_ENGINES: usize = 3;
+const MIN_DECODE_ENGINES: u32 = 3;
 
 /// Hysteresis threshold: decode engines are changed to prefill engines only if more
 /// than this many exceed the wanted number, and then all that exceed it are changed.
@@ -34,24 +34,31 @@
 
 /// Plans the roles of the engines of a service.
 ///
-/// All hosts derive the same orders from the same list of upstreams, so a host
-/// that does not send the orders can still avoid the engines that are about to
-/// change their role.
+/// All hosts derive the same orders from the same list of upstreams and the announced
+/// number of decode engines, so a host that does not send the orders can still avoid the
+/// engines that are about to change their role.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct RolePlanner;
+pub struct RolePlanner {
+    work: DecodeWork,
+}
 
 /// An engine with the role that it has or will have after open orders.
 #[derive(Clone)]
-struct PlannedEngine<'a> {
-    key: UpstreamKey,
-    upstream: &'a Upstream,
-    role: EngineRole,
+pub(super) struct PlannedEngine<'a> {
+    pub(super) key: UpstreamKey,
+    pub(super) upstream: &'a Upstream,
+    pub(super) role: EngineRole,
 }
 
 impl RolePlanner {
-    /// Creates a planner.
+    /// Creates a planner for the minimum number of decode engines.
     pub fn new() -> Self {
-        Self
+        Self::default()
+    }
+
+    /// Creates a planner for the number of decode engines that the work calls for.
+    pub fn with_work(work: DecodeWork) -> Self {
+        Self { work }
     }
 
     /// Returns the orders needed for the engines of `service` in addition to the
@@ -67,13 +74,27 @@
         for version in versions_of(&engines) {
             let is_of_version = |engine: &&PlannedEngine<'_>| engine.upstream.version == version;
             let mut pool: Vec<_> = engines.iter().filter(is_of_version).cloned().collect();
-            plan_pool(&mut pool, &mut orders);
+            let wanted = self.wanted_decode_engines(&pool, engines.len());
+            plan_pool(&mut pool, wanted, &mut orders);
         }
         // An engine with an open order is unavailable and is not changed back yet.
         let is_open = |order: &RoleOrder| open.iter().any(|one| one.upstream == order.upstream);
         orders.retain(|order| !is_open(order));
         orders
     }
+
+    /// Returns the wanted number of decode engines of `pool`, the engines of one version.
+    /// `total` is the number of engines of all versions, over which an announced number is
+    /// divided.
+    fn wanted_decode_engines(&self, pool: &[PlannedEngine<'_>], total: usize) -> usize {
+        let by_work = match self.work {
+            DecodeWork::Unknown => 0,
+            DecodeWork::Announced(engines) => (engines as usize * pool.len()).div_ceil(total),
+            DecodeWork::Outdated => count_decode_engines(pool),
+        };
+        let least = min_decode_engines(pool.len() as u32) as usize;
+        by_work.max(least).min(pool.len().div_ceil(2))
+    }
 }
 
 /// Returns the versions of the engines in the order in which they appear.
@@ -89,8 +110,7 @@
 
 /// Adds the orders for the engines of one software version. KV caches of other versions
 /// don't fit, so each version needs decode engines of its own.
-fn plan_pool(engines: &mut [PlannedEngine<'_>], orders: &mut Vec<RoleOrder>) {
-    let wanted = wanted_decode_engines(engines.len());
+fn plan_pool(engines: &mut [PlannedEngine<'_>], wanted: usize, orders: &mut Vec<RoleOrder>) {
     let mut decode_engines = count_decode_engines(engines);
     let role = match decode_engines {
         count if count > wanted + MAX_EXTRA_DECODE_ENGINES => EngineRole::Prefill,
@@ -110,7 +130,8 @@
     }
 }
 
-fn planned_engines<'a>(
+/// Returns the engines of `service` that serve, with their roles after `open` orders.
+pub(super) fn planned_engines<'a>(
     table: &'a UpstreamTable,
     service: &str,
     open: &[RoleOrder],
@@ -140,8 +161,9 @@
     decode_engines.count()
 }
 
-fn wanted_decode_engines(engines: usize) -> usize {
-    let share = (engines as f64 * DECODE_ENGINE_SHARE).ceil() as usize;
+/// Returns the number of decode engines of a fleet whose work calls for no more.
+pub(super) fn min_decode_engines(engines: u32) -> u32 {
+    let share = (f64::from(engines) * DECODE_ENGINE_SHARE).ceil() as u32;
     share.max(MIN_DECODE_ENGINES).min(engines.div_ceil(2))
 }
 
