--- a/crates/gateway/src/duty/scale.rs
+++ b/crates/gateway/src/duty/scale.rs
@@ -13,6 +13,7 @@
 use super::{DUTY_TIMEOUT, Duties};
 use crate::clock;
 use crate::connection::{CallLimits, Endpoint, call};
+use http::StatusCode;
 use lagoonlift_adapter::duty::{ScaleOrder, scale_request};
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::Timestamp;
@@ -67,10 +68,38 @@
 /// The last order for one target count.
 struct LastOrder {
     count: u32,
-    is_accepted: bool,
+    outcome: OrderOutcome,
     resend_at: Timestamp,
 }
 
+/// What became of a scale order.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum OrderOutcome {
+    /// The platform carries it out.
+    Accepted,
+    /// The platform has no such upstreams, or no room for them.
+    Refused,
+    /// There was no response, or an error.
+    Failed,
+}
+
+impl OrderOutcome {
+    fn new(status: Option<StatusCode>) -> Self {
+        match status {
+            Some(status) if status.is_success() => Self::Accepted,
+            Some(StatusCode::CONFLICT) => Self::Refused,
+            _ => Self::Failed,
+        }
+    }
+
+    fn resend_interval(self) -> Duration {
+        match self {
+            Self::Accepted => RESEND_INTERVAL,
+            Self::Refused | Self::Failed => REFUSED_RESEND_INTERVAL,
+        }
+    }
+}
+
 /// What is known of a service's initial fleet.
 enum FleetKnowledge {
     /// The fleet has registered completely.
@@ -243,21 +272,19 @@
         let present = count_present(duties, &key);
         let is_due = match self.last_orders.get(&key) {
             None => true,
-            Some(last) if last.count != target.count && last.is_accepted => true,
-            // The count of a refused order may change with each pass.
-            Some(last) if last.count != target.count => clock::now() >= last.resend_at,
+            Some(last) if last.count != target.count => {
+                // The count of a refused order may change with each pass.
+                last.outcome == OrderOutcome::Accepted || clock::now() >= last.resend_at
+            }
             Some(last) => clock::now() >= last.resend_at && present != target.count,
         };
         if !is_due || self.may_undo_order(&key, target.count, present) {
             return;
         }
-        let Some(is_accepted) = send_order(duties, &key, target.count, present).await else {
+        let Some(outcome) = send_order(duties, &key, target.count, present).await else {
             return;
         };
-        let pause = match is_accepted {
-            true => RESEND_INTERVAL,
-            false => REFUSED_RESEND_INTERVAL,
-        };
+        let is_accepted = outcome == OrderOutcome::Accepted;
         if is_accepted && !target.is_spot && target.count < present {
             // Releasing standard upstreams frees capacity for spot ones, the lack of
             // which may have limited an earlier order. Send that order again.
@@ -266,22 +293,27 @@
                 ..key.clone()
             });
         }
-        if !is_accepted && target.is_spot {
+        if outcome == OrderOutcome::Refused && target.is_spot {
             let replacement = self.replacements.entry(service.name.clone()).or_default();
             replacement.record_refusal(&target.data_centre);
         }
         let last = LastOrder {
             count: target.count,
-            is_accepted,
-            resend_at: clock::now() + pause,
+            outcome,
+            resend_at: clock::now() + outcome.resend_interval(),
         };
         self.last_orders.insert(key, last);
     }
 }
 
-/// Sends one order and returns whether it was accepted, or `None` if it wasn't
-/// sent because this host holds no lease.
-async fn send_order(duties: &Duties, key: &TargetKey, count: u32, present: u32) -> Option<bool> {
+/// Sends one order and returns what became of it, or `None` if it wasn't sent because
+/// this host holds no lease.
+async fn send_order(
+    duties: &Duties,
+    key: &TargetKey,
+    count: u32,
+    present: u32,
+) -> Option<OrderOutcome> {
     let holder = duties.holder()?;
     let order = ScaleOrder {
         service: key.service.clone(),
@@ -303,7 +335,7 @@
         ?status,
         "upstreams ordered"
     );
-    Some(matches!(status, Ok(status) if status.is_success()))
+    Some(OrderOutcome::new(status.ok()))
 }
 
 /// Reads the stored initial fleet of a service, if there is one.
