scaling: fewer standard upstreams where the measured demand allows it

Once demand has been measured for 10 s, the lease holder releases standard upstreams as far as the fleet serves the peak of 30 s at 60 %, the rest after the reclaim of one data centre serves it at 90 % until replacements have booted, and three standard ones remain. Half of what is dispensable is released every 5 s; more is ordered at once. Targets stay where the demand takes the present fleet, or isn't known. The order for reclaimable ones is repeated after a release only if some are missing. The numbers are a metric of the lease holder.

Not yet measured on a deployment.

--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -110,6 +110,8 @@
             "number of decode engines that the work calls for changed"
         );
     }
+    let metrics = &duties.state.metrics;
+    metrics.set_fleet_plan(&service.name, "decode_engines", estimate.engines());
     let digest = ServiceDigest::new(&service.name);
     let mut announced = duties.state.decode_work.borrow_mut();
     announced.retain(|(service, _)| *service != digest);
--- a/crates/gateway/src/duty/mod.rs
+++ b/crates/gateway/src/duty/mod.rs
@@ -11,6 +11,7 @@
 //! holder after its lease has expired.
 
 mod fleet;
+mod fleet_plan;
 mod lease;
 mod quarantine;
 mod scale;
--- a/crates/gateway/src/duty/scale.rs
+++ b/crates/gateway/src/duty/scale.rs
@@ -10,6 +10,7 @@
 //! spot upstreams are requested, in proportion to the upstreams that have
 //! registered so far.
 
+use super::fleet_plan::FleetPlan;
 use super::{DUTY_TIMEOUT, Duties};
 use crate::clock;
 use crate::connection::{CallLimits, Endpoint, call};
@@ -18,9 +19,8 @@
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    FleetTarget, InitialFleet, InitialFleetCounter, PeakWindow, ReplacementFacts, ScalePlanner,
-    ScalingSpec, Service, SpotReplacement, UpstreamPhase, UpstreamTable, count_in_flight,
-    count_listed_fleets, count_standard_upstreams,
+    FleetTarget, InitialFleet, InitialFleetCounter, ScalePlanner, ScalingSpec, Service,
+    UpstreamPhase, count_standard_upstreams,
 };
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -35,10 +35,6 @@
 /// Time after which an order that was not accepted is sent again.
 const REFUSED_RESEND_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Time over whose peak of requests in flight replacements are sized. It spans several
-/// swings of the mix of requests.
-const PEAK_DURATION: Duration = Duration::from_secs(10);
-
 /// Scale orders of this host and the initial fleets that they are based on.
 #[derive(Default)]
 pub(super) struct ScaleOrders {
@@ -50,10 +46,8 @@
     /// Counts of fleets that are still registering, by service name.
     fleet_counters: HashMap<String, InitialFleetCounter>,
     last_orders: HashMap<TargetKey, LastOrder>,
-    /// Replacements of reclaimable upstreams by service name.
-    replacements: HashMap<String, SpotReplacement>,
-    /// Requests in flight by service name.
-    in_flight_peaks: HashMap<String, PeakWindow>,
+    /// Changes of the targets by service name.
+    plans: HashMap<String, FleetPlan>,
 }
 
 /// Identifies a target count: the spot or the standard upstreams of one
@@ -113,8 +107,7 @@
     pub(super) fn forget_orders(&mut self) {
         self.fleet_counters.clear();
         self.last_orders.clear();
-        self.replacements.clear();
-        self.in_flight_peaks.clear();
+        self.plans.clear();
     }
 
     /// Stores the known initial fleets again if the store was restored.
@@ -165,7 +158,12 @@
         Ok(match self.initial_fleet(duties, service).await? {
             FleetKnowledge::Complete(counts) => {
                 let mut targets = plan.targets(&counts, scale);
-                self.replace_spot(duties, service, &counts, is_takeover, &mut targets);
+                let plan = self.plans.entry(service.name.clone());
+                let plan = plan.or_insert_with(|| match is_takeover {
+                    true => FleetPlan::with_takeover(clock::now(), scale),
+                    false => FleetPlan::default(),
+                });
+                plan.apply(&duties.state, service, scale, &counts, &mut targets);
                 targets
             }
             FleetKnowledge::Registering(counts) => {
@@ -176,55 +174,11 @@
         })
     }
 
-    /// Adds the replacements of lost reclaimable upstreams to `targets`.
-    fn replace_spot(
-        &mut self,
-        duties: &Duties,
-        service: &Service,
-        initial: &InitialFleet,
-        is_takeover: bool,
-        targets: &mut [FleetTarget],
-    ) {
-        let Some(scaling) = &service.scaling else {
-            return;
-        };
-        let now = clock::now();
-        let name = &service.name;
-        let table = duties.state.table.borrow();
-        let in_flight = count_in_flight(&table, &duties.state.peer_loads.borrow(), name);
-        let peaks = self.in_flight_peaks.entry(name.clone());
-        let peaks = peaks.or_insert_with(|| PeakWindow::new(PEAK_DURATION));
-        peaks.record(now, in_flight);
-        let facts = ReplacementFacts {
-            listed: &count_listed_fleets(&table, name),
-            initial,
-            scaling,
-            slots: slots_of(&table, service),
-            peak_in_flight: peaks.peak(now),
-        };
-        let replacement = self.replacements.entry(name.clone());
-        let replacement = replacement.or_insert_with(|| match is_takeover {
-            true => SpotReplacement::with_takeover(now, scaling),
-            false => SpotReplacement::new(),
-        });
-        let last_replaced = replacement.summary().replaced;
-        replacement.apply(now, targets, &facts);
-        let summary = replacement.summary();
-        if summary.replaced != last_replaced {
-            tracing::info!(
-                service = name,
-                ?summary,
-                peak_in_flight = facts.peak_in_flight,
-                "number of replacements for reclaimable upstreams changed"
-            );
-        }
-    }
-
     /// Returns whether an order would release standard upstreams which the previous
     /// lease holder may have ordered on purpose.
     fn may_undo_order(&self, key: &TargetKey, count: u32, present: u32) -> bool {
-        let replacement = self.replacements.get(&key.service);
-        let is_adopting = replacement.is_some_and(|one| one.is_adopting(clock::now()));
+        let plan = self.plans.get(&key.service);
+        let is_adopting = plan.is_some_and(|plan| plan.is_adopting(clock::now()));
         is_adopting && !key.is_spot && count <= present
     }
 
@@ -286,16 +240,11 @@
         };
         let is_accepted = outcome == OrderOutcome::Accepted;
         if is_accepted && !target.is_spot && target.count < present {
-            // Releasing standard upstreams frees capacity for spot ones, the lack of
-            // which may have limited an earlier order. Send that order again.
-            self.last_orders.remove(&TargetKey {
-                is_spot: true,
-                ..key.clone()
-            });
+            self.resend_spot_order(duties, &key);
         }
         if outcome == OrderOutcome::Refused && target.is_spot {
-            let replacement = self.replacements.entry(service.name.clone()).or_default();
-            replacement.record_refusal(&target.data_centre);
+            let plan = self.plans.entry(service.name.clone()).or_default();
+            plan.record_refusal(&target.data_centre);
         }
         let last = LastOrder {
             count: target.count,
@@ -304,6 +253,21 @@
         };
         self.last_orders.insert(key, last);
     }
+
+    /// Sends the order for spot upstreams of a data centre again if not all are present.
+    /// Releasing standard upstreams frees capacity for spot ones, the lack of which may
+    /// have limited an earlier order.
+    fn resend_spot_order(&mut self, duties: &Duties, released: &TargetKey) {
+        let key = TargetKey {
+            is_spot: true,
+            ..released.clone()
+        };
+        let present = count_present(duties, &key);
+        let is_complete = |last: &LastOrder| last.count <= present;
+        if !self.last_orders.get(&key).is_some_and(is_complete) {
+            self.last_orders.remove(&key);
+        }
+    }
 }
 
 /// Sends one order and returns what became of it, or `None` if it wasn't sent because
@@ -373,16 +337,6 @@
         .map_err(|error| StoreError::Malformed(error.to_string()))
 }
 
-/// Returns the requests that one upstream of `service` runs concurrently.
-fn slots_of(table: &UpstreamTable, service: &Service) -> u32 {
-    let by_engine = service.engine.as_ref().map(|engine| engine.slots);
-    let mut listed = table
-        .iter()
-        .filter(|(_, one)| one.record.service == service.name);
-    let by_listed = listed.next().map(|(_, one)| one.record.slots);
-    by_engine.or(by_listed).unwrap_or(1)
-}
-
 fn count_present(duties: &Duties, key: &TargetKey) -> u32 {
     let table = duties.state.table.borrow();
     let present = table.iter().filter(|(_, one)| {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     quarantined_blocks: Gauge<u64>,
     quarantined_requests: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
+    fleet_plan: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -84,6 +85,10 @@
                 .u64_gauge("lagoonlift_gateway_limited_upstreams")
                 .with_description("Upstreams that state a rate for all hosts together.")
                 .build(),
+            fleet_plan: meter
+                .u64_gauge("lagoonlift_gateway_fleet_plan")
+                .with_description("Numbers of upstreams that the lease holder plans with.")
+                .build(),
             quarantined_requests: meter
                 .u64_gauge("lagoonlift_gateway_quarantined_requests")
                 .with_description("Requests in quarantine because they crash upstreams.")
@@ -101,6 +106,15 @@
         self.limited_upstreams.record(count as u64, &[]);
     }
 
+    /// Records a number of upstreams of `service` that the lease holder plans with.
+    pub(crate) fn set_fleet_plan(&self, service: &str, quantity: &'static str, count: u32) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("quantity", quantity),
+        ];
+        self.fleet_plan.record(u64::from(count), &labels);
+    }
+
     /// Records the prefix blocks and requests in quarantine.
     pub(crate) fn set_quarantined(&self, active: impl Iterator<Item = QuarantinedSuspect>) {
         let (blocks, requests): (Vec<_>, Vec<_>) =
--- a/crates/policy/src/dispatch/demand.rs
+++ b/crates/policy/src/dispatch/demand.rs
@@ -1,6 +1,6 @@
 //! Measures the demand for a service from the requests in flight.
 
-use super::{PeerLoads, UpstreamTable};
+use super::{OccupiedUpstreams, PeerLoads, RoleLoads, Service, UpstreamTable};
 use crate::Timestamp;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -56,3 +56,26 @@
     let in_flight = of_service.map(|one| one.in_flight + peers.in_flight_on(one.digest).requests);
     in_flight.sum()
 }
+
+/// Returns how many upstreams the requests in flight of `service` occupy.
+///
+/// A prompt in prefill occupies an engine whatever its slots, since prefill is bound by
+/// compute; other requests occupy one slot of `slots`. If fewer than `hosts` hosts have
+/// reported lately, the number is scaled up.
+pub fn count_occupied(
+    table: &UpstreamTable,
+    peers: &PeerLoads,
+    service: &Service,
+    slots: u32,
+    hosts: usize,
+) -> OccupiedUpstreams {
+    let in_flight = count_in_flight(table, peers, &service.name);
+    let loads = RoleLoads::new(table, peers, &service.name, &[]);
+    let prefill = loads.prefill_in_flight.min(in_flight);
+    let scale = (hosts as f64 / (peers.report_count() + 1) as f64).max(1.0);
+    let uninterrupted = scale * f64::from(in_flight - prefill) / f64::from(slots.max(1));
+    OccupiedUpstreams {
+        total: (uninterrupted + scale * f64::from(prefill)).ceil() as u32,
+        uninterrupted: uninterrupted.ceil() as u32,
+    }
+}
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -35,6 +35,8 @@
 //!   clock.
 //! * [`InitialFleetCounter`] counts the upstreams that a deployment starts with.
 //! * [`ScalePlanner`] decides how many upstreams to pay for.
+//! * [`StandingFleet`] decides how many standard upstreams a measured demand leaves
+//!   dispensable.
 //! * [`SpotReplacement`] decides how many standard upstreams stand in for lost reclaimable
 //!   ones.
 //! * [`DecodeWorkEstimate`] estimates how many decode engines the work calls for.
@@ -58,6 +60,7 @@
 mod scaling;
 mod sealed_sums;
 mod spot_replacement;
+mod standing_fleet;
 mod store_backoff;
 mod store_era;
 mod store_readers;
@@ -79,7 +82,7 @@
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
 pub use decode_work::{DecodeWork, DecodeWorkEstimate, RoleLoads, ServiceDigest};
-pub use demand::{PeakWindow, count_in_flight};
+pub use demand::{PeakWindow, count_in_flight, count_occupied};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
@@ -99,6 +102,7 @@
     ListedFleet, ListedFleets, ReplacementFacts, ReplacementSummary, SpotReplacement,
     count_listed_fleets,
 };
+pub use standing_fleet::{OccupiedUpstreams, StandingFleet};
 pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Returns the number of hosts with a recent report.
+    pub fn report_count(&self) -> usize {
+        self.hosts.len()
+    }
+
     /// Returns the total in-flight load of the other hosts on one upstream.
     pub fn in_flight_on(&self, upstream: UpstreamDigest) -> InFlightLoad {
         self.totals.get(&upstream).copied().unwrap_or_default()
--- a/crates/policy/src/dispatch/spot_replacement.rs
+++ b/crates/policy/src/dispatch/spot_replacement.rs
@@ -53,6 +53,9 @@
     pub listed: &'a ListedFleets,
     /// Fleet before the first order. At least as many upstreams are kept.
     pub initial: &'a InitialFleet,
+    /// Upstreams that the demand calls for because the standard targets were lowered to
+    /// them; zero if they weren't.
+    pub standing: u32,
     /// Bounds and prices.
     pub scaling: &'a ScalingSpec,
     /// Requests that one upstream runs concurrently.
@@ -296,7 +299,7 @@
     let usable_slots = f64::from(facts.slots.max(1)) * TARGET_UTILIZATION;
     let in_flight = facts.peak_in_flight.unwrap_or(0);
     let by_demand = (f64::from(in_flight) / usable_slots).ceil() as u32;
-    by_demand.max(initial)
+    by_demand.max(initial).max(facts.standing)
 }
 
 fn count_standard_in(targets: &[FleetTarget], data_centre: &str) -> u32 {
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod scaling;
 mod schedules;
 mod spot_replacement;
+mod standing_fleet;
 mod store_outage;
 mod store_readers;
 mod stream_versions;
--- a/crates/policy/tests/all/dispatch/spot_replacement.rs
+++ b/crates/policy/tests/all/dispatch/spot_replacement.rs
@@ -2,8 +2,8 @@
 
 use super::support::at_ms;
 use lagoonlift_policy::dispatch::{
-    InitialFleet, ListedFleet, ListedFleets, ReplacementFacts, ScalePlanner, ScalingSpec,
-    SpotReplacement,
+    InitialFleet, ListedFleet, ListedFleets, OccupiedUpstreams, ReplacementFacts, ScalePlanner,
+    ScalingSpec, SpotReplacement, StandingFleet,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,40 +15,56 @@
 
 /// A fleet on a platform that carries out orders: upstreams serve after the boot time,
 /// and orders for reclaimable ones are refused in data centres without any.
-struct FleetTrial {
-    scaling: ScalingSpec,
+pub(super) struct FleetTrial {
+    pub(super) scaling: ScalingSpec,
     initial: InitialFleet,
-    listed: ListedFleets,
+    pub(super) listed: ListedFleets,
     /// Data centre, kind and time at which it serves, of each booting upstream.
     booting: Vec<(String, bool, u64)>,
     last_refusals: BTreeMap<String, u64>,
     without_spot: Vec<&'static str>,
     replacement: SpotReplacement,
-    in_flight: u32,
-    orders: u32,
+    pub(super) standing: Option<StandingFleet>,
+    slots: u32,
+    pub(super) in_flight: u32,
+    /// Upstreams that the work occupies.
+    pub(super) occupied: u32,
+    pub(super) orders: u32,
+    /// Price of all passes.
+    pub(super) spend: f64,
 }
 
 impl FleetTrial {
     fn new(in_flight: u32) -> Self {
+        Self::with_fleet([6, 6, 5], 12, SLOTS, in_flight)
+    }
+
+    pub(super) fn with_fleet(initial: [u32; 3], max: u32, slots: u32, in_flight: u32) -> Self {
         let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25)];
         let mut trial = Self {
             scaling: ScalingSpec {
                 min: 1,
-                max: 12,
+                max,
                 boot_time: Duration::from_millis(BOOT_MS),
                 spot_price: Some(0.15),
                 prices_per_second: prices.map(|(name, price)| (name.to_owned(), price)).into(),
             },
-            initial: [("a", 6), ("b", 6), ("c", 5)]
-                .map(|(name, count)| (name.to_owned(), count))
-                .into(),
+            initial: ["a", "b", "c"]
+                .map(str::to_owned)
+                .into_iter()
+                .zip(initial)
+                .collect(),
             listed: ListedFleets::new(),
             booting: Vec::new(),
             last_refusals: BTreeMap::new(),
             without_spot: Vec::new(),
             replacement: SpotReplacement::new(),
+            standing: None,
+            slots,
             in_flight,
+            occupied: 0,
             orders: 0,
+            spend: 0.0,
         };
         for target in ScalePlanner::new().targets(&trial.initial, &trial.scaling) {
             let fleet = trial.listed.entry(target.data_centre).or_default();
@@ -60,23 +76,23 @@
         trial
     }
 
-    fn reclaim(&mut self, name: &'static str) {
+    pub(super) fn reclaim(&mut self, name: &'static str) {
         let fleet = self.listed.get_mut(name).expect("a data centre");
         (fleet.draining_spot, fleet.spot) = (fleet.spot, 0);
         self.without_spot.push(name);
     }
 
-    fn serving(&self) -> u32 {
+    pub(super) fn serving(&self) -> u32 {
         let fleets = self.listed.values();
         fleets.map(|fleet| fleet.standard + fleet.spot).sum()
     }
 
-    fn standard(&self) -> u32 {
+    pub(super) fn standard(&self) -> u32 {
         self.listed.values().map(|fleet| fleet.standard).sum()
     }
 
     /// Runs passes from `from_ms` until `to_ms` with a call of `check` after each.
-    fn run(&mut self, from_ms: u64, to_ms: u64, mut check: impl FnMut(u64, &Self)) {
+    pub(super) fn run(&mut self, from_ms: u64, to_ms: u64, mut check: impl FnMut(u64, &mut Self)) {
         for now_ms in (from_ms..to_ms).step_by(PASS_MS as usize) {
             self.finish_boots(now_ms);
             if now_ms >= from_ms + NOTICE_MS {
@@ -85,6 +101,7 @@
                     .for_each(|one| one.draining_spot = 0);
             }
             self.pass(now_ms);
+            self.spend += self.price();
             let all = self
                 .listed
                 .keys()
@@ -106,14 +123,24 @@
 
     fn pass(&mut self, now_ms: u64) {
         let mut targets = ScalePlanner::new().targets(&self.initial, &self.scaling);
+        let now = at_ms(now_ms);
+        let occupied = OccupiedUpstreams {
+            total: self.occupied,
+            uninterrupted: 2,
+        };
+        if let Some(standing) = &mut self.standing {
+            standing.apply(now, occupied, &mut targets, &self.listed, &self.scaling);
+        }
+        let lowered = self.standing.as_ref().filter(|one| one.dispensed() > 0);
         let facts = ReplacementFacts {
             listed: &self.listed,
             initial: &self.initial,
+            standing: lowered.map_or(0, |standing| standing.required(now)),
             scaling: &self.scaling,
-            slots: SLOTS,
+            slots: self.slots,
             peak_in_flight: Some(self.in_flight),
         };
-        self.replacement.apply(at_ms(now_ms), &mut targets, &facts);
+        self.replacement.apply(now, &mut targets, &facts);
         for target in targets {
             let name = target.data_centre;
             let booting = self
@@ -146,6 +173,19 @@
         }
     }
 
+    /// Returns the price of all upstreams, also the booting ones.
+    fn price(&self) -> f64 {
+        let price_of = |name: &str, is_spot: bool| {
+            self.scaling.prices_per_second[name] * if is_spot { 0.15 } else { 1.0 }
+        };
+        let listed = self.listed.iter().map(|(name, fleet)| {
+            f64::from(fleet.standard) * price_of(name, false)
+                + f64::from(fleet.spot) * price_of(name, true)
+        });
+        let booting = self.booting.iter().map(|one| price_of(&one.0, one.1));
+        listed.sum::<f64>() + booting.sum::<f64>()
+    }
+
     fn total(&self, name: &str) -> u32 {
         let booting = self.booting.iter().filter(|one| one.0 == name).count() as u32;
         let fleet = self.listed[name];
