placement: requests wait at the host while the decode engines are full

A decode engine that refused because it was full was avoided for up to a second, its prefill engine took the refusal for a failed transfer of the KV cache, and the prompt was prefilled again. With all decode engines avoided, callers were told that there was none.

Such a refusal now only marks the engine as full for 50 ms. While it waits it counts as in flight on its prefill engine, so that hosts share the free places by the number that wait. A prompt isn't prefilled while no decode engine has room and the estimated wait there is longer than the goal.

Not yet measured under load.

--- a/crates/gateway/src/kv_cache.rs
+++ b/crates/gateway/src/kv_cache.rs
@@ -2,9 +2,9 @@
 
 use crate::clock;
 use crate::connection::{CallLimits, Endpoint, call};
-use crate::state::GatewayState;
+use crate::state::{GatewayState, UpstreamWork};
 use lagoonlift_adapter::upstream::{KvCacheHandle, release_kv_cache_request};
-use lagoonlift_policy::UpstreamKey;
+use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,10 @@
     pub(crate) attempts: u32,
     /// Whether a decode engine may have fetched the KV cache.
     pub(crate) may_be_transferred: bool,
+    pub(crate) prefilled_at: Timestamp,
+    /// Counts the request as in flight on the prefill engine while it waits for a decode
+    /// engine, so that all hosts know how many wait.
+    pub(crate) waiting: Option<UpstreamWork>,
 }
 
 impl HeldKvCache {
@@ -36,6 +40,8 @@
             prefill_engine,
             attempts: 0,
             may_be_transferred: false,
+            prefilled_at: clock::now(),
+            waiting: Some(UpstreamWork::new(state, prefill_engine, 0)),
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -296,6 +296,7 @@
         let now = clock::now();
         let is_success = match item {
             Some(StreamItem::Events(_)) => {
+                self.run.record_first_event();
                 let first_event_at = *self.first_event_at.get_or_insert(now);
                 now.since(first_event_at) >= SUCCESS_TIME
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,10 +3,12 @@
 //! one of the gateway's own.
 
 mod choice;
+mod decode;
 mod prefill;
 mod quarantine;
 mod version;
 
+use self::decode::SentDecode;
 use self::prefill::SentPrefill;
 use self::quarantine::ClaimedProbe;
 use crate::admit::Admitted;
@@ -34,10 +36,6 @@
 /// attempts may be prefilled more often.
 const PREFILLS_PER_ATTEMPT: usize = 2;
 
-/// Number of attempts to continue from one KV cache. After that, the prefill is
-/// repeated.
-const KV_CACHE_ATTEMPTS: u32 = 2;
-
 /// Result of a request.
 pub(crate) enum RunOutcome {
     /// Complete response of an upstream, either a success or a failure.
@@ -77,6 +75,8 @@
     /// Upstream of the attempt that is awaited, so that it is counted if its future is
     /// dropped, and whether the attempt may have reached it.
     attempt_in_progress: Option<(UpstreamKey, Rc<Cell<bool>>)>,
+    /// What was known of the latest attempt's decode engine, until its first event.
+    sent_decode: Option<SentDecode>,
     /// Prefills that have not ended.
     prefills: Vec<SentPrefill>,
     /// Engines that refused to run the whole prompt while a prefill was silent.
@@ -128,6 +128,7 @@
             resume_after: None,
             silent_upstream: None,
             attempt_in_progress: None,
+            sent_decode: None,
             prefills: Vec::new(),
             refused_meanwhile: Vec::new(),
             last_failure: None,
@@ -253,14 +254,20 @@
         let uses_kv_cache = matches!(attempt.task, UpstreamTask::DecodeFrom(_));
         let is_retry = self.is_retry(&attempt.task);
         self.sent_to = self.entry_of(upstream);
+        self.sent_decode = uses_kv_cache.then(|| self.sent_decode(upstream)).flatten();
         self.attempt_in_progress = Some((upstream, Rc::clone(&attempt.is_sent)));
         let outcome = send(&self.state, &self.admitted.outgoing, attempt).await;
-        self.tried.push(upstream);
+        let is_full = uses_kv_cache && self.is_refused_as_full(upstream, &outcome);
+        if !is_full {
+            self.tried.push(upstream);
+        }
         self.summary.sends += 1;
         self.summary.upstream = self.name_of(upstream);
         self.summary.version = self.version_name();
-        if uses_kv_cache {
-            self.record_possible_transfer(&outcome);
+        match uses_kv_cache {
+            true if is_full => self.record_full_engine(),
+            true => self.record_possible_transfer(&outcome),
+            false => {}
         }
         let result = match outcome {
             SendOutcome::Responded(response) => match self.process_response(response).await {
--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -1,6 +1,6 @@
 //! Chooses the upstream and the work of the next attempt.
 
-use super::{KV_CACHE_ATTEMPTS, RequestRun};
+use super::RequestRun;
 use crate::clock;
 use crate::reply::GatewayReply;
 use crate::send::Attempt;
@@ -70,23 +70,6 @@
         self.attempt(upstream, UpstreamTask::Run, u64::from(tokens))
     }
 
-    /// Returns an attempt to continue from the KV cache on a decode engine, or `None`
-    /// if there is no KV cache, it has used up its attempts, or no engine is
-    /// available.
-    pub(super) fn decode_attempt(&mut self) -> Option<Attempt> {
-        let kv_cache = self.kv_cache.as_mut()?;
-        if kv_cache.attempts >= KV_CACHE_ATTEMPTS {
-            self.kv_cache = None;
-            return None;
-        }
-        kv_cache.attempts += 1;
-        let (prefill_engine, handle) = (kv_cache.prefill_engine, kv_cache.handle.clone());
-        let upstream = self.choose(&self.tried, |placement, view| {
-            placement.choose_decode_engine(view, prefill_engine)
-        })?;
-        Some(self.attempt(upstream, UpstreamTask::DecodeFrom(handle), 0))
-    }
-
     pub(super) fn attempt(
         &self,
         upstream: UpstreamKey,
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -51,7 +51,7 @@
     /// Chooses the next attempt to run a prompt, after a prefill on another engine if the
     /// placement plans one.
     pub(super) async fn prompt_attempt(&mut self) -> Result<Attempt, GatewayReply> {
-        if let Some(attempt) = self.decode_attempt() {
+        if let Some(attempt) = self.decode_attempt().await? {
             return self.confirm_attempt(attempt).await;
         }
         for _ in self.prefills.len()..PREFILLS_PER_ATTEMPT {
@@ -71,13 +71,13 @@
                 }) => self.send_prefill(prefill_engine, copy_blocks_from),
             }
             self.await_prefill_or_silence().await;
-            if let Some(attempt) = self.decode_attempt() {
+            if let Some(attempt) = self.decode_attempt().await? {
                 return self.confirm_attempt(attempt).await;
             }
             self.pass_quarantine().await?;
         }
         self.await_silent_prefills().await;
-        match self.decode_attempt() {
+        match self.decode_attempt().await? {
             Some(attempt) => self.confirm_attempt(attempt).await,
             None => Err(self.not_run("the prompt was not read", RefusalCause::NoCapacity)),
         }
--- a/crates/gateway/src/upstream_health.rs
+++ b/crates/gateway/src/upstream_health.rs
@@ -31,7 +31,7 @@
             SendOutcome::NotSent(_) | SendOutcome::NotOpened(..) => {
                 upstream.record_failure(now, true);
             }
-            SendOutcome::NotRun => upstream.record_refusal(now),
+            SendOutcome::NotRun => upstream.record_refusal(now, &state.peer_loads.borrow()),
             SendOutcome::Lost(_) | SendOutcome::TimedOut => upstream.record_failure(now, false),
         }
     }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -42,6 +42,7 @@
 mod config_freshness;
 mod configuration;
 mod crash_quarantine;
+mod decode_time;
 mod host_roster;
 mod peer_load;
 mod placement;
@@ -72,11 +73,12 @@
     BlameNews, CrashId, CrashQuarantine, ProbeHistory, QuarantineSource, QuarantinedSuspect,
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
+pub use decode_time::DecodeTime;
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
-    FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan, PromptRefusal,
-    RequiredVersion,
+    DecodeChoice, FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan,
+    PromptRefusal, RequiredVersion,
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -12,7 +12,13 @@
 //! delays every response. A prompt that would have to wait for longer than its
 //! latency goal allows is therefore refused at once.
 
-use super::{EngineRole, PeerLoads, PrefillRate, Upstream, UpstreamTable, VersionDigest};
+mod decode_room;
+
+pub use decode_room::DecodeChoice;
+
+use super::{
+    DecodeTime, EngineRole, PeerLoads, PrefillRate, Upstream, UpstreamTable, VersionDigest,
+};
 use crate::{Timestamp, UpstreamKey};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -84,7 +90,8 @@
     /// [`RefusalCause::NoUpstream`]: super::RefusalCause::NoUpstream
     NoEngine,
     /// The prefill backlog of the least loaded engine is longer than the latency
-    /// goal allows. The value is the time that this engine needs for its backlog.
+    /// goal allows, or the wait at the decode engines is. The value is the time that this
+    /// engine needs for its backlog, or that wait.
     ///
     /// The least loaded engine is the healthy engine with the shortest backlog, or
     /// the one with the shortest backlog of all if none is healthy. An unhealthy
@@ -242,6 +249,8 @@
     data_centre: String,
     /// Prefill rate of prefill engines.
     prefill_rate: PrefillRate,
+    /// Time that decode engines take to the first event.
+    decode_time: DecodeTime,
 }
 
 /// An engine that could run the prefill of one prompt.
@@ -255,6 +264,8 @@
     /// of the engine's role.
     backlog: u64,
     is_healthy: bool,
+    /// Whether a decode engine has room for another request.
+    has_room: bool,
 }
 
 impl Placement {
@@ -264,6 +275,7 @@
             limits,
             data_centre: data_centre.to_owned(),
             prefill_rate: PrefillRate::new(),
+            decode_time: DecodeTime::new(),
         }
     }
 
@@ -319,7 +331,15 @@
     ) -> Result<PromptPlan, PromptRefusal> {
         let decode_engines = self.ranked_engines(view, prompt, EngineRole::Decode);
         if prompt.prompt_tokens < self.limits.disaggregation_threshold_tokens {
-            let engine = self.choose_engine(&decode_engines, Duration::MAX);
+            let (with_room, full): (Vec<_>, Vec<_>) = decode_engines
+                .into_iter()
+                .partition(|engine| engine.has_room);
+            let engines = if with_room.is_empty() {
+                full
+            } else {
+                with_room
+            };
+            let engine = self.choose_engine(&engines, Duration::MAX);
             return engine.map(PromptPlan::SingleEngine);
         }
         let wait = self.allowed_wait(prompt, latency_goal, time_left);
@@ -333,6 +353,7 @@
                 let prefill_engine = self.choose_engine(&prefill_engines, wait)?;
                 let version_of = |key| view.table.get(key).and_then(|one| one.version);
                 let version = version_of(prefill_engine);
+                self.check_decode_room(view, version, latency_goal.min(time_left))?;
                 let preferred = prefill_engines
                     .iter()
                     .find(|engine| engine.is_healthy && engine.version == version);
@@ -415,6 +436,7 @@
                 version: one.version,
                 backlog: one.prefill_backlog(view.peers) * backlog_factor(role),
                 is_healthy: one.failure_share < UNHEALTHY_FAILURE_SHARE,
+                has_room: one.free_places(view, false) > 0,
             })
             .collect();
         ranked_engines.sort_unstable_by_key(|engine| std::cmp::Reverse(engine.score));
@@ -473,7 +495,7 @@
 /// penalty for failures.
 fn load_of(upstream: &Upstream, peers: &PeerLoads) -> f64 {
     let slots = f64::from(upstream.record.slots.max(1));
-    let in_flight = upstream.in_flight + peers.in_flight_on(upstream.digest).requests;
+    let in_flight = upstream.requests_in_flight(peers);
     f64::from(in_flight) / slots + FAILURE_PENALTY * upstream.failure_share
 }
 
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -36,6 +36,10 @@
 /// Longest backoff after refusals or failed KV transfers in a row.
 const MAX_REFUSAL_BACKOFF: Duration = Duration::from_millis(1_000);
 
+/// Time for which an engine counts as full after it refused a request for that reason. By
+/// then, the peers have reported the loads with which they filled it.
+const FULL_TIME: Duration = Duration::from_millis(50);
+
 /// Weight of the latest result in the failure share.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -68,6 +72,8 @@
     /// Prefills in a row whose KV cache could not be transferred.
     failed_kv_transfers_in_row: u32,
     avoided_until: Option<Timestamp>,
+    /// Time until which the engine counts as full.
+    full_until: Option<Timestamp>,
     /// Time until which the upstream wants no requests from this host.
     held_off_until: Option<Timestamp>,
     /// Whether the upstream states how many requests it takes from all hosts together.
@@ -95,6 +101,7 @@
             refusals_in_row: 0,
             failed_kv_transfers_in_row: 0,
             avoided_until: None,
+            full_until: None,
             no_prefill_until: None,
             removal_at: None,
         }
@@ -123,14 +130,25 @@
         self.no_prefill_until.is_none_or(|until| until <= now)
     }
 
-    /// Records that the upstream refused a request. From the second refusal in a row
-    /// on, the upstream is avoided for a backoff.
-    pub fn record_refusal(&mut self, now: Timestamp) {
+    /// Records that the upstream refused a request. A decode engine on which all slots are
+    /// taken, by this host's requests and those of `peers`, counts as full for a short time.
+    /// Another upstream is avoided for a backoff from the second refusal in a row on.
+    pub fn record_refusal(&mut self, now: Timestamp, peers: &PeerLoads) {
+        let is_decode_engine = self.record.role == Some(EngineRole::Decode);
+        if is_decode_engine && self.requests_in_flight(peers) >= self.record.slots {
+            self.full_until = Some(now + FULL_TIME);
+            return;
+        }
         self.refusals_in_row += 1;
         let backoff = refusal_backoff(self.refusals_in_row);
         self.avoided_until = backoff.map(|backoff| now + backoff).max(self.avoided_until);
     }
 
+    /// Returns whether the engine has refused a request lately because it is full.
+    pub fn is_full(&self, now: Timestamp) -> bool {
+        self.full_until.is_some_and(|until| until > now)
+    }
+
     /// Records whether the KV cache of a prefill on this engine could be transferred.
     /// From the second failed transfer in a row on, the engine runs no prefills for
     /// decode engines for a backoff, which is as long as the one after refusals.
@@ -143,6 +161,11 @@
         self.no_prefill_until = backoff.map(|backoff| now + backoff);
     }
 
+    /// Returns the requests of all hosts in flight on the upstream.
+    pub fn requests_in_flight(&self, peers: &PeerLoads) -> u32 {
+        self.in_flight + peers.in_flight_on(self.digest).requests
+    }
+
     /// Returns the prompt tokens of all hosts that wait for prefill or are in prefill
     /// on the upstream.
     pub fn prefill_backlog(&self, peers: &PeerLoads) -> u64 {
--- a/crates/policy/tests/all/dispatch/upstreams.rs
+++ b/crates/policy/tests/all/dispatch/upstreams.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatch::support::{SERVICE, at_ms, engine, key_of, present, table_of};
 use lagoonlift_policy::dispatch::{
-    EngineRole, ListChange, UpstreamId, UpstreamPhase, UpstreamTable,
+    EngineRole, ListChange, PeerLoads, UpstreamId, UpstreamPhase, UpstreamTable,
 };
 use std::time::Duration;
 
@@ -86,7 +86,7 @@
         let now = at_ms(ms);
         let upstream = table.get_mut(key).expect("upstream is listed");
         match upstream.is_usable(now) {
-            true => upstream.record_refusal(now),
+            true => upstream.record_refusal(now, &PeerLoads::new()),
             false => avoided += 1,
         }
     }
