--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -47,6 +47,7 @@
 mod config_freshness;
 mod configuration;
 mod crash_quarantine;
+mod decode_time;
 mod decode_work;
 mod demand;
 mod host_roster;
@@ -81,13 +82,14 @@
     BlameNews, CrashId, CrashQuarantine, ProbeHistory, QuarantineSource, QuarantinedSuspect,
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
+pub use decode_time::DecodeTime;
 pub use decode_work::{DecodeWork, DecodeWorkEstimate, RoleLoads, ServiceDigest};
 pub use demand::{PeakWindow, count_in_flight, count_occupied};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
-    FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan, PromptRefusal,
-    RequiredVersion,
+    DecodeChoice, FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan,
+    PromptRefusal, RequiredVersion,
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
