placement: prompts are admitted by the wait at the decode engines

Waiting requests took any free place at random, and prompts were prefilled as long as a place seemed free, so that under overload requests waited for hundreds of milliseconds.

The places are now offered by the time waited, and the share of prompts refused before their prefill rises with the estimated wait, to all of them where the response would be later than the goal. Estimates of the time at a decode engine count from the fifth sample: a host of 66 sends about seven requests a second.

--- a/crates/gateway/src/run/decode.rs
+++ b/crates/gateway/src/run/decode.rs
@@ -6,7 +6,7 @@
 use crate::send::{Attempt, SendOutcome};
 use crate::state::UpstreamWork;
 use lagoonlift_adapter::upstream::UpstreamTask;
-use lagoonlift_policy::dispatch::{DecodeChoice, RefusalCause};
+use lagoonlift_policy::dispatch::{DecodeChoice, PrefilledRequest, RefusalCause};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use rand::RngExt;
 use std::ops::Range;
@@ -98,10 +98,13 @@
             self.kv_cache = None;
             return None;
         }
-        let prefill_engine = kv_cache.prefill_engine;
-        let is_retry = self.history.next_is_retry();
+        let request = PrefilledRequest {
+            prefill_engine: kv_cache.prefill_engine,
+            waited: clock::now().since(kv_cache.prefilled_at),
+            is_retry: self.history.next_is_retry(),
+        };
         Some(self.choose(&self.tried, |placement, view| {
-            placement.place_decode(view, prefill_engine, is_retry)
+            placement.place_decode(view, request)
         }))
     }
 
--- a/crates/policy/src/dispatch/decode_time.rs
+++ b/crates/policy/src/dispatch/decode_time.rs
@@ -8,8 +8,9 @@
 /// Weight of the latest sample in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
-/// Samples that are needed before the estimate is used.
-const MIN_SAMPLES: u32 = 20;
+/// Samples that are needed before the estimate is used. One host of many sends only a few
+/// requests a second to decode engines.
+const MIN_SAMPLES: u32 = 5;
 
 /// Moving average of the time to the first event while a slot is free.
 #[derive(Clone, Copy, Debug, Default)]
@@ -34,6 +35,13 @@
         self.seconds_per_turn += weight * (sample - self.seconds_per_turn);
     }
 
+    /// Returns the time to the first event while a slot is free; `None` while there are too
+    /// few samples.
+    pub fn own_time(&self) -> Option<Duration> {
+        let time = Duration::from_secs_f64(self.seconds_per_turn);
+        (self.samples >= MIN_SAMPLES).then_some(time)
+    }
+
     /// Returns how long a request waits for a slot if `requests` others are ahead of it at
     /// engines with `slots` in total; `None` while there are too few samples.
     pub fn wait(&self, requests: u32, slots: u32) -> Option<Duration> {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -77,8 +77,8 @@
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
-    DecodeChoice, FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan,
-    PromptRefusal, RequiredVersion,
+    DecodeChoice, FleetView, Placement, PlacementLimits, PrefilledRequest, PrefixBlock,
+    PromptFacts, PromptPlan, PromptRefusal, RequiredVersion,
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -14,7 +14,7 @@
 
 mod decode_room;
 
-pub use decode_room::DecodeChoice;
+pub use decode_room::{DecodeChoice, PrefilledRequest};
 
 use super::{
     DecodeTime, EngineRole, PeerLoads, PrefillRate, Upstream, UpstreamTable, VersionDigest,
--- a/crates/policy/src/dispatch/placement/decode_room.rs
+++ b/crates/policy/src/dispatch/placement/decode_room.rs
@@ -12,6 +12,7 @@
 use super::{FleetView, Placement, PromptRefusal, REMOTE_TRANSFER_PENALTY, load_of};
 use crate::UpstreamKey;
 use crate::dispatch::{EngineRole, Upstream, VersionDigest};
+use std::ops::Range;
 use std::time::Duration;
 
 /// The decode engine for a request whose prompt has been prefilled.
@@ -25,14 +26,73 @@
     NoEngine,
 }
 
+/// A request whose prompt has been prefilled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrefilledRequest {
+    /// Engine that ran the prefill and holds the KV cache.
+    pub prefill_engine: UpstreamKey,
+    /// Time since the prefill.
+    pub waited: Duration,
+    /// Whether an engine has refused the request before. It is sent then only to an engine
+    /// with a free slot, since another refusal would cost one more retry.
+    pub is_retry: bool,
+}
+
+/// Mean time that the waiting requests have waited, as a share of the whole wait.
+const MEAN_AGE: f64 = 0.5;
+
+/// Waits, as shares of the longest one, from which on some and all prompts are refused.
+const REFUSED_WAITS: Range<f64> = 0.6..1.0;
+
 /// Places of the decode engines that can continue from one KV cache.
 struct DecodeRoom {
     has_engines: bool,
+    /// Slots of all engines.
+    slots: u32,
+    /// Requests of all hosts in flight on the engines.
+    in_flight: u32,
+    /// Requests of all hosts that are in prefill or wait for a decode engine.
+    waiting: u32,
     /// Engines with free places, and how many they have.
     free: Vec<(UpstreamKey, u32)>,
     total: u32,
 }
 
+impl DecodeRoom {
+    fn new(view: FleetView<'_>, version: Option<VersionDigest>, is_retry: bool) -> Self {
+        let engines = view.usable().filter(|(key, one)| {
+            one.record.role != Some(EngineRole::Prefill)
+                && one.version == version
+                && !view.tried.contains(key)
+                && !view.changing_role.contains(key)
+        });
+        let mut room = Self {
+            has_engines: false,
+            slots: 0,
+            in_flight: 0,
+            waiting: prefilled_requests(view, version),
+            free: Vec::new(),
+            total: 0,
+        };
+        for (key, engine) in engines {
+            let places = engine.free_places(view, is_retry);
+            room.has_engines = true;
+            room.slots += engine.record.slots;
+            room.in_flight += engine.requests_in_flight(view.peers);
+            room.total += places;
+            if places > 0 {
+                room.free.push((key, places));
+            }
+        }
+        room
+    }
+
+    /// Returns whether there is a place for each request that waits.
+    fn suffices(&self) -> bool {
+        self.total > 0 && self.total >= self.waiting
+    }
+}
+
 impl Placement {
     /// Records that the first event of a request came `latency` after the request was sent
     /// to a decode engine with `slots`, on which it was the latest of `requests` in flight.
@@ -40,31 +100,23 @@
         self.decode_time.record(requests, slots, latency);
     }
 
-    /// Chooses the decode engine for a request whose KV cache `prefill_engine` holds, or
-    /// states that the request has to wait. A request that engines have refused before
-    /// (`is_retry`) is sent only to an engine with a free slot.
-    pub fn place_decode(
-        &self,
-        view: FleetView<'_>,
-        prefill_engine: UpstreamKey,
-        is_retry: bool,
-    ) -> DecodeChoice {
-        let Some(least_loaded) = self.choose_decode_engine(view, prefill_engine) else {
+    /// Chooses the decode engine for a prefilled request, or states that it has to wait.
+    pub fn place_decode(&self, view: FleetView<'_>, request: PrefilledRequest) -> DecodeChoice {
+        let Some(least_loaded) = self.choose_decode_engine(view, request.prefill_engine) else {
             return DecodeChoice::NoEngine;
         };
-        let Some(holder) = view.table.get(prefill_engine) else {
+        let Some(holder) = view.table.get(request.prefill_engine) else {
             return DecodeChoice::NoEngine;
         };
-        let room = decode_room(view, holder.version, is_retry);
-        let waiting = prefilled_requests(view, holder.version).max(1);
-        let probability = f64::from(room.total) / f64::from(waiting);
+        let room = DecodeRoom::new(view, holder.version, request.is_retry);
         let has_room = room.free.iter().any(|(key, _)| *key == least_loaded);
+        let probability = self.send_probability(&room, request.waited);
         match probability {
             // Only engines that are changing their role are there.
             _ if !room.has_engines => DecodeChoice::Engine(least_loaded),
             _ if room.total == 0 => DecodeChoice::Full,
-            probability if probability >= 1.0 && has_room => DecodeChoice::Engine(least_loaded),
-            probability if probability >= 1.0 => choose_by_load(view, &room, holder),
+            _ if room.suffices() && has_room => DecodeChoice::Engine(least_loaded),
+            _ if room.suffices() => choose_by_load(view, &room, holder),
             probability if view.tie_breaker < probability => {
                 choose_by_room(&room, view.tie_breaker / probability)
             }
@@ -72,27 +124,37 @@
         }
     }
 
-    /// Returns the wait at the decode engines if it is longer than `goal`, so that a prefill
-    /// for engines of `version` would be for nothing.
+    /// Returns the probability of a send while there are fewer free places than requests
+    /// that wait. It grows with the time waited, so that requests are sent roughly in the
+    /// order of their arrival.
+    fn send_probability(&self, room: &DecodeRoom, waited: Duration) -> f64 {
+        let share = f64::from(room.total) / f64::from(room.waiting.max(1));
+        let wait = self.decode_time.wait(room.waiting, room.slots);
+        let age = match wait {
+            Some(wait) if !wait.is_zero() => waited.as_secs_f64() / wait.as_secs_f64(),
+            _ => MEAN_AGE,
+        };
+        (share * age / MEAN_AGE).min(1.0)
+    }
+
+    /// Returns the wait at the decode engines if the response would be later than `goal`, so
+    /// that a prefill for engines of `version` would be for nothing.
     pub(super) fn check_decode_room(
         &self,
         view: FleetView<'_>,
         version: Option<VersionDigest>,
         goal: Duration,
     ) -> Result<(), PromptRefusal> {
-        let room = decode_room(view, version, false);
-        let engines = view
-            .usable()
-            .filter(|(key, one)| can_decode(one, version) && !view.changing_role.contains(key));
-        let (requests, slots) = engines.fold((0, 0), |(requests, slots), (_, one)| {
-            (
-                requests + one.requests_in_flight(view.peers),
-                slots + one.record.slots,
-            )
-        });
-        let ahead = requests + prefilled_requests(view, version);
-        match self.decode_time.wait(ahead, slots) {
-            Some(wait) if room.total == 0 && slots > 0 && wait > goal => {
+        let room = DecodeRoom::new(view, version, false);
+        let own = self.decode_time.own_time().unwrap_or_default();
+        let longest = goal
+            .saturating_sub(own)
+            .max(goal.mul_f64(self.limits.min_wait_time_share));
+        let ahead = room.in_flight + room.waiting;
+        match self.decode_time.wait(ahead, room.slots) {
+            Some(wait)
+                if room.has_engines && !room.suffices() && is_refused(view, wait, longest) =>
+            {
                 Err(PromptRefusal::Overload(wait))
             }
             _ => Ok(()),
@@ -100,6 +162,16 @@
     }
 }
 
+/// Returns whether a prompt is refused because of a `wait` that should be at most `longest`.
+/// The share of refused prompts grows with the wait: if all hosts refused from the same wait
+/// on, of which they hear late, they would refuse too many and too few by turns.
+fn is_refused(view: FleetView<'_>, wait: Duration, longest: Duration) -> bool {
+    let part = wait.as_secs_f64() / longest.as_secs_f64().max(f64::EPSILON);
+    let range = REFUSED_WAITS.end - REFUSED_WAITS.start;
+    let refused_share = (part - REFUSED_WAITS.start) / range;
+    1.0 - view.tie_breaker <= refused_share
+}
+
 impl Upstream {
     /// Returns how many requests the engine can be sent before it counts as full. For a
     /// retry, these are only its free slots.
@@ -120,26 +192,6 @@
     }
 }
 
-fn can_decode(upstream: &Upstream, version: Option<VersionDigest>) -> bool {
-    upstream.record.role != Some(EngineRole::Prefill) && upstream.version == version
-}
-
-/// Returns the free places of the engines that can continue from a KV cache of `version`.
-fn decode_room(view: FleetView<'_>, version: Option<VersionDigest>, is_retry: bool) -> DecodeRoom {
-    let engines = view.usable().filter(|(key, one)| {
-        can_decode(one, version) && !view.tried.contains(key) && !view.changing_role.contains(key)
-    });
-    let places = engines.map(|(key, one)| (key, one.free_places(view, is_retry)));
-    let mut free: Vec<(UpstreamKey, u32)> = places.collect();
-    let has_engines = !free.is_empty();
-    free.retain(|(_, places)| *places > 0);
-    DecodeRoom {
-        has_engines,
-        total: free.iter().map(|(_, places)| places).sum(),
-        free,
-    }
-}
-
 /// Returns the requests of all hosts that are in prefill or wait for a decode engine. A
 /// waiting one is in flight on the engine that holds its KV cache.
 fn prefilled_requests(view: FleetView<'_>, version: Option<VersionDigest>) -> u32 {
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod block_quarantine;
 mod config_confirmation;
 mod decode_room;
+mod decode_room_load;
 mod peer_loads;
 mod placement;
 mod rate_sizes;
