placement: requests that can't be sent twice avoid silent upstreams

Prompts whose route allows one attempt were sent to engines that left everything unanswered, and failed when their callers left. A host sends too little to each engine to notice that alone; the failures counted only after the deadline, and two in a row.

Each host now tracks since when an upstream has answered none of its requests, and reports an upstream that is overdue (four times its mean latency and 300 ms at least) to its peers with the loads. With two such requests or hosts, requests that can't be sent twice go elsewhere, unless all upstreams are silent. Others are placed as before and show when the upstream answers again.

Not yet measured under load. A request that is already at a silent engine isn't moved: the protocol has no way for an engine to state that a cancelled request has not run.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,8 +14,9 @@
 use crate::state::GatewayState;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    BlameNews, ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult,
-    RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest, UsageCopy,
+    BlameNews, ConfigVersion, EngineRole, HostReport, InFlightLoad, PeerConfirmation,
+    PeerConfirmationResult, RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest,
+    UsageCopy,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -56,6 +57,9 @@
 /// Largest number of engines with an open role order in a load message.
 const MAX_CHANGING: usize = 30;
 
+/// Largest number of silent upstreams in a load message.
+const MAX_SILENT: usize = 20;
+
 /// A message to a peer, encoded with postcard: the order of variants and fields is
 /// the wire format.
 #[derive(Debug, Serialize, Deserialize)]
@@ -225,9 +229,14 @@
     }
     let open_orders = state.open_role_orders.borrow();
     let changing = open_orders.iter().filter_map(|key| table.get(*key));
+    let now = clock::now();
+    let serving = table.iter().map(|(_, one)| one);
+    let serving = serving.filter(|one| one.record.role != Some(EngineRole::Prefill));
+    let silent = serving.filter(|one| one.silent_requests(now) > 0);
     HostReport {
         loads,
         changing_role: changing.take(MAX_CHANGING).map(|one| one.digest).collect(),
+        silent: silent.take(MAX_SILENT).map(|one| one.digest).collect(),
     }
 }
 
--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -29,6 +29,7 @@
             version: self.required_version,
             tried,
             changing_role: &self.state.changing_role.borrow(),
+            is_only_attempt: !self.admitted.route.may_run_again(),
             now: clock::now(),
             tie_breaker: rand::rng().random(),
         };
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -3,7 +3,7 @@
 use crate::announcements::record_announcements;
 use crate::clock;
 use crate::connection::{CONNECT_TIMEOUT, CallError, Endpoint, PooledConnection, describe};
-use crate::state::{GatewayState, UpstreamWork};
+use crate::state::{AwaitedAnswer, GatewayState, UpstreamWork};
 use crate::upstream_health::record_health;
 use bytes::Bytes;
 use http::response::Parts;
@@ -258,6 +258,7 @@
     };
     attempt.is_sent.set(true);
     let sent_at = clock::now();
+    let answer = AwaitedAnswer::new(state, attempt.upstream);
     let response = match connection.send(call.encode()).await {
         Ok(response) => response,
         Err(CallError::NotSent(detail) | CallError::NotOpened(detail)) => {
@@ -265,6 +266,7 @@
         }
         Err(CallError::Lost(detail)) => return SendOutcome::Lost(detail),
     };
+    answer.end();
     let (parts, body) = response.into_parts();
     let head = ResponseHead::decode(&parts);
     record_announcements(state, record, &head, sent_at);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -408,3 +408,39 @@
         }
     }
 }
+
+/// A request whose answer is awaited, until it is dropped.
+pub(crate) struct AwaitedAnswer {
+    state: Rc<GatewayState>,
+    upstream: UpstreamKey,
+    has_come: bool,
+}
+
+impl AwaitedAnswer {
+    pub(crate) fn new(state: &Rc<GatewayState>, upstream: UpstreamKey) -> Self {
+        if let Some(one) = state.table.borrow_mut().get_mut(upstream) {
+            one.record_send(clock::now());
+        }
+        Self {
+            state: Rc::clone(state),
+            upstream,
+            has_come: false,
+        }
+    }
+
+    /// Records that the head of the response has arrived.
+    pub(crate) fn end(mut self) {
+        self.has_come = true;
+    }
+}
+
+impl Drop for AwaitedAnswer {
+    fn drop(&mut self) {
+        let mut table = self.state.table.borrow_mut();
+        match table.get_mut(self.upstream) {
+            Some(one) if self.has_come => one.record_answer(clock::now()),
+            Some(one) => one.record_unanswered(clock::now()),
+            None => {}
+        }
+    }
+}
--- a/crates/policy/src/dispatch/configuration.rs
+++ b/crates/policy/src/dispatch/configuration.rs
@@ -81,6 +81,13 @@
     pub max_gap: Option<Duration>,
 }
 
+impl Route {
+    /// Returns whether a request that may have run can be sent again.
+    pub fn may_run_again(&self) -> bool {
+        self.retry_safety.is_retryable() && self.max_upstreams > 1
+    }
+}
+
 /// Properties of the engines of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineSpec {
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -52,6 +52,8 @@
     pub loads: Vec<(UpstreamDigest, InFlightLoad)>,
     /// Engines that were ordered to change their role and have not done so yet.
     pub changing_role: Vec<UpstreamDigest>,
+    /// Upstreams that leave requests of the host unanswered for longer than they should.
+    pub silent: Vec<UpstreamDigest>,
 }
 
 /// The latest reports of the other hosts, and the sum of their loads.
@@ -61,6 +63,8 @@
     /// one of its previous incarnation expires.
     hosts: HashMap<u64, ReceivedReport>,
     totals: HashMap<UpstreamDigest, InFlightLoad>,
+    /// Number of hosts that report an upstream as silent.
+    silent: HashMap<UpstreamDigest, u32>,
 }
 
 #[derive(Clone, Debug)]
@@ -88,9 +92,9 @@
             received_at: now,
             report,
         };
-        self.add(&received.report.loads);
+        self.add(&received.report);
         if let Some(previous) = self.hosts.insert(incarnation, received) {
-            self.subtract(&previous.report.loads);
+            self.subtract(&previous.report);
         }
     }
 
@@ -103,7 +107,7 @@
             .map(|(_, host)| host)
             .collect();
         for host in expired {
-            self.subtract(&host.report.loads);
+            self.subtract(&host.report);
         }
     }
 
@@ -118,16 +122,30 @@
         hosts.any(|host| host.report.changing_role.contains(&upstream))
     }
 
-    fn add(&mut self, loads: &[(UpstreamDigest, InFlightLoad)]) {
-        for (upstream, load) in loads {
+    /// Returns the number of other hosts whose requests an upstream leaves unanswered.
+    pub fn hosts_in_silence(&self, upstream: UpstreamDigest) -> u32 {
+        self.silent.get(&upstream).copied().unwrap_or_default()
+    }
+
+    fn add(&mut self, report: &HostReport) {
+        for upstream in &report.silent {
+            *self.silent.entry(*upstream).or_default() += 1;
+        }
+        for (upstream, load) in &report.loads {
             let total = self.totals.entry(*upstream).or_default();
             total.requests += load.requests;
             total.prefill_tokens += load.prefill_tokens;
         }
     }
 
-    fn subtract(&mut self, loads: &[(UpstreamDigest, InFlightLoad)]) {
-        for (upstream, load) in loads {
+    fn subtract(&mut self, report: &HostReport) {
+        for upstream in &report.silent {
+            if let Some(hosts) = self.silent.get_mut(upstream) {
+                *hosts -= 1;
+            }
+        }
+        self.silent.retain(|_, hosts| *hosts > 0);
+        for (upstream, load) in &report.loads {
             let Some(total) = self.totals.get_mut(upstream) else {
                 continue;
             };
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -117,6 +117,9 @@
     pub tried: &'a [UpstreamKey],
     /// Engines whose role is being changed.
     pub changing_role: &'a [UpstreamKey],
+    /// Whether the request can't be sent twice, so that upstreams that leave others
+    /// unanswered are avoided.
+    pub is_only_attempt: bool,
     /// Current time.
     pub now: Timestamp,
     /// Selects among equally loaded upstreams; a random number from 0 to 1.
@@ -130,6 +133,20 @@
         usable.filter(move |(_, upstream)| self.version.is_met_by(upstream))
     }
 
+    /// Returns the candidates that answer requests if it matters for this one. If none
+    /// does, returns all.
+    fn prefer_answering(
+        self,
+        candidates: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
+    ) -> Vec<(UpstreamKey, &'a Upstream)> {
+        let (silent, answering): (Vec<_>, Vec<_>) = candidates
+            .partition(|(_, one)| self.is_only_attempt && one.is_silent(self.now, self.peers));
+        match answering.is_empty() {
+            true => silent,
+            false => answering,
+        }
+    }
+
     /// Returns the versions of the engines that can decode this request.
     fn decode_versions(self) -> Vec<Option<VersionDigest>> {
         let engines = self.usable().filter(|(key, one)| {
@@ -304,6 +321,7 @@
     /// usable.
     pub fn choose_upstream(&self, view: FleetView<'_>) -> Option<UpstreamKey> {
         let candidates = view.usable().filter(|(key, _)| !view.tried.contains(key));
+        let candidates = view.prefer_answering(candidates).into_iter();
         let load = |upstream: &Upstream| {
             let is_same_data_centre = upstream.record.data_centre == self.data_centre;
             let penalty = if is_same_data_centre {
@@ -396,6 +414,7 @@
         let (changing, available): (Vec<_>, Vec<_>) =
             candidates.partition(|(key, _)| view.changing_role.contains(key));
         let choose = |candidates: Vec<(UpstreamKey, &Upstream)>| {
+            let candidates = view.prefer_answering(candidates.into_iter());
             lowest(candidates.into_iter(), load, view.tie_breaker)
         };
         choose(available).or_else(|| choose(changing))
@@ -428,8 +447,14 @@
             .usable()
             .filter(|(key, one)| one.record.role == Some(role) && !view.tried.contains(key))
             .filter(|(_, one)| role == EngineRole::Decode || one.can_prefill(view.now));
+        let candidates = candidates.filter(|(key, _)| !view.changing_role.contains(key));
+        // A prefill can always be repeated.
+        let candidates = match role {
+            EngineRole::Prefill => candidates.collect(),
+            EngineRole::Decode => view.prefer_answering(candidates),
+        };
         let mut ranked_engines: Vec<PrefillCandidate> = candidates
-            .filter(|(key, _)| !view.changing_role.contains(key))
+            .into_iter()
             .map(|(key, one)| PrefillCandidate {
                 score: rendezvous_score(prompt, one),
                 key,
--- a/crates/policy/src/dispatch/placement/decode_room.rs
+++ b/crates/policy/src/dispatch/placement/decode_room.rs
@@ -74,7 +74,7 @@
             free: Vec::new(),
             total: 0,
         };
-        for (key, engine) in engines {
+        for (key, engine) in view.prefer_answering(engines) {
             let places = engine.free_places(view, is_retry);
             room.has_engines = true;
             room.slots += engine.record.slots;
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod rate;
 mod record;
+mod silence;
 mod table;
 
 pub use rate::{RateChange, RateNotice, RateSharing, RateStatement};
@@ -11,6 +12,7 @@
 };
 pub use table::UpstreamTable;
 
+use self::silence::AnswerTracker;
 use super::{PeerLoads, UpstreamDigest, VersionDigest};
 use crate::Timestamp;
 use std::time::Duration;
@@ -21,6 +23,10 @@
 /// Longest backoff after failures in a row.
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Unanswered requests and hosts with such requests, counted together, from which on an
+/// upstream is silent. A single request may be slow.
+const MIN_SILENT_REQUESTS: u32 = 2;
+
 /// Failures in a row from which on [`Upstream::has_repeated_failures`] is true.
 const MIN_REPEATED_FAILURES: u32 = 4;
 
@@ -65,6 +71,7 @@
     /// Moving average of the time to the first byte of a response, in seconds; zero
     /// before the first response.
     pub mean_latency_s: f64,
+    answers: AnswerTracker,
     failures_in_row: u32,
     /// Backoffs after failures since the last response.
     failure_backoffs: u32,
@@ -96,6 +103,7 @@
             prefill_tokens: 0,
             failure_share: 0.0,
             mean_latency_s: 0.0,
+            answers: AnswerTracker::default(),
             failures_in_row: 0,
             failure_backoffs: 0,
             refusals_in_row: 0,
@@ -166,6 +174,34 @@
         self.in_flight + peers.in_flight_on(self.digest).requests
     }
 
+    /// Records that a request was sent to the upstream.
+    pub fn record_send(&mut self, now: Timestamp) {
+        self.answers.record_send(now);
+    }
+
+    /// Records that the head of a response has arrived, also that of a refusal.
+    pub fn record_answer(&mut self, now: Timestamp) {
+        self.answers.record_answer(now);
+    }
+
+    /// Records that a request was given up without an answer.
+    pub fn record_unanswered(&mut self, now: Timestamp) {
+        self.answers.record_end(now, self.mean_latency_s);
+    }
+
+    /// Returns the number of this host's requests that the upstream has left unanswered for
+    /// longer than it should, while it answered none.
+    pub fn silent_requests(&self, now: Timestamp) -> u32 {
+        self.answers.silent_requests(now, self.mean_latency_s)
+    }
+
+    /// Returns whether the upstream leaves several requests of this host and of `peers`
+    /// unanswered. A request that can't be sent twice shouldn't be sent to it.
+    pub fn is_silent(&self, now: Timestamp, peers: &PeerLoads) -> bool {
+        let silent = self.silent_requests(now) + peers.hosts_in_silence(self.digest);
+        silent >= MIN_SILENT_REQUESTS
+    }
+
     /// Returns the prompt tokens of all hosts that wait for prefill or are in prefill
     /// on the upstream.
     pub fn prefill_backlog(&self, peers: &PeerLoads) -> u64 {
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod roles;
 mod scaling;
 mod schedules;
+mod silent_upstreams;
 mod store_outage;
 mod store_readers;
 mod stream_versions;
