--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -88,8 +88,8 @@
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
-    DecodeChoice, FleetView, Placement, PlacementLimits, PrefixBlock, PromptFacts, PromptPlan,
-    PromptRefusal, RequiredVersion,
+    DecodeChoice, FleetView, Placement, PlacementLimits, PrefilledRequest, PrefixBlock,
+    PromptFacts, PromptPlan, PromptRefusal, RequiredVersion,
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
