scaling: a new lease holder keeps replacements until reclaimable upstreams serve

A host that took over the lease after a reclaim didn't know of it. Reclaimable upstreams that are missing at the takeover now count as lost. The test of this failed before.

--- a/crates/policy/src/dispatch/spot_replacement.rs
+++ b/crates/policy/src/dispatch/spot_replacement.rs
@@ -142,7 +142,7 @@
         targets: &mut [FleetTarget],
         facts: &ReplacementFacts<'_>,
     ) {
-        let wanted = self.wanted(targets, facts);
+        let wanted = self.wanted(now, targets, facts);
         for target in targets.iter().filter(|target| !target.is_spot) {
             let name = &target.data_centre;
             let mut count = wanted.get(name).copied().unwrap_or(0);
@@ -184,6 +184,7 @@
     /// Returns the wanted replacements by data centre.
     fn wanted(
         &mut self,
+        now: Timestamp,
         targets: &[FleetTarget],
         facts: &ReplacementFacts<'_>,
     ) -> BTreeMap<String, u32> {
@@ -193,7 +194,7 @@
         for target in targets.iter().filter(|target| target.is_spot) {
             let name = &target.data_centre;
             let standard = count_standard_in(targets, name);
-            let remaining = self.remaining_spot(target, facts);
+            let remaining = self.remaining_spot(now, target, facts);
             let is_lossy = self.lossy.contains(name);
             present += standard + remaining;
             planned += standard + target.count;
@@ -226,8 +227,14 @@
     }
 
     /// Returns how many reclaimable upstreams of a data centre are expected to serve, and
-    /// updates whether any are lost there.
-    fn remaining_spot(&mut self, target: &FleetTarget, facts: &ReplacementFacts<'_>) -> u32 {
+    /// updates whether any are lost there. A host that took over the lease doesn't know of
+    /// earlier reclaims and refusals, so those that are missing then count as lost.
+    fn remaining_spot(
+        &mut self,
+        now: Timestamp,
+        target: &FleetTarget,
+        facts: &ReplacementFacts<'_>,
+    ) -> u32 {
         let listed = listed_in(facts, &target.data_centre);
         if listed.spot >= target.count {
             self.lossy.remove(&target.data_centre);
@@ -239,13 +246,19 @@
                 self.lossy.insert(target.data_centre.clone());
                 0
             }
-            false => listed.spot,
+            false => {
+                if self.is_adopting(now) {
+                    self.lossy.insert(target.data_centre.clone());
+                }
+                listed.spot
+            }
         }
     }
 }
 
 impl HeldReplacement {
-    /// Adopts a higher number at once or after [`INCREASE_INTERVAL`], and a lower one after [`RELEASE_DELAY`].
+    /// Adopts a higher number at once or after [`INCREASE_INTERVAL`], and a lower one after
+    /// [`RELEASE_DELAY`].
     fn set(&mut self, now: Timestamp, wanted: u32) {
         if wanted >= self.count {
             self.fewer_since = None;
--- a/crates/policy/tests/all/dispatch/spot_replacement.rs
+++ b/crates/policy/tests/all/dispatch/spot_replacement.rs
@@ -277,3 +277,17 @@
         assert_eq!(is_replaced, is_reclaim, "{draining} draining");
     }
 }
+
+/// A new lease holder knew nothing of the reclaim and released the replacements when the time
+/// for adopting them was over, although no reclaimable upstreams had come back.
+#[test]
+fn new_lease_holder_keeps_the_replacements_until_reclaimable_upstreams_serve() {
+    let mut trial = FleetTrial::new(120);
+    trial.reclaim("a");
+    trial.run(0, 6_000, |_, _| {});
+    let serving = trial.serving();
+    trial.replacement = SpotReplacement::with_takeover(at_ms(6_000), &trial.scaling);
+    trial.run(6_000, 30_000, |now_ms, trial| {
+        assert!(trial.serving() >= serving, "released at {now_ms} ms");
+    });
+}
