fleet: plans are kept while the same lease is renewed

A grant that is about to end is no grant, so a late renewal had the lease holder forget its orders and plans and send all orders again. It now forgets them when the fencing token has changed.

--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -29,10 +29,12 @@
 /// that is being planned. The open orders of all services count against it.
 const MAX_OPEN_ORDER_SHARE: f64 = 0.34;
 
-/// What this host keeps about its orders. All but the initial fleets is forgotten when
-/// the lease is lost.
+/// What this host keeps about its orders. Role orders are forgotten when the lease is lost,
+/// all others but the initial fleets when it is gained with another fencing token.
 #[derive(Default)]
 struct FleetOrders {
+    /// Fencing token of the lease under which the orders were sent.
+    fencing_token: Option<u64>,
     /// Scale orders, with the initial fleets that they are based on.
     scale: ScaleOrders,
     /// Open role orders, with the time when each was opened, just before it is sent.
@@ -44,6 +46,15 @@
 }
 
 impl FleetOrders {
+    /// Forgets what was planned and ordered under another lease. Without a change of the
+    /// fencing token, nobody else has ordered anything since.
+    fn start_lease(&mut self, fencing_token: u64) {
+        if self.fencing_token.replace(fencing_token) != Some(fencing_token) {
+            self.decode_work.clear();
+            self.scale.forget_orders();
+        }
+    }
+
     fn open_orders(&self) -> Vec<RoleOrder> {
         let orders = self.role_orders.values();
         orders.map(|(order, _)| *order).collect()
@@ -56,14 +67,13 @@
     loop {
         sleep(POLL_INTERVAL).await;
         fleet_orders.scale.store_fleets_again(&duties).await;
-        if duties.holder().is_none() {
+        let Some(holder) = duties.holder() else {
             fleet_orders.role_orders.clear();
-            fleet_orders.decode_work.clear();
-            duties.state.decode_work.borrow_mut().clear();
-            fleet_orders.scale.forget_orders();
             duties.state.open_role_orders.borrow_mut().clear();
+            duties.state.decode_work.borrow_mut().clear();
             continue;
-        }
+        };
+        fleet_orders.start_lease(holder.fencing_token);
         let Some(config) = duties.state.config() else {
             continue;
         };
