scaling: nothing is released while few hosts report

A lease holder that is cut off from the other hosts, or whose peers are silent, measured no demand and would have released standard upstreams once the peak of the last 30 s had expired. Reports of less than a quarter of the hosts are no measure now, and demand has to be measured anew for 10 s.

--- a/crates/policy/src/dispatch/demand.rs
+++ b/crates/policy/src/dispatch/demand.rs
@@ -8,6 +8,10 @@
 /// Time that one entry of a [`PeakWindow`] covers.
 const BUCKET_DURATION: Duration = Duration::from_millis(500);
 
+/// Largest number of hosts for each one that has reported lately. Beyond that, the reports
+/// of a host that is cut off, or of an idle fleet, say too little.
+const MAX_SCALE: f64 = 4.0;
+
 /// The highest value that was observed within a time.
 #[derive(Clone, Debug)]
 pub struct PeakWindow {
@@ -77,5 +81,6 @@
     OccupiedUpstreams {
         total: (uninterrupted + scale * f64::from(prefill)).ceil() as u32,
         uninterrupted: uninterrupted.ceil() as u32,
+        is_measured: scale <= MAX_SCALE,
     }
 }
--- a/crates/policy/src/dispatch/standing_fleet.rs
+++ b/crates/policy/src/dispatch/standing_fleet.rs
@@ -36,6 +36,8 @@
     pub total: u32,
     /// Those among them whose work must not be interrupted, such as decode engines.
     pub uninterrupted: u32,
+    /// Whether enough hosts have reported lately for the numbers to be used.
+    pub is_measured: bool,
 }
 
 /// Plans by how much the standard targets of a service are lowered.
@@ -103,24 +105,27 @@
             self.is_takeover = false;
             self.dispensed = missing_standard(targets, listed);
         }
-        if self.has_measured(now) {
-            self.dispensed = self.dispensed.min(dispensable);
-            let has_spot = targets.iter().all(|target| has_all_spot(target, listed));
-            let is_recent = |at: Timestamp| now.since(at) < DECREASE_INTERVAL;
-            if has_spot && !self.decreased_at.is_some_and(is_recent) {
-                let more = (dispensable - self.dispensed).div_ceil(2);
-                self.decreased_at = (more > 0).then_some(now).or(self.decreased_at);
-                self.dispensed += more;
-            }
+        self.dispensed = self.dispensed.min(dispensable);
+        let has_spot = targets.iter().all(|target| has_all_spot(target, listed));
+        let is_recent = |at: Timestamp| now.since(at) < DECREASE_INTERVAL;
+        if has_spot && self.has_measured(now) && !self.decreased_at.is_some_and(is_recent) {
+            let more = (dispensable - self.dispensed).div_ceil(2);
+            self.decreased_at = (more > 0).then_some(now).or(self.decreased_at);
+            self.dispensed += more;
         }
         lower_targets(targets, self.dispensed, scaling);
     }
 
     fn record(&mut self, now: Timestamp, occupied: OccupiedUpstreams) {
+        if !occupied.is_measured {
+            // What was measured before must not expire and leave upstreams dispensable.
+            self.measured_since = None;
+            return;
+        }
         self.occupied.record(now, occupied.total);
         self.uninterrupted.record(now, occupied.uninterrupted);
-        if self.measured_since.is_none() && occupied.total > 0 {
-            self.measured_since = Some(now);
+        if occupied.total > 0 {
+            self.measured_since = self.measured_since.or(Some(now));
         }
     }
 
--- a/crates/policy/tests/all/dispatch/spot_replacement.rs
+++ b/crates/policy/tests/all/dispatch/spot_replacement.rs
@@ -29,6 +29,7 @@
     pub(super) in_flight: u32,
     /// Upstreams that the work occupies.
     pub(super) occupied: u32,
+    pub(super) is_measured: bool,
     pub(super) orders: u32,
     /// Price of all passes.
     pub(super) spend: f64,
@@ -63,6 +64,7 @@
             slots,
             in_flight,
             occupied: 0,
+            is_measured: true,
             orders: 0,
             spend: 0.0,
         };
@@ -127,6 +129,7 @@
         let occupied = OccupiedUpstreams {
             total: self.occupied,
             uninterrupted: 2,
+            is_measured: self.is_measured,
         };
         if let Some(standing) = &mut self.standing {
             standing.apply(now, occupied, &mut targets, &self.listed, &self.scaling);
--- a/crates/policy/tests/all/dispatch/standing_fleet.rs
+++ b/crates/policy/tests/all/dispatch/standing_fleet.rs
@@ -95,6 +95,19 @@
     assert!(trial.orders <= 12, "{} orders", trial.orders);
 }
 
+/// The reports of the other hosts are missing for longer than the peak is kept.
+#[test]
+fn fleet_is_held_without_reports() {
+    let mut trial = large_trial(56);
+    trial.run(0, 20_000, |_, _| {});
+    let standard = trial.standard();
+    (trial.occupied, trial.is_measured) = (0, false);
+    trial.run(20_000, 80_000, |_, _| {});
+    (trial.occupied, trial.is_measured) = (1, true);
+    trial.run(80_000, 89_900, |_, _| {});
+    assert_eq!(trial.standard(), standard);
+}
+
 /// A new lease holder doesn't order again what the previous one released.
 #[test]
 fn new_lease_holder_keeps_the_lowered_fleet() {
@@ -129,7 +142,7 @@
         let mut targets = all.clone();
         for pass in 0..200_u64 {
             targets.clone_from(&all);
-            let work = OccupiedUpstreams { total: u32::from(occupied), uninterrupted: 1 };
+            let work = OccupiedUpstreams { total: u32::from(occupied), uninterrupted: 1, is_measured: true, };
             plan.apply(at_ms(pass * 300), work, &mut targets, &listed, &trial.scaling);
         }
         let total: u32 = targets.iter().map(|target| target.count).sum();
