--- a/crates/policy/tests/all/dispatch/spot_replacement.rs
+++ b/crates/policy/tests/all/dispatch/spot_replacement.rs
@@ -241,6 +241,17 @@
     assert_eq!(trial.orders, 0);
 }
 
+/// Demand that swings during a reclaim had replacements released and ordered by turns.
+#[test]
+fn swing_of_the_demand_releases_no_replacement() {
+    let mut trial = FleetTrial::new(100);
+    trial.reclaim("a");
+    trial.run(0, 15_000, |now_ms, trial| {
+        trial.in_flight = [100, 80][(now_ms / 1_400) as usize % 2];
+    });
+    assert_eq!(trial.orders, 1);
+}
+
 /// Targets of a fleet of which nothing was reclaimed stay as they were, at any demand.
 #[test]
 fn complete_fleet_is_not_changed() {
