--- a/crates/policy/tests/all/dispatch/spot_replacement.rs
+++ b/crates/policy/tests/all/dispatch/spot_replacement.rs
@@ -29,6 +29,7 @@
     pub(super) in_flight: u32,
     /// Upstreams that the work occupies.
     pub(super) occupied: u32,
+    pub(super) is_measured: bool,
     pub(super) orders: u32,
     /// Price of all passes.
     pub(super) spend: f64,
@@ -63,6 +64,7 @@
             slots,
             in_flight,
             occupied: 0,
+            is_measured: true,
             orders: 0,
             spend: 0.0,
         };
@@ -127,6 +129,7 @@
         let occupied = OccupiedUpstreams {
             total: self.occupied,
             uninterrupted: 2,
+            is_measured: self.is_measured,
         };
         if let Some(standing) = &mut self.standing {
             standing.apply(now, occupied, &mut targets, &self.listed, &self.scaling);
@@ -238,6 +241,17 @@
     assert_eq!(trial.orders, 0);
 }
 
+/// Demand that swings during a reclaim had replacements released and ordered by turns.
+#[test]
+fn swing_of_the_demand_releases_no_replacement() {
+    let mut trial = FleetTrial::new(100);
+    trial.reclaim("a");
+    trial.run(0, 15_000, |now_ms, trial| {
+        trial.in_flight = [100, 80][(now_ms / 1_400) as usize % 2];
+    });
+    assert_eq!(trial.orders, 1);
+}
+
 /// Targets of a fleet of which nothing was reclaimed stay as they were, at any demand.
 #[test]
 fn complete_fleet_is_not_changed() {
