--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -43,6 +43,7 @@
 mod configuration;
 mod crash_quarantine;
 mod decode_time;
+mod fleet_view;
 mod host_roster;
 mod peer_load;
 mod placement;
@@ -74,11 +75,12 @@
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
 pub use decode_time::DecodeTime;
+pub use fleet_view::{FleetView, RequiredVersion};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
-    DecodeChoice, FleetView, Placement, PlacementLimits, PrefilledRequest, PrefixBlock,
-    PromptFacts, PromptPlan, PromptRefusal, RequiredVersion,
+    DecodeChoice, Placement, PlacementLimits, PrefilledRequest, PrefixBlock, PromptFacts,
+    PromptPlan, PromptRefusal,
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
