placement: long prompts in flight stay under the KV cache of an engine

An engine crashes if the requests that it holds exceed its KV cache, and queueing twice the slots of an engine with 32 slots could hold 590,000 of its 317,000 tokens.

The requests in flight on an engine, over all hosts, each counted as long as the prompt to be placed, now take at most 0.8 of its KV cache; the rest is for short prompts and for what others send meanwhile. A long prompt is refused at once if no prefill engine has room, or if it fits into no engine; for a decode engine it waits at its host.

Load messages don't grow: lengths aren't exchanged, so a mix of long and short prompts is counted as if all were long. Tests of the policy (without schedules) and of prompts and streams of the adapter pass.

--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -6,7 +6,9 @@
 use crate::send::Attempt;
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
-use lagoonlift_policy::dispatch::{FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause};
+use lagoonlift_policy::dispatch::{
+    EngineSpec, FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause,
+};
 use rand::RngExt;
 use std::rc::Rc;
 
@@ -16,6 +18,14 @@
         self.admitted.route.has_prompt && request.prompt.prompt_tokens > 0
     }
 
+    /// Returns what the configuration states about the engines of the service.
+    pub(super) fn engine_spec<T>(&self, read: impl FnOnce(&EngineSpec) -> T) -> Option<T> {
+        let config = self.state.config()?;
+        let mut services = config.services().iter();
+        let service = services.find(|service| service.name == self.admitted.service)?;
+        service.engine.as_ref().map(read)
+    }
+
     /// Calls `choose` with the placement policy and the current view of the fleet.
     pub(super) fn choose<T>(
         &self,
@@ -29,6 +39,7 @@
             version: self.required_version,
             tried,
             changing_role: &self.state.changing_role.borrow(),
+            kv_cache_tokens: self.engine_spec(|engine| engine.kv_cache_tokens),
             is_only_attempt: !self.admitted.route.may_run_again(),
             now: clock::now(),
             tie_breaker: rand::rng().random(),
@@ -62,6 +73,14 @@
             PromptRefusal::Overload(wait) => {
                 self.not_run("all engines are busy reading", RefusalCause::Overload(wait))
             }
+            PromptRefusal::KvCachesFull => self.not_run(
+                "the KV caches of the engines are full",
+                RefusalCause::NoCapacity,
+            ),
+            PromptRefusal::TooLong => {
+                let reason = "the prompt does not fit into the KV cache of an engine";
+                self.not_run(reason, RefusalCause::NoCapacity)
+            }
         })
     }
 
--- a/crates/gateway/src/run/decode.rs
+++ b/crates/gateway/src/run/decode.rs
@@ -76,14 +76,9 @@
         let Some(kv_cache) = &self.kv_cache else {
             return now;
         };
-        let config = self.state.config();
-        let engine = config.as_ref().and_then(|config| {
-            let mut services = config.services().iter();
-            services.find(|service| service.name == self.admitted.service)
-        });
-        let life = engine
-            .and_then(|service| service.engine.as_ref())
-            .map_or(DEFAULT_KV_CACHE_LIFE, |engine| engine.kv_handle_ttl);
+        let life = self
+            .engine_spec(|engine| engine.kv_handle_ttl)
+            .unwrap_or(DEFAULT_KV_CACHE_LIFE);
         let longest = self.admitted.route.latency_goal * MAX_WAIT_IN_GOALS;
         let wait = longest.min(life.saturating_sub(DECODE_MARGIN));
         let latest = now + clock::time_until(self.admitted.deadline).saturating_sub(DECODE_MARGIN);
@@ -101,6 +96,7 @@
         let request = PrefilledRequest {
             prefill_engine: kv_cache.prefill_engine,
             waited: clock::now().since(kv_cache.prefilled_at),
+            kv_tokens: self.admitted.outgoing.request.prompt.kv_tokens(),
             is_retry: self.history.next_is_retry(),
         };
         Some(self.choose(&self.tried, |placement, view| {
--- a/crates/policy/src/dispatch/fleet_view.rs
+++ b/crates/policy/src/dispatch/fleet_view.rs
@@ -18,6 +18,8 @@
     pub tried: &'a [UpstreamKey],
     /// Engines whose role is being changed.
     pub changing_role: &'a [UpstreamKey],
+    /// Capacity of an engine's KV cache in tokens, if it is known.
+    pub kv_cache_tokens: Option<u64>,
     /// Whether the request can't be sent twice, so that upstreams that leave others
     /// unanswered are avoided.
     pub is_only_attempt: bool,
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -13,6 +13,7 @@
 //! latency goal allows is therefore refused at once.
 
 mod decode_room;
+mod kv_room;
 
 pub use decode_room::{DecodeChoice, PrefilledRequest};
 
@@ -98,6 +99,10 @@
     ///
     /// [`RefusalCause::Overload`]: super::RefusalCause::Overload
     Overload(Duration),
+    /// The KV caches of all engines are full.
+    KvCachesFull,
+    /// The prompt doesn't fit into the KV cache of an engine.
+    TooLong,
 }
 
 /// Thresholds for the choice of an upstream.
@@ -193,6 +198,8 @@
     is_healthy: bool,
     /// Whether a decode engine has room for another request.
     has_room: bool,
+    /// Prompts of this length that fit into its KV cache.
+    kv_places: u32,
 }
 
 impl Placement {
@@ -257,7 +264,7 @@
         latency_goal: Duration,
         time_left: Duration,
     ) -> Result<PromptPlan, PromptRefusal> {
-        let decode_engines = self.ranked_engines(view, prompt, EngineRole::Decode);
+        let mut decode_engines = self.ranked_engines(view, prompt, EngineRole::Decode);
         if prompt.prompt_tokens < self.limits.disaggregation_threshold_tokens {
             let (with_room, full): (Vec<_>, Vec<_>) = decode_engines
                 .into_iter()
@@ -275,13 +282,15 @@
         let has_prefill_engine = !prefill_engines.is_empty();
         let decode_versions = view.decode_versions();
         prefill_engines.retain(|engine| decode_versions.contains(&engine.version));
+        kv_room::keep_with_room(view, &mut prefill_engines, prompt)?;
         match prefill_engines.is_empty() {
             _ if has_prefill_engine && decode_versions.is_empty() => Err(PromptRefusal::NoEngine),
             false => {
                 let prefill_engine = self.choose_engine(&prefill_engines, wait)?;
                 let version_of = |key| view.table.get(key).and_then(|one| one.version);
                 let version = version_of(prefill_engine);
-                self.check_decode_room(view, version, latency_goal.min(time_left))?;
+                let goal = latency_goal.min(time_left);
+                self.check_decode_room(view, version, prompt.kv_tokens(), goal)?;
                 let preferred = prefill_engines
                     .iter()
                     .find(|engine| engine.is_healthy && engine.version == version);
@@ -291,9 +300,11 @@
                     copy_blocks_from: preferred.filter(|engine| *engine != prefill_engine),
                 })
             }
-            true => self
-                .choose_engine(&decode_engines, wait)
-                .map(PromptPlan::SingleEngine),
+            true => {
+                kv_room::keep_with_room(view, &mut decode_engines, prompt)?;
+                let engine = self.choose_engine(&decode_engines, wait);
+                engine.map(PromptPlan::SingleEngine)
+            }
         }
     }
 
@@ -372,6 +383,7 @@
                 backlog: one.prefill_backlog(view.peers) * backlog_factor(role),
                 is_healthy: one.failure_share < UNHEALTHY_FAILURE_SHARE,
                 has_room: one.free_places(view, false) > 0,
+                kv_places: kv_room::kv_places(view, one, prompt.kv_tokens()),
             })
             .collect();
         ranked_engines.sort_unstable_by_key(|engine| std::cmp::Reverse(engine.score));
--- a/crates/policy/src/dispatch/placement/decode_room.rs
+++ b/crates/policy/src/dispatch/placement/decode_room.rs
@@ -9,6 +9,7 @@
 //! of them. Each is therefore sent with the probability that the free places suffice for
 //! all that wait.
 
+use super::kv_room::kv_places;
 use super::{FleetView, Placement, PromptRefusal, REMOTE_TRANSFER_PENALTY, load_of};
 use crate::UpstreamKey;
 use crate::dispatch::{EngineRole, Upstream, VersionDigest};
@@ -33,6 +34,8 @@
     pub prefill_engine: UpstreamKey,
     /// Time since the prefill.
     pub waited: Duration,
+    /// Tokens that the prompt and its response take in a KV cache.
+    pub kv_tokens: u64,
     /// Whether an engine has refused the request before. It is sent then only to an engine
     /// with a free slot, since another refusal would cost one more retry.
     pub is_retry: bool,
@@ -59,7 +62,12 @@
 }
 
 impl DecodeRoom {
-    fn new(view: FleetView<'_>, version: Option<VersionDigest>, is_retry: bool) -> Self {
+    fn new(
+        view: FleetView<'_>,
+        version: Option<VersionDigest>,
+        kv_tokens: u64,
+        is_retry: bool,
+    ) -> Self {
         let engines = view.usable().filter(|(key, one)| {
             one.record.role != Some(EngineRole::Prefill)
                 && one.version == version
@@ -76,6 +84,7 @@
         };
         for (key, engine) in view.prefer_answering(engines) {
             let places = engine.free_places(view, is_retry);
+            let places = places.min(kv_places(view, engine, kv_tokens));
             room.has_engines = true;
             room.slots += engine.record.slots;
             room.in_flight += engine.requests_in_flight(view.peers);
@@ -108,7 +117,7 @@
         let Some(holder) = view.table.get(request.prefill_engine) else {
             return DecodeChoice::NoEngine;
         };
-        let room = DecodeRoom::new(view, holder.version, request.is_retry);
+        let room = DecodeRoom::new(view, holder.version, request.kv_tokens, request.is_retry);
         let has_room = room.free.iter().any(|(key, _)| *key == least_loaded);
         let probability = self.send_probability(&room, request.waited);
         match probability {
@@ -143,9 +152,10 @@
         &self,
         view: FleetView<'_>,
         version: Option<VersionDigest>,
+        kv_tokens: u64,
         goal: Duration,
     ) -> Result<(), PromptRefusal> {
-        let room = DecodeRoom::new(view, version, false);
+        let room = DecodeRoom::new(view, version, kv_tokens, false);
         let own = self.decode_time.own_time().unwrap_or_default();
         let longest = goal
             .saturating_sub(own)
--- a/crates/policy/tests/all/dispatch/decode_room.rs
+++ b/crates/policy/tests/all/dispatch/decode_room.rs
@@ -51,6 +51,7 @@
     let request = PrefilledRequest {
         prefill_engine: key_of(table, 0),
         waited: WAITED,
+        kv_tokens: 9_192,
         is_retry,
     };
     placement().place_decode(view, request)
--- a/crates/policy/tests/all/dispatch/decode_room_load.rs
+++ b/crates/policy/tests/all/dispatch/decode_room_load.rs
@@ -157,6 +157,7 @@
                 PrefilledRequest {
                     prefill_engine: one.prefill_engine,
                     waited: Duration::from_millis(ms - one.arrived - PREFILL_MS),
+                    kv_tokens: 9_192,
                     is_retry: one.is_refused,
                 },
             ),
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod config_confirmation;
 mod decode_room;
 mod decode_room_load;
+mod kv_room;
 mod peer_loads;
 mod placement;
 mod rate_sizes;
--- a/crates/policy/tests/all/dispatch/support.rs
+++ b/crates/policy/tests/all/dispatch/support.rs
@@ -62,6 +62,7 @@
         version: RequiredVersion::Any,
         tried,
         changing_role: &[],
+        kv_cache_tokens: None,
         is_only_attempt: false,
         now: at_ms(ms),
         tie_breaker: 0.0,
