--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -50,6 +50,7 @@
 mod decode_time;
 mod decode_work;
 mod demand;
+mod fleet_view;
 mod host_roster;
 mod peer_load;
 mod placement;
@@ -85,11 +86,12 @@
 pub use decode_time::DecodeTime;
 pub use decode_work::{DecodeWork, DecodeWorkEstimate, RoleLoads, ServiceDigest};
 pub use demand::{PeakWindow, count_in_flight, count_occupied};
+pub use fleet_view::{FleetView, RequiredVersion};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
-    DecodeChoice, FleetView, Placement, PlacementLimits, PrefilledRequest, PrefixBlock,
-    PromptFacts, PromptPlan, PromptRefusal, RequiredVersion,
+    DecodeChoice, Placement, PlacementLimits, PrefilledRequest, PrefixBlock, PromptFacts,
+    PromptPlan, PromptRefusal,
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -13,13 +13,12 @@
 //! latency goal allows is therefore refused at once.
 
 mod decode_room;
+mod kv_room;
 
 pub use decode_room::{DecodeChoice, PrefilledRequest};
 
-use super::{
-    DecodeTime, EngineRole, PeerLoads, PrefillRate, Upstream, UpstreamTable, VersionDigest,
-};
-use crate::{Timestamp, UpstreamKey};
+use super::{DecodeTime, EngineRole, FleetView, PeerLoads, PrefillRate, Upstream, VersionDigest};
+use crate::UpstreamKey;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -100,94 +99,10 @@
     ///
     /// [`RefusalCause::Overload`]: super::RefusalCause::Overload
     Overload(Duration),
-}
-
-/// The state of the fleet for one choice of an upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct FleetView<'a> {
-    /// The upstreams.
-    pub table: &'a UpstreamTable,
-    /// In-flight load of the other hosts.
-    pub peers: &'a PeerLoads,
-    /// Name of the service that the request is for.
-    pub service: &'a str,
-    /// Software version that the upstream must have.
-    pub version: RequiredVersion,
-    /// Upstreams that earlier attempts of the request were sent to.
-    pub tried: &'a [UpstreamKey],
-    /// Engines whose role is being changed.
-    pub changing_role: &'a [UpstreamKey],
-    /// Whether the request can't be sent twice, so that upstreams that leave others
-    /// unanswered are avoided.
-    pub is_only_attempt: bool,
-    /// Current time.
-    pub now: Timestamp,
-    /// Selects among equally loaded upstreams; a random number from 0 to 1.
-    pub tie_breaker: f64,
-}
-
-impl<'a> FleetView<'a> {
-    /// Returns the usable upstreams of the required version, in arbitrary order.
-    fn usable(self) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
-        let usable = self.table.usable(self.service, self.now);
-        usable.filter(move |(_, upstream)| self.version.is_met_by(upstream))
-    }
-
-    /// Returns the candidates that answer requests if it matters for this one. If none
-    /// does, returns all.
-    fn prefer_answering(
-        self,
-        candidates: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
-    ) -> Vec<(UpstreamKey, &'a Upstream)> {
-        let (silent, answering): (Vec<_>, Vec<_>) = candidates
-            .partition(|(_, one)| self.is_only_attempt && one.is_silent(self.now, self.peers));
-        match answering.is_empty() {
-            true => silent,
-            false => answering,
-        }
-    }
-
-    /// Returns the versions of the engines that can decode this request.
-    fn decode_versions(self) -> Vec<Option<VersionDigest>> {
-        let engines = self.usable().filter(|(key, one)| {
-            one.record.role != Some(EngineRole::Prefill) && !self.tried.contains(key)
-        });
-        let mut versions = Vec::new();
-        for (_, engine) in engines {
-            if !versions.contains(&engine.version) {
-                versions.push(engine.version);
-            }
-        }
-        versions
-    }
-}
-
-/// The software version that an upstream must have for a request. What upstreams of
-/// different versions write doesn't fit together.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum RequiredVersion {
-    /// Any version: no upstream has begun the response yet.
-    #[default]
-    Any,
-    /// The version that has begun the stream.
-    Only(VersionDigest),
-    /// The version that has begun the stream isn't known, so no upstream can continue it.
-    Unknown,
-}
-
-impl RequiredVersion {
-    /// Returns what a stream requires that an upstream of `version` has begun.
-    pub fn of_stream(version: Option<VersionDigest>) -> Self {
-        version.map_or(Self::Unknown, Self::Only)
-    }
-
-    fn is_met_by(self, upstream: &Upstream) -> bool {
-        match self {
-            Self::Any => true,
-            Self::Only(version) => upstream.version == Some(version),
-            Self::Unknown => false,
-        }
-    }
+    /// The KV caches of all engines are full.
+    KvCachesFull,
+    /// The prompt doesn't fit into the KV cache of an engine.
+    TooLong,
 }
 
 /// Thresholds for the choice of an upstream.
@@ -283,6 +198,8 @@
     is_healthy: bool,
     /// Whether a decode engine has room for another request.
     has_room: bool,
+    /// Prompts of this length that fit into its KV cache.
+    kv_places: u32,
 }
 
 impl Placement {
@@ -347,7 +264,7 @@
         latency_goal: Duration,
         time_left: Duration,
     ) -> Result<PromptPlan, PromptRefusal> {
-        let decode_engines = self.ranked_engines(view, prompt, EngineRole::Decode);
+        let mut decode_engines = self.ranked_engines(view, prompt, EngineRole::Decode);
         if prompt.prompt_tokens < self.limits.disaggregation_threshold_tokens {
             let (with_room, full): (Vec<_>, Vec<_>) = decode_engines
                 .into_iter()
@@ -365,13 +282,15 @@
         let has_prefill_engine = !prefill_engines.is_empty();
         let decode_versions = view.decode_versions();
         prefill_engines.retain(|engine| decode_versions.contains(&engine.version));
+        kv_room::keep_with_room(view, &mut prefill_engines, prompt)?;
         match prefill_engines.is_empty() {
             _ if has_prefill_engine && decode_versions.is_empty() => Err(PromptRefusal::NoEngine),
             false => {
                 let prefill_engine = self.choose_engine(&prefill_engines, wait)?;
                 let version_of = |key| view.table.get(key).and_then(|one| one.version);
                 let version = version_of(prefill_engine);
-                self.check_decode_room(view, version, latency_goal.min(time_left))?;
+                let goal = latency_goal.min(time_left);
+                self.check_decode_room(view, version, prompt.kv_tokens(), goal)?;
                 let preferred = prefill_engines
                     .iter()
                     .find(|engine| engine.is_healthy && engine.version == version);
@@ -381,9 +300,11 @@
                     copy_blocks_from: preferred.filter(|engine| *engine != prefill_engine),
                 })
             }
-            true => self
-                .choose_engine(&decode_engines, wait)
-                .map(PromptPlan::SingleEngine),
+            true => {
+                kv_room::keep_with_room(view, &mut decode_engines, prompt)?;
+                let engine = self.choose_engine(&decode_engines, wait);
+                engine.map(PromptPlan::SingleEngine)
+            }
         }
     }
 
@@ -462,6 +383,7 @@
                 backlog: one.prefill_backlog(view.peers) * backlog_factor(role),
                 is_healthy: one.failure_share < UNHEALTHY_FAILURE_SHARE,
                 has_room: one.free_places(view, false) > 0,
+                kv_places: kv_room::kv_places(view, one, prompt.kv_tokens()),
             })
             .collect();
         ranked_engines.sort_unstable_by_key(|engine| std::cmp::Reverse(engine.score));
