Decision which responses a host cuts when it holds too much

What a host holds for slow callers has to be bounded for each caller and for the host. The limits follow from the host's memory.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
 //! * [`StreamVersions`] knows the software versions at which streams began.
 //! * [`retry_after`] computes when a refused caller may retry.
+//! * [`choose_cuts`] chooses the responses to cut when a host holds too much for callers.
 //! * [`HostRoster`] counts the hosts among which the rates that upstreams state are shared.
 //! * [`PeerLoads`] tracks the in-flight load and the role changes of other hosts.
 //!
@@ -42,6 +43,7 @@
 mod config_freshness;
 mod configuration;
 mod crash_quarantine;
+mod held_bytes;
 mod host_roster;
 mod peer_load;
 mod placement;
@@ -72,6 +74,10 @@
     BlameNews, CrashId, CrashQuarantine, ProbeHistory, QuarantineSource, QuarantinedSuspect,
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
+pub use held_bytes::{
+    CutRule, DEFAULT_MEMORY_BYTES, HeldCut, HeldKey, HeldLimits, HeldResponse, ReadProgress,
+    STALL_TIME, choose_cuts,
+};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod block_bystanders;
 mod block_quarantine;
 mod config_confirmation;
+mod held_bytes;
 mod peer_loads;
 mod placement;
 mod rate_sizes;
