Gateway: upstreams are read on while callers are slow

A response was read only as the caller's connection took data. Its next parts are now read in the connection's task and held when the connection doesn't take them, within bounds for the caller and the host, and counted as long as they are in memory, as are whole responses and bodies of requests. At the host's bound, responses are cut, with a log line and a metric. The bound follows from the memory of the host, a new key of the settings. The kernel ended a caller's connection that took no data for 2.5 s; callers now have 30 s.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -1,5 +1,6 @@
 //! Admission of a request: finds its route and workspace and reads its body.
 
+use crate::held::{HeldRequest, NoRoom};
 use crate::reply::GatewayReply;
 use crate::send::OutgoingRequest;
 use crate::state::GatewayState;
@@ -10,9 +11,10 @@
 use hyper::body::Incoming;
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{RequestContent, Route, ServingConfig, SuspectKey};
+use lagoonlift_policy::dispatch::{RequestContent, RetrySafety, Route, ServingConfig, SuspectKey};
 use rand::RngExt;
 use std::error::Error;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -20,6 +22,10 @@
 /// current. The next read of the store is due earlier than that.
 const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// `Retry-After` of a host that holds too much for callers. Within this time it cuts
+/// responses or callers read on.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Largest body that is read, in bytes, while no configuration states a limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
 
@@ -60,6 +66,7 @@
     mut request: CallerRequest,
     mut body: Incoming,
     arrived: Timestamp,
+    held: &Rc<HeldRequest>,
 ) -> Result<Admitted, GatewayReply> {
     let config = state.config();
     let resolved = match resolve_request(state, config.as_deref(), &request, arrived) {
@@ -73,20 +80,23 @@
         config.limits().max_body_bytes
     });
     let wait = waiting_time(&request, &resolved.route);
-    let body = read_body(&mut body, max_bytes, wait).await?;
+    let body = read_body(&mut body, max_bytes, wait, held).await?;
     if config.is_some_and(|config| config.has_workspaces()) {
         request.remove_key();
     }
     let key = content_key(&request, &resolved, &body);
+    let (least, most) = (*URGENCY_RANGE.start(), *URGENCY_RANGE.end());
+    let urgency = resolved.urgency.clamp(least, most) as u8;
+    let is_resumable = resolved.route.retry_safety == RetrySafety::Stream { resumable: true };
+    held.set_route(urgency, is_resumable);
     Ok(Admitted {
         outgoing: OutgoingRequest {
             request,
             body,
             key,
             workspace: resolved.workspace,
-            urgency: resolved
-                .urgency
-                .clamp(*URGENCY_RANGE.start(), *URGENCY_RANGE.end()) as u8,
+            urgency,
+            held: Rc::clone(held),
         },
         route: resolved.route,
         service: resolved.service,
@@ -209,9 +219,15 @@
     body: &mut Incoming,
     max_bytes: usize,
     wait: Duration,
+    held: &HeldRequest,
 ) -> Result<Bytes, GatewayReply> {
-    let reply = match timeout(wait, Limited::new(&mut *body, max_bytes).collect()).await {
-        Ok(Ok(body)) => return Ok(body.to_bytes()),
+    let read = held.collect(Limited::new(&mut *body, max_bytes));
+    let reply = match timeout(wait, read).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(error)) if error.is::<NoRoom>() => {
+            discard_body(body).await;
+            GatewayReply::not_run("the host holds too much for callers", NO_ROOM_RETRY_AFTER)
+        }
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             discard_body(body).await;
             GatewayReply::without_retry_after(
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -37,6 +37,10 @@
 /// fit into it, so that the loss of one packet ends no connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The same time for callers' connections. It also ends connections whose other end takes
+/// no data, and callers that pause for some seconds are sound.
+const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Idle time before the first TCP keepalive probe, and interval between probes. The
 /// kernel takes whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -304,7 +308,7 @@
             ))
         })?
         .map_err(|error| not_sent(error.to_string()))?;
-    set_options(&stream);
+    set_options(&stream, UNACKNOWLEDGED_TIMEOUT);
     reset_on_close(&stream);
     let interim_count = InterimCount::default();
     let stream = GuardedStream::new(stream, interim_count.clone());
@@ -334,9 +338,14 @@
     matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Sets the options of a caller's connection.
+pub(crate) fn set_caller_options(stream: &TcpStream) {
+    set_options(stream, CALLER_UNACKNOWLEDGED_TIMEOUT);
+}
+
 /// Sets the TCP options that make the process detect a connection that failed
 /// without a reset.
-pub(crate) fn set_options(stream: &TcpStream) {
+fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -344,7 +353,7 @@
         .with_retries(KEEPALIVE_PROBES);
     let results = [
         socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)),
+        socket.set_tcp_user_timeout(Some(unacknowledged_timeout)),
         socket.set_tcp_keepalive(&keepalive),
     ];
     for error in results.into_iter().filter_map(Result::err) {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -2,7 +2,9 @@
 
 use crate::admit::{admit, discard_body, is_head_too_large};
 use crate::clock;
+use crate::held::HeldRequest;
 use crate::idle::RequestInUse;
+use crate::read_on::CurrentResponse;
 use crate::relay::StreamRelay;
 use crate::reply::{GatewayReply, ReplyBody, full_response};
 use crate::run::{RequestRun, RunOutcome};
@@ -22,9 +24,11 @@
     state: Rc<GatewayState>,
     request: Request<Incoming>,
     in_use: RequestInUse,
+    current: Rc<CurrentResponse>,
 ) -> Response<ReplyBody> {
     let in_flight = InFlight::new(&state);
-    let mut response = respond(&state, request).await;
+    let held = state.held.open();
+    let mut response = respond(&state, request, &held).await;
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -36,12 +40,15 @@
             let _ = (&in_flight, &in_use);
             frame
         });
-        let body: ReplyBody = Box::pin(body);
-        body
+        current.begin(Box::pin(body), held)
     })
 }
 
-async fn respond(state: &Rc<GatewayState>, request: Request<Incoming>) -> Response<ReplyBody> {
+async fn respond(
+    state: &Rc<GatewayState>,
+    request: Request<Incoming>,
+    held: &Rc<HeldRequest>,
+) -> Response<ReplyBody> {
     let arrived = clock::now();
     let (parts, mut body) = request.into_parts();
     if is_head_too_large(state, &parts) {
@@ -59,8 +66,9 @@
         }
     };
     let id = request.id.clone();
+    held.set_id(&id);
     let mut request_log = RequestLog::new(state, &id, arrived);
-    let admitted = match admit(state, request, body, arrived).await {
+    let admitted = match admit(state, request, body, arrived, held).await {
         Ok(admitted) => Rc::new(admitted),
         Err(reply) => return end_with_reply(reply, &id, request_log),
     };
--- /dev/null
+++ b/crates/gateway/src/held.rs
@@ -0,0 +1,319 @@
+//! Counts the bytes that this host holds for callers, and cuts responses at the limit.
+//!
+//! Bytes are counted as long as they are in memory: bodies of requests, whole responses
+//! from when they are read, and events until they are written to the caller's connection.
+
+use crate::clock;
+use crate::metrics::GatewayMetrics;
+use bytes::Bytes;
+use futures::task::AtomicWaker;
+use http_body::Body;
+use http_body_util::BodyExt;
+use lagoonlift_policy::Timestamp;
+use lagoonlift_policy::dispatch::{
+    HeldCut, HeldKey, HeldLimits, HeldResponse, ReadProgress, choose_cuts,
+};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::error::Error;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use thiserror::Error;
+
+/// Error of a body.
+type BoxError = Box<dyn Error + Send + Sync>;
+
+/// The host holds so much that there is no room for more.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("the host holds too much for callers")]
+pub(crate) struct NoRoom;
+
+/// The requests for which this host holds bytes.
+#[derive(Debug)]
+pub(crate) struct HeldRegistry {
+    limits: HeldLimits,
+    metrics: GatewayMetrics,
+    total: Arc<AtomicU64>,
+    requests: RefCell<HashMap<HeldKey, Weak<HeldRequest>>>,
+    next_key: Cell<u64>,
+}
+
+/// What is held for one request of a caller.
+#[derive(Debug)]
+pub(crate) struct HeldRequest {
+    registry: Rc<HeldRegistry>,
+    key: HeldKey,
+    counter: Arc<HeldCounter>,
+    arrived: Timestamp,
+    request_id: RefCell<String>,
+    urgency: Cell<u8>,
+    is_resumable: Cell<bool>,
+    /// Whether the response is being sent to the caller.
+    has_response: Cell<bool>,
+    is_cut: Cell<bool>,
+    progress: Cell<ReadProgress>,
+    /// Wakes the task of the caller's connection.
+    waker: AtomicWaker,
+}
+
+/// Bytes that are held for one request. Bytes are shared with the HTTP library, which
+/// requires that their owner can be sent to other threads.
+#[derive(Debug)]
+struct HeldCounter {
+    bytes: AtomicU64,
+    total: Arc<AtomicU64>,
+}
+
+/// Counts bytes as held until it is dropped.
+#[derive(Debug)]
+pub(crate) struct HeldGuard {
+    counter: Arc<HeldCounter>,
+    bytes: u64,
+}
+
+/// Bytes that are counted as held.
+struct HeldSlice {
+    bytes: Bytes,
+    _guard: HeldGuard,
+}
+
+impl HeldRegistry {
+    pub(crate) fn new(limits: HeldLimits, metrics: GatewayMetrics) -> Rc<Self> {
+        Rc::new(Self {
+            limits,
+            metrics,
+            total: Arc::default(),
+            requests: RefCell::default(),
+            next_key: Cell::new(0),
+        })
+    }
+
+    /// Begins to count what is held for a request that has just arrived.
+    pub(crate) fn open(self: &Rc<Self>) -> Rc<HeldRequest> {
+        let now = clock::now();
+        let key = HeldKey(self.next_key.get());
+        self.next_key.set(key.0 + 1);
+        let counter = HeldCounter {
+            bytes: AtomicU64::new(0),
+            total: Arc::clone(&self.total),
+        };
+        let request = Rc::new(HeldRequest {
+            registry: Rc::clone(self),
+            key,
+            counter: Arc::new(counter),
+            arrived: now,
+            request_id: RefCell::default(),
+            urgency: Cell::new(0),
+            is_resumable: Cell::new(false),
+            has_response: Cell::new(false),
+            is_cut: Cell::new(false),
+            progress: Cell::new(ReadProgress::new(now)),
+            waker: AtomicWaker::new(),
+        });
+        let mut requests = self.requests.borrow_mut();
+        requests.insert(key, Rc::downgrade(&request));
+        request
+    }
+
+    /// Returns the bytes that are held in total.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the host is within its limit, after responses have been cut if
+    /// necessary.
+    fn make_room(&self) -> bool {
+        if self.limits.has_room(self.bytes()) {
+            return true;
+        }
+        let now = clock::now();
+        let requests: Vec<Rc<HeldRequest>> = {
+            let requests = self.requests.borrow();
+            requests.values().filter_map(Weak::upgrade).collect()
+        };
+        let (cut, uncut): (Vec<_>, Vec<_>) = requests.iter().partition(|one| one.is_cut.get());
+        // What is held for responses that have been cut is freed when their connections
+        // close, within the same turn of the event loop.
+        let closing: u64 = cut.iter().map(|request| request.bytes()).sum();
+        let held = self.bytes().saturating_sub(closing);
+        let responses: Vec<HeldResponse> = uncut
+            .iter()
+            .filter(|request| request.has_response.get())
+            .map(|request| request.response())
+            .collect();
+        let cuts = choose_cuts(now, self.limits, held, &responses);
+        for cut in &cuts {
+            let request = requests.iter().find(|request| request.key == cut.key);
+            if let Some(request) = request {
+                self.cut(request, cut, held);
+            }
+        }
+        let freed: u64 = cuts.iter().map(|cut| cut.bytes).sum();
+        self.limits.has_room(held - freed)
+    }
+
+    fn cut(&self, request: &HeldRequest, cut: &HeldCut, held_bytes: u64) {
+        tracing::warn!(
+            request = *request.request_id.borrow(),
+            bytes = cut.bytes,
+            age_ms = cut.age.as_millis() as u64,
+            rule = cut.rule.name(),
+            idle_ms = cut.idle_time.as_millis() as u64,
+            urgency = request.urgency.get(),
+            is_resumable = request.is_resumable.get(),
+            held_bytes,
+            limit_bytes = self.limits.host_bytes,
+            "response cut: the host holds too much for callers"
+        );
+        self.metrics.count_cut(cut.rule.name());
+        request.is_cut.set(true);
+        request.waker.wake();
+    }
+}
+
+impl HeldRequest {
+    /// Records the identifier of the request for the log.
+    pub(crate) fn set_id(&self, id: &str) {
+        id.clone_into(&mut self.request_id.borrow_mut());
+    }
+
+    /// Records how urgent the request is, and whether its caller can resume the response.
+    pub(crate) fn set_route(&self, urgency: u8, is_resumable: bool) {
+        self.urgency.set(urgency);
+        self.is_resumable.set(is_resumable);
+    }
+
+    /// Records that the response begins. From now on, it may be cut.
+    pub(crate) fn begin_response(&self) {
+        self.has_response.set(true);
+        self.progress.set(ReadProgress::new(clock::now()));
+    }
+
+    /// Records that the caller's connection took bytes.
+    pub(crate) fn record_written(&self, bytes: usize) {
+        let mut progress = self.progress.get();
+        progress.record(clock::now(), bytes as u64);
+        self.progress.set(progress);
+    }
+
+    /// Returns whether the response has been cut.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.is_cut.get()
+    }
+
+    /// Returns whether more of a stream may be read while its caller doesn't take it.
+    pub(crate) fn may_read_on(&self) -> bool {
+        let has_room = self.registry.limits.has_room(self.registry.bytes());
+        has_room && !self.is_cut() && self.registry.limits.may_read_on(self.bytes())
+    }
+
+    /// Returns what wakes the task of the caller's connection when the response is cut.
+    pub(crate) fn waker(&self) -> &AtomicWaker {
+        &self.waker
+    }
+
+    /// Returns a guard for bytes to come.
+    pub(crate) fn guard(&self) -> HeldGuard {
+        HeldGuard {
+            counter: Arc::clone(&self.counter),
+            bytes: 0,
+        }
+    }
+
+    /// Counts bytes that have been read with `guard`. Fails if there is no room for them.
+    fn add(&self, guard: &mut HeldGuard, bytes: usize) -> Result<(), NoRoom> {
+        if self.bytes() == 0 && self.has_response.get() {
+            self.progress.set(ReadProgress::new(clock::now()));
+        }
+        guard.add(bytes as u64);
+        match self.registry.make_room() {
+            true => Ok(()),
+            false => Err(NoRoom),
+        }
+    }
+
+    /// Counts events as held until they have been written. They are in memory already, so
+    /// they are counted also if there is no room; responses are cut then.
+    pub(crate) fn hold(&self, events: Bytes) -> Bytes {
+        let mut guard = self.guard();
+        // Without room, the response isn't read on until there is some.
+        self.add(&mut guard, events.len()).unwrap_or_default();
+        guard.hold(events)
+    }
+
+    /// Reads a body whole. Its bytes are held from when they are read.
+    pub(crate) async fn collect<B>(&self, mut body: B) -> Result<Bytes, BoxError>
+    where
+        B: Body<Data = Bytes, Error = BoxError> + Unpin,
+    {
+        let mut guard = self.guard();
+        let mut parts = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(part) = frame?.into_data() else {
+                continue;
+            };
+            self.add(&mut guard, part.len())?;
+            parts.push(part);
+        }
+        let whole = match parts.len() {
+            1 => parts.remove(0),
+            _ => Bytes::from(parts.concat()),
+        };
+        Ok(guard.hold(whole))
+    }
+
+    fn bytes(&self) -> u64 {
+        self.counter.bytes.load(Ordering::Relaxed)
+    }
+
+    fn response(&self) -> HeldResponse {
+        HeldResponse {
+            key: self.key,
+            bytes: self.bytes(),
+            urgency: self.urgency.get(),
+            is_resumable: self.is_resumable.get(),
+            arrived: self.arrived,
+            progress: self.progress.get(),
+        }
+    }
+}
+
+impl Drop for HeldRequest {
+    fn drop(&mut self) {
+        self.registry.requests.borrow_mut().remove(&self.key);
+    }
+}
+
+impl HeldGuard {
+    /// Counts bytes that are in memory already.
+    pub(crate) fn add(&mut self, bytes: u64) {
+        self.bytes += bytes;
+        self.counter.bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.counter.total.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes, which stay counted until they are dropped.
+    pub(crate) fn hold(self, bytes: Bytes) -> Bytes {
+        match bytes.is_empty() {
+            true => bytes,
+            false => Bytes::from_owner(HeldSlice {
+                bytes,
+                _guard: self,
+            }),
+        }
+    }
+}
+
+impl Drop for HeldGuard {
+    fn drop(&mut self) {
+        self.counter.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.counter.total.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+impl AsRef<[u8]> for HeldSlice {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/gateway/src/lingering.rs
+++ b/crates/gateway/src/lingering.rs
@@ -5,11 +5,13 @@
 //! overtake the response. The stream therefore only stops writing at first, and reads and
 //! discards what the caller sends until it closes its side, for [`LINGER_TIME`] at most.
 
+use crate::read_on::CurrentResponse;
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -22,22 +24,32 @@
 const DISCARD_BYTES: usize = 4 * 1024;
 
 /// A TCP stream whose shutdown waits until the caller has closed its side.
-#[derive(Debug)]
 pub(crate) struct LingeringStream {
     stream: TokioIo<TcpStream>,
+    /// Gets the number of bytes that the connection takes.
+    response: Rc<CurrentResponse>,
     /// Set once the stream has stopped writing.
     linger_end: Option<Pin<Box<Sleep>>>,
 }
 
 impl LingeringStream {
     /// Returns a stream that closes in two steps.
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, response: Rc<CurrentResponse>) -> Self {
         Self {
             stream: TokioIo::new(stream),
+            response,
             linger_end: None,
         }
     }
 
+    /// Records what a write has taken.
+    fn record(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.response.record_written(bytes);
+        }
+        written
+    }
+
     /// Reads and discards bytes until the caller closes its side.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; DISCARD_BYTES];
@@ -67,7 +79,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -99,6 +112,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record(written)
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     quarantined_blocks: Gauge<u64>,
     quarantined_requests: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    cuts: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -92,10 +94,27 @@
                 .u64_gauge("lagoonlift_gateway_store_restores")
                 .with_description("Restores of the store from a copy since the start.")
                 .build(),
+            held_bytes: meter
+                .u64_gauge("lagoonlift_gateway_held_bytes")
+                .with_description("Bytes that this host holds for callers.")
+                .build(),
+            cuts: counter(
+                &meter,
+                "lagoonlift_gateway_cuts",
+                "Responses that were cut because the host held too much, by rule.",
+            ),
             metrics,
         }
     }
 
+    pub(crate) fn set_held_bytes(&self, bytes: u64) {
+        self.held_bytes.record(bytes, &[]);
+    }
+
+    pub(crate) fn count_cut(&self, rule: &'static str) {
+        self.cuts.add(1, &[KeyValue::new("rule", rule)]);
+    }
+
     /// Records the number of upstreams that state a rate for all hosts together.
     pub(crate) fn set_limited_upstreams(&self, count: usize) {
         self.limited_upstreams.record(count as u64, &[]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -123,7 +123,10 @@
         let items = stream::unfold((Some(self), Some(first)), |(relay, first)| async move {
             let mut relay = relay?;
             match relay.next_events(first).await {
-                Ok(Some(events)) => Some((Ok(Frame::data(events)), (Some(relay), None))),
+                Ok(Some(events)) => {
+                    let events = relay.run.admitted.outgoing.held.hold(events);
+                    Some((Ok(Frame::data(events)), (Some(relay), None)))
+                }
                 Ok(None) => {
                     relay.request_log.end(SUCCESS_OUTCOME);
                     None
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -3,12 +3,13 @@
 use crate::announcements::record_announcements;
 use crate::clock;
 use crate::connection::{CONNECT_TIMEOUT, CallError, Endpoint, PooledConnection, describe};
+use crate::held::{HeldRequest, NoRoom};
 use crate::state::{GatewayState, UpstreamWork};
 use crate::upstream_health::record_health;
 use bytes::Bytes;
 use http::response::Parts;
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_adapter::upstream::{ResponseHead, UpstreamCall, UpstreamTask};
@@ -42,6 +43,8 @@
     pub(crate) workspace: Option<String>,
     /// Urgency from 0 to 9; 0 is the most urgent.
     pub(crate) urgency: u8,
+    /// What the host holds for the request.
+    pub(crate) held: Rc<HeldRequest>,
 }
 
 /// One attempt of a request.
@@ -90,6 +93,9 @@
     /// The connection broke, or the body is too large.
     #[error("{0}")]
     Truncated(String),
+    /// The host had no room for it.
+    #[error(transparent)]
+    NoRoom(#[from] NoRoom),
 }
 
 /// The head of a response, and the connection on which its body arrives.
@@ -99,6 +105,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: PooledConnection,
     pub(crate) work: UpstreamWork,
+    /// What the host holds for the request.
+    pub(crate) held: Rc<HeldRequest>,
     /// Software version of the upstream when the request was sent, if it is known.
     pub(crate) version: Option<VersionDigest>,
 }
@@ -121,8 +129,14 @@
         deadline: Timestamp,
         max_bytes: usize,
     ) -> Result<(Parts, Bytes), BodyError> {
-        let connection = self.connection;
-        let body = read_whole(self.body, &self.head, connection, deadline, max_bytes).await?;
+        let Self {
+            head,
+            body,
+            connection,
+            held,
+            ..
+        } = self;
+        let body = read_whole(body, &head, connection, &held, deadline, max_bytes).await?;
         Ok((self.parts, body))
     }
 
@@ -133,6 +147,7 @@
             head,
             body,
             connection,
+            held,
             ..
         } = self;
         if body.is_end_stream() && head.is_framed && !head.is_closing {
@@ -140,7 +155,7 @@
         }
         tokio::task::spawn_local(async move {
             let deadline = clock::now() + REFUSAL_READ_TIME;
-            let read = read_whole(body, &head, connection, deadline, MAX_REFUSAL_BYTES);
+            let read = read_whole(body, &head, connection, &held, deadline, MAX_REFUSAL_BYTES);
             if let Err(error) = read.await {
                 tracing::debug!(
                     %error,
@@ -157,15 +172,18 @@
     body: Incoming,
     head: &ResponseHead,
     connection: PooledConnection,
+    held: &HeldRequest,
     deadline: Timestamp,
     max_bytes: usize,
 ) -> Result<Bytes, BodyError> {
-    let body = Limited::new(body, max_bytes).collect();
+    let body = held.collect(Limited::new(body, max_bytes));
     let body = timeout(clock::time_until(deadline), body)
         .await
         .map_err(|_| BodyError::TimedOut)?
-        .map_err(|error| BodyError::Truncated(describe(error.as_ref())))?
-        .to_bytes();
+        .map_err(|error| match error.downcast::<NoRoom>() {
+            Ok(no_room) => BodyError::NoRoom(*no_room),
+            Err(error) => BodyError::Truncated(describe(error.as_ref())),
+        })?;
     if head.is_framed && !head.is_closing {
         connection.return_to_pool(head.idle_timeout);
     }
@@ -274,6 +292,7 @@
         body,
         connection,
         work,
+        held: Rc::clone(&outgoing.held),
         version: record.version_digest(),
     });
     classify(&outgoing.request.id, upstream_response)
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,9 +1,10 @@
 //! Serves callers, readiness checks of the load balancer, and metrics scrapes.
 
-use crate::connection::{describe, set_options};
+use crate::connection::{describe, set_caller_options};
 use crate::handler;
 use crate::idle::ConnectionUse;
 use crate::lingering::LingeringStream;
+use crate::read_on::CurrentResponse;
 use crate::reply::{ReplyBody, full_response};
 use crate::state::{GatewayState, OpenConnection};
 use bytes::Bytes;
@@ -14,9 +15,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
@@ -38,6 +41,24 @@
 /// that a later configuration raises; the limit in force is checked for each request.
 const MIN_BUFFER_BYTES: usize = 128 * 1024;
 
+/// A caller's connection whose response is read on while the caller is slow. It ends when the
+/// response is cut.
+struct ReadOnConnection<C> {
+    connection: C,
+    response: Rc<CurrentResponse>,
+}
+
+impl<C: Future<Output = hyper::Result<()>> + Unpin> Future for ReadOnConnection<C> {
+    type Output = hyper::Result<()>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        let response = Rc::clone(&self.response);
+        let connection = Pin::new(&mut self.connection);
+        let polled = response.poll(context, |context| connection.poll(context));
+        polled.map(|result| result.unwrap_or(Ok(())))
+    }
+}
+
 /// Opens a listening socket with `SO_REUSEADDR`.
 pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener> {
     let open = || {
@@ -82,22 +103,27 @@
     mut closing: watch::Receiver<bool>,
 ) {
     let _open = OpenConnection::new(&state);
-    set_options(&stream);
+    set_caller_options(&stream);
     let limits = state.config().map(|config| config.limits());
     let head_bytes = limits.map_or(0, |limits| limits.max_head_bytes);
     let connection_use = ConnectionUse::new(&state);
-    let of_requests = Rc::clone(&connection_use);
+    let response = Rc::new(CurrentResponse::default());
+    let of_requests = (Rc::clone(&connection_use), Rc::clone(&response));
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
-        let in_use = of_requests.begin_request();
-        async move { Ok::<_, Infallible>(handler::handle(state, request, in_use).await) }
+        let in_use = of_requests.0.begin_request();
+        let current = Rc::clone(&of_requests.1);
+        async move { Ok::<_, Infallible>(handler::handle(state, request, in_use, current).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(MIN_BUFFER_BYTES.max(head_bytes * 2))
-        .serve_connection(LingeringStream::new(stream), service);
-    let mut connection = pin!(connection);
+        .serve_connection(LingeringStream::new(stream, Rc::clone(&response)), service);
+    let mut connection = pin!(ReadOnConnection {
+        connection,
+        response,
+    });
     // The connection comes first, so that a request that has arrived is read before the
     // connection is closed.
     let result = tokio::select! {
@@ -109,13 +135,13 @@
             match timeout(ARRIVAL_TIME, connection.as_mut()).await {
                 Ok(result) => result,
                 Err(_) => {
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection.connection).graceful_shutdown();
                     connection.await
                 }
             }
         }
         () = connection_use.expired() => {
-            connection.as_mut().graceful_shutdown();
+            Pin::new(&mut connection.connection).graceful_shutdown();
             // A request that has just arrived is still answered, and a response that its
             // caller reads slowly is written to its end.
             loop {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,14 +8,15 @@
 use crate::connection::{ConnectionPool, Endpoint};
 use crate::crash_monitor::CrashMonitor;
 use crate::final_publication::FinalPublication;
+use crate::held::HeldRegistry;
 use crate::metrics::GatewayMetrics;
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use lagoonlift_policy::dispatch::{
-    ConfigConfirmation, ConfigFreshness, CrashQuarantine, HostRoster, PeerLoads, Placement,
-    PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig,
-    StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream, UpstreamTable,
-    UsageCopies, UsageCounts, WallClock,
+    ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostRoster, PeerLoads,
+    Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner,
+    ServingConfig, StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream,
+    UpstreamTable, UsageCopies, UsageCounts, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -43,6 +44,8 @@
     pub(crate) store_gate: StoreGate,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: GatewayMetrics,
+    /// What this host holds for callers.
+    pub(crate) held: Rc<HeldRegistry>,
     pub(crate) placement: RefCell<Placement>,
     /// Engines with an open role order of this host. An order is open until its
     /// effect is observed or it times out, also if it could not be sent.
@@ -111,7 +114,9 @@
         let window_us = settings.bounds.usage_window.as_micros() as i64;
         let wall_clock = WallClock::new(clock::now(), clock::system_unix_us());
         let incarnation_id = rand::random();
+        let held_limits = HeldLimits::for_memory(settings.limits.memory_bytes);
         Rc::new(Self {
+            held: HeldRegistry::new(held_limits, metrics.clone()),
             store: StoreClient::new(settings.store.address, pool.clone()),
             store_gate: StoreGate::default(),
             placement: RefCell::new(Placement::new(
@@ -316,6 +321,7 @@
                 .set_retry_budget(service, retry_budget.available(now));
         }
         self.metrics.set_connections_opened(self.pool.opened());
+        self.metrics.set_held_bytes(self.held.bytes());
     }
 
     /// Closes the idle connections to removed upstreams.
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -2,6 +2,7 @@
 
 use crate::admit::Admitted;
 use crate::clock;
+use crate::held::HeldRequest;
 use crate::run::AttemptSummary;
 use crate::state::GatewayState;
 use lagoonlift_policy::Timestamp;
@@ -17,6 +18,7 @@
 /// sample is logged at high request rates.
 pub(crate) struct RequestLog {
     state: Rc<GatewayState>,
+    held: Option<Rc<HeldRequest>>,
     request_id: String,
     route: String,
     workspace: Option<String>,
@@ -34,6 +36,7 @@
     pub(crate) fn new(state: &Rc<GatewayState>, request_id: &str, arrived: Timestamp) -> Self {
         Self {
             state: Rc::clone(state),
+            held: None,
             request_id: request_id.to_owned(),
             route: String::new(),
             workspace: None,
@@ -48,6 +51,7 @@
     }
 
     pub(crate) fn record_admitted(&mut self, admitted: &Admitted) {
+        self.held = Some(Rc::clone(&admitted.outgoing.held));
         self.route.clone_from(&admitted.route.name);
         self.workspace.clone_from(&admitted.outgoing.workspace);
         let resumed_attempt = &admitted.outgoing.request.resumed_attempt;
@@ -143,6 +147,10 @@
 
 impl Drop for RequestLog {
     fn drop(&mut self) {
-        self.end("caller-left");
+        let is_cut = self.held.as_ref().is_some_and(|held| held.is_cut());
+        self.end(match is_cut {
+            true => "cut",
+            false => "caller-left",
+        });
     }
 }
--- a/crates/policy/src/dispatch/held_bytes.rs
+++ b/crates/policy/src/dispatch/held_bytes.rs
@@ -16,9 +16,6 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-/// Memory of a host that states none: that of the smallest hosts in service.
-pub const DEFAULT_MEMORY_BYTES: u64 = 120 * MEBIBYTE;
-
 /// Time without any read after which a caller counts as stalled. Callers on slow links
 /// pause for a second or two while a window of packets is lost and sent again.
 pub const STALL_TIME: Duration = Duration::from_secs(5);
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -75,8 +75,7 @@
     RequestContent, RestoredQuarantine, SuspectKey, SuspectKind,
 };
 pub use held_bytes::{
-    CutRule, DEFAULT_MEMORY_BYTES, HeldCut, HeldKey, HeldLimits, HeldResponse, ReadProgress,
-    STALL_TIME, choose_cuts,
+    CutRule, HeldCut, HeldKey, HeldLimits, HeldResponse, ReadProgress, STALL_TIME, choose_cuts,
 };
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -11,6 +11,11 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// Memory of a host whose settings state none: that of the smallest hosts in service.
+const DEFAULT_MEMORY_MB: f64 = 120.0;
+
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -25,6 +30,8 @@
     pub duties: Option<DutySettings>,
     /// `[bounds]`: limits on times and retries.
     pub bounds: GatewayBounds,
+    /// `[limits]`: resources of the host.
+    pub limits: GatewayLimits,
 }
 
 /// Identity of the gateway's host.
@@ -93,6 +100,13 @@
     pub usage_due: Duration,
 }
 
+/// Resources of the gateway's host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayLimits {
+    /// `memory-mb`: memory of the host, in bytes here.
+    pub memory_bytes: u64,
+}
+
 impl GatewaySettings {
     /// Reads and validates the settings in `file`.
     ///
@@ -117,6 +131,8 @@
         let duties = document.take("duties");
         let bounds = document.take("bounds");
         let bounds = bounds.unwrap_or_else(|| document.empty("bounds"));
+        let limits = document.take("limits");
+        let limits = limits.unwrap_or_else(|| document.empty("limits"));
         Ok(Self {
             host,
             listen,
@@ -125,6 +141,7 @@
             },
             duties: duties.map(read_duties).transpose()?.flatten(),
             bounds: read_bounds(bounds)?,
+            limits: read_limits(limits)?,
         })
     }
 }
@@ -185,6 +202,14 @@
     })
 }
 
+fn read_limits(mut section: SectionReader) -> Result<GatewayLimits, SettingsError> {
+    section.remove_empty();
+    let memory_mb = section.take("memory-mb")?.unwrap_or(DEFAULT_MEMORY_MB);
+    Ok(GatewayLimits {
+        memory_bytes: (memory_mb * BYTES_PER_MB) as u64,
+    })
+}
+
 impl SettingValue for IpAddr {
     const EXPECTED: &'static str = "an IP number, such as 10.1.0.7";
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,7 +15,8 @@
 
 pub use error::SettingsError;
 pub use gateway::{
-    DutySettings, GatewayBounds, GatewayHost, GatewayListen, GatewaySettings, StoreSettings,
+    DutySettings, GatewayBounds, GatewayHost, GatewayLimits, GatewayListen, GatewaySettings,
+    StoreSettings,
 };
 pub use operator::{AdminHost, OperatorSettings};
 pub use values::{
