Gateway: a response's end isn't read twice

The connection's poll kept the buffer of a response alive after its end, and read it on. silence_matrix found it.

--- a/crates/gateway/src/read_on.rs
+++ b/crates/gateway/src/read_on.rs
@@ -82,8 +82,7 @@
         context: &mut Context<'_>,
         connection: impl FnOnce(&mut Context<'_>) -> Poll<T>,
     ) -> Poll<Option<T>> {
-        let buffer = self.buffer();
-        if let Some(buffer) = &buffer {
+        if let Some(buffer) = self.buffer() {
             buffer.borrow_mut().is_awaited = false;
         }
         if let Poll::Ready(result) = connection(context) {
@@ -184,7 +183,11 @@
             Some(body) => body.as_mut().poll_frame(context),
             None => Poll::Ready(None),
         };
-        buffer.is_awaited = polled.is_pending();
+        match polled {
+            Poll::Pending => buffer.is_awaited = true,
+            Poll::Ready(Some(Ok(_))) => {}
+            Poll::Ready(Some(Err(_)) | None) => buffer.body = None,
+        }
         polled
     }
 
