Gateway: the kernel holds no more than 32 KiB unsent for a caller

The kernel held up to 4 MiB for each caller that reads slowly, uncounted and beyond the memory of a small host; it also hid in the test that upstreams stayed unread. With reading on taken out, upstreams_are_read_on_while_callers_pause now fails since the upstream cuts off the response; with it, it passes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -41,6 +41,10 @@
 /// no data, and callers that pause for some seconds are sound.
 const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Bytes that the kernel holds for a caller's connection beyond those that are under way.
+/// Without a limit it holds up to 4 MiB for each caller that reads slowly.
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+
 /// Idle time before the first TCP keepalive probe, and interval between probes. The
 /// kernel takes whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -338,9 +342,13 @@
     matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Sets the options of a caller's connection.
+/// Sets the options of a caller's connection. What its caller doesn't read is held in the
+/// process, where it is counted, and not in the buffers of the kernel.
 pub(crate) fn set_caller_options(stream: &TcpStream) {
     set_options(stream, CALLER_UNACKNOWLEDGED_TIMEOUT);
+    if let Err(error) = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        tracing::debug!(%error, "failed to limit the unsent bytes of a connection");
+    }
 }
 
 /// Sets the TCP options that make the process detect a connection that failed
