--- a/crates/gateway/src/read_on.rs
+++ b/crates/gateway/src/read_on.rs
@@ -12,14 +12,17 @@
 use hyper::body::Frame;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::mem;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 
-/// Size from which a part is held as it is. Smaller ones are joined, as each has a fixed
-/// cost in memory.
+/// Size up to which parts are joined, as each has a fixed cost in memory.
 const MIN_PART_BYTES: usize = 4 * 1024;
 
+/// Size up to which a part is copied, as it may keep a larger allocation in memory.
+const MAX_COPIED_BYTES: usize = 64 * 1024;
+
 /// The response that a caller's connection is sending.
 #[derive(Default)]
 pub(crate) struct CurrentResponse {
@@ -136,22 +139,21 @@
     }
 
     fn push(&mut self, part: Bytes) {
-        if part.len() >= MIN_PART_BYTES {
+        if self.tail.len() + part.len() > MIN_PART_BYTES {
             self.seal_tail();
+        }
+        if part.len() > MAX_COPIED_BYTES {
             return self.parts.push_back(part);
         }
         let held = &self.held;
         let guard = self.tail_guard.get_or_insert_with(|| held.guard());
         guard.add(part.len() as u64);
         self.tail.extend_from_slice(&part);
-        if self.tail.len() >= MIN_PART_BYTES {
-            self.seal_tail();
-        }
     }
 
     fn seal_tail(&mut self) {
         if let Some(guard) = self.tail_guard.take() {
-            let part = self.tail.split().freeze();
+            let part = mem::take(&mut self.tail).freeze();
             self.parts.push_back(guard.hold(part));
         }
     }
--- a/crates/policy/src/dispatch/held_bytes.rs
+++ b/crates/policy/src/dispatch/held_bytes.rs
@@ -25,15 +25,15 @@
 /// Memory that the process needs with its tables, but without callers.
 const PROCESS_BYTES: u64 = 48 * MEBIBYTE;
 
-/// Share of the remaining memory that is held for callers. The other half is for the
-/// buffers of their connections, in the process and in the kernel.
-const HELD_SHARE: u64 = 2;
+/// Share of the remaining memory that is held for callers. The rest is for the buffers of
+/// connections, in the process and in the kernel: about 70 KiB for a slow caller.
+const HELD_SHARE: u64 = 3;
 
 /// Least limit of a host. Less would cut callers that read at their usual speed.
 const MIN_HOST_BYTES: u64 = 8 * MEBIBYTE;
 
 /// Share of the host's limit that one stream may hold.
-const CALLER_SHARE: u64 = 16;
+const CALLER_SHARE: u64 = 8;
 
 /// Part of the host's limit that is free after a cut, so that the next bytes cause no
 /// other one at once.
--- a/crates/policy/tests/all/dispatch/held_bytes.rs
+++ b/crates/policy/tests/all/dispatch/held_bytes.rs
@@ -162,9 +162,9 @@
 fn limits_follow_from_the_memory() {
     let limits = |mebibytes: u64| HeldLimits::for_memory(mebibytes * 1_048_576);
     let smallest = limits(120);
-    assert_eq!(smallest.host_bytes, 36 * 1_048_576);
-    assert_eq!(limits(160).host_bytes, 56 * 1_048_576);
-    assert_eq!(limits(512).host_bytes, 232 * 1_048_576);
+    assert_eq!(smallest.host_bytes, 24 * 1_048_576);
+    assert_eq!(limits(168).host_bytes, 40 * 1_048_576);
+    assert_eq!(limits(528).host_bytes, 160 * 1_048_576);
     assert_eq!(limits(0), limits(48), "a host always has some room");
     assert!(smallest.may_read_on(smallest.caller_bytes - 1));
     assert!(!smallest.may_read_on(smallest.caller_bytes));
--- a/crates/settings/tests/all/main.rs
+++ b/crates/settings/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the settings.
 
 mod errors;
+mod gateway;
 mod operator;
 mod values;
--- /dev/null
+++ b/tests/slow_callers/main.rs
@@ -0,0 +1,140 @@
+//! Tests of the memory that a gateway process needs for callers that read slowly.
+
+#[path = "../soak/host.rs"]
+#[expect(dead_code, reason = "shared with the soak test")]
+mod host;
+#[path = "../../platform/tests/all/support/mod.rs"]
+#[expect(
+    dead_code,
+    unused_imports,
+    reason = "shared with the tests of the adapter"
+)]
+mod support;
+
+use crate::host::{HostProcess, PlatformAddresses};
+use crate::support::client::connect_slow_reader;
+use crate::support::fleet::upstream_record;
+use crate::support::upstream::IMPATIENT_EVENT_BYTES;
+use crate::support::{
+    Behaviour, DutyStandin, KEY, Request, StoreStandin, UpstreamStandin, configuration, eventually,
+};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+const CALLERS: usize = 1_000;
+const UPSTREAMS: usize = 4;
+
+/// Bytes that a slow caller reads at once, and the interval between its reads.
+const READ_BYTES: usize = 512;
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between the arrivals of two callers.
+const ARRIVAL_INTERVAL: Duration = Duration::from_millis(6);
+
+/// Time within which a caller must get its whole response or its end.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Limit on the memory of the process.
+const MAX_MEMORY_BYTES: u64 = 120_000_000;
+
+/// End of a whole response.
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
+/// Held by the test that runs, since two of them at once need more processor time than the
+/// gateway gets.
+static RUNNING: Mutex<()> = Mutex::const_new(());
+
+/// What 1,000 slow callers saw.
+#[derive(Debug, Default)]
+struct SlowCallersReport {
+    whole: usize,
+    cut: usize,
+    /// Responses that an upstream cut off because they stayed unread.
+    unread: usize,
+    memory_bytes: u64,
+}
+
+/// Guards against a process that outgrows its host, and against upstreams that stay unread,
+/// while all responses fit into the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_thousand_slow_callers_get_their_responses() {
+    let report = run_slow_callers(14).await;
+    println!("{report:?}");
+    assert_eq!((report.whole, report.cut, report.unread), (CALLERS, 0, 0));
+    assert!(report.memory_bytes < MAX_MEMORY_BYTES, "{report:?}");
+}
+
+/// Guards against a process that outgrows its host when callers ask for more than it may
+/// hold: some responses are cut, and the others are complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_beyond_the_limit_are_cut() {
+    let report = run_slow_callers(32).await;
+    println!("{report:?}");
+    assert!(report.cut > 0 && report.whole > 0, "{report:?}");
+    assert_eq!((report.whole + report.cut, report.unread), (CALLERS, 0));
+    assert!(report.memory_bytes < MAX_MEMORY_BYTES, "{report:?}");
+}
+
+/// Runs callers that read streams of this many events slowly.
+async fn run_slow_callers(events: u64) -> SlowCallersReport {
+    let _running = RUNNING.lock().await;
+    let store = StoreStandin::start().await;
+    let duties = DutyStandin::start().await;
+    let mut upstreams = Vec::new();
+    for number in 0..UPSTREAMS {
+        let upstream = UpstreamStandin::start(Behaviour::ImpatientStream(events)).await;
+        let record = upstream_record("app", upstream.address, None, "ready");
+        store.put("servers", &format!("p{number}"), record);
+        upstreams.push(upstream);
+    }
+    store.put("config", "main", configuration(1));
+    let platform = PlatformAddresses {
+        store: store.address,
+        duties: duties.address,
+    };
+    let host = HostProcess::start(0, platform);
+    eventually("readiness", || host.is_ready()).await;
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        sleep(ARRIVAL_INTERVAL).await;
+        let id = format!("s{number}");
+        let request = Request::new("POST", "/plain-tell/1", &id, KEY).with_body("{}");
+        let stream = connect_slow_reader(host.callers).await;
+        let read = read_slowly(stream, request, events);
+        callers.spawn(timeout(CALLER_TIMEOUT, read));
+    }
+    let results = callers.join_all().await;
+    let whole = results
+        .iter()
+        .filter(|result| *result.as_ref().expect("the response ends in time"))
+        .count();
+    let unread = upstreams
+        .iter()
+        .map(|upstream| upstream.unread_responses.load(Ordering::SeqCst));
+    SlowCallersReport {
+        whole,
+        cut: CALLERS - whole,
+        unread: unread.sum(),
+        memory_bytes: host.peak_memory_bytes(),
+    }
+}
+
+/// Reads a response slowly; returns whether it is whole.
+async fn read_slowly(mut stream: TcpStream, request: Request, events: u64) -> bool {
+    stream.write_all(&request.bytes()).await.expect("sends");
+    let mut bytes = Vec::new();
+    let mut buffer = [0; READ_BYTES];
+    while !bytes.ends_with(LAST_CHUNK) {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+        }
+        sleep(READ_INTERVAL).await;
+    }
+    bytes.starts_with(b"HTTP/1.1 200") && bytes.len() > events as usize * IMPATIENT_EVENT_BYTES
+}
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -3,12 +3,14 @@
 use crate::support::upstream::LISTEN_ADDRESS;
 use rustix::process::{Pid, Signal, kill_process};
 use std::env;
-use std::fs::File;
+use std::fs::{self, File};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use tempfile::NamedTempFile;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Environment variable with the directory for the logs of the gateways.
 const LOGS_VARIABLE: &str = "LAGOONLIFT_SOAK_LOGS";
@@ -41,7 +43,7 @@
              [store]\naddress = {}\n[duties]\naddress = {}\nnames = usage_report\n\
              [bounds]\nrevocation = 2000ms\nconfiguration = 2000ms\nshutdown = 6s\n\
              lease = 1500ms\nusage-window = 1s\nusage-due = 4s\n\
-             repeat-ratio = 0.2\nrepeat-slack = 30\n",
+             repeat-ratio = 0.2\nrepeat-slack = 30\n[limits]\nmemory-mb = 160\n",
             platform.store, platform.duties
         );
         let mut settings = NamedTempFile::new().expect("a temporary settings file can be created");
@@ -88,6 +90,36 @@
         });
     }
 
+    /// Returns whether the process is ready for requests.
+    #[allow(dead_code, reason = "used by the test of slow callers only")]
+    pub(crate) async fn is_ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.readiness).await else {
+            return false;
+        };
+        let request = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        if stream.write_all(request).await.is_err() {
+            return false;
+        }
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.is_ok() && response.starts_with("HTTP/1.1 200")
+    }
+
+    /// Returns the most memory that the process has had.
+    #[allow(dead_code, reason = "used by the test of slow callers only")]
+    pub(crate) fn peak_memory_bytes(&self) -> u64 {
+        let child = self.child.as_ref().expect("the gateway runs");
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the status of the gateway can be read");
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .and_then(|peak| peak.trim().strip_suffix(" kB"));
+        let kibibytes: u64 = peak
+            .and_then(|peak| peak.parse().ok())
+            .expect("the status names the peak");
+        kibibytes * 1024
+    }
+
     /// Kills the process and waits until it has exited.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
