--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -37,6 +37,14 @@
 /// fit into it, so that the loss of one packet ends no connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The same time for callers' connections. It also ends connections whose other end takes
+/// no data, and callers that pause for some seconds are sound.
+const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Bytes that the kernel holds for a caller's connection beyond those that are under way.
+/// Without a limit it holds up to 4 MiB for each caller that reads slowly.
+const MAX_UNSENT_BYTES: u32 = 32 * 1024;
+
 /// Idle time before the first TCP keepalive probe, and interval between probes. The
 /// kernel takes whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -304,7 +312,7 @@
             ))
         })?
         .map_err(|error| not_sent(error.to_string()))?;
-    set_options(&stream);
+    set_options(&stream, UNACKNOWLEDGED_TIMEOUT);
     reset_on_close(&stream);
     let interim_count = InterimCount::default();
     let stream = GuardedStream::new(stream, interim_count.clone());
@@ -334,9 +342,18 @@
     matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Sets the options of a caller's connection. What its caller doesn't read is held in the
+/// process, where it is counted, and not in the buffers of the kernel.
+pub(crate) fn set_caller_options(stream: &TcpStream) {
+    set_options(stream, CALLER_UNACKNOWLEDGED_TIMEOUT);
+    if let Err(error) = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        tracing::debug!(%error, "failed to limit the unsent bytes of a connection");
+    }
+}
+
 /// Sets the TCP options that make the process detect a connection that failed
 /// without a reset.
-pub(crate) fn set_options(stream: &TcpStream) {
+fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -344,7 +361,7 @@
         .with_retries(KEEPALIVE_PROBES);
     let results = [
         socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)),
+        socket.set_tcp_user_timeout(Some(unacknowledged_timeout)),
         socket.set_tcp_keepalive(&keepalive),
     ];
     for error in results.into_iter().filter_map(Result::err) {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
 //! * [`StreamVersions`] knows the software versions at which streams began.
 //! * [`retry_after`] computes when a refused caller may retry.
+//! * [`choose_cuts`] chooses the responses to cut when a host holds too much for callers.
 //! * [`HostRoster`] counts the hosts among which the rates that upstreams state are shared.
 //! * [`PeerLoads`] tracks the in-flight load and the role changes of other hosts.
 //!
@@ -51,6 +52,7 @@
 mod decode_work;
 mod demand;
 mod fleet_view;
+mod held_bytes;
 mod host_roster;
 mod peer_load;
 mod placement;
@@ -87,6 +89,9 @@
 pub use decode_work::{DecodeWork, DecodeWorkEstimate, RoleLoads, ServiceDigest};
 pub use demand::{PeakWindow, count_in_flight, count_occupied};
 pub use fleet_view::{FleetView, RequiredVersion};
+pub use held_bytes::{
+    CutRule, HeldCut, HeldKey, HeldLimits, HeldResponse, ReadProgress, STALL_TIME, choose_cuts,
+};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod decode_room;
 mod decode_room_load;
 mod decode_work;
+mod held_bytes;
 mod kv_room;
 mod peer_loads;
 mod placement;
