Versions that have served are recorded in the store

Cause: a host that has just started took the only listed version for the one that had served all along, so streams went on at another version after all hosts had ended. Change: a record for each service (kind served-versions) lists the versions that have served and when each was last listed. Hosts read it once at start, before they are ready; store readers write it when a version appears and when it has gone, and peers pass on what they know. A resumption whose version no host knows goes on only if the record and all views show that one version alone can have begun it within the longest timeout of the service's resumable routes, plus margins.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::reload;
 use crate::server;
 use crate::state::GatewayState;
+use crate::version_store;
 use crate::watcher;
 use eyre::Result;
 use lagoonlift_settings::GatewaySettings;
@@ -71,6 +72,7 @@
         spawn_local(watcher::follow_upstreams(Rc::clone(&state)));
         spawn_local(run_maintenance(Rc::clone(&state)));
         spawn_local(quarantine_store::restore_at_start(Rc::clone(&state)));
+        spawn_local(version_store::maintain(Rc::clone(&state)));
         duty::start(&state);
         if let Some(address) = state.settings.listen.peers {
             spawn_local(peers::exchange(Rc::clone(&state), address));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod store_gate;
 mod trace;
 mod upstream_health;
+mod version_store;
 mod watcher;
 
 pub use gateway::Gateway;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 //! from the usage counts in the store and from the datagrams that it receives.
 
 mod usage;
+mod versions;
 
 use crate::announcements;
 use crate::clock;
@@ -15,7 +16,7 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     BlameNews, ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult,
-    RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest, UsageCopy,
+    RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest, UsageCopy, VersionsNotice,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -90,6 +91,8 @@
     /// Queries the version of a stream. The response is a message `Streams` if the receiver
     /// knows it.
     StreamQuery(StreamKey),
+    /// What the sender knows of the versions at which a service has served.
+    Versions(VersionsNotice),
 }
 
 /// Load of a host.
@@ -124,6 +127,7 @@
         crash_monitor::decide(&state);
         send_crash_news(&state, &socket, turn).await;
         send_rate_news(&state, &socket, turn).await;
+        versions::send_in_turn(&state, &socket, turn).await;
         state.peer_loads.borrow_mut().expire(clock::now());
         state.store_readers.borrow_mut().expire(clock::now());
         let report = own_report(&state);
@@ -167,6 +171,7 @@
                 send_crash_news(state, socket, rand::random()).await;
             }
             () = state.stream_news.notified() => send_stream_news(state, socket).await,
+            () = state.version_news.notified() => versions::send_news(state, socket).await,
         }
     }
 }
@@ -331,7 +336,9 @@
             let news = quarantine.all_quarantines(now).into_iter();
             let rates = state.table.borrow().all_rates(now).into_iter();
             let rates = rates.map(PeerMessage::Rates);
-            return news.map(PeerMessage::Blame).chain(rates).collect();
+            let versions = versions::messages(state, now);
+            let news = news.map(PeerMessage::Blame).chain(rates);
+            return news.chain(versions).collect();
         }
         PeerMessage::StreamQuery(stream) => {
             let version = state.stream_versions.borrow().find(now, stream);
@@ -367,6 +374,7 @@
                 announcements::record_rate_notice(state, address, notice);
             }
         }
+        PeerMessage::Versions(notice) => versions::record(state, now, &notice),
         PeerMessage::Usage(copy) => {
             state.usage_copies.borrow_mut().record(now, copy);
         }
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -26,11 +26,11 @@
         }
         let version = match (&request.resumed_attempt, request.last_event_id) {
             (None, None) => return Ok(()),
-            (Some(attempt), _) => self.look_up(self.stream_key(attempt)).await,
-            (None, Some(_)) => {
-                let table = self.state.table.borrow();
-                table.sole_version(&self.admitted.service)
+            (Some(attempt), _) => {
+                let known = self.look_up(self.stream_key(attempt)).await;
+                known.or_else(|| self.proven_version())
             }
+            (None, Some(_)) => self.proven_version(),
         };
         self.required_version = RequiredVersion::of_stream(version);
         match version {
@@ -42,6 +42,27 @@
         }
     }
 
+    /// Returns the version of the service if no other one can have begun a stream that a
+    /// caller may still resume.
+    fn proven_version(&self) -> Option<VersionDigest> {
+        let service = &self.admitted.service;
+        let listed = self.state.table.borrow().sole_version(service);
+        let lifetime = self.state.config()?.longest_resumable(service);
+        let served = self.state.served_versions.borrow();
+        let proven =
+            listed.and_then(|listed| served.sole_version(clock::now(), service, listed, lifetime));
+        tracing::info!(
+            request = self.admitted.outgoing.request.id,
+            service,
+            has_sole_listed = listed.is_some(),
+            is_proven = proven.is_some(),
+            lifetime_ms = lifetime.as_millis() as u64,
+            versions = %served.summary(clock::now(), service),
+            "version of a resumed stream that no host knows"
+        );
+        proven
+    }
+
     /// Returns the version at which a stream began, from this host or another one.
     async fn look_up(&self, stream: StreamKey) -> Option<VersionDigest> {
         let state = &self.state;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,11 +11,12 @@
 use crate::metrics::GatewayMetrics;
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
+use crate::version_store;
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HostRoster, PeerLoads, Placement,
-    PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig,
-    StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream, UpstreamTable,
-    UsageCopies, UsageCounts, WallClock,
+    PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServedVersions,
+    ServingConfig, StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream,
+    UpstreamTable, UsageCopies, UsageCounts, WallClock,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -56,6 +57,10 @@
     pub(crate) crash_monitor: RefCell<CrashMonitor>,
     /// Software versions at which streams began.
     pub(crate) stream_versions: RefCell<StreamVersions>,
+    /// Versions at which each service has served.
+    pub(crate) served_versions: RefCell<ServedVersions>,
+    /// Notified when peers have to be told of a new record of these versions at once.
+    pub(crate) version_news: Notify,
     /// Notified when peers have to get or to be asked for the version of a stream at once.
     pub(crate) stream_news: Notify,
     /// Notified when a peer has told the versions of streams.
@@ -124,6 +129,8 @@
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             crash_monitor: RefCell::new(CrashMonitor::default()),
             stream_versions: RefCell::new(StreamVersions::new()),
+            served_versions: RefCell::new(ServedVersions::new()),
+            version_news: Notify::new(),
             stream_news: Notify::new(),
             streams_heard: Notify::new(),
             crash_news: Notify::new(),
@@ -181,6 +188,7 @@
             && self.confirmation().can_report_ready(now)
             && self.has_asked_peers(now)
             && self.knows_quarantines(now)
+            && version_store::is_ready(self, now)
     }
 
     /// Returns whether the store and a peer have told what is in quarantine, or enough time
--- /dev/null
+++ b/crates/gateway/src/version_store.rs
@@ -0,0 +1,199 @@
+//! The records of the versions at which services have served, as objects in the store.
+//!
+//! Each process reads them once when it starts. The store readers write them when a version
+//! appears and when it has gone; the other hosts learn of a write from their peers.
+
+use crate::clock;
+use crate::state::GatewayState;
+use crate::store_gate::StoreGate;
+use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
+use lagoonlift_policy::Timestamp;
+use lagoonlift_policy::dispatch::VersionRecord;
+use rand::RngExt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Kind of the objects.
+const VERSIONS_KIND: &str = "served-versions";
+
+/// Interval between two comparisons of the list with the records.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Delay after a call that failed.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Longest delay before a write, so that the store readers don't all make it.
+const MAX_WRITE_DELAY: Duration = Duration::from_millis(150);
+
+/// The same for the first record of all, which any host may write: none has heard yet
+/// which hosts are store readers.
+const MAX_FIRST_WRITE_DELAY: Duration = Duration::from_millis(400);
+
+/// Time after the start in which a host learns which hosts are store readers.
+const SELECTION_TIME: Duration = Duration::from_secs(1);
+
+/// Longest time after the start for which a host isn't ready because records are missing.
+/// Requests that need no record are worth more than the resumptions that do.
+const MAX_READY_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Reads the records, and keeps them up to date until the process ends.
+pub(crate) async fn maintain(state: Rc<GatewayState>) {
+    while let Err(error) = load(&state).await {
+        tracing::info!(%error, "failed to read the versions that have served");
+        sleep(RETRY_DELAY).await;
+    }
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        observe(&state);
+        if outdated(&state).is_empty() {
+            continue;
+        }
+        let longest = match state.served_versions.borrow().has_records() {
+            true => MAX_WRITE_DELAY,
+            false => MAX_FIRST_WRITE_DELAY,
+        };
+        let share: f64 = rand::rng().random();
+        sleep(longest.mul_f64(share)).await;
+        for service in outdated(&state) {
+            if let Err(error) = sync(&state, &service).await {
+                tracing::info!(%error, service, "failed to record the versions that have served");
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Returns whether missing records don't keep this host from being ready.
+pub(crate) fn is_ready(state: &GatewayState, now: Timestamp) -> bool {
+    state.served_versions.borrow().has_records() || now.since(state.started_at) >= MAX_READY_DELAY
+}
+
+/// Records the versions that are listed now, and which upstreams have to wait because
+/// theirs isn't in the record.
+pub(crate) fn observe(state: &GatewayState) {
+    let now = clock::now();
+    let mut served = state.served_versions.borrow_mut();
+    let mut table = state.table.borrow_mut();
+    if let Some(era) = state.store.era().latest() {
+        served.record_restored(era);
+    }
+    for (_, upstream) in table.iter() {
+        let record = &upstream.record;
+        served.record_listed(now, &record.service, record.version.as_ref());
+    }
+    served.expire(now);
+    table.set_awaiting_record(|record| {
+        served.is_held(now, &record.service, record.version.as_ref())
+    });
+}
+
+/// Returns the services whose record this host has to write.
+fn outdated(state: &GatewayState) -> Vec<String> {
+    let now = clock::now();
+    let served = state.served_versions.borrow();
+    let is_selected = now.since(state.started_at) >= SELECTION_TIME || !served.has_records();
+    match is_selected && state.is_store_reader() && state.store_gate.is_open() {
+        true => served.outdated(now),
+        false => Vec::new(),
+    }
+}
+
+async fn load(state: &GatewayState) -> Result<(), StoreError> {
+    StoreGate::wait_until_open(state).await;
+    let read = ReadConsistency::Linearizable;
+    let (objects, position) = state.store.list(VERSIONS_KIND, read).await?;
+    let count = objects.len();
+    let records: Vec<(u64, VersionRecord)> = objects
+        .into_iter()
+        .filter_map(|object| Some((object.revision.0, decode(object)?)))
+        .collect();
+    state.served_versions.borrow_mut().load(
+        clock::now(),
+        unix_ms(state),
+        position.era,
+        &records,
+        records.len() < count,
+    );
+    observe(state);
+    tracing::info!(records = records.len(), "versions that have served read");
+    Ok(())
+}
+
+/// Writes the record of a service if the store's one has to change.
+async fn sync(state: &GatewayState, service: &str) -> Result<(), StoreError> {
+    let name = object_name(service);
+    let read = ReadConsistency::Linearizable;
+    let object = state.store.read(VERSIONS_KIND, &name, read).await?;
+    let condition = match &object {
+        Some(object) => WriteCondition::Unchanged(object.revision),
+        None => WriteCondition::Absent,
+    };
+    let revision = object.as_ref().map(|object| object.revision);
+    let stored = object.and_then(decode);
+    let era = state.store.era().latest();
+    let record = {
+        let (now, unix_ms) = (clock::now(), unix_ms(state));
+        let mut served = state.served_versions.borrow_mut();
+        if let (Some(revision), Some(stored)) = (revision, &stored) {
+            served.record_stored(now, unix_ms, (era, revision.0), stored);
+        }
+        served.updated_record(now, unix_ms, era, service, stored.as_ref())
+    };
+    if let Some(record) = record {
+        write(state, &name, &record, condition).await?;
+    }
+    observe(state);
+    state.version_news.notify_one();
+    Ok(())
+}
+
+async fn write(
+    state: &GatewayState,
+    name: &str,
+    record: &VersionRecord,
+    condition: WriteCondition,
+) -> Result<(), StoreError> {
+    let written = state
+        .store
+        .write(VERSIONS_KIND, name, record, condition)
+        .await;
+    let revision = match written {
+        Ok(object) => object.revision,
+        // Another host was first. Its record is read at the next check.
+        Err(StoreError::Conflict(_)) => return Ok(()),
+        Err(error) => return Err(error),
+    };
+    let mut served = state.served_versions.borrow_mut();
+    let revision = (record.era, revision.0);
+    served.record_stored(clock::now(), unix_ms(state), revision, record);
+    tracing::info!(
+        service = record.service,
+        versions = %served.summary(clock::now(), &record.service),
+        "versions that have served recorded"
+    );
+    Ok(())
+}
+
+fn decode(object: StoreObject) -> Option<VersionRecord> {
+    match serde_json::from_value(object.contents) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            tracing::warn!(object = object.name, %error, "malformed record of versions");
+            None
+        }
+    }
+}
+
+fn unix_ms(state: &GatewayState) -> i64 {
+    state.wall_clock.borrow().unix_us(clock::now()) / 1_000
+}
+
+/// Returns the name of a service's object, which has letters, digits and hyphens only.
+fn object_name(service: &str) -> String {
+    let encoded = service.bytes().map(|byte| match byte {
+        b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' => char::from(byte).to_string(),
+        _ => format!("-{byte:02x}"),
+    });
+    encoded.collect()
+}
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -5,6 +5,7 @@
 use crate::state::GatewayState;
 use crate::store::WatchPosition;
 use crate::store_gate::StoreGate;
+use crate::version_store;
 use lagoonlift_adapter::listing::{UPSTREAM_KIND, decode_upstream};
 use lagoonlift_adapter::store::{ChangePage, ObjectChange, ReadConsistency, StoreError};
 use lagoonlift_policy::Timestamp;
@@ -83,6 +84,7 @@
         let mut table = state.table.borrow_mut();
         table.apply_list(now, records)
     };
+    version_store::observe(state);
     state.close_idle_connections(&removed);
     announce_change(state, position);
     tracing::info!(
@@ -167,6 +169,7 @@
         let removed = state.table.borrow_mut().apply(now, list_change);
         state.close_idle_connections(removed.as_slice());
     }
+    version_store::observe(state);
 }
 
 fn log_change(change: &ObjectChange, list_change: &ListChange) {
--- a/crates/policy/src/dispatch/configuration.rs
+++ b/crates/policy/src/dispatch/configuration.rs
@@ -210,6 +210,17 @@
         !self.workspaces.is_empty()
     }
 
+    /// Returns the longest timeout of the routes to `service` whose streams callers may
+    /// resume.
+    pub fn longest_resumable(&self, service: &str) -> Duration {
+        let leads_to = |route: &Route| route.services.iter().any(|one| one.service == service);
+        let resumable = self.routes.iter().filter(|route| {
+            route.retry_safety == RetrySafety::Stream { resumable: true } && leads_to(route)
+        });
+        let timeouts = resumable.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the service named `name`.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 //! * [`Placement`] chooses an upstream, or reports that none can serve in time.
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
 //! * [`StreamVersions`] knows the software versions at which streams began.
+//! * [`ServedVersions`] knows the versions at which each service has served.
 //! * [`retry_after`] computes when a refused caller may retry.
 //! * [`HostRoster`] counts the hosts among which the rates that upstreams state are shared.
 //! * [`PeerLoads`] tracks the in-flight load and the role changes of other hosts.
@@ -52,6 +53,7 @@
 mod roles;
 mod scaling;
 mod sealed_sums;
+mod served_versions;
 mod store_backoff;
 mod store_era;
 mod store_readers;
@@ -59,6 +61,7 @@
 mod upstream;
 mod usage;
 mod usage_copies;
+mod version_record;
 mod wall_clock;
 
 pub use attempts::{AttemptHistory, NextStep, SendResult};
@@ -87,6 +90,7 @@
     FleetTarget, InitialFleet, InitialFleetCounter, ScalePlanner, count_standard_upstreams,
 };
 pub use sealed_sums::{SealedSums, SumSource};
+pub use served_versions::{NoticedVersion, RecordRevision, ServedVersions, VersionsNotice};
 pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
@@ -100,4 +104,5 @@
     WindowCounts, sum_window,
 };
 pub use usage_copies::{UsageCopies, UsageCopy};
+pub use version_record::{RecordedVersion, VersionRecord};
 pub use wall_clock::WallClock;
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -51,6 +51,9 @@
     pub digest: UpstreamDigest,
     /// Version of its software, if the entry states it.
     pub version: Option<VersionDigest>,
+    /// Whether the upstream gets no requests while others can serve, because its version
+    /// isn't in the record of the versions that have served.
+    pub awaits_record: bool,
     /// This host's requests in flight on the upstream.
     pub in_flight: u32,
     /// Prompt tokens of this host's requests that wait for prefill or are in prefill
@@ -85,6 +88,7 @@
             has_rate: false,
             digest: UpstreamDigest::new(&record.id),
             version: record.version_digest(),
+            awaits_record: false,
             record,
             in_flight: 0,
             prefill_tokens: 0,
--- a/crates/policy/src/dispatch/upstream/record.rs
+++ b/crates/policy/src/dispatch/upstream/record.rs
@@ -1,6 +1,7 @@
 //! The entries of upstreams in the store.
 
 use crate::dispatch::VersionDigest;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Identifier of an upstream. Several incarnations of the upstream may use the same
@@ -49,7 +50,7 @@
 
 /// Version of the software that an upstream runs. What upstreams of different versions
 /// produce doesn't fit together: streams and KV caches.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SoftwareVersion(pub String);
 
 /// The entry of one upstream in the store.
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -42,6 +42,8 @@
     relist_until: Option<Timestamp>,
     reachability: Reachability,
     rate_sharing: RateSharing,
+    /// Number of upstreams that wait until their version is in the record.
+    awaiting_record: usize,
 }
 
 impl UpstreamTable {
@@ -82,8 +84,23 @@
             && self
                 .serving(service, now)
                 .any(|(_, upstream)| self.may_contact(upstream, now));
+        let skips_awaiting = self.awaiting_record > 0
+            && self
+                .serving(service, now)
+                .filter(|(_, upstream)| !skips_avoided || self.may_contact(upstream, now))
+                .any(|(_, upstream)| !upstream.awaits_record);
         self.serving(service, now)
             .filter(move |(_, upstream)| !skips_avoided || self.may_contact(upstream, now))
+            .filter(move |(_, upstream)| !skips_awaiting || !upstream.awaits_record)
+    }
+
+    /// Sets which upstreams wait until their version is in the record.
+    pub fn set_awaiting_record(&mut self, awaits: impl Fn(&UpstreamRecord) -> bool) {
+        for upstream in self.entries.values_mut() {
+            upstream.awaits_record = awaits(&upstream.record);
+        }
+        let awaiting = self.entries.values().filter(|one| one.awaits_record);
+        self.awaiting_record = awaiting.count();
     }
 
     /// Returns the only version that the listed upstreams of `service` have, draining ones
