Versions that have served: schedules, and three faults that they found

Change: hosts pass on only what they saw listed themselves; upstreams of a version that has just been recorded get no requests for 300 ms, and of one that can't be recorded for 10 s, while others can serve; a new stream waits up to 1.5 s if no version is recorded.

--- a/crates/gateway/src/peers/versions.rs
+++ b/crates/gateway/src/peers/versions.rs
@@ -14,9 +14,15 @@
 /// Number of peers that get the messages of a round.
 const PEERS_PER_ROUND: usize = 4;
 
-/// Sends what this host knows to a few peers, once in [`ROUND_TURNS`].
+/// Number of load intervals between two messages about a new write, which repeat it.
+const NEWS_TURNS: u64 = 2;
+
+/// Sends what this host knows to a few peers, once in [`ROUND_TURNS`], and news more often.
 pub(super) async fn send_in_turn(state: &GatewayState, socket: &UdpSocket, turn: u64) {
-    if turn.is_multiple_of(ROUND_TURNS) {
+    let has_news = state.served_versions.borrow().has_news(clock::now());
+    if has_news && turn.is_multiple_of(NEWS_TURNS) {
+        send_news(state, socket).await;
+    } else if turn.is_multiple_of(ROUND_TURNS) {
         let peers = next_peers(state, rand::random(), PEERS_PER_ROUND);
         for message in messages(state, clock::now()) {
             send(socket, &message, &peers).await;
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -7,7 +7,7 @@
     RefusalCause, RequiredVersion, RetrySafety, StreamKey, VersionDigest,
 };
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time for which other hosts are asked for the version of a stream.
 const LOOKUP_TIME: Duration = Duration::from_millis(150);
@@ -15,6 +15,13 @@
 /// Interval between two questions about it.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Longest time for which a new stream waits for the record of its version. Callers leave
+/// after 2 s without an event.
+const MAX_RECORD_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Polling interval of a new stream that waits for the record of its version.
+const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 impl RequestRun {
     /// Finds out which version a stream requires that the caller takes up. The error is the
     /// response if it can't be known: a stream that goes on at another version is worse than
@@ -25,7 +32,10 @@
             return Ok(());
         }
         let version = match (&request.resumed_attempt, request.last_event_id) {
-            (None, None) => return Ok(()),
+            (None, None) => {
+                self.wait_for_record().await;
+                return Ok(());
+            }
             (Some(attempt), _) => {
                 let known = self.look_up(self.stream_key(attempt)).await;
                 known.or_else(|| self.proven_version())
@@ -42,6 +52,20 @@
         }
     }
 
+    /// Waits for a bounded time while no upstream of the service has a version that is in the
+    /// record.
+    async fn wait_for_record(&self) {
+        let end = self.admitted.deadline.min(clock::now() + MAX_RECORD_WAIT);
+        let service = &self.admitted.service;
+        let is_waiting = || {
+            let table = self.state.table.borrow();
+            table.is_awaiting_record(service, clock::now())
+        };
+        while is_waiting() && clock::now() < end {
+            sleep(RECORD_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the version of the service if no other one can have begun a stream that a
     /// caller may still resume.
     fn proven_version(&self) -> Option<VersionDigest> {
--- a/crates/policy/src/dispatch/served_versions.rs
+++ b/crates/policy/src/dispatch/served_versions.rs
@@ -26,13 +26,17 @@
 /// Time for which a version is known here after it was last listed.
 const RETENTION: Duration = Duration::from_secs(900);
 
-/// Longest time for which the upstreams of a version get no requests because it isn't in
-/// the record.
-const MAX_HOLD: Duration = Duration::from_millis(1_500);
+/// Longest time for which the upstreams of a version get no requests, while others can
+/// serve, because it isn't in the record.
+const MAX_HOLD: Duration = Duration::from_secs(10);
 
 /// Largest number of versions in a notice, so that it fits into a datagram.
 const MAX_NOTICE_VERSIONS: usize = 12;
 
+/// Time for which they get none after the record has it, so that all hosts learn of the
+/// version before a stream begins there.
+const NEWS_TIME: Duration = Duration::from_millis(300);
+
 /// A write of a record: the store's era and revision.
 pub type RecordRevision = (Option<StoreEra>, u64);
 
@@ -43,7 +47,9 @@
     pub service: String,
     /// The latest write of the record that the sender knows.
     pub revision: Option<RecordRevision>,
-    /// The versions, those listed last first.
+    /// Whether the record was last written before the store was restored.
+    pub has_outdated_record: bool,
+    /// The versions that are listed or in the record as listed, the latter first.
     pub versions: Vec<NoticedVersion>,
 }
 
@@ -52,8 +58,10 @@
 pub struct NoticedVersion {
     /// The version; `None` stands for the entries that state none.
     pub version: Option<SoftwareVersion>,
-    /// Time since it was listed, in milliseconds.
-    pub age_ms: u32,
+    /// Time since the sender itself saw it listed, in milliseconds; `None` if that is long
+    /// ago. What others saw isn't passed on, since the time on the way would make it seem
+    /// later with each host that passes it on.
+    pub age_ms: Option<u32>,
     /// Whether the record has it as listed.
     pub is_open: bool,
 }
@@ -61,11 +69,16 @@
 /// What is known of a version.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
+    /// Latest time at which it may have been listed at any host.
     listed_at: Timestamp,
+    /// Latest time at which it was listed here.
+    seen_at: Option<Timestamp>,
     /// Whether the record has it as listed.
     is_open: bool,
-    /// Time since which it is listed and isn't in the record as such.
-    unrecorded_since: Option<Timestamp>,
+    /// Whether it was seen listed here while the record didn't have it as such.
+    is_unrecorded: bool,
+    /// Time until which its upstreams get no requests.
+    held_until: Option<Timestamp>,
 }
 
 /// What is known of a service.
@@ -73,6 +86,8 @@
 struct ServiceHistory {
     versions: HashMap<Option<SoftwareVersion>, Sighting>,
     revision: Option<RecordRevision>,
+    /// Time at which this host learned of that write.
+    revision_known_at: Timestamp,
     /// Time before which other versions may have served.
     complete_since: Option<Timestamp>,
     /// Whether the record was last written before the store was restored.
@@ -150,20 +165,22 @@
         }
         if history.revision < Some(revision) {
             history.revision = Some(revision);
+            history.revision_known_at = now;
             history.has_outdated_record = record.era != revision.0;
-            history.set_open(|version| {
+            history.set_open(now, |version| {
                 let entry = record.find(version);
                 entry.is_some_and(|entry| entry.gone_ms.is_none())
             });
         }
     }
 
-    /// Records that the store was restored in `era`: its records may be older than known.
+    /// Records that the store was restored in `era`: its records may be older than known,
+    /// and have to be written again.
     pub fn record_restored(&mut self, era: StoreEra) {
         for history in self.services.values_mut() {
             if history.revision < Some((Some(era), 0)) {
                 history.revision = Some((Some(era), 0));
-                history.set_open(|_| false);
+                history.has_outdated_record = true;
             }
         }
     }
@@ -190,7 +207,10 @@
     pub fn record_notice(&mut self, now: Timestamp, notice: &VersionsNotice) -> bool {
         let history = self.history_mut(&notice.service);
         for one in &notice.versions {
-            let listed_at = now - Duration::from_millis(one.age_ms.into());
+            let Some(age_ms) = one.age_ms else {
+                continue;
+            };
+            let listed_at = now - Duration::from_millis(age_ms.into());
             let known = history.versions.entry(one.version.clone());
             let sighting = known.or_insert(Sighting::new(listed_at));
             sighting.listed_at = sighting.listed_at.max(listed_at);
@@ -198,8 +218,13 @@
         let is_later = notice.revision > history.revision;
         if is_later {
             history.revision = notice.revision;
-            history.has_outdated_record = false;
-            history.set_open(|version| {
+            history.revision_known_at = now;
+            history.has_outdated_record = notice.has_outdated_record;
+            for one in notice.versions.iter().filter(|one| one.is_open) {
+                let known = history.versions.entry(one.version.clone());
+                known.or_insert(Sighting::new(now));
+            }
+            history.set_open(now, |version| {
                 let mut versions = notice.versions.iter();
                 versions.any(|one| one.version.as_ref() == version && one.is_open)
             });
@@ -210,20 +235,21 @@
     /// Returns what peers have to know, by service.
     pub fn notices(&self, now: Timestamp) -> Vec<VersionsNotice> {
         let notices = self.services.iter().map(|(service, history)| {
-            let mut versions: Vec<NoticedVersion> = history
-                .versions
-                .iter()
-                .map(|(version, sighting)| NoticedVersion {
-                    version: version.clone(),
-                    age_ms: now.since(sighting.listed_at).as_millis() as u32,
-                    is_open: sighting.is_open,
-                })
+            let known = history.versions.iter();
+            let known = known.map(|(version, sighting)| NoticedVersion {
+                version: version.clone(),
+                age_ms: sighting.seen_age(now).map(|age| age.as_millis() as u32),
+                is_open: sighting.is_open,
+            });
+            let mut versions: Vec<NoticedVersion> = known
+                .filter(|one| one.is_open || one.age_ms.is_some())
                 .collect();
-            versions.sort_by_key(|one| (!one.is_open, one.age_ms));
+            versions.sort_by_key(|one| !one.is_open);
             versions.truncate(MAX_NOTICE_VERSIONS);
             VersionsNotice {
                 service: service.clone(),
                 revision: history.revision,
+                has_outdated_record: history.has_outdated_record,
                 versions,
             }
         });
@@ -280,8 +306,16 @@
     ) -> bool {
         let history = self.services.get(service);
         let sighting = history.and_then(|history| history.versions.get(&version.cloned()));
-        let since = sighting.and_then(|sighting| sighting.unrecorded_since);
-        since.is_some_and(|since| now.since(since) < MAX_HOLD)
+        let held_until = sighting.and_then(|sighting| sighting.held_until);
+        held_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether peers have to be told of a write of a record that is new to this host.
+    pub fn has_news(&self, now: Timestamp) -> bool {
+        let mut services = self.services.values();
+        services.any(|history| {
+            history.revision.is_some() && now.since(history.revision_known_at) < NEWS_TIME
+        })
     }
 
     /// Returns whether the record has a listed version of each service that has upstreams.
@@ -337,7 +371,7 @@
     pub fn expire(&mut self, now: Timestamp) {
         for history in self.services.values_mut() {
             let gone = history.versions.values_mut().filter(|one| one.is_gone(now));
-            gone.for_each(|one| one.unrecorded_since = None);
+            gone.for_each(|one| (one.is_unrecorded, one.held_until) = (false, None));
             history
                 .versions
                 .retain(|_, one| one.is_open || now.since(one.listed_at) < RETENTION);
@@ -356,11 +390,15 @@
 }
 
 impl ServiceHistory {
-    fn set_open(&mut self, is_open: impl Fn(Option<&SoftwareVersion>) -> bool) {
+    fn set_open(&mut self, now: Timestamp, is_open: impl Fn(Option<&SoftwareVersion>) -> bool) {
+        let is_alone = self.versions.len() == 1;
         for (version, sighting) in &mut self.versions {
+            let was_open = sighting.is_open;
             sighting.is_open = is_open(version.as_ref());
-            if sighting.is_open {
-                sighting.unrecorded_since = None;
+            if sighting.is_open && !was_open {
+                sighting.listed_at = now;
+                sighting.is_unrecorded = false;
+                sighting.held_until = (!is_alone).then_some(now + NEWS_TIME);
             }
         }
     }
@@ -372,11 +410,7 @@
 
     fn has_record(&self) -> bool {
         let mut versions = self.versions.values();
-        versions.any(|one| one.is_open)
-            || self
-                .versions
-                .values()
-                .all(|one| one.unrecorded_since.is_none())
+        versions.any(|one| one.is_open) || self.versions.values().all(|one| !one.is_unrecorded)
     }
 }
 
@@ -384,21 +418,31 @@
     fn new(listed_at: Timestamp) -> Self {
         Self {
             listed_at,
+            seen_at: None,
             is_open: false,
-            unrecorded_since: None,
+            is_unrecorded: false,
+            held_until: None,
         }
     }
 
     fn record_listed(&mut self, now: Timestamp) {
         self.listed_at = now;
-        if !self.is_open {
-            self.unrecorded_since.get_or_insert(now);
+        self.seen_at = Some(now);
+        if !self.is_open && !self.is_unrecorded {
+            self.is_unrecorded = true;
+            self.held_until = Some(now + MAX_HOLD);
         }
     }
 
+    /// Returns the time since the version was listed here, if peers may not know that yet.
+    fn seen_age(&self, now: Timestamp) -> Option<Duration> {
+        let age = self.seen_at.map(|at| now.since(at));
+        age.filter(|age| *age < VIEW_LAG)
+    }
+
     /// Returns whether the record has to have the version as listed.
     fn is_listed(&self, now: Timestamp) -> bool {
-        !self.is_gone(now) && (self.is_open || self.unrecorded_since.is_some())
+        !self.is_gone(now) && (self.is_open || self.is_unrecorded)
     }
 
     fn is_gone(&self, now: Timestamp) -> bool {
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -94,6 +94,15 @@
             .filter(move |(_, upstream)| !skips_awaiting || !upstream.awaits_record)
     }
 
+    /// Returns whether all upstreams of `service` that could serve wait until their version
+    /// is in the record.
+    pub fn is_awaiting_record(&self, service: &str, now: Timestamp) -> bool {
+        let mut serving = self.serving(service, now).peekable();
+        self.awaiting_record > 0
+            && serving.peek().is_some()
+            && serving.all(|(_, upstream)| upstream.awaits_record)
+    }
+
     /// Sets which upstreams wait until their version is in the record.
     pub fn set_awaiting_record(&mut self, awaits: impl Fn(&UpstreamRecord) -> bool) {
         for upstream in self.entries.values_mut() {
--- a/crates/policy/tests/all/dispatch/schedules/mod.rs
+++ b/crates/policy/tests/all/dispatch/schedules/mod.rs
@@ -12,6 +12,7 @@
 mod rate_limits;
 mod request_quarantine;
 mod sealed_sums;
+mod served_versions;
 mod stream_versions;
 
 use rand::rngs::StdRng;
--- /dev/null
+++ b/crates/policy/tests/all/dispatch/schedules/served_versions.rs
@@ -0,0 +1,340 @@
+//! Tests of the versions that have served: all hosts end and start again beside releases,
+//! roll-backs, incomplete lists, outages and restores of the store, with clocks that differ.
+
+use super::{Randomness, run_schedules};
+use crate::dispatch::support::{SERVICE, at_ms};
+use lagoonlift_policy::dispatch::{
+    ServedVersions, SoftwareVersion, StoreEra, VersionDigest, VersionRecord, VersionsNotice,
+};
+use std::cell::Cell;
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Length of a schedule and of a simulation step, in milliseconds.
+const SCHEDULE_LENGTH_MS: u64 = 70_000;
+const STEP_MS: u64 = 100;
+/// Longest time for which a stream lives, and the margin for clocks, in milliseconds.
+const LIFETIME_MS: u64 = 4_000;
+const CLOCK_MARGIN_MS: u64 = 6_000;
+/// Least time in which a caller gets the first event, loses the stream and comes back.
+const RETURN_MS: u64 = 100;
+/// Longest time for which a new stream waits for the record of its version.
+const MAX_WAIT_MS: u64 = 1_500;
+/// Longest time by which a host's list is behind the store's, in milliseconds.
+const MAX_LIST_LAG_MS: u64 = 1_000;
+/// Largest delay of a message between hosts, in milliseconds.
+const MAX_TRANSIT_MS: u64 = 200;
+/// One in this many messages is lost.
+const LOSS_RARITY: u64 = 12;
+/// Longest time from the end of a host to its next start, in milliseconds.
+const MAX_DOWN_MS: u64 = 4_000;
+/// Number of upstreams.
+const UPSTREAMS: usize = 4;
+/// Number of hosts that write records.
+const WRITERS: usize = 2;
+/// Share of the resumptions that could continue that have to.
+const MIN_CONTINUED: f64 = 0.9;
+
+struct Host {
+    served: ServedVersions,
+    /// Time at which the host runs again.
+    starts_ms: u64,
+    /// Its clock's difference.
+    ahead_ms: i64,
+    list_lag_ms: u64,
+    /// Time since which all versions that it lists are held.
+    waits_since_ms: Option<u64>,
+    /// Upstreams that its list lacks, and until when.
+    lacks: usize,
+    lacks_until_ms: u64,
+}
+
+/// The store's record and what it has counted.
+#[derive(Clone, Default)]
+struct Store {
+    revision: u64,
+    record: Option<Rc<VersionRecord>>,
+}
+
+struct Simulation {
+    randomness: Randomness,
+    hosts: Vec<Host>,
+    store: Store,
+    era: u64,
+    /// Earlier states of the store, and of the list, with their times.
+    copies: VecDeque<Store>,
+    lists: VecDeque<[u64; UPSTREAMS]>,
+    store_away_from_ms: u64,
+    store_away_until_ms: u64,
+    messages: Vec<(u64, usize, VersionsNotice)>,
+    /// Time since which the list names one version.
+    sole_since_ms: u64,
+    /// Streams that callers may resume: the time of their beginning and their version.
+    streams: VecDeque<(u64, u64)>,
+    could: u64,
+    continued: u64,
+}
+
+fn software(version: u64) -> SoftwareVersion {
+    SoftwareVersion(format!("v{version}"))
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let mut randomness = Randomness::new(seed);
+        let count = 2 + randomness.below(4) as usize;
+        let hosts = (0..count).map(|_| Host {
+            served: ServedVersions::new(),
+            starts_ms: randomness.below(1_000),
+            ahead_ms: randomness.below(CLOCK_MARGIN_MS) as i64,
+            list_lag_ms: randomness.below(MAX_LIST_LAG_MS),
+            waits_since_ms: None,
+            lacks: 0,
+            lacks_until_ms: 0,
+        });
+        Self {
+            hosts: hosts.collect(),
+            randomness,
+            store: Store::default(),
+            era: 0,
+            copies: VecDeque::new(),
+            lists: VecDeque::from([[1; UPSTREAMS]]),
+            store_away_from_ms: 0,
+            store_away_until_ms: 0,
+            messages: Vec::new(),
+            sole_since_ms: 0,
+            streams: VecDeque::new(),
+            could: 0,
+            continued: 0,
+        }
+    }
+
+    fn run(mut self) -> Result<(u64, u64), String> {
+        let mut next_fault_ms = 2_000 + self.randomness.below(12_000);
+        for now in (0..SCHEDULE_LENGTH_MS).step_by(STEP_MS as usize) {
+            if now >= next_fault_ms {
+                self.disturb(now);
+                // Quiet times are long enough for resumptions to be proven, or short.
+                let longest = [800, 30_000][self.randomness.below(2) as usize];
+                next_fault_ms = now + self.randomness.below(longest);
+            }
+            let list = self.lists[self.lists.len() - 1];
+            let before = self.lists[self.lists.len().saturating_sub(2)];
+            if list.iter().chain(&before).any(|one| *one != list[0]) {
+                self.sole_since_ms = now;
+            }
+            self.lists.push_back(list);
+            self.copies.push_back(self.store.clone());
+            let due = self.messages.extract_if(.., |(at, _, _)| *at <= now);
+            for (_, to, notice) in due.collect::<Vec<_>>() {
+                let host = &mut self.hosts[to];
+                if host.starts_ms <= now && host.served.record_notice(at_ms(now), &notice) {
+                    self.tell(now, to);
+                }
+            }
+            for number in 0..self.hosts.len() {
+                if self.hosts[number].starts_ms <= now {
+                    self.step_host(now, number)?;
+                }
+            }
+        }
+        Ok((self.could, self.continued))
+    }
+
+    /// Disturbs the fleet: hosts end, versions change, the store is away or restored.
+    fn disturb(&mut self, now: u64) {
+        let list = self.lists.back_mut().expect("a list");
+        match self.randomness.below(7) {
+            0 => *list = [1 + self.randomness.below(3); UPSTREAMS],
+            1 | 2 => {
+                let version = 1 + self.randomness.below(3);
+                list[self.randomness.below(UPSTREAMS as u64) as usize] = version;
+            }
+            3 if now >= self.store_away_until_ms => {
+                self.store_away_from_ms = now;
+                self.store_away_until_ms = now + self.randomness.below(4_000);
+            }
+            4 if self.randomness.once_in(2) => self.restore_store(),
+            _ => {
+                for number in 0..self.hosts.len() {
+                    self.end_host(now, number);
+                }
+                // Versions change while no host runs, too.
+                if self.randomness.once_in(2) {
+                    let list = self.lists.back_mut().expect("a list");
+                    *list = [1 + self.randomness.below(3); UPSTREAMS];
+                }
+            }
+        }
+    }
+
+    fn restore_store(&mut self) {
+        let age = self.randomness.below(self.copies.len().min(40) as u64);
+        self.store = self.copies[self.copies.len() - 1 - age as usize].clone();
+        self.era += 1;
+    }
+
+    fn end_host(&mut self, now: u64, number: usize) {
+        let host = &mut self.hosts[number];
+        host.served = ServedVersions::new();
+        host.starts_ms = now + STEP_MS + self.randomness.below(MAX_DOWN_MS);
+        host.waits_since_ms = None;
+        host.list_lag_ms = self.randomness.below(MAX_LIST_LAG_MS);
+        host.lacks = self.randomness.below(UPSTREAMS as u64) as usize;
+        host.lacks_until_ms = host.starts_ms + self.randomness.below(3_000);
+    }
+
+    /// Returns the versions that the list of a host names.
+    fn listed(&self, now: u64, number: usize) -> BTreeSet<u64> {
+        let host = &self.hosts[number];
+        let running_ms = now - host.starts_ms;
+        // The list changes through the store.
+        let away_ms = now.saturating_sub(self.store_away_from_ms.max(host.starts_ms));
+        let is_away = now < self.store_away_until_ms;
+        let lag_ms = host.list_lag_ms.min(running_ms) + u64::from(is_away) * away_ms;
+        let lag = lag_ms / STEP_MS;
+        let list = self.lists[self.lists.len().saturating_sub(1 + lag as usize)];
+        let lacks = usize::from(now < host.lacks_until_ms) * host.lacks;
+        list[lacks..].iter().copied().collect()
+    }
+
+    fn step_host(&mut self, now: u64, number: usize) -> Result<(), String> {
+        let is_away = now < self.store_away_until_ms;
+        let is_read = self.hosts[number].served.is_read();
+        if is_away && !is_read {
+            return Ok(());
+        }
+        let listed = self.listed(now, number);
+        let era = Some(StoreEra(self.era));
+        let unix_ms = 1_000_000_000 + now as i64 + self.hosts[number].ahead_ms;
+        let host = &mut self.hosts[number];
+        if !is_read {
+            let record = self.store.record.clone();
+            let records: Vec<_> = record
+                .map(|one| (self.store.revision, VersionRecord::clone(&one)))
+                .into_iter()
+                .collect();
+            host.served.load(at_ms(now), unix_ms, era, &records, false);
+        }
+        host.served.record_restored(StoreEra(self.era));
+        for version in &listed {
+            let version = software(*version);
+            host.served
+                .record_listed(at_ms(now), SERVICE, Some(&version));
+        }
+        host.served.expire(at_ms(now));
+        let is_first = !host.served.has_records();
+        let running = self.hosts[..number].iter();
+        let rank = running.filter(|one| one.starts_ms <= now).count();
+        let may_write = (rank < WRITERS || is_first) && !is_away && self.randomness.once_in(2);
+        if may_write && !self.hosts[number].served.outdated(at_ms(now)).is_empty() {
+            self.write(now, unix_ms, number);
+        }
+        if self.hosts[number].served.has_news(at_ms(now)) || self.randomness.once_in(5) {
+            self.tell(now, number);
+        }
+        // A host without a record isn't ready.
+        if self.hosts[number].served.has_records() {
+            self.begin_stream(now, number, &listed);
+            return self.resume(now, number, &listed);
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, now: u64, unix_ms: i64, number: usize) {
+        let era = Some(StoreEra(self.era));
+        let (store, served) = (&mut self.store, &mut self.hosts[number].served);
+        if let Some(record) = &store.record {
+            served.record_stored(at_ms(now), unix_ms, (era, store.revision), record);
+        }
+        let stored = store.record.as_deref();
+        if let Some(record) = served.updated_record(at_ms(now), unix_ms, era, SERVICE, stored) {
+            store.revision += 1;
+            served.record_stored(at_ms(now), unix_ms, (era, store.revision), &record);
+            store.record = Some(Rc::new(record));
+        }
+        self.tell(now, number);
+    }
+
+    fn tell(&mut self, now: u64, number: usize) {
+        for notice in self.hosts[number].served.notices(at_ms(now)) {
+            for to in (0..self.hosts.len()).filter(|to| *to != number) {
+                if !self.randomness.once_in(LOSS_RARITY) {
+                    let at = now + STEP_MS + self.randomness.below(MAX_TRANSIT_MS);
+                    self.messages.push((at, to, notice.clone()));
+                }
+            }
+        }
+    }
+
+    /// Begins a stream at a listed version that isn't held, or after a time at any.
+    fn begin_stream(&mut self, now: u64, number: usize, listed: &BTreeSet<u64>) {
+        let host = &mut self.hosts[number];
+        let is_held = |one: &u64| {
+            host.served
+                .is_held(at_ms(now), SERVICE, Some(&software(*one)))
+        };
+        let mut usable: Vec<u64> = listed.iter().copied().filter(|one| !is_held(one)).collect();
+        if usable.is_empty() {
+            let since = *host.waits_since_ms.get_or_insert(now);
+            if now < since + MAX_WAIT_MS {
+                return;
+            }
+            usable = listed.iter().copied().collect();
+        } else {
+            host.waits_since_ms = None;
+        }
+        let version = usable[self.randomness.below(usable.len() as u64) as usize];
+        self.streams.push_back((now, version));
+    }
+
+    /// Resumes a stream that no host knows.
+    fn resume(&mut self, now: u64, number: usize, listed: &BTreeSet<u64>) -> Result<(), String> {
+        while self
+            .streams
+            .front()
+            .is_some_and(|(at, _)| at + LIFETIME_MS < now)
+        {
+            self.streams.pop_front();
+        }
+        let served = &self.hosts[number].served;
+        let sole = listed.iter().copied().next().filter(|_| listed.len() == 1);
+        let lifetime = Duration::from_millis(LIFETIME_MS);
+        let proven = sole.and_then(|sole| {
+            let digest = VersionDigest::new(SERVICE, &software(sole));
+            served.sole_version(at_ms(now), SERVICE, digest, lifetime)
+        });
+        let mut back = self.streams.iter().filter(|(at, _)| at + RETURN_MS <= now);
+        let joined = back.find(|(_, begun)| Some(*begun) != sole);
+        if let (Some(_), Some((at, begun))) = (proven, joined) {
+            return Err(format!("{now} ms: v{begun} of {at} ms goes on at {sole:?}"));
+        }
+        let could_continue = now >= self.sole_since_ms + LIFETIME_MS + CLOCK_MARGIN_MS;
+        if !self.streams.is_empty() && could_continue {
+            self.could += 1;
+            self.continued += u64::from(proven.is_some());
+        }
+        Ok(())
+    }
+}
+
+/// Guards against streams whose text joins two versions after all hosts have ended, and
+/// against hosts that refuse resumptions although one version alone has served.
+#[test]
+fn resumed_streams_join_no_versions_after_all_hosts_ended() {
+    let (could, continued) = (Cell::new(0), Cell::new(0));
+    run_schedules(|seed| {
+        let counts = Simulation::new(seed).run()?;
+        could.set(could.get() + counts.0);
+        continued.set(continued.get() + counts.1);
+        Ok(())
+    });
+    let share = continued.get() as f64 / could.get() as f64;
+    println!(
+        "{} of {} could continue and did: {share:.3}",
+        continued.get(),
+        could.get()
+    );
+    assert!(could.get() > 0 && share >= MIN_CONTINUED, "{share}");
+}
