Versions that have served: news of unrecorded versions, smaller modules

Change: a host tells its peers of a new version at once, recorded or not. New resumable streams prefer the version that stays (more than half of the serving upstreams, none draining) while another one drains, if it can serve them.

--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -6,7 +6,9 @@
 use crate::send::Attempt;
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
-use lagoonlift_policy::dispatch::{FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause};
+use lagoonlift_policy::dispatch::{
+    FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause, RequiredVersion, RetrySafety,
+};
 use rand::RngExt;
 use std::rc::Rc;
 
@@ -35,11 +37,37 @@
         choose(&self.state.placement.borrow(), view)
     }
 
+    /// Returns the version that a new resumable stream should begin at, because others are
+    /// leaving.
+    fn staying_version(&self) -> Option<RequiredVersion> {
+        let is_resumable =
+            self.admitted.route.retry_safety == RetrySafety::Stream { resumable: true };
+        if !is_resumable || self.required_version != RequiredVersion::Any {
+            return None;
+        }
+        let table = self.state.table.borrow();
+        let staying = table.staying_version(&self.admitted.service);
+        staying.map(RequiredVersion::Only)
+    }
+
+    /// Returns an upstream with a free slot for a new stream, of the version that stays.
+    fn choose_staying_upstream(&self) -> Option<UpstreamKey> {
+        let version = self.staying_version()?;
+        let chosen = self.choose(&self.tried, |placement, view| {
+            placement.choose_upstream(FleetView { version, ..view })
+        })?;
+        let table = self.state.table.borrow();
+        let upstream = table.get(chosen)?;
+        (upstream.in_flight < upstream.record.slots).then_some(chosen)
+    }
+
     /// Returns an attempt of a request without a prompt, preferably on an upstream
     /// that has not been tried.
     pub(super) fn plain_attempt(&self) -> Result<Attempt, GatewayReply> {
-        let untried = self.choose(&self.tried, |placement, view| {
-            placement.choose_upstream(view)
+        let untried = self.choose_staying_upstream().or_else(|| {
+            self.choose(&self.tried, |placement, view| {
+                placement.choose_upstream(view)
+            })
         });
         let silent = self.silent_upstream.as_slice();
         let any = || self.choose(silent, |placement, view| placement.choose_upstream(view));
@@ -53,9 +81,14 @@
         let prompt = &self.admitted.outgoing.request.prompt;
         let goal = self.admitted.route.latency_goal;
         let time_left = clock::time_until(self.admitted.deadline);
-        let plan = self.choose(&self.tried, |placement, view| {
-            placement.plan_prompt(view, prompt, goal, time_left)
-        });
+        let plan_at = |version| {
+            self.choose(&self.tried, |placement, view| {
+                let view = FleetView { version, ..view };
+                placement.plan_prompt(view, prompt, goal, time_left)
+            })
+        };
+        let staying = self.staying_version().map(plan_at).and_then(Result::ok);
+        let plan = staying.map_or_else(|| plan_at(self.required_version), Ok);
         plan.map_err(|refusal| match refusal {
             PromptRefusal::NoEngine => self.no_upstream("no engine is there"),
             PromptRefusal::Overload(wait) => {
--- /dev/null
+++ b/crates/policy/src/dispatch/served_versions/history.rs
@@ -0,0 +1,135 @@
+//! What a host knows of the versions of one service.
+
+use super::RecordRevision;
+use crate::Timestamp;
+use crate::dispatch::SoftwareVersion;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Time for which a host may still begin streams at a version that another one has seen
+/// leave the list.
+pub(super) const VIEW_LAG: Duration = Duration::from_secs(5);
+
+/// Time after which a version that no host lists is recorded as gone.
+const GONE_DELAY: Duration = Duration::from_secs(3);
+
+/// Time for which a version is known here after it was last listed.
+const RETENTION: Duration = Duration::from_secs(900);
+
+/// Longest time for which the upstreams of a version get no requests, while others can
+/// serve, because it isn't in the record.
+const MAX_HOLD: Duration = Duration::from_secs(10);
+
+/// Time for which they get none after the record has it, so that all hosts learn of the
+/// version before a stream begins there.
+const NEWS_TIME: Duration = Duration::from_millis(300);
+
+/// What is known of a version.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sighting {
+    /// Latest time at which it may have been listed at any host.
+    pub(super) listed_at: Timestamp,
+    /// Latest time at which it was listed here.
+    pub(super) seen_at: Option<Timestamp>,
+    /// Whether the record has it as listed.
+    pub(super) is_open: bool,
+    /// Whether it was seen listed here while the record didn't have it as such.
+    pub(super) is_unrecorded: bool,
+    /// Time until which its upstreams get no requests.
+    pub(super) held_until: Option<Timestamp>,
+}
+
+/// What is known of a service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceHistory {
+    pub(super) versions: HashMap<Option<SoftwareVersion>, Sighting>,
+    pub(super) revision: Option<RecordRevision>,
+    /// Time at which this host learned of that write.
+    pub(super) revision_known_at: Timestamp,
+    /// Time before which other versions may have served.
+    pub(super) complete_since: Option<Timestamp>,
+    /// Whether the record was last written before the store was restored.
+    pub(super) has_outdated_record: bool,
+}
+
+impl ServiceHistory {
+    /// Forgets the versions that were listed long ago.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        let gone = self.versions.values_mut().filter(|one| one.is_gone(now));
+        gone.for_each(|one| (one.is_unrecorded, one.held_until) = (false, None));
+        self.versions
+            .retain(|_, one| one.is_open || now.since(one.listed_at) < RETENTION);
+    }
+
+    pub(super) fn set_open(
+        &mut self,
+        now: Timestamp,
+        is_open: impl Fn(Option<&SoftwareVersion>) -> bool,
+    ) {
+        let is_alone = self.versions.len() == 1;
+        for (version, sighting) in &mut self.versions {
+            let was_open = sighting.is_open;
+            sighting.is_open = is_open(version.as_ref());
+            if sighting.is_open && !was_open {
+                sighting.listed_at = now;
+                sighting.is_unrecorded = false;
+                sighting.held_until = (!is_alone).then_some(now + NEWS_TIME);
+            }
+        }
+    }
+
+    pub(super) fn has_news(&self, now: Timestamp) -> bool {
+        let is_new_version = |one: &Sighting| {
+            let held_until = one.held_until.filter(|_| one.is_unrecorded);
+            held_until.is_some_and(|until| now + MAX_HOLD < until + NEWS_TIME)
+        };
+        let is_new_write = self.revision.is_some() && now.since(self.revision_known_at) < NEWS_TIME;
+        is_new_write || self.versions.values().any(is_new_version)
+    }
+
+    pub(super) fn is_outdated(&self, now: Timestamp) -> bool {
+        let mut versions = self.versions.values();
+        self.has_outdated_record || versions.any(|one| one.is_open != one.is_listed(now))
+    }
+
+    pub(super) fn has_record(&self) -> bool {
+        let mut versions = self.versions.values();
+        versions.any(|one| one.is_open) || self.versions.values().all(|one| !one.is_unrecorded)
+    }
+}
+
+impl Sighting {
+    pub(super) fn new(listed_at: Timestamp) -> Self {
+        Self {
+            listed_at,
+            seen_at: None,
+            is_open: false,
+            is_unrecorded: false,
+            held_until: None,
+        }
+    }
+
+    pub(super) fn record_listed(&mut self, now: Timestamp) {
+        self.listed_at = now;
+        self.seen_at = Some(now);
+        if !self.is_open && !self.is_unrecorded {
+            self.is_unrecorded = true;
+            self.held_until = Some(now + MAX_HOLD);
+        }
+    }
+
+    /// Returns the time since the version was listed here, if peers may not know that yet.
+    pub(super) fn seen_age(&self, now: Timestamp) -> Option<Duration> {
+        let age = self.seen_at.map(|at| now.since(at));
+        age.filter(|age| *age < VIEW_LAG)
+    }
+
+    /// Returns whether the record has to have the version as listed.
+    pub(super) fn is_listed(&self, now: Timestamp) -> bool {
+        !self.is_gone(now) && (self.is_open || self.is_unrecorded)
+    }
+
+    pub(super) fn is_gone(&self, now: Timestamp) -> bool {
+        now.since(self.listed_at) >= GONE_DELAY
+    }
+}
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -124,6 +124,32 @@
         versions.all(|other| other == Some(first)).then_some(first)
     }
 
+    /// Returns the version at which new streams of `service` can be resumed for longest: none
+    /// of its upstreams drains, and it has more than half of those that serve. `None` if no
+    /// other version is leaving.
+    pub fn staying_version(&self, service: &str) -> Option<VersionDigest> {
+        let of_service = self
+            .entries
+            .values()
+            .filter(|one| one.record.service == service);
+        let is_leaving = |one: &Upstream| one.record.phase == UpstreamPhase::Leaving;
+        let leaving: Vec<_> = of_service
+            .clone()
+            .filter(|one| is_leaving(one))
+            .map(|one| one.version)
+            .collect();
+        if leaving.is_empty() {
+            return None;
+        }
+        let mut counts: HashMap<Option<VersionDigest>, usize> = HashMap::new();
+        let serving = of_service.filter(|one| !is_leaving(one));
+        serving.for_each(|one| *counts.entry(one.version).or_default() += 1);
+        let total: usize = counts.values().sum();
+        let (version, count) = counts.into_iter().max_by_key(|(_, count)| *count)?;
+        let stays = count * 2 > total && !leaving.contains(&version);
+        version.filter(|_| stays)
+    }
+
     /// Returns the shortest time for which an upstream of `service` still holds off
     /// requests; `None` if none does.
     pub fn shortest_hold_off(&self, service: &str, now: Timestamp) -> Option<Duration> {
--- a/crates/policy/tests/all/dispatch/stream_versions.rs
+++ b/crates/policy/tests/all/dispatch/stream_versions.rs
@@ -4,8 +4,8 @@
 use super::support::{SERVICE, at_ms, engine, key_of, prompt, table_of, view};
 use lagoonlift_policy::dispatch::{
     EngineRole, ListChange, PeerLoads, Placement, PlacementLimits, PromptPlan, PromptRefusal,
-    RequiredVersion, RolePlanner, SoftwareVersion, StreamKey, StreamVersions, UpstreamRecord,
-    VersionDigest,
+    RequiredVersion, RolePlanner, SoftwareVersion, StreamKey, StreamVersions, UpstreamPhase,
+    UpstreamRecord, VersionDigest,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -180,3 +180,20 @@
     assert_eq!(counts[&Some(version("v3"))], [1, 1]);
     assert!(RolePlanner::new().orders(&table, SERVICE, &[]).is_empty());
 }
+
+/// Guards against new streams at a version that is about to leave, and against a preference
+/// for a version where none leaves.
+#[test]
+fn new_streams_prefer_the_version_that_stays() {
+    let mut records: Vec<UpstreamRecord> = (0..5)
+        .map(|number| engine_of(number, EngineRole::Decode, ["v1", "v2"][number % 2]))
+        .collect();
+    let staying = |records: &[UpstreamRecord]| table_of(records.to_vec()).staying_version(SERVICE);
+    assert_eq!(staying(&records), None);
+    records[0].phase = UpstreamPhase::Leaving;
+    assert_eq!(staying(&records), None);
+    records[2].phase = UpstreamPhase::Leaving;
+    assert_eq!(staying(&records), Some(version("v2")));
+    records[1].phase = UpstreamPhase::Leaving;
+    assert_eq!(staying(&records), None);
+}
