--- a/crates/policy/tests/all/dispatch/stream_versions.rs
+++ b/crates/policy/tests/all/dispatch/stream_versions.rs
@@ -4,8 +4,8 @@
 use super::support::{SERVICE, at_ms, engine, key_of, prompt, table_of, view};
 use lagoonlift_policy::dispatch::{
     EngineRole, ListChange, PeerLoads, Placement, PlacementLimits, PromptPlan, PromptRefusal,
-    RequiredVersion, RolePlanner, SoftwareVersion, StreamKey, StreamVersions, UpstreamPhase,
-    UpstreamRecord, VersionDigest,
+    RecordedVersion, RequiredVersion, RolePlanner, ServedVersions, SoftwareVersion, StreamKey,
+    StreamVersions, UpstreamPhase, UpstreamRecord, VersionDigest, VersionRecord,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -197,3 +197,30 @@
     records[1].phase = UpstreamPhase::Leaving;
     assert_eq!(staying(&records), None);
 }
+
+/// Guards against a record whose times come from a clock that is behind: a stream of the
+/// version that left 4 s ago may still be resumed, though this host's clock shows 10 s.
+#[test]
+fn record_of_a_host_with_another_clock_proves_nothing_early() {
+    let entry = |name: &str, gone_ms| RecordedVersion {
+        version: Some(SoftwareVersion(name.to_owned())),
+        gone_ms,
+    };
+    let record = VersionRecord {
+        service: SERVICE.to_owned(),
+        era: None,
+        complete_since_ms: None,
+        versions: vec![entry("v1", Some(1_000_000)), entry("v2", None)],
+    };
+    let lifetime = Duration::from_secs(4);
+    let proven = |unix_ms, later_ms| {
+        let mut served = ServedVersions::new();
+        let start = at_ms(60_000);
+        served.load(start, unix_ms, None, &[(1, record.clone())], false);
+        let now = start + Duration::from_millis(later_ms);
+        served.sole_version(now, SERVICE, version("v2"), lifetime)
+    };
+    assert_eq!(proven(1_010_000, 0), None);
+    assert_eq!(proven(1_010_000, 10_000), Some(version("v2")));
+    assert_eq!(proven(1_060_000, 0), Some(version("v2")));
+}
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -39,6 +39,11 @@
 /// Time from the return of a crashed engine until it is listed again.
 const LISTING_DELAY: Duration = Duration::from_millis(50);
 
+/// Time from the start of the fault phase until a release takes the engines of one version
+/// off the list and all hosts are killed, and the time until the hosts run again.
+const RELEASE_DELAY: Duration = Duration::from_secs(4);
+const KILL_DURATION: Duration = Duration::from_millis(300);
+
 /// Time after the faults in which the hosts send their last usage reports and finish
 /// requests in flight.
 const SETTLE_TIME: Duration = Duration::from_secs(6);
@@ -70,6 +75,8 @@
     listings: JoinSet<()>,
     /// Number of restarts of each upstream.
     restarts: Vec<u64>,
+    /// Whether a release has taken the engines of one version off the list.
+    is_released: bool,
 }
 
 impl SoakCluster {
@@ -125,6 +132,7 @@
             has_crashing_callers: false,
             listings: JoinSet::new(),
             restarts: vec![0; roles().len()],
+            is_released: false,
         };
         cluster.wait_until_serving("first").await;
         for key in load::keys() {
@@ -209,12 +217,31 @@
                 self.start_callers(KEY, CallerKind::CrashingStream);
                 self.start_callers(KEY, CallerKind::CrashingRequest);
             }
+            let is_due = start.elapsed() > RELEASE_DELAY;
+            if faults::has_versions(self.seed) && is_due && !self.is_released {
+                self.release_and_kill_all();
+            }
             self.start_fault(scheduled);
             let trouble = self.schedule.next_trouble();
             self.start_fault(trouble);
         }
     }
 
+    /// Takes the engines of one version off the list and kills all hosts at once.
+    fn release_and_kill_all(&mut self) {
+        self.is_released = true;
+        for host in 0..HOSTS {
+            self.start_fault(ScheduledFault {
+                delay: Duration::ZERO,
+                fault: Fault::Kill(host),
+                duration: KILL_DURATION,
+            });
+        }
+        for upstream in faults::released_engines() {
+            self.store.remove("servers", &format!("p{upstream}"));
+        }
+    }
+
     /// Ends all faults, waits until the hosts serve again, shuts them down, and
     /// returns the observations of the run.
     pub(crate) async fn finish(mut self) -> RunReport {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -98,6 +98,12 @@
     }
 }
 
+/// Returns the engines of the version that a release takes off the list.
+pub(crate) fn released_engines() -> impl Iterator<Item = usize> {
+    let engines = (0..roles().len()).filter(|one| roles()[*one] != UpstreamRole::Plain);
+    engines.filter(|one| version_of(*one) == "v1")
+}
+
 /// Role of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpstreamRole {
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -188,6 +188,10 @@
     }
 }
 
+/// Times that a caller tries to resume a stream. Hosts that were all killed at once run
+/// again before the last one.
+const RESUMPTIONS: usize = 40;
+
 /// Sends resumable streams to `hosts` in turn until the load is stopped, and takes each one
 /// that breaks up again at the next host.
 pub(crate) async fn run_resuming_caller(log: Arc<CallerLog>, hosts: Vec<SocketAddr>) {
@@ -206,24 +210,32 @@
         };
         let events = response.body.matches("\n\n").count();
         if response.status == 200 && !response.is_whole && events > 0 {
-            sleep(REQUEST_INTERVAL).await;
-            let id = format!("u{number}");
-            let request = RequestKind::ResumableStream
-                .request(&id, KEY)
-                .with("Resumes", &first)
-                .with("Last-Event-Id", &events.to_string());
-            let host = *turns.next().expect("there are hosts");
-            let result = send(&mut None, host, &request).await;
-            let is_continued =
-                matches!(result, SendResult::Responded(response) if response.status == 200);
-            log.taken_up
-                .lock()
-                .expect("the lock is not poisoned")
-                .push(TakenUpStream {
+            for attempt in 0..RESUMPTIONS {
+                sleep(REQUEST_INTERVAL).await;
+                let id = format!("u{number}-{attempt}");
+                let request = RequestKind::ResumableStream
+                    .request(&id, KEY)
+                    .with("Last-Event-Id", &events.to_string());
+                // Every other caller names no attempt.
+                let request = match number.is_multiple_of(2) {
+                    true => request,
+                    false => request.with("Resumes", &first),
+                };
+                let host = *turns.next().expect("there are hosts");
+                let result = send(&mut None, host, &request).await;
+                let is_continued =
+                    matches!(result, SendResult::Responded(response) if response.status == 200);
+                let stream = TakenUpStream {
                     id,
-                    first,
+                    first: first.clone(),
                     is_continued,
-                });
+                };
+                let mut taken_up = log.taken_up.lock().expect("the lock is not poisoned");
+                taken_up.push(stream);
+                if is_continued {
+                    break;
+                }
+            }
         }
         sleep(REQUEST_INTERVAL).await;
     }
