--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -7,7 +7,7 @@
     RefusalCause, RequiredVersion, RetrySafety, StreamKey, VersionDigest,
 };
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time for which other hosts are asked for the version of a stream.
 const LOOKUP_TIME: Duration = Duration::from_millis(150);
@@ -15,6 +15,13 @@
 /// Interval between two questions about it.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Longest time for which a new stream waits for the record of its version. Callers leave
+/// after 2 s without an event.
+const MAX_RECORD_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Polling interval of a new stream that waits for the record of its version.
+const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 impl RequestRun {
     /// Finds out which version a stream requires that the caller takes up. The error is the
     /// response if it can't be known: a stream that goes on at another version is worse than
@@ -25,12 +32,15 @@
             return Ok(());
         }
         let version = match (&request.resumed_attempt, request.last_event_id) {
-            (None, None) => return Ok(()),
-            (Some(attempt), _) => self.look_up(self.stream_key(attempt)).await,
-            (None, Some(_)) => {
-                let table = self.state.table.borrow();
-                table.sole_version(&self.admitted.service)
+            (None, None) => {
+                self.wait_for_record().await;
+                return Ok(());
+            }
+            (Some(attempt), _) => {
+                let known = self.look_up(self.stream_key(attempt)).await;
+                known.or_else(|| self.proven_version())
             }
+            (None, Some(_)) => self.proven_version(),
         };
         self.required_version = RequiredVersion::of_stream(version);
         match version {
@@ -42,6 +52,41 @@
         }
     }
 
+    /// Waits for a bounded time while no upstream of the service has a version that is in the
+    /// record.
+    async fn wait_for_record(&self) {
+        let end = self.admitted.deadline.min(clock::now() + MAX_RECORD_WAIT);
+        let service = &self.admitted.service;
+        let is_waiting = || {
+            let table = self.state.table.borrow();
+            table.is_awaiting_record(service, clock::now())
+        };
+        while is_waiting() && clock::now() < end {
+            sleep(RECORD_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns the version of the service if no other one can have begun a stream that a
+    /// caller may still resume.
+    fn proven_version(&self) -> Option<VersionDigest> {
+        let service = &self.admitted.service;
+        let listed = self.state.table.borrow().sole_version(service);
+        let lifetime = self.state.config()?.longest_resumable(service);
+        let served = self.state.served_versions.borrow();
+        let proven =
+            listed.and_then(|listed| served.sole_version(clock::now(), service, listed, lifetime));
+        tracing::info!(
+            request = self.admitted.outgoing.request.id,
+            service,
+            has_sole_listed = listed.is_some(),
+            is_proven = proven.is_some(),
+            lifetime_ms = lifetime.as_millis() as u64,
+            versions = %served.summary(clock::now(), service),
+            "version of a resumed stream that no host knows"
+        );
+        proven
+    }
+
     /// Returns the version at which a stream began, from this host or another one.
     async fn look_up(&self, stream: StreamKey) -> Option<VersionDigest> {
         let state = &self.state;
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 //! * [`Placement`] chooses an upstream, or reports that none can serve in time.
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
 //! * [`StreamVersions`] knows the software versions at which streams began.
+//! * [`ServedVersions`] knows the versions at which each service has served.
 //! * [`retry_after`] computes when a refused caller may retry.
 //! * [`choose_cuts`] chooses the responses to cut when a host holds too much for callers.
 //! * [`HostRoster`] counts the hosts among which the rates that upstreams state are shared.
@@ -63,6 +64,7 @@
 mod roles;
 mod scaling;
 mod sealed_sums;
+mod served_versions;
 mod spot_replacement;
 mod standing_fleet;
 mod store_backoff;
@@ -72,6 +74,7 @@
 mod upstream;
 mod usage;
 mod usage_copies;
+mod version_record;
 mod wall_clock;
 
 pub use attempts::{AttemptHistory, NextStep, SendResult};
@@ -107,6 +110,7 @@
     FleetTarget, InitialFleet, InitialFleetCounter, ScalePlanner, count_standard_upstreams,
 };
 pub use sealed_sums::{SealedSums, SumSource};
+pub use served_versions::{NoticedVersion, RecordRevision, ServedVersions, VersionsNotice};
 pub use spot_replacement::{
     ListedFleet, ListedFleets, ReplacementFacts, ReplacementSummary, SpotReplacement,
     count_listed_fleets,
@@ -125,4 +129,5 @@
     WindowCounts, sum_window,
 };
 pub use usage_copies::{UsageCopies, UsageCopy};
+pub use version_record::{RecordedVersion, VersionRecord};
 pub use wall_clock::WallClock;
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -42,6 +42,8 @@
     relist_until: Option<Timestamp>,
     reachability: Reachability,
     rate_sharing: RateSharing,
+    /// Number of upstreams that wait until their version is in the record.
+    awaiting_record: usize,
 }
 
 impl UpstreamTable {
@@ -82,8 +84,32 @@
             && self
                 .serving(service, now)
                 .any(|(_, upstream)| self.may_contact(upstream, now));
+        let skips_awaiting = self.awaiting_record > 0
+            && self
+                .serving(service, now)
+                .filter(|(_, upstream)| !skips_avoided || self.may_contact(upstream, now))
+                .any(|(_, upstream)| !upstream.awaits_record);
         self.serving(service, now)
             .filter(move |(_, upstream)| !skips_avoided || self.may_contact(upstream, now))
+            .filter(move |(_, upstream)| !skips_awaiting || !upstream.awaits_record)
+    }
+
+    /// Returns whether all upstreams of `service` that could serve wait until their version
+    /// is in the record.
+    pub fn is_awaiting_record(&self, service: &str, now: Timestamp) -> bool {
+        let mut serving = self.serving(service, now).peekable();
+        self.awaiting_record > 0
+            && serving.peek().is_some()
+            && serving.all(|(_, upstream)| upstream.awaits_record)
+    }
+
+    /// Sets which upstreams wait until their version is in the record.
+    pub fn set_awaiting_record(&mut self, awaits: impl Fn(&UpstreamRecord) -> bool) {
+        for upstream in self.entries.values_mut() {
+            upstream.awaits_record = awaits(&upstream.record);
+        }
+        let awaiting = self.entries.values().filter(|one| one.awaits_record);
+        self.awaiting_record = awaiting.count();
     }
 
     /// Returns the only version that the listed upstreams of `service` have, draining ones
@@ -98,6 +124,32 @@
         versions.all(|other| other == Some(first)).then_some(first)
     }
 
+    /// Returns the version at which new streams of `service` can be resumed for longest: none
+    /// of its upstreams drains, and it has more than half of those that serve. `None` if no
+    /// other version is leaving.
+    pub fn staying_version(&self, service: &str) -> Option<VersionDigest> {
+        let of_service = self
+            .entries
+            .values()
+            .filter(|one| one.record.service == service);
+        let is_leaving = |one: &Upstream| one.record.phase == UpstreamPhase::Leaving;
+        let leaving: Vec<_> = of_service
+            .clone()
+            .filter(|one| is_leaving(one))
+            .map(|one| one.version)
+            .collect();
+        if leaving.is_empty() {
+            return None;
+        }
+        let mut counts: HashMap<Option<VersionDigest>, usize> = HashMap::new();
+        let serving = of_service.filter(|one| !is_leaving(one));
+        serving.for_each(|one| *counts.entry(one.version).or_default() += 1);
+        let total: usize = counts.values().sum();
+        let (version, count) = counts.into_iter().max_by_key(|(_, count)| *count)?;
+        let stays = count * 2 > total && !leaving.contains(&version);
+        version.filter(|_| stays)
+    }
+
     /// Returns the shortest time for which an upstream of `service` still holds off
     /// requests; `None` if none does.
     pub fn shortest_hold_off(&self, service: &str, now: Timestamp) -> Option<Duration> {
