quotas: one owner for each workspace grants tokens to all hosts

A workspace may have a quota that holds for all hosts together. Hosts had no way to share one: an equal share of 29,000 tokens a second over 74 hosts is less than one request. The owner is elected by seats that follow from the roster, so a paused or cut-off owner stops granting before another begins. The gateway asks it at admission and refuses with 429 beyond the quota.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -1,5 +1,6 @@
 //! Admission of a request: finds its route and workspace and reads its body.
 
+use crate::quota;
 use crate::reply::GatewayReply;
 use crate::send::OutgoingRequest;
 use crate::state::GatewayState;
@@ -10,7 +11,9 @@
 use hyper::body::Incoming;
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{RequestContent, Route, ServingConfig, SuspectKey};
+use lagoonlift_policy::dispatch::{
+    QuotaCharge, RequestContent, Route, ServingConfig, SuspectKey, WorkspaceQuota,
+};
 use rand::RngExt;
 use std::error::Error;
 use std::time::Duration;
@@ -42,6 +45,8 @@
     pub(crate) service: String,
     /// Latest time for the response to the caller.
     pub(crate) deadline: Timestamp,
+    /// What the request was charged to the quota of its workspace.
+    pub(crate) charge: Option<QuotaCharge>,
 }
 
 /// Route and service of a request, and the workspace that it belongs to.
@@ -49,6 +54,7 @@
     route: Route,
     service: String,
     workspace: Option<String>,
+    quota: Option<WorkspaceQuota>,
     /// Urgency of the workspace, or else of the route; 0 is the most urgent.
     urgency: u32,
 }
@@ -77,6 +83,13 @@
     if config.is_some_and(|config| config.has_workspaces()) {
         request.remove_key();
     }
+    let charge = match (&resolved.workspace, resolved.quota) {
+        (Some(workspace), Some(quota)) => {
+            let tokens = request.stated_tokens;
+            Some(quota::charge(state, workspace, quota, &request.id, tokens).await?)
+        }
+        _ => None,
+    };
     let key = content_key(&request, &resolved, &body);
     Ok(Admitted {
         outgoing: OutgoingRequest {
@@ -91,6 +104,7 @@
         route: resolved.route,
         service: resolved.service,
         deadline: arrived + wait,
+        charge: charge.flatten(),
     })
 }
 
@@ -159,6 +173,7 @@
     Ok(ResolvedRequest {
         service: choose_service(route).ok_or(undecided("the route has no service"))?,
         workspace: workspace.map(|workspace| workspace.name.clone()),
+        quota: workspace.and_then(|workspace| workspace.quota),
         urgency: urgency.unwrap_or(route.urgency),
         route: route.clone(),
     })
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,9 +72,10 @@
         spawn_local(run_maintenance(Rc::clone(&state)));
         spawn_local(quarantine_store::restore_at_start(Rc::clone(&state)));
         duty::start(&state);
-        if let Some(address) = state.settings.listen.peers {
-            spawn_local(peers::exchange(Rc::clone(&state), address));
-        }
+        match state.settings.listen.peers {
+            Some(address) => spawn_local(peers::exchange(Rc::clone(&state), address)),
+            None => spawn_local(peers::quota::keep_quotas(Rc::clone(&state), None)),
+        };
         spawn_local(reload::follow_settings(Rc::clone(&state), file));
         tracing::info!(
             host = state.settings.host.name,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_adapter::upstream::forwarded_response_headers;
-use lagoonlift_policy::dispatch::NextStep;
+use lagoonlift_policy::dispatch::{NextStep, QuotaCharge};
 use std::rc::Rc;
 
 /// Handles one request of a caller. `in_use` is dropped with the response's body.
@@ -65,15 +65,20 @@
         Err(reply) => return end_with_reply(reply, &id, request_log),
     };
     request_log.record_admitted(&admitted);
+    let charge = admitted.charge;
     let mut run = RequestRun::new(Rc::clone(state), admitted);
     if let Err(reply) = run.find_version().await {
+        return_charge(state, charge, &reply);
         return end_with_reply(reply, &id, request_log);
     }
     loop {
         let outcome = run.next_outcome().await;
         request_log.record_attempts(run.summary());
         let upstream_response = match outcome {
-            RunOutcome::Reply(reply) => return end_with_reply(reply, &id, request_log),
+            RunOutcome::Reply(reply) => {
+                return_charge(state, charge, &reply);
+                return end_with_reply(reply, &id, request_log);
+            }
             RunOutcome::Complete(parts, body) => {
                 // The whole response has been read from the upstream by now.
                 request_log.record_first_byte();
@@ -104,6 +109,13 @@
     }
 }
 
+/// Returns the charge of a request if the reply says that it certainly doesn't run.
+fn return_charge(state: &GatewayState, charge: Option<QuotaCharge>, reply: &GatewayReply) {
+    if let (Some(charge), StatusCode::SERVICE_UNAVAILABLE) = (charge, reply.status) {
+        state.quota_desk.give_back(charge);
+    }
+}
+
 /// Ends the request with a response of the gateway's own.
 fn end_with_reply(
     reply: GatewayReply,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod metrics;
 mod peers;
 mod quarantine_store;
+mod quota;
 mod relay;
 mod reload;
 mod reply;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     quarantined_blocks: Gauge<u64>,
     quarantined_requests: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
+    quota_charges: Counter<u64>,
+    quota_refusals: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -88,6 +90,16 @@
                 .u64_gauge("lagoonlift_gateway_quarantined_requests")
                 .with_description("Requests in quarantine because they crash upstreams.")
                 .build(),
+            quota_charges: counter(
+                &meter,
+                "lagoonlift_gateway_quota_charges",
+                "Tokens or requests charged to quotas, by workspace.",
+            ),
+            quota_refusals: counter(
+                &meter,
+                "lagoonlift_gateway_quota_refusals",
+                "Requests refused by quotas, by workspace and reason.",
+            ),
             store_restores: meter
                 .u64_gauge("lagoonlift_gateway_store_restores")
                 .with_description("Restores of the store from a copy since the start.")
@@ -133,6 +145,21 @@
         self.sends.add(1, &labels);
     }
 
+    /// Counts what a request was charged. `workspace` is one of a bounded number of labels.
+    pub(crate) fn count_quota_charge(&self, workspace: &str, charge: u64) {
+        let labels = [KeyValue::new("workspace", workspace.to_owned())];
+        self.quota_charges.add(charge, &labels);
+    }
+
+    /// Counts a request that was refused. `workspace` is one of a bounded number of labels.
+    pub(crate) fn count_quota_refusal(&self, workspace: &str, reason: &'static str) {
+        let labels = [
+            KeyValue::new("workspace", workspace.to_owned()),
+            KeyValue::new("reason", reason),
+        ];
+        self.quota_refusals.add(1, &labels);
+    }
+
     pub(crate) fn count_store_failure(&self) {
         self.store_failures.add(1, &[]);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! message repeats the complete state. A host learns the addresses of its peers
 //! from the usage counts in the store and from the datagrams that it receives.
 
+pub(crate) mod quota;
 mod usage;
 
 use crate::announcements;
@@ -15,7 +16,7 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     BlameNews, ConfigVersion, HostReport, InFlightLoad, PeerConfirmation, PeerConfirmationResult,
-    RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest, UsageCopy,
+    QuotaMessage, RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest, UsageCopy,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -90,6 +91,8 @@
     /// Queries the version of a stream. The response is a message `Streams` if the receiver
     /// knows it.
     StreamQuery(StreamKey),
+    /// Elects owners of quotas and grants tokens.
+    Quota(QuotaMessage),
 }
 
 /// Load of a host.
@@ -114,6 +117,8 @@
     };
     tokio::task::spawn_local(receive(Rc::clone(&state), Rc::clone(&socket)));
     tokio::task::spawn_local(query_confirmations(Rc::clone(&state), Rc::clone(&socket)));
+    let quotas = quota::keep_quotas(Rc::clone(&state), Some(Rc::clone(&socket)));
+    tokio::task::spawn_local(quotas);
     if state.settings.duties.is_some() {
         tokio::task::spawn_local(usage::send_copies(Rc::clone(&state), Rc::clone(&socket)));
     }
@@ -367,6 +372,12 @@
                 announcements::record_rate_notice(state, address, notice);
             }
         }
+        PeerMessage::Quota(message) => {
+            let mut quotas = state.quota_desk.quotas.borrow_mut();
+            quotas.handle(now, address, message);
+            state.quota_desk.heard.notify_waiters();
+            state.quota_desk.has_news.notify_one();
+        }
         PeerMessage::Usage(copy) => {
             state.usage_copies.borrow_mut().record(now, copy);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use crate::crash_monitor::CrashMonitor;
 use crate::final_publication::FinalPublication;
 use crate::metrics::GatewayMetrics;
+use crate::quota::QuotaDesk;
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use lagoonlift_policy::dispatch::{
@@ -76,6 +77,9 @@
     pub(crate) announced_store_status: Cell<StoreStatus>,
     /// The hosts that receive messages and share what upstreams take.
     pub(crate) roster: RefCell<HostRoster>,
+    pub(crate) quota_desk: QuotaDesk,
+    /// Revision of the latest configuration that couldn't be decoded; 0 if there was none.
+    pub(crate) malformed_config: Cell<u64>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
     pub(crate) freshness: RefCell<ConfigFreshness>,
     /// Notified when a peer has a newer configuration.
@@ -138,6 +142,8 @@
                 incarnation_id,
                 clock::now(),
             )),
+            malformed_config: Cell::new(0),
+            quota_desk: QuotaDesk::new(settings.listen.peers, incarnation_id, &settings.bounds),
             freshness: RefCell::new(ConfigFreshness::new(limits)),
             usage: RefCell::new(UsageCounts::new(window_us)),
             usage_copies: RefCell::new(UsageCopies::new()),
@@ -283,6 +289,7 @@
             change: bounds.configuration,
         };
         self.freshness.borrow_mut().set_limits(limits);
+        self.quota_desk.set_bounds(bounds);
     }
 
     /// Returns the highest number of hosts that were ever listed, or the initial
--- a/crates/gateway/src/watcher/config.rs
+++ b/crates/gateway/src/watcher/config.rs
@@ -180,7 +180,10 @@
     let config = match decode_config(&object.contents) {
         Ok(config) => config,
         Err(error) => {
-            tracing::error!(revision = object.revision.0, %error, "malformed configuration");
+            // The object is read again and again; each revision is logged once.
+            if state.malformed_config.replace(object.revision.0) != object.revision.0 {
+                tracing::error!(revision = object.revision.0, %error, "malformed configuration");
+            }
             return;
         }
     };
@@ -193,5 +196,6 @@
         routes = config.routes().len(),
         "configuration in force"
     );
+    state.quota_desk.apply_config(&config);
     *state.config.borrow_mut() = Some(Rc::new(config));
 }
--- a/crates/policy/src/dispatch/configuration.rs
+++ b/crates/policy/src/dispatch/configuration.rs
@@ -1,5 +1,6 @@
 //! Routes, services and workspaces of one configuration version.
 
+use super::quota::{QuotaKey, WorkspaceQuota};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -139,7 +140,7 @@
 }
 
 /// A team whose requests are counted separately.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
     /// Name of the workspace in usage reports and in requests to upstreams.
     pub name: String,
@@ -147,6 +148,8 @@
     pub api_keys: Vec<String>,
     /// Urgency that replaces the route's.
     pub urgency: Option<u32>,
+    /// Quota of its requests over all hosts; `None` is no limit.
+    pub quota: Option<WorkspaceQuota>,
 }
 
 /// One version of the configuration.
@@ -210,6 +213,12 @@
         !self.workspaces.is_empty()
     }
 
+    /// Returns the quotas of the workspaces that have one.
+    pub fn quotas(&self) -> impl Iterator<Item = (QuotaKey, WorkspaceQuota)> {
+        let workspaces = self.workspaces.iter();
+        workspaces.filter_map(|one| Some((QuotaKey::new(&one.name), one.quota?)))
+    }
+
     /// Returns the service named `name`.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/policy/src/dispatch/host_roster.rs
+++ b/crates/policy/src/dispatch/host_roster.rs
@@ -80,6 +80,11 @@
         others.filter(|address| Some(*address) != self.own)
     }
 
+    /// Returns the number of hosts that the store has listed; 0 until it has.
+    pub fn listed(&self) -> usize {
+        self.listed
+    }
+
     /// Returns whether the process still announces itself to the others.
     pub fn is_joining(&self, now: Timestamp) -> bool {
         now.since(self.started_at) < JOIN_TIME
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 //! * [`StreamVersions`] knows the software versions at which streams began.
 //! * [`retry_after`] computes when a refused caller may retry.
 //! * [`HostRoster`] counts the hosts among which the rates that upstreams state are shared.
+//! * [`HostQuotas`] decides whether a request is within the quota of its workspace.
 //! * [`PeerLoads`] tracks the in-flight load and the role changes of other hosts.
 //!
 //! These types decide about the fleet and the work of the hosts:
@@ -46,6 +47,7 @@
 mod peer_load;
 mod placement;
 mod prefill_rate;
+mod quota;
 mod reachability;
 mod retry_after;
 mod retry_budget;
@@ -79,6 +81,11 @@
     RequiredVersion,
 };
 pub use prefill_rate::PrefillRate;
+pub use quota::{
+    AskId, BucketDenial, HostQuotas, OutgoingQuotaMessage, QuotaBucket, QuotaCharge, QuotaDecision,
+    QuotaGrant, QuotaKey, QuotaLimits, QuotaMessage, QuotaRefusal, QuotaRoster, QuotaUnit,
+    WorkspaceQuota,
+};
 pub use reachability::{ContactEffect, ContactResult};
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
--- /dev/null
+++ b/crates/policy/src/dispatch/quota/host_quotas.rs
@@ -0,0 +1,514 @@
+//! The quotas of all workspaces at one host.
+
+use super::account::{QuotaAccount, QuotaCharge, QuotaDecision, QuotaRefusal, origin_of};
+use super::bucket::QuotaBucket;
+use super::limits::{QuotaKey, QuotaLimits, WorkspaceQuota};
+use super::messages::{MAX_KEYS, QuotaGrant, QuotaMessage};
+use super::ownership::{TokenQuestion, WorkspaceOwnership};
+use super::seats::{QuotaRoster, WorkspaceSeats};
+use crate::Timestamp;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for which a host that has answered as the owner is asked alone.
+const OWNER_MEMORY: Duration = Duration::from_secs(2);
+
+/// Time after which the answer to a request that no longer waits is returned.
+const ASK_MEMORY: Duration = Duration::from_secs(1);
+
+/// Least life of a grant, so that a request can get one at all.
+const MIN_GRANT_TTL: Duration = Duration::from_millis(60);
+
+/// Identifies the question of a request that waits for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskId(pub u64);
+
+/// A message and its receiver.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutgoingQuotaMessage {
+    /// Address of the receiver.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: QuotaMessage,
+}
+
+/// One workspace with a quota.
+#[derive(Clone, Debug)]
+struct QuotaWorkspace {
+    ownership: WorkspaceOwnership,
+    account: QuotaAccount,
+    /// Host that has answered as the owner, and when.
+    owner: Option<(SocketAddr, Timestamp)>,
+}
+
+/// A request that waits for an answer.
+#[derive(Clone, Copy, Debug)]
+struct WaitingAsk {
+    key: QuotaKey,
+    charge: u64,
+    asked_at: Timestamp,
+    answer: Option<QuotaDecision>,
+}
+
+/// The quotas of all workspaces at one host: its part as a seat, as an owner, and as a host
+/// that asks.
+#[derive(Debug)]
+pub struct HostQuotas {
+    own: SocketAddr,
+    /// Random number of this process.
+    seed: u64,
+    limits: QuotaLimits,
+    roster: QuotaRoster,
+    workspaces: BTreeMap<QuotaKey, QuotaWorkspace>,
+    waiting: BTreeMap<AskId, WaitingAsk>,
+    last_ask: u64,
+    /// Time until which this host may have made promises that it doesn't know.
+    forgot_at: Timestamp,
+    outgoing: Vec<OutgoingQuotaMessage>,
+}
+
+impl HostQuotas {
+    /// Creates the state of a process that starts at `now`. `seed` is a random number.
+    pub fn new(own: SocketAddr, seed: u64, limits: QuotaLimits, now: Timestamp) -> Self {
+        Self {
+            own,
+            seed,
+            limits,
+            roster: QuotaRoster::default(),
+            workspaces: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            last_ask: 0,
+            forgot_at: now,
+            outgoing: Vec::new(),
+        }
+    }
+
+    /// Returns whether no workspace has a quota.
+    pub fn is_empty(&self) -> bool {
+        self.workspaces.is_empty()
+    }
+
+    /// Replaces the limits.
+    pub fn set_limits(&mut self, limits: QuotaLimits) {
+        self.limits = limits;
+    }
+
+    /// Puts the quotas of a configuration into force.
+    pub fn set_quotas(
+        &mut self,
+        now: Timestamp,
+        quotas: impl IntoIterator<Item = (QuotaKey, WorkspaceQuota)>,
+    ) {
+        let mut earlier = std::mem::take(&mut self.workspaces);
+        for (key, quota) in quotas {
+            let known = earlier.remove(&key);
+            let mut workspace = known.unwrap_or_else(|| self.new_workspace(key, quota));
+            workspace.ownership.set_quota(now, quota, self.limits);
+            workspace.account.set_quota(quota);
+            self.workspaces.insert(key, workspace);
+        }
+        if !earlier.is_empty() {
+            self.forgot_at = now;
+        }
+    }
+
+    fn new_workspace(&self, key: QuotaKey, quota: WorkspaceQuota) -> QuotaWorkspace {
+        let mut ownership = WorkspaceOwnership::new(self.own, self.forgot_at);
+        ownership.set_seats(WorkspaceSeats::new(key, &self.roster.members));
+        QuotaWorkspace {
+            ownership,
+            account: QuotaAccount::new(key, quota),
+            owner: None,
+        }
+    }
+
+    /// Replaces the roster.
+    pub fn set_roster(&mut self, roster: QuotaRoster) {
+        let is_changed = roster.members != self.roster.members;
+        self.roster = roster;
+        if is_changed {
+            for (key, workspace) in &mut self.workspaces {
+                let seats = WorkspaceSeats::new(*key, &self.roster.members);
+                workspace.ownership.set_seats(seats);
+            }
+        }
+    }
+
+    /// Returns the messages to send.
+    pub fn take_outgoing(&mut self) -> Vec<OutgoingQuotaMessage> {
+        std::mem::take(&mut self.outgoing)
+    }
+
+    /// Renews leases and returns what has expired.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.request_leases(now);
+        self.return_expired(now);
+        let is_over = |_: &AskId, ask: &mut WaitingAsk| now.since(ask.asked_at) >= ASK_MEMORY;
+        let over: Vec<_> = self.waiting.extract_if(.., is_over).collect();
+        for (_, ask) in over {
+            if let Some(QuotaDecision::Admit(Some(charge))) = ask.answer {
+                self.give_back(now, charge);
+            }
+        }
+    }
+
+    fn request_leases(&mut self, now: Timestamp) {
+        let mut by_seat: BTreeMap<SocketAddr, Vec<QuotaKey>> = BTreeMap::new();
+        for (key, workspace) in &mut self.workspaces {
+            for seat in workspace.ownership.begin_request(now) {
+                by_seat.entry(*seat).or_default().push(*key);
+            }
+        }
+        for (seat, keys) in by_seat {
+            for keys in keys.chunks(MAX_KEYS) {
+                let message = QuotaMessage::LeaseRequest {
+                    asked_at_us: now.0,
+                    keys: keys.to_vec(),
+                };
+                self.send(now, seat, message);
+            }
+        }
+    }
+
+    fn return_expired(&mut self, now: Timestamp) {
+        let mut expired = Vec::new();
+        for (key, workspace) in &mut self.workspaces {
+            let tokens = workspace.account.take_expired(now).into_iter();
+            expired.extend(tokens.map(|(origin, tokens)| QuotaCharge {
+                key: *key,
+                tokens,
+                origin: Some(origin),
+            }));
+        }
+        for charge in expired {
+            self.give_back(now, charge);
+        }
+    }
+
+    /// Decides about a request of a workspace. The error is the question whose answer it has
+    /// to wait for.
+    ///
+    /// # Errors
+    ///
+    /// Returns the question if the owner has to be asked.
+    pub fn begin(
+        &mut self,
+        now: Timestamp,
+        key: QuotaKey,
+        charge: u64,
+    ) -> Result<QuotaDecision, AskId> {
+        let ttl = self.grant_ttl();
+        let Some(workspace) = self.workspaces.get_mut(&key) else {
+            return Ok(QuotaDecision::Admit(None));
+        };
+        if charge == 0 {
+            return Ok(QuotaDecision::Admit(None));
+        }
+        let account = &mut workspace.account;
+        account.record_demand(now, charge);
+        if let Some(spent) = account.spend_held(now, charge) {
+            let advance = account.advance_wanted(now, charge, ttl);
+            if advance > 0 {
+                self.ask_owner(now, key, charge, advance, false);
+            }
+            return Ok(QuotaDecision::Admit(Some(spent)));
+        }
+        if let Some(refusal) = account.known_refusal(now, charge, self.limits.window) {
+            return Ok(QuotaDecision::Refuse(refusal));
+        }
+        if workspace.ownership.seats().is_empty() {
+            return Ok(self.decide_ownerless(now, key, charge));
+        }
+        let is_own = workspace.ownership.is_owner(now);
+        let advance = match is_own {
+            true => 0,
+            false => workspace.account.advance_wanted(now, charge, ttl),
+        };
+        let ask = self.ask_owner(now, key, charge, advance, true);
+        self.take_answer(now, ask).ok_or(ask)
+    }
+
+    /// Sends the question again, to all seats.
+    pub fn repeat_ask(&mut self, now: Timestamp, ask: AskId) {
+        let Some(waiting) = self.waiting.get(&ask).copied() else {
+            return;
+        };
+        if let Some(workspace) = self.workspaces.get_mut(&waiting.key) {
+            workspace.owner = None;
+        }
+        self.send_ask(now, waiting.key, ask, waiting.charge, 0);
+    }
+
+    /// Returns the decision about a request that waits, if the owner has answered.
+    pub fn take_answer(&mut self, now: Timestamp, ask: AskId) -> Option<QuotaDecision> {
+        let answer = self.waiting.get(&ask)?.answer?;
+        let waiting = self.waiting.remove(&ask)?;
+        let is_late = now.since(waiting.asked_at) >= self.grant_ttl();
+        match answer {
+            // This process was held up after the grant had arrived.
+            QuotaDecision::Admit(Some(charge)) if is_late => {
+                self.give_back(now, charge);
+                Some(self.decide_ownerless(now, waiting.key, waiting.charge))
+            }
+            answer => Some(answer),
+        }
+    }
+
+    /// Decides about a request that has waited for long enough.
+    pub fn end_ask(&mut self, now: Timestamp, ask: AskId) -> QuotaDecision {
+        if let Some(answer) = self.take_answer(now, ask) {
+            return answer;
+        }
+        match self.waiting.remove(&ask) {
+            Some(waiting) => self.decide_ownerless(now, waiting.key, waiting.charge),
+            None => QuotaDecision::Refuse(QuotaRefusal::NoOwner {
+                retry_after: ASK_MEMORY,
+            }),
+        }
+    }
+
+    /// Returns the charge of a request that certainly doesn't run.
+    pub fn give_back(&mut self, now: Timestamp, charge: QuotaCharge) {
+        let Some(origin) = charge.origin else {
+            return;
+        };
+        let message = QuotaMessage::Return {
+            key: charge.key,
+            term: origin.term,
+            granted_at_us: origin.granted_at_us,
+            tokens: charge.tokens,
+        };
+        self.send(now, origin.owner, message);
+    }
+
+    fn decide_ownerless(&mut self, now: Timestamp, key: QuotaKey, charge: u64) -> QuotaDecision {
+        let (limits, most_hosts) = (self.limits, self.roster.most_hosts);
+        match self.workspaces.get_mut(&key) {
+            Some(one) => one
+                .account
+                .decide_ownerless(now, charge, &limits, most_hosts),
+            None => QuotaDecision::Admit(None),
+        }
+    }
+
+    fn grant_ttl(&self) -> Duration {
+        self.limits.grant_ttl().max(MIN_GRANT_TTL)
+    }
+
+    /// Asks for tokens, for a request that waits or only in advance.
+    fn ask_owner(
+        &mut self,
+        now: Timestamp,
+        key: QuotaKey,
+        charge: u64,
+        advance: u64,
+        is_waiting: bool,
+    ) -> AskId {
+        self.last_ask += 1;
+        let ask = AskId(self.last_ask);
+        let charge = if is_waiting { charge } else { 0 };
+        let waiting = WaitingAsk {
+            key,
+            charge,
+            asked_at: now,
+            answer: None,
+        };
+        self.waiting.insert(ask, waiting);
+        self.send_ask(now, key, ask, charge, advance);
+        ask
+    }
+
+    fn send_ask(&mut self, now: Timestamp, key: QuotaKey, ask: AskId, charge: u64, advance: u64) {
+        let Some(workspace) = self.workspaces.get_mut(&key) else {
+            return;
+        };
+        let is_recent = |(_, at): &(SocketAddr, Timestamp)| now.since(*at) < OWNER_MEMORY;
+        let known = workspace.owner.filter(is_recent).map(|(owner, _)| owner);
+        let receivers = match known {
+            _ if workspace.ownership.is_owner(now) => vec![self.own],
+            Some(owner) => vec![owner],
+            None => workspace.ownership.seats().to_vec(),
+        };
+        for receiver in receivers {
+            let message = QuotaMessage::Ask {
+                key,
+                id: ask.0,
+                charge,
+                advance,
+            };
+            self.send(now, receiver, message);
+        }
+    }
+
+    /// Sends a message. One to this host is handled at once.
+    fn send(&mut self, now: Timestamp, to: SocketAddr, message: QuotaMessage) {
+        match to == self.own {
+            true => self.handle(now, to, message),
+            false => self.outgoing.push(OutgoingQuotaMessage { to, message }),
+        }
+    }
+
+    /// Handles a message from the host at `from`.
+    pub fn handle(&mut self, now: Timestamp, from: SocketAddr, message: QuotaMessage) {
+        match message {
+            QuotaMessage::LeaseRequest { asked_at_us, keys } => {
+                self.promise_leases(now, from, asked_at_us, keys);
+            }
+            QuotaMessage::LeasePromise { asked_at_us, keys } => {
+                for key in keys {
+                    self.record_promise(now, from, key, Timestamp(asked_at_us));
+                }
+            }
+            QuotaMessage::Ask {
+                key,
+                id,
+                charge,
+                advance,
+            } => {
+                let question = TokenQuestion {
+                    key,
+                    id,
+                    charge,
+                    advance,
+                };
+                self.answer(now, from, question);
+            }
+            QuotaMessage::Grant { key, id, grant } => {
+                self.record_grant(now, from, key, AskId(id), grant);
+            }
+            QuotaMessage::Denial {
+                key,
+                id,
+                fits_after_ms,
+                retry_after_ms,
+                left,
+            } => {
+                let retry_after = Duration::from_millis(retry_after_ms.into());
+                let fits_after = fits_after_ms.map(|ms| Duration::from_millis(ms.into()));
+                self.note_owner(now, from, key);
+                self.record_denial(now, AskId(id), fits_after, retry_after, left);
+            }
+            QuotaMessage::Return {
+                key,
+                term,
+                granted_at_us,
+                tokens,
+            } => {
+                if let Some(workspace) = self.workspaces.get_mut(&key) {
+                    let granted_at = Timestamp(granted_at_us);
+                    workspace.ownership.give_back(now, term, granted_at, tokens);
+                }
+            }
+        }
+    }
+
+    fn promise_leases(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        asked_at_us: u64,
+        mut keys: Vec<QuotaKey>,
+    ) {
+        keys.retain(|key| {
+            let workspace = self.workspaces.get_mut(key);
+            workspace.is_some_and(|one| one.ownership.promise(now, from))
+        });
+        if !keys.is_empty() {
+            self.send(now, from, QuotaMessage::LeasePromise { asked_at_us, keys });
+        }
+    }
+
+    fn record_promise(
+        &mut self,
+        now: Timestamp,
+        seat: SocketAddr,
+        key: QuotaKey,
+        asked_at: Timestamp,
+    ) {
+        let (limits, seed) = (self.limits, self.seed);
+        let Some(workspace) = self.workspaces.get_mut(&key) else {
+            return;
+        };
+        let quota = workspace.account.quota;
+        let bucket = || QuotaBucket::new(quota, limits, now);
+        let ownership = &mut workspace.ownership;
+        ownership.record_promise(now, seat, asked_at, bucket, seed);
+    }
+
+    fn answer(&mut self, now: Timestamp, from: SocketAddr, question: TokenQuestion) {
+        let window = self.limits.window;
+        let workspace = self.workspaces.get_mut(&question.key);
+        let answer = workspace.and_then(|one| one.ownership.answer(now, question, window));
+        if let Some(answer) = answer {
+            self.send(now, from, answer);
+        }
+    }
+
+    fn note_owner(&mut self, now: Timestamp, owner: SocketAddr, key: QuotaKey) {
+        if let Some(workspace) = self.workspaces.get_mut(&key) {
+            workspace.owner = Some((owner, now));
+        }
+    }
+
+    /// Records a grant. What no request waits for is returned.
+    fn record_grant(
+        &mut self,
+        now: Timestamp,
+        owner: SocketAddr,
+        key: QuotaKey,
+        ask: AskId,
+        grant: QuotaGrant,
+    ) {
+        self.note_owner(now, owner, key);
+        let charge = |tokens| QuotaCharge {
+            key,
+            tokens,
+            origin: Some(origin_of(owner, grant)),
+        };
+        let ttl = self.grant_ttl();
+        let waiting = self.waiting.get_mut(&ask);
+        let Some(waiting) = waiting.filter(|one| one.key == key && one.answer.is_none()) else {
+            self.give_back(now, charge(grant.charge + grant.advance));
+            return;
+        };
+        waiting.answer = Some(QuotaDecision::Admit(Some(charge(grant.charge))));
+        let expires_at = waiting.asked_at + ttl;
+        if waiting.charge == 0 {
+            self.waiting.remove(&ask);
+        }
+        if let Some(workspace) = self.workspaces.get_mut(&key)
+            && grant.advance > 0
+        {
+            workspace.account.hold(owner, grant, expires_at);
+        }
+    }
+
+    fn record_denial(
+        &mut self,
+        now: Timestamp,
+        ask: AskId,
+        fits_after: Option<Duration>,
+        retry_after: Duration,
+        left: i64,
+    ) {
+        let waiting = self.waiting.get_mut(&ask);
+        let Some(waiting) = waiting.filter(|one| one.answer.is_none()) else {
+            return;
+        };
+        let refusal = match fits_after {
+            None => QuotaRefusal::TooLarge { retry_after },
+            Some(_) => QuotaRefusal::UsedUp {
+                retry_after,
+                left,
+                age: now.since(waiting.asked_at),
+            },
+        };
+        waiting.answer = Some(QuotaDecision::Refuse(refusal));
+        let (key, charge) = (waiting.key, waiting.charge);
+        if let (Some(workspace), Some(fits_after)) = (self.workspaces.get_mut(&key), fits_after) {
+            let account = &mut workspace.account;
+            account.record_denial(now, charge, left, fits_after, retry_after);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/quota/lease.rs
@@ -0,0 +1,80 @@
+//! Promises of seats, and the lease that follows from them.
+
+use crate::Timestamp;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time for which a seat supports an owner.
+pub(super) const LEASE_TIME: Duration = Duration::from_millis(1_000);
+
+/// Part of that time by which an owner stops earlier, since clocks run at different rates.
+const LEASE_MARGIN: Duration = Duration::from_millis(50);
+
+/// Interval at which an owner has its lease renewed.
+pub(super) const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time by which a candidate waits longer than the one before it, so that candidates don't
+/// split the promises.
+const CANDIDATE_DELAY: Duration = Duration::from_millis(60);
+
+/// What one seat has promised for a workspace.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeatPromise {
+    owner: Option<SocketAddr>,
+    /// Time until which the promise, or the ignorance of promises before the start, holds.
+    until: Timestamp,
+}
+
+impl SeatPromise {
+    /// Creates the state of a seat that may have promised something before it started.
+    pub(super) fn new(started_at: Timestamp) -> Self {
+        Self {
+            owner: None,
+            until: started_at + LEASE_TIME,
+        }
+    }
+
+    /// Promises to support `candidate`. Returns whether it may.
+    pub(super) fn promise(&mut self, now: Timestamp, candidate: SocketAddr) -> bool {
+        if now < self.until && self.owner != Some(candidate) {
+            return false;
+        }
+        self.owner = Some(candidate);
+        self.until = now + LEASE_TIME;
+        true
+    }
+
+    /// Returns whether a candidate of this rank should ask for the lease.
+    pub(super) fn is_vacant(&self, now: Timestamp, rank: usize) -> bool {
+        now >= self.until + CANDIDATE_DELAY * rank as u32
+    }
+
+    /// Returns the owner that the seat supports.
+    pub(super) fn owner(&self, now: Timestamp) -> Option<SocketAddr> {
+        self.owner.filter(|_| now < self.until)
+    }
+}
+
+/// The promises that a candidate has got.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OwnerLease {
+    /// Time of the question that each seat has answered with a promise.
+    promised: BTreeMap<SocketAddr, Timestamp>,
+}
+
+impl OwnerLease {
+    pub(super) fn record_promise(&mut self, seat: SocketAddr, asked_at: Timestamp) {
+        let at = self.promised.entry(seat).or_insert(asked_at);
+        *at = (*at).max(asked_at);
+    }
+
+    /// Returns whether at least `quorum` promises of these seats hold.
+    pub(super) fn is_held(&self, now: Timestamp, seats: &[SocketAddr], quorum: usize) -> bool {
+        let holds = |seat: &&SocketAddr| {
+            let asked_at = self.promised.get(*seat);
+            asked_at.is_some_and(|at| now.since(*at) < LEASE_TIME - LEASE_MARGIN)
+        };
+        !seats.is_empty() && seats.iter().filter(holds).count() >= quorum
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/quota/seats.rs
@@ -0,0 +1,59 @@
+//! The hosts that elect the owner of a workspace.
+
+use super::hash_of;
+use super::limits::QuotaKey;
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
+/// Number of seats of a workspace.
+const SEATS: usize = 7;
+
+/// Promises that an owner needs if all seats are taken. Two owners need a common seat also
+/// if their rosters differ by two hosts; two seats may fail.
+const FULL_QUORUM: usize = 5;
+
+/// The hosts, as one host knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuotaRoster {
+    /// Addresses of all hosts, including this one, in order; empty until the roster is
+    /// settled, that is, until all hosts that the store lists are known by address.
+    pub members: Vec<SocketAddr>,
+    /// Largest number of hosts that may be running; `None` until the store has listed them.
+    pub most_hosts: Option<usize>,
+}
+
+/// The seats of a workspace, the first candidate first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WorkspaceSeats(Vec<SocketAddr>);
+
+impl WorkspaceSeats {
+    pub(super) fn new(key: QuotaKey, members: &[SocketAddr]) -> Self {
+        let mut ranked: Vec<_> = members
+            .iter()
+            .map(|address| (Reverse(hash_of(&(key, address))), *address))
+            .collect();
+        if ranked.len() > SEATS {
+            ranked.select_nth_unstable(SEATS);
+            ranked.truncate(SEATS);
+        }
+        ranked.sort_unstable();
+        Self(ranked.into_iter().map(|(_, address)| address).collect())
+    }
+
+    pub(super) fn addresses(&self) -> &[SocketAddr] {
+        &self.0
+    }
+
+    /// Returns the rank of a host among the candidates.
+    pub(super) fn rank_of(&self, address: SocketAddr) -> Option<usize> {
+        self.0.iter().position(|one| *one == address)
+    }
+
+    /// Returns the number of promises that an owner needs.
+    pub(super) fn quorum(&self) -> usize {
+        match self.0.len() {
+            SEATS => FULL_QUORUM,
+            fewer => fewer / 2 + 1,
+        }
+    }
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -91,6 +91,12 @@
     pub usage_window: Duration,
     /// `usage-due`: time after the end of a usage window at which its report is due.
     pub usage_due: Duration,
+    /// `quota-window`: length of the sliding window of the workspaces' quotas.
+    pub quota_window: Duration,
+    /// `quota-overrun`: share of a quota by which it may be exceeded, over all hosts.
+    pub quota_overrun: f64,
+    /// `quota-slack`: tokens per window in addition to that, over all hosts.
+    pub quota_slack: f64,
 }
 
 impl GatewaySettings {
@@ -172,6 +178,7 @@
     let retry_window = time("repeat-window", Duration::from_secs(10))?;
     let usage_window = time("usage-window", Duration::from_secs(5))?;
     let usage_due = time("usage-due", Duration::from_secs(10))?;
+    let quota_window = time("quota-window", Duration::from_secs(8))?;
     Ok(GatewayBounds {
         revocation,
         configuration,
@@ -182,6 +189,9 @@
         retry_window,
         usage_window,
         usage_due,
+        quota_window,
+        quota_overrun: section.take("quota-overrun")?.unwrap_or(0.1),
+        quota_slack: section.take("quota-slack")?.unwrap_or(120_000.0),
     })
 }
 
