--- a/crates/policy/src/dispatch/quota/host_quotas.rs
+++ b/crates/policy/src/dispatch/quota/host_quotas.rs
@@ -18,7 +18,7 @@
 const ASK_MEMORY: Duration = Duration::from_secs(1);
 
 /// Least life of a grant, so that a request can get one at all.
-const MIN_GRANT_TTL: Duration = Duration::from_millis(60);
+const MIN_GRANT_TTL: Duration = Duration::from_millis(100);
 
 /// Identifies the question of a request that waits for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
