quotas: refused callers come back spaced out

All callers that a bucket refuses in one moment were told about the same time, and most would be refused again.

A request waits up to 80 ms for the owner, as small hosts get processor time in slices. A gauge and a log line tell how many quotas a host grants.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     limited_upstreams: Gauge<u64>,
     quota_charges: Counter<u64>,
     quota_refusals: Counter<u64>,
+    quotas_owned: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -100,6 +101,10 @@
                 "lagoonlift_gateway_quota_refusals",
                 "Requests refused by quotas, by workspace and reason.",
             ),
+            quotas_owned: meter
+                .u64_gauge("lagoonlift_gateway_quotas_owned")
+                .with_description("Workspaces whose quotas this host grants.")
+                .build(),
             store_restores: meter
                 .u64_gauge("lagoonlift_gateway_store_restores")
                 .with_description("Restores of the store from a copy since the start.")
@@ -160,6 +165,10 @@
         self.quota_refusals.add(1, &labels);
     }
 
+    pub(crate) fn set_quotas_owned(&self, count: usize) {
+        self.quotas_owned.record(count as u64, &[]);
+    }
+
     pub(crate) fn count_store_failure(&self) {
         self.store_failures.add(1, &[]);
     }
--- a/crates/gateway/src/peers/quota.rs
+++ b/crates/gateway/src/peers/quota.rs
@@ -26,6 +26,7 @@
 /// no workspace has a quota.
 pub(crate) async fn keep_quotas(state: Rc<GatewayState>, socket: Option<Rc<UdpSocket>>) {
     let desk = &state.quota_desk;
+    let mut owned = 0;
     loop {
         while desk.quotas.borrow().is_empty() {
             desk.has_news.notified().await;
@@ -39,6 +40,14 @@
                 desk.quotas.borrow_mut().set_roster(roster);
             }
             desk.quotas.borrow_mut().tick(clock::now());
+            let now_owned = desk.quotas.borrow_mut().owned_count(clock::now());
+            if std::mem::replace(&mut owned, now_owned) != now_owned {
+                tracing::info!(
+                    owned,
+                    "the number of quotas that this host grants has changed"
+                );
+                state.metrics.set_quotas_owned(owned);
+            }
             send_until(&state, socket.as_deref(), Instant::now() + TICK_INTERVAL).await;
         }
     }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -20,10 +20,10 @@
 
 /// Time after which a question that isn't answered is sent again, to all hosts that may own
 /// the workspace.
-const REPEAT_TIME: Duration = Duration::from_millis(20);
+const REPEAT_TIME: Duration = Duration::from_millis(25);
 
 /// Time for which a request waits for an answer.
-const ANSWER_TIME: Duration = Duration::from_millis(60);
+const ANSWER_TIME: Duration = Duration::from_millis(80);
 
 /// Largest number of workspaces with metrics of their own.
 const MAX_LABELS: usize = 64;
--- a/crates/policy/src/dispatch/quota/account.rs
+++ b/crates/policy/src/dispatch/quota/account.rs
@@ -106,6 +106,8 @@
     until: Timestamp,
     /// Time at which the next refused caller may come back.
     next_return: Timestamp,
+    /// Number of hosts that refuse requests like this one.
+    hosts: u16,
 }
 
 /// Account of one workspace at one host.
@@ -175,12 +177,11 @@
         if now >= denial.until || charge < denial.charge {
             return None;
         }
-        let retry_after = denial.next_return.since(now);
         let own_time = Duration::try_from_secs_f64(charge as f64 / self.quota.rate_per_s);
-        let own_time = own_time.unwrap_or_default();
-        denial.next_return = (denial.next_return + own_time).min(denial.at + window);
+        let spacing = own_time.unwrap_or_default() * u32::from(denial.hosts);
+        denial.next_return = (denial.next_return + spacing).min(denial.at + window);
         Some(QuotaRefusal::UsedUp {
-            retry_after,
+            retry_after: denial.next_return.since(now),
             left: denial.left,
             age: now.since(denial.at),
         })
@@ -193,14 +194,16 @@
         charge: u64,
         left: i64,
         fits_after: Duration,
-        retry_after: Duration,
+        next_return: Timestamp,
+        hosts: u16,
     ) {
         self.denial = Some(KnownDenial {
             charge,
             left,
             at: now,
             until: now + fits_after,
-            next_return: now + retry_after,
+            next_return,
+            hosts,
         });
     }
 
--- a/crates/policy/src/dispatch/quota/host_quotas.rs
+++ b/crates/policy/src/dispatch/quota/host_quotas.rs
@@ -51,6 +51,15 @@
     answer: Option<QuotaDecision>,
 }
 
+/// A denial, as the host that asked gets it.
+#[derive(Clone, Copy, Debug)]
+struct HeardDenial {
+    fits_after: Option<Duration>,
+    retry_after: Duration,
+    hosts: u16,
+    left: i64,
+}
+
 /// The quotas of all workspaces at one host: its part as a seat, as an owner, and as a host
 /// that asks.
 #[derive(Debug)]
@@ -89,6 +98,14 @@
         self.workspaces.is_empty()
     }
 
+    /// Returns the number of workspaces that this host owns.
+    pub fn owned_count(&mut self, now: Timestamp) -> usize {
+        let workspaces = self.workspaces.values_mut();
+        workspaces
+            .map(|one| usize::from(one.ownership.is_owner(now)))
+            .sum()
+    }
+
     /// Replaces the limits.
     pub fn set_limits(&mut self, limits: QuotaLimits) {
         self.limits = limits;
@@ -367,12 +384,13 @@
                 advance,
             } => {
                 let question = TokenQuestion {
+                    host: from,
                     key,
                     id,
                     charge,
                     advance,
                 };
-                self.answer(now, from, question);
+                self.answer(now, question);
             }
             QuotaMessage::Grant { key, id, grant } => {
                 self.record_grant(now, from, key, AskId(id), grant);
@@ -382,12 +400,17 @@
                 id,
                 fits_after_ms,
                 retry_after_ms,
+                denied_hosts,
                 left,
             } => {
-                let retry_after = Duration::from_millis(retry_after_ms.into());
-                let fits_after = fits_after_ms.map(|ms| Duration::from_millis(ms.into()));
+                let denial = HeardDenial {
+                    fits_after: fits_after_ms.map(|ms| Duration::from_millis(ms.into())),
+                    retry_after: Duration::from_millis(retry_after_ms.into()),
+                    hosts: denied_hosts,
+                    left,
+                };
                 self.note_owner(now, from, key);
-                self.record_denial(now, AskId(id), fits_after, retry_after, left);
+                self.record_denial(now, AskId(id), denial);
             }
             QuotaMessage::Return {
                 key,
@@ -436,12 +459,12 @@
         ownership.record_promise(now, seat, asked_at, bucket, seed);
     }
 
-    fn answer(&mut self, now: Timestamp, from: SocketAddr, question: TokenQuestion) {
+    fn answer(&mut self, now: Timestamp, question: TokenQuestion) {
         let window = self.limits.window;
         let workspace = self.workspaces.get_mut(&question.key);
         let answer = workspace.and_then(|one| one.ownership.answer(now, question, window));
         if let Some(answer) = answer {
-            self.send(now, from, answer);
+            self.send(now, question.host, answer);
         }
     }
 
@@ -484,14 +507,13 @@
         }
     }
 
-    fn record_denial(
-        &mut self,
-        now: Timestamp,
-        ask: AskId,
-        fits_after: Option<Duration>,
-        retry_after: Duration,
-        left: i64,
-    ) {
+    fn record_denial(&mut self, now: Timestamp, ask: AskId, denial: HeardDenial) {
+        let HeardDenial {
+            fits_after,
+            retry_after,
+            hosts,
+            left,
+        } = denial;
         let waiting = self.waiting.get_mut(&ask);
         let Some(waiting) = waiting.filter(|one| one.answer.is_none()) else {
             return;
@@ -508,7 +530,8 @@
         let (key, charge) = (waiting.key, waiting.charge);
         if let (Some(workspace), Some(fits_after)) = (self.workspaces.get_mut(&key), fits_after) {
             let account = &mut workspace.account;
-            account.record_denial(now, charge, left, fits_after, retry_after);
+            let next_return = now + retry_after;
+            account.record_denial(now, charge, left, fits_after, next_return, hosts);
         }
     }
 }
--- a/crates/policy/src/dispatch/quota/messages.rs
+++ b/crates/policy/src/dispatch/quota/messages.rs
@@ -68,6 +68,9 @@
         fits_after_ms: Option<u32>,
         /// Time after which the caller may come back, in milliseconds.
         retry_after_ms: u32,
+        /// Number of hosts with requests that were denied lately. They refuse further ones by
+        /// themselves, and space out their callers accordingly.
+        denied_hosts: u16,
         /// What is left in the bucket; negative for a debt.
         left: i64,
     },
--- a/crates/policy/src/dispatch/quota/ownership.rs
+++ b/crates/policy/src/dispatch/quota/ownership.rs
@@ -8,12 +8,17 @@
 use super::messages::{QuotaGrant, QuotaMessage};
 use super::seats::WorkspaceSeats;
 use crate::Timestamp;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Time for which a host counts as one that refuses requests after a denial.
+const DENIED_TIME: Duration = Duration::from_secs(2);
+
 /// A question for tokens, as the owner gets it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TokenQuestion {
+    pub(super) host: SocketAddr,
     pub(super) key: QuotaKey,
     pub(super) id: u64,
     pub(super) charge: u64,
@@ -29,6 +34,8 @@
     /// come back at the same time.
     postponed: f64,
     postponed_at: Timestamp,
+    /// Hosts that got a denial lately, and when.
+    denied_hosts: BTreeMap<SocketAddr, Timestamp>,
 }
 
 /// Election and bucket of one workspace at one host.
@@ -119,6 +126,7 @@
                 bucket: bucket(),
                 postponed: 0.0,
                 postponed_at: now,
+                denied_hosts: BTreeMap::new(),
             });
         }
     }
@@ -143,6 +151,7 @@
                 id,
                 fits_after_ms: fits_after.map(milliseconds),
                 retry_after_ms: milliseconds(wait),
+                denied_hosts: owned.count_denied(now, question.host),
                 left: denial.left as i64,
             });
         }
@@ -182,6 +191,14 @@
 }
 
 impl OwnedBucket {
+    /// Records that `host` gets a denial, and returns the number of such hosts.
+    fn count_denied(&mut self, now: Timestamp, host: SocketAddr) -> u16 {
+        self.denied_hosts.insert(host, now);
+        let is_recent = |_: &SocketAddr, at: &mut Timestamp| now.since(*at) < DENIED_TIME;
+        self.denied_hosts.retain(is_recent);
+        u16::try_from(self.denied_hosts.len()).unwrap_or(u16::MAX)
+    }
+
     /// Returns the time after which a refused caller may come back: when its charge fits
     /// after those of the callers refused before it.
     fn postpone(
