--- a/crates/policy/src/dispatch/quota/seats.rs
+++ b/crates/policy/src/dispatch/quota/seats.rs
@@ -5,12 +5,13 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
-/// Number of seats of a workspace.
-const SEATS: usize = 7;
+/// Number of seats of a workspace. With few seats, the loss of a third of the hosts often
+/// takes so many seats of a workspace that nobody can own it.
+const SEATS: usize = 31;
 
 /// Promises that an owner needs if all seats are taken. Two owners need a common seat also
-/// if their rosters differ by two hosts; two seats may fail.
-const FULL_QUORUM: usize = 5;
+/// if their rosters differ by two hosts.
+const FULL_QUORUM: usize = 17;
 
 /// The hosts, as one host knows them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
