--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod metrics;
 mod peers;
 mod quarantine_store;
+mod quota;
 mod read_on;
 mod relay;
 mod reload;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! message repeats the complete state. A host learns the addresses of its peers
 //! from the usage counts in the store and from the datagrams that it receives.
 
+pub(crate) mod quota;
 mod usage;
 mod versions;
 
@@ -16,8 +17,8 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     BlameNews, ConfigVersion, EngineRole, HostReport, InFlightLoad, PeerConfirmation,
-    PeerConfirmationResult, RateNotice, StoreStatus, StreamKey, StreamNotice, UpstreamDigest,
-    UsageCopy, VersionsNotice,
+    PeerConfirmationResult, QuotaMessage, RateNotice, StoreStatus, StreamKey, StreamNotice,
+    UpstreamDigest, UsageCopy, VersionsNotice,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -97,6 +98,8 @@
     StreamQuery(StreamKey),
     /// What the sender knows of the versions at which a service has served.
     Versions(VersionsNotice),
+    /// Elects owners of quotas and grants tokens.
+    Quota(QuotaMessage),
 }
 
 /// Load of a host.
@@ -121,6 +124,8 @@
     };
     tokio::task::spawn_local(receive(Rc::clone(&state), Rc::clone(&socket)));
     tokio::task::spawn_local(query_confirmations(Rc::clone(&state), Rc::clone(&socket)));
+    let quotas = quota::keep_quotas(Rc::clone(&state), Some(Rc::clone(&socket)));
+    tokio::task::spawn_local(quotas);
     if state.settings.duties.is_some() {
         tokio::task::spawn_local(usage::send_copies(Rc::clone(&state), Rc::clone(&socket)));
     }
@@ -385,6 +390,12 @@
             }
         }
         PeerMessage::Versions(notice) => versions::record(state, now, &notice),
+        PeerMessage::Quota(message) => {
+            let mut quotas = state.quota_desk.quotas.borrow_mut();
+            quotas.handle(now, address, message);
+            state.quota_desk.heard.notify_waiters();
+            state.quota_desk.has_news.notify_one();
+        }
         PeerMessage::Usage(copy) => {
             state.usage_copies.borrow_mut().record(now, copy);
         }
