quotas: candidates that aren't supported give way to the owner

A host that woke from a pause asked for the lease before it read of the new owner, promised itself its vote and renewed that for ever. Such a candidate now withdraws, and listens for 300 ms after a pause.

The number of hosts that share the slack without an owner is taken from the settled roster only: the first list of a cold start may name a few of them.

--- a/crates/gateway/src/peers/quota.rs
+++ b/crates/gateway/src/peers/quota.rs
@@ -82,12 +82,12 @@
     members.sort_unstable();
     let listed = roster.listed();
     let hosts = members.len().max(listed);
-    let is_settled = now.since(state.started_at) >= SETTLE_TIME && members.len() >= listed;
-    if !is_settled {
+    let is_settled = now.since(state.started_at) >= SETTLE_TIME;
+    if !is_settled || members.len() < listed {
         members.clear();
     }
     QuotaRoster {
         members,
-        most_hosts: (listed > 0).then(|| hosts.max(state.max_host_count())),
+        most_hosts: (is_settled && listed > 0).then_some(hosts),
     }
 }
--- a/crates/policy/src/dispatch/quota/host_quotas.rs
+++ b/crates/policy/src/dispatch/quota/host_quotas.rs
@@ -18,6 +18,9 @@
 /// Time after which the answer to a request that no longer waits is returned.
 const ASK_MEMORY: Duration = Duration::from_secs(1);
 
+/// Time between two ticks from which on the process counts as having been held up.
+const PAUSE_TIME: Duration = Duration::from_millis(250);
+
 /// Least life of a grant, so that a request can get one at all.
 const MIN_GRANT_TTL: Duration = Duration::from_millis(100);
 
@@ -67,6 +70,7 @@
     /// Time until which this host may have made promises that it doesn't know.
     forgot_at: Timestamp,
     outgoing: Vec<OutgoingQuotaMessage>,
+    ticked_at: Timestamp,
 }
 
 impl HostQuotas {
@@ -82,6 +86,7 @@
             last_ask: 0,
             forgot_at: now,
             outgoing: Vec::new(),
+            ticked_at: now,
         }
     }
 
@@ -151,6 +156,11 @@
 
     /// Renews leases and returns what has expired.
     pub fn tick(&mut self, now: Timestamp) {
+        let since_tick = now.since(std::mem::replace(&mut self.ticked_at, now));
+        if since_tick >= PAUSE_TIME {
+            let workspaces = self.workspaces.values_mut();
+            workspaces.for_each(|one| one.ownership.record_pause(now));
+        }
         self.request_leases(now);
         self.return_expired(now);
         let is_over = |_: &AskId, ask: &mut WaitingAsk| now.since(ask.asked_at) >= ASK_MEMORY;
--- a/crates/policy/src/dispatch/quota/lease.rs
+++ b/crates/policy/src/dispatch/quota/lease.rs
@@ -18,12 +18,18 @@
 /// split the promises.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(60);
 
+/// Time for which a host listens for an owner before it asks for the lease, after a pause or
+/// a question that brought too few promises. An owner asks within [`RENEWAL_INTERVAL`].
+pub(super) const LISTEN_TIME: Duration = Duration::from_millis(300);
+
 /// What one seat has promised for a workspace.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SeatPromise {
     owner: Option<SocketAddr>,
     /// Time until which the promise, or the ignorance of promises before the start, holds.
     until: Timestamp,
+    /// Time until which the host only listens.
+    listen_until: Timestamp,
 }
 
 impl SeatPromise {
@@ -32,6 +38,7 @@
         Self {
             owner: None,
             until: started_at + LEASE_TIME,
+            listen_until: started_at,
         }
     }
 
@@ -47,7 +54,19 @@
 
     /// Returns whether a candidate of this rank should ask for the lease.
     pub(super) fn is_vacant(&self, now: Timestamp, rank: usize) -> bool {
-        now >= self.until + CANDIDATE_DELAY * rank as u32
+        now >= self.until.max(self.listen_until) + CANDIDATE_DELAY * rank as u32
+    }
+
+    /// Makes the host listen for an owner before it asks for the lease.
+    pub(super) fn listen(&mut self, now: Timestamp) {
+        self.listen_until = now + LISTEN_TIME;
+    }
+
+    /// Withdraws the promise of a host to itself.
+    pub(super) fn withdraw(&mut self, now: Timestamp) {
+        self.owner = None;
+        self.until = now;
+        self.listen(now);
     }
 
     /// Returns the owner that the seat supports.
@@ -69,6 +88,11 @@
         *at = (*at).max(asked_at);
     }
 
+    /// Forgets all promises, also those that still hold.
+    pub(super) fn clear(&mut self) {
+        self.promised.clear();
+    }
+
     /// Returns whether at least `quorum` promises of these seats hold.
     pub(super) fn is_held(&self, now: Timestamp, seats: &[SocketAddr], quorum: usize) -> bool {
         let holds = |seat: &&SocketAddr| {
--- a/crates/policy/src/dispatch/quota/ownership.rs
+++ b/crates/policy/src/dispatch/quota/ownership.rs
@@ -82,6 +82,11 @@
         self.owned.is_some()
     }
 
+    /// Records that this process was held up until `now`, and may have missed an owner.
+    pub(super) fn record_pause(&mut self, now: Timestamp) {
+        self.promise.listen(now);
+    }
+
     /// Returns the seats to ask for the lease or its renewal, if it is time to ask.
     pub(super) fn begin_request(&mut self, now: Timestamp) -> &[SocketAddr] {
         let Some(rank) = self.seats.rank_of(self.own) else {
@@ -90,6 +95,12 @@
         let is_due = self
             .asked_at
             .is_none_or(|at| now.since(at) >= RENEWAL_INTERVAL);
+        if is_due && self.promise.owner(now) == Some(self.own) && !self.is_lease_held(now) {
+            // A candidate that kept its own promise would never support the owner.
+            self.promise.withdraw(now);
+            self.lease.clear();
+            self.owned = None;
+        }
         let is_candidate = match self.promise.owner(now) {
             Some(owner) => owner == self.own,
             None => self.promise.is_vacant(now, rank),
