--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -154,6 +154,7 @@
             );
         }
         state.pool.close_expired();
+        state.held.wake_waiting();
         let age = state.confirmation().age(now);
         state.metrics.set_confirmation_age(age.unwrap_or_default());
         state
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -37,6 +37,8 @@
     total: Arc<AtomicU64>,
     requests: RefCell<HashMap<HeldKey, Weak<HeldRequest>>>,
     next_key: Cell<u64>,
+    /// Whether a response isn't read on until the host has room.
+    has_waiting: Cell<bool>,
 }
 
 /// What is held for one request of a caller.
@@ -52,6 +54,8 @@
     /// Whether the response is being sent to the caller.
     has_response: Cell<bool>,
     is_cut: Cell<bool>,
+    /// Whether the response isn't read on until the host has room.
+    is_waiting: Cell<bool>,
     progress: Cell<ReadProgress>,
     /// Wakes the task of the caller's connection.
     waker: AtomicWaker,
@@ -86,6 +90,7 @@
             total: Arc::default(),
             requests: RefCell::default(),
             next_key: Cell::new(0),
+            has_waiting: Cell::new(false),
         })
     }
 
@@ -108,6 +113,7 @@
             is_resumable: Cell::new(false),
             has_response: Cell::new(false),
             is_cut: Cell::new(false),
+            is_waiting: Cell::new(false),
             progress: Cell::new(ReadProgress::new(now)),
             waker: AtomicWaker::new(),
         });
@@ -121,6 +127,20 @@
         self.total.load(Ordering::Relaxed)
     }
 
+    /// Reads responses on that waited for room, if there is some. Room may come from the end of
+    /// any request, which can't wake the tasks of other connections.
+    pub(crate) fn wake_waiting(&self) {
+        if !self.has_waiting.get() || !self.limits.has_room(self.bytes()) {
+            return;
+        }
+        self.has_waiting.set(false);
+        for request in self.open_requests() {
+            if request.is_waiting.take() {
+                request.waker.wake();
+            }
+        }
+    }
+
     /// Returns whether the host is within its limit, after responses have been cut if
     /// necessary.
     fn make_room(&self) -> bool {
@@ -128,10 +148,7 @@
             return true;
         }
         let now = clock::now();
-        let requests: Vec<Rc<HeldRequest>> = {
-            let requests = self.requests.borrow();
-            requests.values().filter_map(Weak::upgrade).collect()
-        };
+        let requests = self.open_requests();
         let (cut, uncut): (Vec<_>, Vec<_>) = requests.iter().partition(|one| one.is_cut.get());
         // What is held for responses that have been cut is freed when their connections
         // close, within the same turn of the event loop.
@@ -150,7 +167,12 @@
             }
         }
         let freed: u64 = cuts.iter().map(|cut| cut.bytes).sum();
-        self.limits.has_room(held - freed)
+        self.limits.has_room(held.saturating_sub(freed))
+    }
+
+    fn open_requests(&self) -> Vec<Rc<HeldRequest>> {
+        let requests = self.requests.borrow();
+        requests.values().filter_map(Weak::upgrade).collect()
     }
 
     fn cut(&self, request: &HeldRequest, cut: &HeldCut, held_bytes: u64) {
@@ -202,10 +224,19 @@
         self.is_cut.get()
     }
 
-    /// Returns whether more of a stream may be read while its caller doesn't take it.
+    /// Returns whether more of a stream may be read while its caller doesn't take it. If only the
+    /// host has no room, the connection's task is woken once it has some.
     pub(crate) fn may_read_on(&self) -> bool {
-        let has_room = self.registry.limits.has_room(self.registry.bytes());
-        has_room && !self.is_cut() && self.registry.limits.may_read_on(self.bytes())
+        let registry = &self.registry;
+        if self.is_cut() || !registry.limits.may_read_on(self.bytes()) {
+            return false;
+        }
+        let has_room = registry.limits.has_room(registry.bytes());
+        if !has_room {
+            self.is_waiting.set(true);
+            registry.has_waiting.set(true);
+        }
+        has_room
     }
 
     /// Returns what wakes the task of the caller's connection when the response is cut.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -123,10 +123,7 @@
         let items = stream::unfold((Some(self), Some(first)), |(relay, first)| async move {
             let mut relay = relay?;
             match relay.next_events(first).await {
-                Ok(Some(events)) => {
-                    let events = relay.run.admitted.outgoing.held.hold(events);
-                    Some((Ok(Frame::data(events)), (Some(relay), None)))
-                }
+                Ok(Some(events)) => Some((Ok(Frame::data(events)), (Some(relay), None))),
                 Ok(None) => {
                     relay.request_log.end(SUCCESS_OUTCOME);
                     None
@@ -158,7 +155,7 @@
             match current {
                 StreamItem::Events(events) => {
                     self.run.record_event(self.source.version()).await;
-                    return Ok(Some(events));
+                    return Ok(Some(self.run.admitted.outgoing.held.hold(events)));
                 }
                 StreamItem::End => return Ok(None),
                 StreamItem::Broken(detail) => {
