--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -15,10 +15,6 @@
 /// Interval between two questions about it.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Longest time for which a new stream waits for the record of its version. Callers leave
-/// after 2 s without an event.
-const MAX_RECORD_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Polling interval of a new stream that waits for the record of its version.
 const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -55,13 +51,14 @@
     /// Waits for a bounded time while no upstream of the service has a version that is in the
     /// record.
     async fn wait_for_record(&self) {
-        let end = self.admitted.deadline.min(clock::now() + MAX_RECORD_WAIT);
         let service = &self.admitted.service;
         let is_waiting = || {
-            let table = self.state.table.borrow();
-            table.is_awaiting_record(service, clock::now())
+            let now = clock::now();
+            let until = self.state.served_versions.borrow().waits_until(service);
+            let has_time = until.is_some_and(|until| now < until.min(self.admitted.deadline));
+            has_time && self.state.table.borrow().is_awaiting_record(service, now)
         };
-        while is_waiting() && clock::now() < end {
+        while is_waiting() {
             sleep(RECORD_POLL_INTERVAL).await;
         }
     }
--- a/crates/policy/src/dispatch/served_versions.rs
+++ b/crates/policy/src/dispatch/served_versions.rs
@@ -187,6 +187,13 @@
         held_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the time until which a new stream of `service` waits if the upstreams of all
+    /// versions are held.
+    pub fn waits_until(&self, service: &str) -> Option<Timestamp> {
+        let versions = self.services.get(service)?.versions.values();
+        versions.filter_map(Sighting::waits_until).max()
+    }
+
     /// Returns whether the record has a listed version of each service that has upstreams.
     pub fn has_records(&self) -> bool {
         let mut services = self.services.values();
--- a/crates/policy/src/dispatch/served_versions/history.rs
+++ b/crates/policy/src/dispatch/served_versions/history.rs
@@ -20,6 +20,10 @@
 /// serve, because it isn't in the record.
 const MAX_HOLD: Duration = Duration::from_secs(10);
 
+/// Longest time for which a service without recorded versions begins no streams. Callers
+/// leave after 2 s without an event.
+const MAX_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Time for which they get none after the record has it, so that all hosts learn of the
 /// version before a stream begins there.
 const NEWS_TIME: Duration = Duration::from_millis(300);
@@ -118,6 +122,15 @@
         }
     }
 
+    /// Returns the time until which a new stream waits if all versions are held.
+    pub(super) fn waits_until(&self) -> Option<Timestamp> {
+        let held_until = self.held_until?;
+        Some(match self.is_unrecorded {
+            true => held_until - (MAX_HOLD - MAX_WAIT),
+            false => held_until,
+        })
+    }
+
     /// Returns the time since the version was listed here, if peers may not know that yet.
     pub(super) fn seen_age(&self, now: Timestamp) -> Option<Duration> {
         let age = self.seen_at.map(|at| now.since(at));
--- a/crates/policy/tests/all/dispatch/schedules/served_versions.rs
+++ b/crates/policy/tests/all/dispatch/schedules/served_versions.rs
@@ -19,8 +19,6 @@
 const CLOCK_MARGIN_MS: u64 = 6_000;
 /// Least time in which a caller gets the first event, loses the stream and comes back.
 const RETURN_MS: u64 = 100;
-/// Longest time for which a new stream waits for the record of its version.
-const MAX_WAIT_MS: u64 = 1_500;
 /// Longest time by which a host's list is behind the store's, in milliseconds.
 const MAX_LIST_LAG_MS: u64 = 1_000;
 /// Largest delay of a message between hosts, in milliseconds.
@@ -43,8 +41,6 @@
     /// Its clock's difference.
     ahead_ms: i64,
     list_lag_ms: u64,
-    /// Time since which all versions that it lists are held.
-    waits_since_ms: Option<u64>,
     /// Upstreams that its list lacks, and until when.
     lacks: usize,
     lacks_until_ms: u64,
@@ -89,7 +85,6 @@
             starts_ms: randomness.below(1_000),
             ahead_ms: randomness.below(CLOCK_MARGIN_MS) as i64,
             list_lag_ms: randomness.below(MAX_LIST_LAG_MS),
-            waits_since_ms: None,
             lacks: 0,
             lacks_until_ms: 0,
         });
@@ -179,7 +174,6 @@
         let host = &mut self.hosts[number];
         host.served = ServedVersions::new();
         host.starts_ms = now + STEP_MS + self.randomness.below(MAX_DOWN_MS);
-        host.waits_since_ms = None;
         host.list_lag_ms = self.randomness.below(MAX_LIST_LAG_MS);
         host.lacks = self.randomness.below(UPSTREAMS as u64) as usize;
         host.lacks_until_ms = host.starts_ms + self.randomness.below(3_000);
@@ -277,13 +271,11 @@
         };
         let mut usable: Vec<u64> = listed.iter().copied().filter(|one| !is_held(one)).collect();
         if usable.is_empty() {
-            let since = *host.waits_since_ms.get_or_insert(now);
-            if now < since + MAX_WAIT_MS {
+            let waits_until = host.served.waits_until(SERVICE);
+            if waits_until.is_some_and(|until| at_ms(now) < until) {
                 return;
             }
             usable = listed.iter().copied().collect();
-        } else {
-            host.waits_since_ms = None;
         }
         let version = usable[self.randomness.below(usable.len() as u64) as usize];
         self.streams.push_back((now, version));
