Metric of resumptions whose version no host knows

Cause: refusals by the proof could be seen in the log only. Change: lagoonlift_gateway_unknown_streams counts them by service and result.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     quarantined_blocks: Gauge<u64>,
     quarantined_requests: Gauge<u64>,
     limited_upstreams: Gauge<u64>,
+    unknown_streams: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -52,6 +53,11 @@
                 "lagoonlift_gateway_first_byte",
                 "Time to the first byte of an answer.",
             ),
+            unknown_streams: counter(
+                &meter,
+                "lagoonlift_gateway_unknown_streams",
+                "Resumptions whose version no host knows, by service and result.",
+            ),
             store_failures: counter(
                 &meter,
                 "lagoonlift_gateway_store_failures",
@@ -101,6 +107,15 @@
         self.limited_upstreams.record(count as u64, &[]);
     }
 
+    /// Counts a resumption whose version no host knows.
+    pub(crate) fn count_unknown_stream(&self, service: &str, is_proven: bool) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("proven", is_proven),
+        ];
+        self.unknown_streams.add(1, &labels);
+    }
+
     /// Records the prefix blocks and requests in quarantine.
     pub(crate) fn set_quarantined(&self, active: impl Iterator<Item = QuarantinedSuspect>) {
         let (blocks, requests): (Vec<_>, Vec<_>) =
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -72,6 +72,8 @@
         let served = self.state.served_versions.borrow();
         let proven =
             listed.and_then(|listed| served.sole_version(clock::now(), service, listed, lifetime));
+        let metrics = &self.state.metrics;
+        metrics.count_unknown_stream(service, proven.is_some());
         tracing::info!(
             request = self.admitted.outgoing.request.id,
             service,
