--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     quota_charges: Counter<u64>,
     quota_refusals: Counter<u64>,
     quotas_owned: Gauge<u64>,
+    unknown_streams: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -58,6 +59,11 @@
                 "lagoonlift_gateway_first_byte",
                 "Time to the first byte of an answer.",
             ),
+            unknown_streams: counter(
+                &meter,
+                "lagoonlift_gateway_unknown_streams",
+                "Resumptions whose version no host knows, by service and result.",
+            ),
             store_failures: counter(
                 &meter,
                 "lagoonlift_gateway_store_failures",
@@ -149,6 +155,13 @@
             KeyValue::new("quantity", quantity),
         ];
         self.fleet_plan.record(u64::from(count), &labels);
+    /// Counts a resumption whose version no host knows.
+    pub(crate) fn count_unknown_stream(&self, service: &str, is_proven: bool) {
+        let labels = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("proven", is_proven),
+        ];
+        self.unknown_streams.add(1, &labels);
     }
 
     /// Records the prefix blocks and requests in quarantine.
