placement: upstreams of different speeds are chosen by expected time

The choice compared requests per slot and tokens of backlog, whatever the speeds of the upstreams, and hosts that heard of each other's sends late all chose the same one.

Hosts now sample the time of a prompt token, of a turn at a decode engine and of a plain response, and tell each other their latest sample with the loads (at most 9 bytes in a load message, for 75 ms). Samples are forgotten within two seconds. Where speeds differ by more than their noise, a decode engine or plain upstream is the better by expected time of two drawn by their speeds, and backlogs of prefill engines count by their speeds; otherwise the choice stays as it was.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -129,6 +129,8 @@
         send_crash_news(&state, &socket, turn).await;
         send_rate_news(&state, &socket, turn).await;
         state.peer_loads.borrow_mut().expire(clock::now());
+        let now = clock::now();
+        state.placement.borrow_mut().capacity_mut().expire(now);
         state.store_readers.borrow_mut().expire(clock::now());
         let report = own_report(&state);
         let mut status = state.announced_store_status.get();
@@ -237,6 +239,7 @@
         loads,
         changing_role: changing.take(MAX_CHANGING).map(|one| one.digest).collect(),
         silent: silent.take(MAX_SILENT).map(|one| one.digest).collect(),
+        sample: state.placement.borrow().capacity().notice(now),
     }
 }
 
@@ -358,7 +361,11 @@
             let mut readers = state.store_readers.borrow_mut();
             readers.record(now, load.sender, address, load.status);
             let mut loads = state.peer_loads.borrow_mut();
-            loads.record(now, load.sender, load.sequence, load.report);
+            let sample = loads.record(now, load.sender, load.sequence, load.report);
+            if let Some(sample) = sample {
+                let mut placement = state.placement.borrow_mut();
+                placement.capacity_mut().record_from_peer(now, sample);
+            }
         }
         PeerMessage::Blame(news) => {
             state.crash_quarantine.borrow_mut().record_news(now, &news);
--- a/crates/gateway/src/run/decode.rs
+++ b/crates/gateway/src/run/decode.rs
@@ -33,6 +33,7 @@
 
 /// A request that was sent to a decode engine and whose first event is awaited.
 pub(super) struct SentDecode {
+    engine: UpstreamKey,
     /// Requests of all hosts in flight on the engine, including this one.
     requests: u32,
     slots: u32,
@@ -123,10 +124,11 @@
     pub(super) fn sent_decode(&self, engine: UpstreamKey) -> Option<SentDecode> {
         let table = self.state.table.borrow();
         let peers = self.state.peer_loads.borrow();
-        let engine = table.get(engine)?;
+        let one = table.get(engine)?;
         Some(SentDecode {
-            requests: engine.requests_in_flight(&peers) + 1,
-            slots: engine.record.slots,
+            engine,
+            requests: one.requests_in_flight(&peers) + 1,
+            slots: one.record.slots,
             sent_at: clock::now(),
         })
     }
@@ -137,6 +139,9 @@
             let latency = clock::now().since(sent.sent_at);
             let mut placement = self.state.placement.borrow_mut();
             placement.record_decode(sent.requests, sent.slots, latency);
+            drop(placement);
+            let turns = f64::from(sent.requests) / f64::from(sent.slots.max(1));
+            self.state.record_work(sent.engine, turns.max(1.0), latency);
         }
     }
 
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -171,6 +171,10 @@
                 if !prefill.is_silent {
                     let mut placement = self.state.placement.borrow_mut();
                     placement.record_prefill(prefill.tokens_to_prefill, prefilled.latency);
+                    drop(placement);
+                    let tokens = prefill.tokens_to_prefill as f64;
+                    self.state
+                        .record_work(prefill.engine, tokens, prefilled.latency);
                 }
                 self.summary.prefill_engine = self.name_of(prefill.engine);
                 self.summary.prefill_time = Some(prefilled.latency);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HostRoster, PeerLoads, Placement,
     PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServingConfig,
     StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream, UpstreamTable,
-    UsageCopies, UsageCounts, WallClock,
+    UsageCopies, UsageCounts, WallClock, WorkSample,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -239,6 +239,18 @@
         *self.changing_role.borrow_mut() = changing;
     }
 
+    /// Records that an upstream took `time` for `units` of work: prompt tokens of a prefill,
+    /// or turns of a slot.
+    pub(crate) fn record_work(&self, upstream: UpstreamKey, units: f64, time: Duration) {
+        let table = self.table.borrow();
+        let digest = table.get(upstream).map(|one| one.digest);
+        let sample = digest.and_then(|digest| WorkSample::new(digest, units, time));
+        if let Some(sample) = sample {
+            let mut placement = self.placement.borrow_mut();
+            placement.capacity_mut().record(clock::now(), sample);
+        }
+    }
+
     /// Updates by which position and time of day this host shares the rates that upstreams
     /// state.
     pub(crate) fn update_rate_sharing(&self, now: Timestamp) {
--- a/crates/gateway/src/upstream_health.rs
+++ b/crates/gateway/src/upstream_health.rs
@@ -8,6 +8,7 @@
 use lagoonlift_policy::dispatch::{ContactEffect, ContactResult};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Records the outcome of a request that was sent at `started`.
 pub(crate) fn record_health(
@@ -35,6 +36,9 @@
             SendOutcome::Lost(_) | SendOutcome::TimedOut => upstream.record_failure(now, false),
         }
     }
+    if matches!(outcome, SendOutcome::Responded(_)) {
+        record_plain_work(state, key, now.since(started));
+    }
     match outcome {
         SendOutcome::Responded(_) | SendOutcome::NotRun => {
             record_contact(state, key, ContactResult::Reached);
@@ -47,6 +51,22 @@
     }
 }
 
+/// Records the time of a response of an upstream that isn't an engine. Engines are measured by
+/// their prefills and first events.
+fn record_plain_work(state: &Rc<GatewayState>, key: UpstreamKey, latency: Duration) {
+    let turns = {
+        let table = state.table.borrow();
+        let plain = table.get(key).filter(|one| one.record.role.is_none());
+        plain.map(|one| {
+            let requests = one.requests_in_flight(&state.peer_loads.borrow());
+            f64::from(requests) / f64::from(one.record.slots.max(1))
+        })
+    };
+    if let Some(turns) = turns {
+        state.record_work(key, turns.max(1.0), latency);
+    }
+}
+
 /// Records that a request is silent for longer than expected. It may still succeed.
 pub(crate) fn record_silence(state: &Rc<GatewayState>, key: UpstreamKey) {
     if let Some(upstream) = state.table.borrow_mut().get_mut(key) {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 //! * [`AttemptHistory`] decides whether a request may be retried.
 //! * [`RetryBudget`] limits the retries of all hosts together.
 //! * [`Placement`] chooses an upstream, or reports that none can serve in time.
+//! * [`CapacityModel`] estimates how fast upstreams work.
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
 //! * [`StreamVersions`] knows the software versions at which streams began.
 //! * [`retry_after`] computes when a refused caller may retry.
@@ -38,6 +39,7 @@
 //! * [`RolePlanner`] decides which engines are prefill engines.
 
 mod attempts;
+mod capacity;
 mod config_confirmation;
 mod config_freshness;
 mod configuration;
@@ -64,6 +66,7 @@
 mod wall_clock;
 
 pub use attempts::{AttemptHistory, NextStep, SendResult};
+pub use capacity::{CapacityModel, WorkSample};
 pub use config_confirmation::{ConfigConfirmation, StalenessLimits};
 pub use config_freshness::{ConfigFreshness, PeerConfirmation, PeerConfirmationResult};
 pub use configuration::{
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -6,7 +6,7 @@
 //! in-flight load, and each host adds the load of its peers to its own. Reports
 //! that are not renewed expire.
 
-use super::UpstreamId;
+use super::{UpstreamId, WorkSample};
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -54,6 +54,8 @@
     pub changing_role: Vec<UpstreamDigest>,
     /// Upstreams that leave requests of the host unanswered for longer than they should.
     pub silent: Vec<UpstreamDigest>,
+    /// The host's latest sample of an upstream's speed.
+    pub sample: Option<WorkSample>,
 }
 
 /// The latest reports of the other hosts, and the sum of their loads.
@@ -82,20 +84,31 @@
 
     /// Records the report of the host with the given incarnation. A report is ignored
     /// unless its sequence number is higher than that of the incarnation's latest one.
-    pub fn record(&mut self, now: Timestamp, incarnation: u64, sequence: u64, report: HostReport) {
+    /// Returns the report's sample if it is new.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        incarnation: u64,
+        sequence: u64,
+        report: HostReport,
+    ) -> Option<WorkSample> {
         let latest = self.hosts.get(&incarnation).map(|known| known.sequence);
         if latest.is_some_and(|latest| latest >= sequence) {
-            return;
+            return None;
         }
+        let sample = report.sample;
         let received = ReceivedReport {
             sequence,
             received_at: now,
             report,
         };
         self.add(&received.report);
-        if let Some(previous) = self.hosts.insert(incarnation, received) {
+        let previous = self.hosts.insert(incarnation, received);
+        if let Some(previous) = &previous {
             self.subtract(&previous.report);
         }
+        let known = previous.and_then(|previous| previous.report.sample);
+        sample.filter(|sample| known != Some(*sample))
     }
 
     /// Removes the reports of hosts that have been silent for too long.
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -13,12 +13,18 @@
 //! latency goal allows is therefore refused at once.
 
 mod decode_room;
+mod expected_time;
 mod kv_room;
 
 pub use decode_room::{DecodeChoice, PrefilledRequest};
 
-use super::{DecodeTime, EngineRole, FleetView, PeerLoads, PrefillRate, Upstream, VersionDigest};
+use self::expected_time::{TimedCandidate, better_of_two};
+use super::{
+    CapacityModel, DecodeTime, EngineRole, FleetView, PeerLoads, PrefillRate, Upstream,
+    VersionDigest,
+};
 use crate::UpstreamKey;
+use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -183,6 +189,8 @@
     prefill_rate: PrefillRate,
     /// Time that decode engines take to the first event.
     decode_time: DecodeTime,
+    /// Speeds of the upstreams.
+    capacity: CapacityModel,
 }
 
 /// An engine that could run the prefill of one prompt.
@@ -192,8 +200,8 @@
     score: u64,
     key: UpstreamKey,
     version: Option<VersionDigest>,
-    /// Prefill backlog of all hosts in tokens, multiplied by the [`backlog_factor`]
-    /// of the engine's role.
+    /// Prefill backlog of all hosts in tokens, multiplied by the [`backlog_factor`] of the
+    /// engine's role, and by its slowness if its speed is known to differ.
     backlog: u64,
     is_healthy: bool,
     /// Whether a decode engine has room for another request.
@@ -210,9 +218,20 @@
             data_centre: data_centre.to_owned(),
             prefill_rate: PrefillRate::new(),
             decode_time: DecodeTime::new(),
+            capacity: CapacityModel::new(),
         }
     }
 
+    /// Returns the model of the upstreams' speeds.
+    pub fn capacity(&self) -> &CapacityModel {
+        &self.capacity
+    }
+
+    /// Returns the model of the upstreams' speeds for modification.
+    pub fn capacity_mut(&mut self) -> &mut CapacityModel {
+        &mut self.capacity
+    }
+
     /// Records that a prefill on a prefill engine took `latency` while
     /// `queued_tokens` were queued there.
     pub fn record_prefill(&mut self, queued_tokens: u64, latency: Duration) {
@@ -248,7 +267,33 @@
             };
             load_of(upstream, view.peers) + penalty
         };
-        lowest(candidates, load, view.tie_breaker)
+        self.lowest_expected(view, candidates.collect(), load)
+    }
+
+    /// Returns the candidate with the lowest expected time where their measured speeds
+    /// differ, and otherwise the one with the lowest load.
+    fn lowest_expected(
+        &self,
+        view: FleetView<'_>,
+        candidates: Vec<(UpstreamKey, &Upstream)>,
+        load: impl Fn(&Upstream) -> f64,
+    ) -> Option<UpstreamKey> {
+        let slowness = self.capacity.slowness(view.now, &candidates);
+        if slowness.is_empty() {
+            return lowest(candidates.into_iter(), load, view.tie_breaker);
+        }
+        let timed = candidates.into_iter().map(|(key, one)| {
+            let slots = f64::from(one.record.slots.max(1));
+            let requests = f64::from(one.requests_in_flight(view.peers));
+            let penalty = load(one) - requests / slots;
+            let slowness = slowness.get(&key).copied().unwrap_or(1.0);
+            TimedCandidate {
+                key,
+                time: ((requests + 1.0) / slots).max(1.0) * slowness + penalty,
+                slowness,
+            }
+        });
+        better_of_two(&timed.collect::<Vec<_>>(), view.tie_breaker)
     }
 
     /// Chooses how and where the prefill of a prompt runs. The response should start
@@ -336,7 +381,7 @@
             candidates.partition(|(key, _)| view.changing_role.contains(key));
         let choose = |candidates: Vec<(UpstreamKey, &Upstream)>| {
             let candidates = view.prefer_answering(candidates.into_iter());
-            lowest(candidates.into_iter(), load, view.tie_breaker)
+            self.lowest_expected(view, candidates, load)
         };
         choose(available).or_else(|| choose(changing))
     }
@@ -370,17 +415,24 @@
             .filter(|(_, one)| role == EngineRole::Decode || one.can_prefill(view.now));
         let candidates = candidates.filter(|(key, _)| !view.changing_role.contains(key));
         // A prefill can always be repeated.
-        let candidates = match role {
+        let candidates: Vec<_> = match role {
             EngineRole::Prefill => candidates.collect(),
             EngineRole::Decode => view.prefer_answering(candidates),
         };
+        let slowness = match role {
+            EngineRole::Prefill => self.capacity.slowness(view.now, &candidates),
+            EngineRole::Decode => HashMap::new(),
+        };
         let mut ranked_engines: Vec<PrefillCandidate> = candidates
             .into_iter()
             .map(|(key, one)| PrefillCandidate {
                 score: rendezvous_score(prompt, one),
                 key,
                 version: one.version,
-                backlog: one.prefill_backlog(view.peers) * backlog_factor(role),
+                backlog: at_speed(
+                    one.prefill_backlog(view.peers) * backlog_factor(role),
+                    slowness.get(&key),
+                ),
                 is_healthy: one.failure_share < UNHEALTHY_FAILURE_SHARE,
                 has_room: one.free_places(view, false) > 0,
                 kv_places: kv_room::kv_places(view, one, prompt.kv_tokens()),
@@ -429,6 +481,11 @@
     }
 }
 
+/// Returns the tokens that an engine of mean speed prefills in the time of a backlog.
+fn at_speed(backlog: u64, slowness: Option<&f64>) -> u64 {
+    slowness.map_or(backlog, |slowness| (backlog as f64 * slowness) as u64)
+}
+
 /// Returns the factor by which the prefill backlog of an engine in `role` is
 /// multiplied.
 fn backlog_factor(role: EngineRole) -> u64 {
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -22,5 +22,6 @@
 mod store_readers;
 mod stream_versions;
 mod support;
+mod uneven_speeds;
 mod upstreams;
 mod usage;
