--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     sends: Counter<u64>,
     duration: Histogram<f64>,
     first_byte: Histogram<f64>,
+    decode_wait: Histogram<f64>,
+    decode_refusals: Counter<u64>,
     store_failures: Counter<u64>,
     retry_budget: Gauge<f64>,
     confirmation_age: Gauge<f64>,
@@ -52,6 +54,16 @@
                 "lagoonlift_gateway_first_byte",
                 "Time to the first byte of an answer.",
             ),
+            decode_wait: latency_histogram(
+                &meter,
+                "lagoonlift_gateway_decode_wait",
+                "Time from the end of a prefill to the send to a decode engine.",
+            ),
+            decode_refusals: counter(
+                &meter,
+                "lagoonlift_gateway_decode_refusals",
+                "Prefilled requests for which no decode engine had room in time.",
+            ),
             store_failures: counter(
                 &meter,
                 "lagoonlift_gateway_store_failures",
@@ -96,6 +108,16 @@
         }
     }
 
+    /// Records how long a prefilled request waited until it was sent to a decode engine.
+    pub(crate) fn record_decode_wait(&self, waited: Duration) {
+        self.decode_wait.record(waited.as_secs_f64(), &[]);
+    }
+
+    /// Counts a prefilled request for which no decode engine had room in time.
+    pub(crate) fn count_decode_refusal(&self) {
+        self.decode_refusals.add(1, &[]);
+    }
+
     /// Records the number of upstreams that state a rate for all hosts together.
     pub(crate) fn set_limited_upstreams(&self, count: usize) {
         self.limited_upstreams.record(count as u64, &[]);
--- a/crates/gateway/src/run/decode.rs
+++ b/crates/gateway/src/run/decode.rs
@@ -63,6 +63,7 @@
         let waited = self.kv_cache.take().map_or(Duration::ZERO, |kv_cache| {
             clock::now().since(kv_cache.prefilled_at)
         });
+        self.state.metrics.count_decode_refusal();
         tracing::info!(
             request = self.admitted.outgoing.request.id,
             waited_ms = waited.as_millis() as u64,
@@ -110,6 +111,8 @@
         self.count_kv_cache_attempt();
         let kv_cache = self.kv_cache.as_mut()?;
         kv_cache.waiting = None;
+        let waited = clock::now().since(kv_cache.prefilled_at);
+        self.state.metrics.record_decode_wait(waited);
         let task = UpstreamTask::DecodeFrom(kv_cache.handle.clone());
         Some(self.attempt(engine, task, 0))
     }
