--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -50,6 +50,7 @@
 mod peer_load;
 mod placement;
 mod prefill_rate;
+mod prompt;
 mod reachability;
 mod retry_after;
 mod retry_budget;
@@ -81,11 +82,9 @@
 pub use fleet_view::{FleetView, RequiredVersion};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
-pub use placement::{
-    DecodeChoice, Placement, PlacementLimits, PrefilledRequest, PrefixBlock, PromptFacts,
-    PromptPlan, PromptRefusal,
-};
+pub use placement::{DecodeChoice, Placement, PlacementLimits, PrefilledRequest};
 pub use prefill_rate::PrefillRate;
+pub use prompt::{PrefixBlock, PromptFacts, PromptPlan, PromptRefusal};
 pub use reachability::{ContactEffect, ContactResult};
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
