placement: prompts in prefill take no places at decode engines

A prefilled request counted the prompts still in prefill among those that wait with it, and waited for them beside an idle decode engine when the prefill engines had long queues.

Only requests that have ended their prefill count now for the send; the others still count for the admission of new prompts. Prompts are refused from 0.8 of the longest wait on (before 0.6).

--- a/crates/policy/src/dispatch/placement/decode_room.rs
+++ b/crates/policy/src/dispatch/placement/decode_room.rs
@@ -45,7 +45,7 @@
 const MEAN_AGE: f64 = 0.5;
 
 /// Waits, as shares of the longest one, from which on some and all prompts are refused.
-const REFUSED_WAITS: Range<f64> = 0.6..1.0;
+const REFUSED_WAITS: Range<f64> = 0.8..1.0;
 
 /// Places of the decode engines that can continue from one KV cache.
 struct DecodeRoom {
@@ -54,7 +54,9 @@
     slots: u32,
     /// Requests of all hosts in flight on the engines.
     in_flight: u32,
-    /// Requests of all hosts that are in prefill or wait for a decode engine.
+    /// Requests of all hosts that are in prefill.
+    in_prefill: u32,
+    /// Requests of all hosts that wait for a decode engine.
     waiting: u32,
     /// Engines with free places, and how many they have.
     free: Vec<(UpstreamKey, u32)>,
@@ -74,11 +76,13 @@
                 && !view.tried.contains(key)
                 && !view.changing_role.contains(key)
         });
+        let (in_prefill, waiting) = prefilled_requests(view, version, kv_tokens);
         let mut room = Self {
             has_engines: false,
             slots: 0,
             in_flight: 0,
-            waiting: prefilled_requests(view, version),
+            in_prefill,
+            waiting,
             free: Vec::new(),
             total: 0,
         };
@@ -100,6 +104,11 @@
     fn suffices(&self) -> bool {
         self.total > 0 && self.total >= self.waiting
     }
+
+    /// Returns whether there is a place for each request that waits or is in prefill.
+    fn suffices_for_prefills(&self) -> bool {
+        self.total > 0 && self.total >= self.waiting + self.in_prefill
+    }
 }
 
 impl Placement {
@@ -160,10 +169,12 @@
         let longest = goal
             .saturating_sub(own)
             .max(goal.mul_f64(self.limits.min_wait_time_share));
-        let ahead = room.in_flight + room.waiting;
+        let ahead = room.in_flight + room.waiting + room.in_prefill;
         match self.decode_time.wait(ahead, room.slots) {
             Some(wait)
-                if room.has_engines && !room.suffices() && is_refused(view, wait, longest) =>
+                if room.has_engines
+                    && !room.suffices_for_prefills()
+                    && is_refused(view, wait, longest) =>
             {
                 Err(PromptRefusal::Overload(wait))
             }
@@ -202,17 +213,25 @@
     }
 }
 
-/// Returns the requests of all hosts that are in prefill or wait for a decode engine. A
-/// waiting one is in flight on the engine that holds its KV cache.
-fn prefilled_requests(view: FleetView<'_>, version: Option<VersionDigest>) -> u32 {
+/// Returns how many requests of all hosts are in prefill and how many wait for a decode
+/// engine. A waiting one is in flight on the engine that holds its KV cache, but has no prompt
+/// tokens left there. Prompts in prefill are taken to be as long as this one.
+fn prefilled_requests(
+    view: FleetView<'_>,
+    version: Option<VersionDigest>,
+    kv_tokens: u64,
+) -> (u32, u32) {
     let engines = view.table.iter().filter(|(_, one)| {
         one.record.service == view.service
             && one.record.role == Some(EngineRole::Prefill)
             && one.version == version
     });
-    engines
-        .map(|(_, one)| one.requests_in_flight(view.peers))
-        .sum()
+    engines.fold((0, 0), |(in_prefill, waiting), (_, one)| {
+        let requests = one.requests_in_flight(view.peers);
+        let prompts = one.prefill_backlog(view.peers).div_ceil(kv_tokens.max(1));
+        let own = requests.min(u32::try_from(prompts).unwrap_or(u32::MAX));
+        (in_prefill + own, waiting + requests - own)
+    })
 }
 
 /// Chooses the least loaded engine with room.
--- a/crates/policy/tests/all/dispatch/decode_room.rs
+++ b/crates/policy/tests/all/dispatch/decode_room.rs
@@ -138,3 +138,16 @@
     set_in_flight(&mut table, 0, 36);
     assert!(is_prefilled(plan(&table)));
 }
+
+/// Prompts that are still in prefill take no place yet: a prefilled request must not wait for
+/// them beside an idle decode engine.
+#[test]
+fn prefilled_request_does_not_wait_for_prefills() {
+    let mut table = fleet();
+    set_in_flight(&mut table, 0, 100);
+    let key = key_of(&table, 0);
+    let engine = table.get_mut(key).expect("upstream is listed");
+    engine.prefill_tokens = 99 * 9_192;
+    let choice = place(&table, 0, 0.99, false);
+    assert!(matches!(choice, DecodeChoice::Engine(_)), "{choice:?}");
+}
