--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 //! * [`AttemptHistory`] decides whether a request may be retried.
 //! * [`RetryBudget`] limits the retries of all hosts together.
 //! * [`Placement`] chooses an upstream, or reports that none can serve in time.
+//! * [`CapacityModel`] estimates how fast upstreams work.
 //! * [`CrashQuarantine`] finds the prefix blocks and the requests that crash upstreams.
 //! * [`StreamVersions`] knows the software versions at which streams began.
 //! * [`ServedVersions`] knows the versions at which each service has served.
@@ -46,6 +47,7 @@
 //! * [`RolePlanner`] decides which engines are prefill engines.
 
 mod attempts;
+mod capacity;
 mod config_confirmation;
 mod config_freshness;
 mod configuration;
@@ -59,6 +61,7 @@
 mod peer_load;
 mod placement;
 mod prefill_rate;
+mod prompt;
 mod quota;
 mod reachability;
 mod retry_after;
@@ -80,6 +83,7 @@
 mod wall_clock;
 
 pub use attempts::{AttemptHistory, NextStep, SendResult};
+pub use capacity::{CapacityModel, WorkSample};
 pub use config_confirmation::{ConfigConfirmation, StalenessLimits};
 pub use config_freshness::{ConfigFreshness, PeerConfirmation, PeerConfirmationResult};
 pub use configuration::{
@@ -99,11 +103,9 @@
 };
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
-pub use placement::{
-    DecodeChoice, Placement, PlacementLimits, PrefilledRequest, PrefixBlock, PromptFacts,
-    PromptPlan, PromptRefusal,
-};
+pub use placement::{DecodeChoice, Placement, PlacementLimits, PrefilledRequest};
 pub use prefill_rate::PrefillRate;
+pub use prompt::{PrefixBlock, PromptFacts, PromptPlan, PromptRefusal};
 pub use quota::{
     AskId, BucketDenial, HostQuotas, OutgoingQuotaMessage, QuotaBucket, QuotaCharge, QuotaDecision,
     QuotaGrant, QuotaKey, QuotaLimits, QuotaMessage, QuotaRefusal, QuotaRoster, QuotaUnit,
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -26,5 +26,6 @@
 mod store_readers;
 mod stream_versions;
 mod support;
+mod uneven_speeds;
 mod upstreams;
 mod usage;
