--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,7 @@
                 &meter,
                 "lagoonlift_gateway_unknown_streams",
                 "Resumptions whose version no host knows, by service and result.",
+            ),
             decode_wait: latency_histogram(
                 &meter,
                 "lagoonlift_gateway_decode_wait",
@@ -152,6 +153,8 @@
 
     pub(crate) fn count_cut(&self, rule: &'static str) {
         self.cuts.add(1, &[KeyValue::new("rule", rule)]);
+    }
+
     /// Records how long a prefilled request waited until it was sent to a decode engine.
     pub(crate) fn record_decode_wait(&self, waited: Duration) {
         self.decode_wait.record(waited.as_secs_f64(), &[]);
@@ -174,6 +177,8 @@
             KeyValue::new("quantity", quantity),
         ];
         self.fleet_plan.record(u64::from(count), &labels);
+    }
+
     /// Counts a resumption whose version no host knows.
     pub(crate) fn count_unknown_stream(&self, service: &str, is_proven: bool) {
         let labels = [
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,11 @@
 use crate::store_gate::StoreGate;
 use crate::version_store;
 use lagoonlift_policy::dispatch::{
-    ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostRoster, PeerLoads, Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner, ServedVersions, ServiceDigest, ServingConfig, StalenessLimits, StoreReaderSelection, StoreStatus, StreamVersions, Upstream, UpstreamTable, UsageCopies, UsageCounts, WallClock, WorkSample,
+    ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostRoster, PeerLoads,
+    Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner,
+    ServedVersions, ServiceDigest, ServingConfig, StalenessLimits, StoreReaderSelection,
+    StoreStatus, StreamVersions, Upstream, UpstreamTable, UsageCopies, UsageCounts, WallClock,
+    WorkSample,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -6,8 +6,7 @@
 //! in-flight load, and each host adds the load of its peers to its own. Reports
 //! that are not renewed expire.
 
-use super::{DecodeWork, ServiceDigest, UpstreamId};
-use super::{UpstreamId, WorkSample};
+use super::{DecodeWork, ServiceDigest, UpstreamId, WorkSample};
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
