placement: KV caches limit prompts only where engines crash beyond them

The room in the KV caches was kept on every deployment. The platform's rules in force are now a setting, decoded in the adapter.

--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -27,6 +27,13 @@
         service.engine.as_ref().map(read)
     }
 
+    /// Returns the size of an engine's KV cache if engines crash beyond it.
+    fn limited_kv_cache(&self) -> Option<u64> {
+        let is_limited = self.state.upstream_rules.crashes_beyond_kv_cache;
+        let size = self.engine_spec(|engine| engine.kv_cache_tokens);
+        size.filter(|_| is_limited)
+    }
+
     /// Calls `choose` with the placement policy and the current view of the fleet.
     pub(super) fn choose<T>(
         &self,
@@ -40,7 +47,7 @@
             version: self.required_version,
             tried,
             changing_role: &self.state.changing_role.borrow(),
-            kv_cache_tokens: self.engine_spec(|engine| engine.kv_cache_tokens),
+            kv_cache_tokens: self.limited_kv_cache(),
             is_only_attempt: !self.admitted.route.may_run_again(),
             now: clock::now(),
             tie_breaker: rand::rng().random(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use crate::version_store;
+use lagoonlift_adapter::rules::UpstreamRules;
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostRoster, PeerLoads,
     Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner,
@@ -43,6 +44,7 @@
     /// messages between peers.
     pub(crate) incarnation_id: u64,
     pub(crate) started_at: Timestamp,
+    pub(crate) upstream_rules: UpstreamRules,
     pub(crate) store: StoreClient,
     pub(crate) store_gate: StoreGate,
     pub(crate) pool: ConnectionPool,
@@ -178,6 +180,7 @@
             has_received_request: Cell::new(false),
             incarnation_id,
             started_at: clock::now(),
+            upstream_rules: UpstreamRules::decode(&settings.upstream_rules),
             settings,
             pool,
             metrics,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -30,6 +30,8 @@
     pub duties: Option<DutySettings>,
     /// `[bounds]`: limits on times and retries.
     pub bounds: GatewayBounds,
+    /// `[upstreams]`, `rules`: the platform's rules for upstreams, under its names for them.
+    pub upstream_rules: String,
     /// `[limits]`: resources of the host.
     pub limits: GatewayLimits,
 }
@@ -137,6 +139,7 @@
         let duties = document.take("duties");
         let bounds = document.take("bounds");
         let bounds = bounds.unwrap_or_else(|| document.empty("bounds"));
+        let upstreams = document.take("upstreams");
         let limits = document.take("limits");
         let limits = limits.unwrap_or_else(|| document.empty("limits"));
         Ok(Self {
@@ -147,6 +150,10 @@
             },
             duties: duties.map(read_duties).transpose()?.flatten(),
             bounds: read_bounds(bounds)?,
+            upstream_rules: upstreams
+                .map(read_upstreams)
+                .transpose()?
+                .unwrap_or_default(),
             limits: read_limits(limits)?,
         })
     }
@@ -212,6 +219,11 @@
     })
 }
 
+fn read_upstreams(mut section: SectionReader) -> Result<String, SettingsError> {
+    section.remove_empty();
+    Ok(section.take("rules")?.unwrap_or_default())
+}
+
 fn read_limits(mut section: SectionReader) -> Result<GatewayLimits, SettingsError> {
     section.remove_empty();
     let memory_mb = section.take("memory-mb")?.unwrap_or(DEFAULT_MEMORY_MB);
