placement: plain requests leave the data centre by a computed share

Plain requests left whenever an upstream elsewhere was less loaded by 0.05 requests per slot.

The hosts of a data centre now compute a share from the load messages: from the waits at home and elsewhere, the one-way time and a minimum gain for the price of the bytes. It moves in bounded steps and isn't raised while the queue at home gets shorter.

Decode engines keep their transfer penalty.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -56,6 +56,7 @@
 mod placement;
 mod prefill_rate;
 mod reachability;
+mod remote_share;
 mod retry_after;
 mod retry_budget;
 mod roles;
@@ -95,6 +96,7 @@
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
+pub use remote_share::{RemoteFacts, RemoteShare, SiteLoad};
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use roles::{RoleOrder, RolePlanner};
--- a/crates/policy/src/dispatch/peer_load.rs
+++ b/crates/policy/src/dispatch/peer_load.rs
@@ -74,6 +74,8 @@
     decode_work: HashMap<ServiceDigest, (Timestamp, u32)>,
     /// Number of hosts that report an upstream as silent.
     silent: HashMap<UpstreamDigest, u32>,
+    /// Time of the latest report, also an expired one.
+    latest_at: Option<Timestamp>,
 }
 
 #[derive(Clone, Debug)]
@@ -96,6 +98,7 @@
         if latest.is_some_and(|latest| latest >= sequence) {
             return;
         }
+        self.latest_at = Some(now);
         self.record_decode_work(now, &report.decode_work);
         let received = ReceivedReport {
             sequence,
@@ -126,6 +129,11 @@
         self.hosts.len()
     }
 
+    /// Returns the age of the latest report; `None` if there has never been one.
+    pub fn news_age(&self, now: Timestamp) -> Option<Duration> {
+        self.latest_at.map(|at| now.since(at))
+    }
+
     /// Returns the total in-flight load of the other hosts on one upstream.
     pub fn in_flight_on(&self, upstream: UpstreamDigest) -> InFlightLoad {
         self.totals.get(&upstream).copied().unwrap_or_default()
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -1,7 +1,7 @@
 //! Chooses the upstream for a request, or reports that none can serve it in time.
 //!
-//! Requests to plain services go to the least loaded upstream, with a preference
-//! for the host's own data centre. Prompts are different: an engine that has the
+//! Requests to plain services go to the least loaded upstream of the host's own data
+//! centre; a share of them may leave it. Prompts are different: an engine that has the
 //! prefix blocks of a prompt in its KV cache skips most of the prefill. Prefix
 //! affinity therefore sends the prompts of a session to the same engine: rendezvous
 //! hashing ranks the engines for each session. All hosts compute the same ranking,
@@ -14,11 +14,14 @@
 
 mod decode_room;
 mod kv_room;
+mod leaving;
 
 pub use decode_room::{DecodeChoice, PrefilledRequest};
 
+use super::remote_share::RemoteShares;
 use super::{DecodeTime, EngineRole, FleetView, PeerLoads, PrefillRate, Upstream, VersionDigest};
 use crate::UpstreamKey;
+use std::cell::RefCell;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -141,10 +144,6 @@
 /// of 1. Proportionally less is added for lower failure shares.
 const FAILURE_PENALTY: f64 = 12.0;
 
-/// Load, in requests in flight per slot, added to an upstream in another data
-/// centre.
-const REMOTE_PENALTY: f64 = 0.05;
-
 /// Load, in requests in flight per slot, added to a decode engine in another data
 /// centre than the KV cache of the prompt.
 const REMOTE_TRANSFER_PENALTY: f64 = 0.2;
@@ -183,6 +182,8 @@
     prefill_rate: PrefillRate,
     /// Time that decode engines take to the first event.
     decode_time: DecodeTime,
+    /// Shares of requests that may leave the data centre.
+    remote_shares: RefCell<RemoteShares>,
 }
 
 /// An engine that could run the prefill of one prompt.
@@ -210,6 +211,7 @@
             data_centre: data_centre.to_owned(),
             prefill_rate: PrefillRate::new(),
             decode_time: DecodeTime::new(),
+            remote_shares: RefCell::default(),
         }
     }
 
@@ -238,17 +240,7 @@
     /// usable.
     pub fn choose_upstream(&self, view: FleetView<'_>) -> Option<UpstreamKey> {
         let candidates = view.usable().filter(|(key, _)| !view.tried.contains(key));
-        let candidates = view.prefer_answering(candidates).into_iter();
-        let load = |upstream: &Upstream| {
-            let is_same_data_centre = upstream.record.data_centre == self.data_centre;
-            let penalty = if is_same_data_centre {
-                0.0
-            } else {
-                REMOTE_PENALTY
-            };
-            load_of(upstream, view.peers) + penalty
-        };
-        lowest(candidates, load, view.tie_breaker)
+        self.choose_site(view, view.prefer_answering(candidates))
     }
 
     /// Chooses how and where the prefill of a prompt runs. The response should start
--- /dev/null
+++ b/crates/policy/src/dispatch/placement/leaving.rs
@@ -0,0 +1,65 @@
+//! Chooses between the upstreams of the host's own data centre and those elsewhere.
+
+use super::{FleetView, Placement, UNHEALTHY_FAILURE_SHARE, load_of, lowest};
+use crate::UpstreamKey;
+use crate::dispatch::Upstream;
+use crate::dispatch::remote_share::{RemoteFacts, SiteLoad};
+
+type Candidates<'a> = Vec<(UpstreamKey, &'a Upstream)>;
+
+impl Placement {
+    /// Returns the share of the service's requests that may leave the data centre now.
+    pub fn remote_share(&self, view: FleetView<'_>) -> f64 {
+        let mut facts = RemoteFacts {
+            home: SiteLoad::default(),
+            elsewhere: SiteLoad::default(),
+            news_age: view.peers.news_age(view.now),
+        };
+        let sound = view
+            .usable()
+            .filter(|(_, one)| one.failure_share < UNHEALTHY_FAILURE_SHARE);
+        for (_, upstream) in sound {
+            let in_flight = upstream.requests_in_flight(view.peers);
+            match upstream.record.data_centre == self.data_centre {
+                true => facts.home.add(upstream, in_flight),
+                false if in_flight < upstream.record.slots => {
+                    facts.elsewhere.add(upstream, in_flight);
+                }
+                false => {}
+            }
+        }
+        self.remote_shares.borrow_mut().step(view, facts)
+    }
+
+    /// Chooses the least loaded candidate at home, or elsewhere with the probability of
+    /// the remote share. A request leaves only for an upstream with a free slot.
+    pub(super) fn choose_site(
+        &self,
+        view: FleetView<'_>,
+        candidates: Candidates<'_>,
+    ) -> Option<UpstreamKey> {
+        let share = self.remote_share(view);
+        let has_room = |one: &Upstream| one.requests_in_flight(view.peers) < one.record.slots;
+        let is_sound = |one: &Upstream| one.failure_share < UNHEALTHY_FAILURE_SHARE;
+        let load = |one: &Upstream| load_of(one, view.peers);
+        let least = |sites: Candidates<'_>, tie_breaker| {
+            let sites = sites.into_iter();
+            lowest(sites, load, tie_breaker)
+        };
+        let (home, elsewhere): (Candidates<'_>, Candidates<'_>) = candidates
+            .iter()
+            .partition(|(_, one)| one.record.data_centre == self.data_centre);
+        if !home.iter().any(|(_, one)| is_sound(one)) {
+            return least(candidates, view.tie_breaker);
+        }
+        let free: Candidates<'_> = elsewhere
+            .into_iter()
+            .filter(|(_, one)| is_sound(one) && has_room(one))
+            .collect();
+        match view.tie_breaker < share && !free.is_empty() {
+            true => least(free, view.tie_breaker / share),
+            false if view.tie_breaker < share => least(home, view.tie_breaker / share),
+            false => least(home, (view.tie_breaker - share) / (1.0 - share)),
+        }
+    }
+}
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod rate_sizes;
 mod reachability;
+mod remote_share;
 mod request_quarantine;
 mod retry_after;
 mod roles;
