remote share: avoid upstreams that failed a request, return home in steps

A sole home upstream kept requests that can't be sent twice until four of its responses in a row had failed; the penalty for failures had sent them elsewhere before. From one failed request on it now counts neither as home nor as room. After home was lost, the share falls from 1 in steps rather than at once.

--- a/crates/policy/src/dispatch/placement/leaving.rs
+++ b/crates/policy/src/dispatch/placement/leaving.rs
@@ -1,10 +1,14 @@
 //! Chooses between the upstreams of the host's own data centre and those elsewhere.
 
-use super::{FleetView, Placement, UNHEALTHY_FAILURE_SHARE, load_of, lowest};
+use super::{FleetView, Placement, load_of, lowest};
 use crate::UpstreamKey;
 use crate::dispatch::Upstream;
 use crate::dispatch::remote_share::{RemoteFacts, SiteLoad};
 
+/// Failure share from which an upstream counts neither as home nor as room elsewhere. One
+/// failed request is enough: many plain requests can't be sent twice.
+const MAX_FAILURE_SHARE: f64 = 0.15;
+
 type Candidates<'a> = Vec<(UpstreamKey, &'a Upstream)>;
 
 impl Placement {
@@ -17,7 +21,7 @@
         };
         let sound = view
             .usable()
-            .filter(|(_, one)| one.failure_share < UNHEALTHY_FAILURE_SHARE);
+            .filter(|(_, one)| one.failure_share < MAX_FAILURE_SHARE);
         for (_, upstream) in sound {
             let in_flight = upstream.requests_in_flight(view.peers);
             match upstream.record.data_centre == self.data_centre {
@@ -40,7 +44,7 @@
     ) -> Option<UpstreamKey> {
         let share = self.remote_share(view);
         let has_room = |one: &Upstream| one.requests_in_flight(view.peers) < one.record.slots;
-        let is_sound = |one: &Upstream| one.failure_share < UNHEALTHY_FAILURE_SHARE;
+        let is_sound = |one: &Upstream| one.failure_share < MAX_FAILURE_SHARE;
         let load = |one: &Upstream| load_of(one, view.peers);
         let least = |sites: Candidates<'_>, tie_breaker| {
             let sites = sites.into_iter();
--- a/crates/policy/src/dispatch/remote_share.rs
+++ b/crates/policy/src/dispatch/remote_share.rs
@@ -120,7 +120,9 @@
     /// Moves the share by the steps that are due and returns it.
     pub fn step(&mut self, now: Timestamp, facts: RemoteFacts) -> f64 {
         if facts.home.slots == 0 {
-            return 1.0;
+            self.share = 1.0;
+            self.stepped_at = Some(now);
+            return self.share;
         }
         let elapsed = self
             .stepped_at
--- a/crates/policy/tests/all/dispatch/remote_share.rs
+++ b/crates/policy/tests/all/dispatch/remote_share.rs
@@ -335,3 +335,31 @@
     let chosen = placement.choose_upstream(view(&table, &peers, &[], 0));
     assert_eq!(chosen, Some(key_of(&table, 1)));
 }
+
+/// Requests that can't be sent twice were kept at a home upstream that had just failed one;
+/// all of them at once back at one that has recovered would be a burst for it.
+#[test]
+fn requests_avoid_a_home_upstream_that_failed_and_return_in_steps() {
+    let records = [0, 1].map(|number| engine(number, EngineRole::Decode));
+    let mut table = table_of(records.to_vec());
+    let placement = Placement::new(PlacementLimits::default(), "a");
+    let peers = PeerLoads::new();
+    let [home, elsewhere] = [0, 1].map(|number| key_of(&table, number));
+    let choose = |table: &UpstreamTable, ms: u64| {
+        let view = view(table, &peers, &[], ms);
+        let chosen = placement.choose_upstream(view);
+        (chosen, placement.remote_share(view))
+    };
+    assert_eq!(choose(&table, 0), (Some(home), 0.0));
+    let upstream = table.get_mut(home).expect("it is listed");
+    upstream.record_failure(at_ms(10), false);
+    assert_eq!(choose(&table, 20), (Some(elsewhere), 1.0));
+    let upstream = table.get_mut(home).expect("it is listed");
+    (0..3).for_each(|_| upstream.record_response(Duration::from_millis(30)));
+    let shares: Vec<f64> = (1..60)
+        .map(|step| choose(&table, 20 + step * 50).1)
+        .collect();
+    assert!(shares[0] > 0.9, "share falls to {} at once", shares[0]);
+    assert!(shares.windows(2).all(|pair| pair[0] - pair[1] <= 0.051));
+    assert_eq!(shares.last(), Some(&0.0));
+}
