remote share: a log line for each change

One line for each change of a service's share by 0.1 and for each to 0 or 1, with the loads at home, the free slots elsewhere and the age of the news. A test takes the last change; the line itself wasn't read from a running gateway.

--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -7,7 +7,7 @@
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    EngineSpec, FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause,
+    EngineSpec, FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause, RemoteShareChange,
 };
 use rand::RngExt;
 use std::rc::Rc;
@@ -53,6 +53,7 @@
         let untried = self.choose(&self.tried, |placement, view| {
             placement.choose_upstream(view)
         });
+        self.log_share_change();
         let silent = self.silent_upstream.as_slice();
         let any = || self.choose(silent, |placement, view| placement.choose_upstream(view));
         let upstream = untried
@@ -61,6 +62,23 @@
         Ok(self.attempt(upstream, UpstreamTask::Run, 0))
     }
 
+    fn log_share_change(&self) {
+        let service = &self.admitted.service;
+        let change = self.state.placement.borrow().take_share_change(service);
+        if let Some(RemoteShareChange { from, to, facts }) = change {
+            tracing::info!(
+                %service,
+                from,
+                to,
+                home_in_flight = facts.home.in_flight,
+                home_slots = facts.home.slots,
+                free_elsewhere = facts.elsewhere.slots - facts.elsewhere.in_flight,
+                news_age = ?facts.news_age,
+                "share of requests that may leave the data centre changed"
+            );
+        }
+    }
+
     pub(super) fn prompt_plan(&self) -> Result<PromptPlan, GatewayReply> {
         let prompt = &self.admitted.outgoing.request.prompt;
         let goal = self.admitted.route.latency_goal;
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -96,7 +96,7 @@
 };
 pub use prefill_rate::PrefillRate;
 pub use reachability::{ContactEffect, ContactResult};
-pub use remote_share::{RemoteFacts, RemoteShare, SiteLoad};
+pub use remote_share::{RemoteFacts, RemoteShare, RemoteShareChange, SiteLoad};
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use roles::{RoleOrder, RolePlanner};
--- a/crates/policy/src/dispatch/placement/leaving.rs
+++ b/crates/policy/src/dispatch/placement/leaving.rs
@@ -3,7 +3,7 @@
 use super::{FleetView, Placement, load_of, lowest};
 use crate::UpstreamKey;
 use crate::dispatch::Upstream;
-use crate::dispatch::remote_share::{RemoteFacts, SiteLoad};
+use crate::dispatch::remote_share::{RemoteFacts, RemoteShareChange, SiteLoad};
 
 /// Failure share from which an upstream counts neither as home nor as room elsewhere. One
 /// failed request is enough: many plain requests can't be sent twice.
@@ -35,6 +35,11 @@
         self.remote_shares.borrow_mut().step(view, facts)
     }
 
+    /// Returns the latest change of a service's remote share that hasn't been returned yet.
+    pub fn take_share_change(&self, service: &str) -> Option<RemoteShareChange> {
+        self.remote_shares.borrow_mut().take_change(service)
+    }
+
     /// Chooses the least loaded candidate at home, or elsewhere with the probability of
     /// the remote share. A request leaves only for an upstream with a free slot.
     pub(super) fn choose_site(
--- a/crates/policy/src/dispatch/remote_share.rs
+++ b/crates/policy/src/dispatch/remote_share.rs
@@ -144,17 +144,58 @@
     }
 }
 
+/// A change of a service's share that is worth a log line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RemoteShareChange {
+    /// Share at the last reported change.
+    pub from: f64,
+    /// Share now.
+    pub to: f64,
+    /// What the last step was computed from.
+    pub facts: RemoteFacts,
+}
+
+/// Smallest change of a share that is reported, other than one to 0 or 1.
+const MIN_REPORTED_CHANGE: f64 = 0.1;
+
+/// The share of one service and what was last reported of it.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReportedShare {
+    share: RemoteShare,
+    reported: f64,
+    change: Option<RemoteShareChange>,
+}
+
 /// The shares of all services.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RemoteShares(HashMap<String, RemoteShare>);
+pub(super) struct RemoteShares(HashMap<String, ReportedShare>);
 
 impl RemoteShares {
     /// Moves the share of the view's service by the steps that are due and returns it.
     pub(super) fn step(&mut self, view: FleetView<'_>, facts: RemoteFacts) -> f64 {
         if !self.0.contains_key(view.service) {
-            self.0.insert(view.service.to_owned(), RemoteShare::new());
+            self.0
+                .insert(view.service.to_owned(), ReportedShare::default());
+        }
+        let Some(one) = self.0.get_mut(view.service) else {
+            return 0.0;
+        };
+        let share = one.share.step(view.now, facts);
+        let is_bound = share <= 0.0 || share >= 1.0;
+        let difference = (share - one.reported).abs();
+        if difference >= MIN_REPORTED_CHANGE || is_bound && difference > 0.0 {
+            one.change = Some(RemoteShareChange {
+                from: one.reported,
+                to: share,
+                facts,
+            });
+            one.reported = share;
         }
-        let share = self.0.get_mut(view.service);
-        share.map_or(0.0, |share| share.step(view.now, facts))
+        share
+    }
+
+    /// Returns the latest change of a service's share that hasn't been returned yet.
+    pub(super) fn take_change(&mut self, service: &str) -> Option<RemoteShareChange> {
+        self.0.get_mut(service)?.change.take()
     }
 }
--- a/crates/policy/tests/all/dispatch/remote_share.rs
+++ b/crates/policy/tests/all/dispatch/remote_share.rs
@@ -1,7 +1,7 @@
 //! Plain requests of three data centres whose hosts know the others' loads by reports that
 //! are up to 25 ms old.
 
-use crate::dispatch::support::{at_ms, engine, key_of, table_of, view};
+use crate::dispatch::support::{SERVICE, at_ms, engine, key_of, table_of, view};
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
     EngineRole, FleetView, HostReport, InFlightLoad, PeerLoads, Placement, PlacementLimits,
@@ -362,4 +362,7 @@
     assert!(shares[0] > 0.9, "share falls to {} at once", shares[0]);
     assert!(shares.windows(2).all(|pair| pair[0] - pair[1] <= 0.051));
     assert_eq!(shares.last(), Some(&0.0));
+    let change = placement.take_share_change(SERVICE);
+    assert_eq!(change.map(|change| change.to), Some(0.0));
+    assert_eq!(placement.take_share_change(SERVICE), None);
 }
