--- a/crates/policy/src/dispatch/fleet_view.rs
+++ b/crates/policy/src/dispatch/fleet_view.rs
@@ -25,7 +25,8 @@
     pub is_only_attempt: bool,
     /// Current time.
     pub now: Timestamp,
-    /// Selects among equally loaded upstreams; a random number from 0 to 1.
+    /// Selects among equally loaded upstreams, and whether a request leaves the data centre;
+    /// a random number from 0 to 1.
     pub tie_breaker: f64,
 }
 
--- a/crates/policy/tests/all/dispatch/remote_share.rs
+++ b/crates/policy/tests/all/dispatch/remote_share.rs
@@ -254,6 +254,7 @@
     };
     let swing = run(Rule::Share, demand).swing();
     println!("swing {swing:.3}");
+    // The demand's swing as a share of its peak.
     assert!(swing <= 1.1 / 1.55, "share swings by {swing:.3}");
 }
 
