--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -7,8 +7,8 @@
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    EngineSpec, FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause, RequiredVersion,
-    RetrySafety,
+    EngineSpec, FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause, RemoteShareChange,
+    RequiredVersion, RetrySafety,
 };
 use rand::RngExt;
 use std::rc::Rc;
@@ -87,6 +87,7 @@
                 placement.choose_upstream(view)
             })
         });
+        self.log_share_change();
         let silent = self.silent_upstream.as_slice();
         let any = || self.choose(silent, |placement, view| placement.choose_upstream(view));
         let upstream = untried
@@ -95,6 +96,23 @@
         Ok(self.attempt(upstream, UpstreamTask::Run, 0))
     }
 
+    fn log_share_change(&self) {
+        let service = &self.admitted.service;
+        let change = self.state.placement.borrow().take_share_change(service);
+        if let Some(RemoteShareChange { from, to, facts }) = change {
+            tracing::info!(
+                %service,
+                from,
+                to,
+                home_in_flight = facts.home.in_flight,
+                home_slots = facts.home.slots,
+                free_elsewhere = facts.elsewhere.slots - facts.elsewhere.in_flight,
+                news_age = ?facts.news_age,
+                "share of requests that may leave the data centre changed"
+            );
+        }
+    }
+
     pub(super) fn prompt_plan(&self) -> Result<PromptPlan, GatewayReply> {
         let prompt = &self.admitted.outgoing.request.prompt;
         let goal = self.admitted.route.latency_goal;
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -64,6 +64,7 @@
 mod prompt;
 mod quota;
 mod reachability;
+mod remote_share;
 mod retry_after;
 mod retry_budget;
 mod roles;
@@ -112,6 +113,7 @@
     WorkspaceQuota,
 };
 pub use reachability::{ContactEffect, ContactResult};
+pub use remote_share::{RemoteFacts, RemoteShare, RemoteShareChange, SiteLoad};
 pub use retry_after::{RefusalCause, retry_after};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use roles::{RoleOrder, RolePlanner};
--- a/crates/policy/src/dispatch/placement.rs
+++ b/crates/policy/src/dispatch/placement.rs
@@ -1,7 +1,7 @@
 //! Chooses the upstream for a request, or reports that none can serve it in time.
 //!
-//! Requests to plain services go to the least loaded upstream, with a preference
-//! for the host's own data centre. Prompts are different: an engine that has the
+//! Requests to plain services go to the least loaded upstream of the host's own data
+//! centre; a share of them may leave it. Prompts are different: an engine that has the
 //! prefix blocks of a prompt in its KV cache skips most of the prefill. Prefix
 //! affinity therefore sends the prompts of a session to the same engine: rendezvous
 //! hashing ranks the engines for each session. All hosts compute the same ranking,
@@ -15,15 +15,18 @@
 mod decode_room;
 mod expected_time;
 mod kv_room;
+mod leaving;
 
 pub use decode_room::{DecodeChoice, PrefilledRequest};
 
 use self::expected_time::{TimedCandidate, better_of_two};
+use super::remote_share::RemoteShares;
 use super::{
     CapacityModel, DecodeTime, EngineRole, FleetView, PeerLoads, PrefillRate, PromptFacts,
     PromptPlan, PromptRefusal, Upstream, VersionDigest,
 };
 use crate::UpstreamKey;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -64,10 +67,6 @@
 /// of 1. Proportionally less is added for lower failure shares.
 const FAILURE_PENALTY: f64 = 12.0;
 
-/// Load, in requests in flight per slot, added to an upstream in another data
-/// centre.
-const REMOTE_PENALTY: f64 = 0.05;
-
 /// Load, in requests in flight per slot, added to a decode engine in another data
 /// centre than the KV cache of the prompt.
 const REMOTE_TRANSFER_PENALTY: f64 = 0.2;
@@ -108,6 +107,8 @@
     decode_time: DecodeTime,
     /// Speeds of the upstreams.
     capacity: CapacityModel,
+    /// Shares of requests that may leave the data centre.
+    remote_shares: RefCell<RemoteShares>,
 }
 
 /// An engine that could run the prefill of one prompt.
@@ -136,6 +137,7 @@
             prefill_rate: PrefillRate::new(),
             decode_time: DecodeTime::new(),
             capacity: CapacityModel::new(),
+            remote_shares: RefCell::default(),
         }
     }
 
@@ -174,17 +176,7 @@
     /// usable.
     pub fn choose_upstream(&self, view: FleetView<'_>) -> Option<UpstreamKey> {
         let candidates = view.usable().filter(|(key, _)| !view.tried.contains(key));
-        let candidates = view.prefer_answering(candidates).into_iter();
-        let load = |upstream: &Upstream| {
-            let is_same_data_centre = upstream.record.data_centre == self.data_centre;
-            let penalty = if is_same_data_centre {
-                0.0
-            } else {
-                REMOTE_PENALTY
-            };
-            load_of(upstream, view.peers) + penalty
-        };
-        self.lowest_expected(view, candidates.collect(), load)
+        self.choose_site(view, view.prefer_answering(candidates))
     }
 
     /// Returns the candidate with the lowest expected time where their measured speeds
