--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -13,7 +13,7 @@
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    QuotaCharge, RequestContent, RetrySafety, Route, ServingConfig, SuspectKey, WorkspaceQuota,
+    QuotaCharge, RequestContent, Route, ServingConfig, SuspectKey, WorkspaceQuota,
 };
 use rand::RngExt;
 use std::error::Error;
@@ -100,7 +100,7 @@
     let key = content_key(&request, &resolved, &body);
     let (least, most) = (*URGENCY_RANGE.start(), *URGENCY_RANGE.end());
     let urgency = resolved.urgency.clamp(least, most) as u8;
-    let is_resumable = resolved.route.retry_safety == RetrySafety::Stream { resumable: true };
+    let is_resumable = resolved.route.retry_safety.is_resumable();
     held.set_route(urgency, is_resumable);
     Ok(Admitted {
         outgoing: OutgoingRequest {
--- a/crates/gateway/src/duty/fleet.rs
+++ b/crates/gateway/src/duty/fleet.rs
@@ -114,7 +114,10 @@
             service = service.name,
             last_engines,
             engines = estimate.engines(),
-            ?loads,
+            decode_engines = loads.decode_engines,
+            prefill_engines = loads.prefill_engines,
+            decode_in_flight = loads.decode_in_flight,
+            prefill_in_flight = loads.prefill_in_flight,
             decode_peak,
             prefill_peak,
             "number of decode engines that the work calls for changed"
--- a/crates/gateway/src/duty/fleet_plan.rs
+++ b/crates/gateway/src/duty/fleet_plan.rs
@@ -87,7 +87,10 @@
         if summary.replaced != last_replaced {
             tracing::info!(
                 service = service.name,
-                ?summary,
+                required = summary.required,
+                present = summary.present,
+                missing = summary.missing,
+                replaced = summary.replaced,
                 peak_in_flight = facts.peak_in_flight,
                 "number of replacements for reclaimable upstreams changed"
             );
--- a/crates/gateway/src/duty/scale.rs
+++ b/crates/gateway/src/duty/scale.rs
@@ -293,10 +293,14 @@
     let status = response.map(|response| response.status);
     // Logged also if the platform refused the order or didn't respond; `status` tells.
     tracing::info!(
-        ?order,
+        service = order.service,
+        data_centre = order.data_centre,
+        count = order.count,
+        is_spot = order.is_spot,
         present,
         fencing_number = holder.fencing_token,
-        ?status,
+        status = status.as_ref().map(StatusCode::as_u16).ok(),
+        error = status.as_ref().err().map(ToString::to_string),
         "upstreams ordered"
     );
     Some(OrderOutcome::new(status.ok()))
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,7 +26,7 @@
 use hyper::body::Frame;
 use lagoonlift_adapter::upstream::forwarded_response_headers;
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::{NextStep, RetrySafety, SendResult};
+use lagoonlift_policy::dispatch::{NextStep, SendResult};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -365,7 +365,7 @@
     }
 
     fn is_resumable(&self) -> bool {
-        self.run.admitted.route.retry_safety == RetrySafety::Stream { resumable: true }
+        self.run.admitted.route.retry_safety.is_resumable()
     }
 
     /// Resumes the stream at another upstream after the last complete event.
--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -8,7 +8,7 @@
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
     EngineSpec, FleetView, Placement, PromptPlan, PromptRefusal, RefusalCause, RemoteShareChange,
-    RequiredVersion, RetrySafety,
+    RequiredVersion,
 };
 use rand::RngExt;
 use std::rc::Rc;
@@ -58,8 +58,7 @@
     /// Returns the version that a new resumable stream should begin at, because others are
     /// leaving.
     fn staying_version(&self) -> Option<RequiredVersion> {
-        let is_resumable =
-            self.admitted.route.retry_safety == RetrySafety::Stream { resumable: true };
+        let is_resumable = self.admitted.route.retry_safety.is_resumable();
         if !is_resumable || self.required_version != RequiredVersion::Any {
             return None;
         }
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -3,9 +3,7 @@
 use super::RequestRun;
 use crate::clock;
 use crate::reply::GatewayReply;
-use lagoonlift_policy::dispatch::{
-    RefusalCause, RequiredVersion, RetrySafety, StreamKey, VersionDigest,
-};
+use lagoonlift_policy::dispatch::{RefusalCause, RequiredVersion, StreamKey, VersionDigest};
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -24,7 +22,7 @@
     /// one that goes on later.
     pub(crate) async fn find_version(&mut self) -> Result<(), GatewayReply> {
         let request = &self.admitted.outgoing.request;
-        if self.admitted.route.retry_safety != (RetrySafety::Stream { resumable: true }) {
+        if !self.admitted.route.retry_safety.is_resumable() {
             return Ok(());
         }
         let version = match (&request.resumed_attempt, request.last_event_id) {
@@ -126,8 +124,7 @@
         if self.required_version == RequiredVersion::Any {
             self.required_version = RequiredVersion::of_stream(version);
         }
-        let is_resumable =
-            self.admitted.route.retry_safety == RetrySafety::Stream { resumable: true };
+        let is_resumable = self.admitted.route.retry_safety.is_resumable();
         let RequiredVersion::Only(version) = self.required_version else {
             return;
         };
--- a/crates/policy/src/dispatch/configuration.rs
+++ b/crates/policy/src/dispatch/configuration.rs
@@ -36,6 +36,11 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Returns whether another upstream can resume the stream.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Returns whether the response is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
@@ -224,9 +229,10 @@
     /// resume.
     pub fn longest_resumable(&self, service: &str) -> Duration {
         let leads_to = |route: &Route| route.services.iter().any(|one| one.service == service);
-        let resumable = self.routes.iter().filter(|route| {
-            route.retry_safety == RetrySafety::Stream { resumable: true } && leads_to(route)
-        });
+        let resumable = self
+            .routes
+            .iter()
+            .filter(|route| route.retry_safety.is_resumable() && leads_to(route));
         let timeouts = resumable.map(|route| route.timeout);
         timeouts.max().unwrap_or_default()
     }
