--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -120,7 +120,7 @@
 /// Returns the charge of a request if the reply says that it certainly doesn't run.
 fn return_charge(state: &GatewayState, charge: Option<QuotaCharge>, reply: &GatewayReply) {
     if let (Some(charge), StatusCode::SERVICE_UNAVAILABLE) = (charge, reply.status) {
-        state.quota_desk.give_back(charge);
+        state.quota_state.give_back(charge);
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -398,10 +398,10 @@
         }
         PeerMessage::Versions(notice) => versions::record(state, now, &notice),
         PeerMessage::Quota(message) => {
-            let mut quotas = state.quota_desk.quotas.borrow_mut();
+            let mut quotas = state.quota_state.quotas.borrow_mut();
             quotas.handle(now, address, message);
-            state.quota_desk.heard.notify_waiters();
-            state.quota_desk.has_news.notify_one();
+            state.quota_state.heard.notify_waiters();
+            state.quota_state.has_news.notify_one();
         }
         PeerMessage::Usage(copy) => {
             state.usage_copies.borrow_mut().record(now, copy);
--- a/crates/gateway/src/peers/quota.rs
+++ b/crates/gateway/src/peers/quota.rs
@@ -25,7 +25,7 @@
 /// Sends messages about quotas and keeps leases until the process ends. Does nothing while
 /// no workspace has a quota.
 pub(crate) async fn keep_quotas(state: Rc<GatewayState>, socket: Option<Rc<UdpSocket>>) {
-    let desk = &state.quota_desk;
+    let desk = &state.quota_state;
     let mut owned = 0;
     loop {
         while desk.quotas.borrow().is_empty() {
@@ -55,7 +55,7 @@
 
 /// Sends messages as they come up, until `until`.
 async fn send_until(state: &GatewayState, socket: Option<&UdpSocket>, until: Instant) {
-    let desk = &state.quota_desk;
+    let desk = &state.quota_state;
     loop {
         let outgoing = desk.quotas.borrow_mut().take_outgoing();
         for outgoing in outgoing {
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -32,7 +32,7 @@
 const OTHER_LABEL: &str = "other";
 
 /// The quotas of this host, and what wakes the tasks that wait for a change of them.
-pub(crate) struct QuotaDesk {
+pub(crate) struct QuotaState {
     pub(crate) quotas: RefCell<HostQuotas>,
     /// Notified when there are messages to send, or the first quotas have come into force.
     pub(crate) has_news: Notify,
@@ -43,7 +43,7 @@
     ownerless: Cell<u64>,
 }
 
-impl QuotaDesk {
+impl QuotaState {
     /// Creates the quotas of a process. `own` is its address for messages, if it has one.
     pub(crate) fn new(own: Option<SocketAddr>, seed: u64, bounds: &GatewayBounds) -> Self {
         let own = own.unwrap_or(NO_ADDRESS);
@@ -143,7 +143,7 @@
     request: &str,
     stated_tokens: Option<u64>,
 ) -> Result<Option<QuotaCharge>, GatewayReply> {
-    let desk = &state.quota_desk;
+    let desk = &state.quota_state;
     let charge = quota.charge(stated_tokens);
     let key = QuotaKey::new(workspace);
     let asked_at = clock::now();
@@ -171,7 +171,7 @@
     refusal: &QuotaRefusal,
     asked_at: Timestamp,
 ) {
-    let desk = &state.quota_desk;
+    let desk = &state.quota_state;
     let (reason, left, age) = match refusal {
         QuotaRefusal::UsedUp { left, age, .. } => ("used-up", Some(*left), Some(*age)),
         QuotaRefusal::TooLarge { .. } => ("too-large", None, None),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use crate::final_publication::FinalPublication;
 use crate::held::HeldRegistry;
 use crate::metrics::GatewayMetrics;
-use crate::quota::QuotaDesk;
+use crate::quota::QuotaState;
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use crate::version_store;
@@ -90,7 +90,7 @@
     pub(crate) announced_store_status: Cell<StoreStatus>,
     /// The hosts that receive messages and share what upstreams take.
     pub(crate) roster: RefCell<HostRoster>,
-    pub(crate) quota_desk: QuotaDesk,
+    pub(crate) quota_state: QuotaState,
     /// Revision of the latest configuration that couldn't be decoded; 0 if there was none.
     pub(crate) malformed_config: Cell<u64>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
@@ -161,7 +161,7 @@
                 clock::now(),
             )),
             malformed_config: Cell::new(0),
-            quota_desk: QuotaDesk::new(settings.listen.peers, incarnation_id, &settings.bounds),
+            quota_state: QuotaState::new(settings.listen.peers, incarnation_id, &settings.bounds),
             freshness: RefCell::new(ConfigFreshness::new(limits)),
             usage: RefCell::new(UsageCounts::new(window_us)),
             usage_copies: RefCell::new(UsageCopies::new()),
@@ -324,7 +324,7 @@
             change: bounds.configuration,
         };
         self.freshness.borrow_mut().set_limits(limits);
-        self.quota_desk.set_bounds(bounds);
+        self.quota_state.set_bounds(bounds);
     }
 
     /// Returns the highest number of hosts that were ever listed, or the initial
--- a/crates/gateway/src/watcher/config.rs
+++ b/crates/gateway/src/watcher/config.rs
@@ -196,6 +196,6 @@
         routes = config.routes().len(),
         "configuration in force"
     );
-    state.quota_desk.apply_config(&config);
+    state.quota_state.apply_config(&config);
     *state.config.borrow_mut() = Some(Rc::new(config));
 }
--- a/crates/policy/src/dispatch/quota.rs
+++ b/crates/policy/src/dispatch/quota.rs
@@ -5,9 +5,9 @@
 //! steady traffic of the workspace gets tokens in advance; they expire, and the host returns
 //! what it hasn't spent.
 //!
-//! The owner is elected: a few hosts, the seats of the workspace, follow from its name and
-//! from the roster by rendezvous hashing. A seat promises to support one owner for a short
-//! time, and a host owns the workspace while enough seats have promised. A host that is
+//! The owner is elected: a few hosts, the voters of the workspace, follow from its name and
+//! from the roster by rendezvous hashing. A voter votes for one owner for a short
+//! time, and a host owns the workspace while enough voters have voted. A host that is
 //! paused or cut off therefore stops granting before another one begins. A new owner begins
 //! with an empty bucket.
 //!
@@ -21,14 +21,14 @@
 mod limits;
 mod messages;
 mod ownership;
-mod seats;
+mod voters;
 
 pub use account::{QuotaCharge, QuotaDecision, QuotaRefusal};
 pub use bucket::{BucketDenial, QuotaBucket};
 pub use host_quotas::{AskId, HostQuotas, OutgoingQuotaMessage};
 pub use limits::{QuotaKey, QuotaLimits, QuotaUnit, WorkspaceQuota};
 pub use messages::{QuotaGrant, QuotaMessage};
-pub use seats::QuotaRoster;
+pub use voters::QuotaRoster;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
--- a/crates/policy/src/dispatch/quota/host_quotas.rs
+++ b/crates/policy/src/dispatch/quota/host_quotas.rs
@@ -6,7 +6,7 @@
 use super::limits::{QuotaKey, QuotaLimits, WorkspaceQuota};
 use super::messages::{MAX_KEYS, QuotaMessage};
 use super::ownership::WorkspaceOwnership;
-use super::seats::{QuotaRoster, WorkspaceSeats};
+use super::voters::{QuotaRoster, WorkspaceVoters};
 use crate::Timestamp;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -55,7 +55,7 @@
     answer: Option<QuotaDecision>,
 }
 
-/// The quotas of all workspaces at one host: its part as a seat, as an owner, and as a host
+/// The quotas of all workspaces at one host: its part as a voter, as an owner, and as a host
 /// that asks.
 #[derive(Debug)]
 pub struct HostQuotas {
@@ -67,7 +67,7 @@
     workspaces: BTreeMap<QuotaKey, QuotaWorkspace>,
     waiting: BTreeMap<AskId, WaitingAsk>,
     last_ask: u64,
-    /// Time until which this host may have made promises that it doesn't know.
+    /// Time until which this host may have voted in ways that it doesn't know.
     forgot_at: Timestamp,
     outgoing: Vec<OutgoingQuotaMessage>,
     ticked_at: Timestamp,
@@ -129,7 +129,7 @@
 
     fn new_workspace(&self, key: QuotaKey, quota: WorkspaceQuota) -> QuotaWorkspace {
         let mut ownership = WorkspaceOwnership::new(self.own, self.forgot_at);
-        ownership.set_seats(WorkspaceSeats::new(key, &self.roster.members));
+        ownership.set_voters(WorkspaceVoters::new(key, &self.roster.members));
         QuotaWorkspace {
             ownership,
             account: QuotaAccount::new(key, quota),
@@ -143,8 +143,8 @@
         self.roster = roster;
         if is_changed {
             for (key, workspace) in &mut self.workspaces {
-                let seats = WorkspaceSeats::new(*key, &self.roster.members);
-                workspace.ownership.set_seats(seats);
+                let voters = WorkspaceVoters::new(*key, &self.roster.members);
+                workspace.ownership.set_voters(voters);
             }
         }
     }
@@ -173,19 +173,19 @@
     }
 
     fn request_leases(&mut self, now: Timestamp) {
-        let mut by_seat: BTreeMap<SocketAddr, Vec<QuotaKey>> = BTreeMap::new();
+        let mut by_voter: BTreeMap<SocketAddr, Vec<QuotaKey>> = BTreeMap::new();
         for (key, workspace) in &mut self.workspaces {
-            for seat in workspace.ownership.begin_request(now) {
-                by_seat.entry(*seat).or_default().push(*key);
+            for voter in workspace.ownership.begin_request(now) {
+                by_voter.entry(*voter).or_default().push(*key);
             }
         }
-        for (seat, keys) in by_seat {
+        for (voter, keys) in by_voter {
             for keys in keys.chunks(MAX_KEYS) {
                 let message = QuotaMessage::LeaseRequest {
                     asked_at_us: now.0,
                     keys: keys.to_vec(),
                 };
-                self.send(now, seat, message);
+                self.send(now, voter, message);
             }
         }
     }
@@ -236,7 +236,7 @@
         if let Some(refusal) = account.known_refusal(now, charge, self.limits.window) {
             return Ok(QuotaDecision::Refuse(refusal));
         }
-        if workspace.ownership.seats().is_empty() {
+        if workspace.ownership.voters().is_empty() {
             return Ok(self.decide_ownerless(now, key, charge));
         }
         let is_own = workspace.ownership.is_owner(now);
@@ -248,7 +248,7 @@
         self.take_answer(now, ask).ok_or(ask)
     }
 
-    /// Sends the question again, to all seats.
+    /// Sends the question again, to all voters.
     pub fn repeat_ask(&mut self, now: Timestamp, ask: AskId) {
         let Some(waiting) = self.waiting.get(&ask).copied() else {
             return;
@@ -347,7 +347,7 @@
         let receivers = match known {
             _ if workspace.ownership.is_owner(now) => vec![self.own],
             Some(owner) => vec![owner],
-            None => workspace.ownership.seats().to_vec(),
+            None => workspace.ownership.voters().to_vec(),
         };
         for receiver in receivers {
             let message = QuotaMessage::Ask {
--- a/crates/policy/src/dispatch/quota/host_quotas/handling.rs
+++ b/crates/policy/src/dispatch/quota/host_quotas/handling.rs
@@ -24,11 +24,11 @@
     pub fn handle(&mut self, now: Timestamp, from: SocketAddr, message: QuotaMessage) {
         match message {
             QuotaMessage::LeaseRequest { asked_at_us, keys } => {
-                self.promise_leases(now, from, asked_at_us, keys);
+                self.vote_for_leases(now, from, asked_at_us, keys);
             }
-            QuotaMessage::LeasePromise { asked_at_us, keys } => {
+            QuotaMessage::LeaseVote { asked_at_us, keys } => {
                 for key in keys {
-                    self.record_promise(now, from, key, Timestamp(asked_at_us));
+                    self.record_vote(now, from, key, Timestamp(asked_at_us));
                 }
             }
             QuotaMessage::Ask {
@@ -80,7 +80,7 @@
         }
     }
 
-    fn promise_leases(
+    fn vote_for_leases(
         &mut self,
         now: Timestamp,
         from: SocketAddr,
@@ -89,17 +89,17 @@
     ) {
         keys.retain(|key| {
             let workspace = self.workspaces.get_mut(key);
-            workspace.is_some_and(|one| one.ownership.promise(now, from))
+            workspace.is_some_and(|one| one.ownership.vote(now, from))
         });
         if !keys.is_empty() {
-            self.send(now, from, QuotaMessage::LeasePromise { asked_at_us, keys });
+            self.send(now, from, QuotaMessage::LeaseVote { asked_at_us, keys });
         }
     }
 
-    fn record_promise(
+    fn record_vote(
         &mut self,
         now: Timestamp,
-        seat: SocketAddr,
+        voter: SocketAddr,
         key: QuotaKey,
         asked_at: Timestamp,
     ) {
@@ -110,7 +110,7 @@
         let quota = workspace.account.quota;
         let bucket = || QuotaBucket::new(quota, limits, now);
         let ownership = &mut workspace.ownership;
-        ownership.record_promise(now, seat, asked_at, bucket, seed);
+        ownership.record_vote(now, voter, asked_at, bucket, seed);
     }
 
     fn answer(&mut self, now: Timestamp, question: TokenQuestion) {
--- a/crates/policy/src/dispatch/quota/lease.rs
+++ b/crates/policy/src/dispatch/quota/lease.rs
@@ -1,11 +1,11 @@
-//! Promises of seats, and the lease that follows from them.
+//! Votes, and the lease that follows from them.
 
 use crate::Timestamp;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time for which a seat supports an owner.
+/// Time for which a voter supports an owner.
 pub(super) const LEASE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Part of that time by which an owner stops earlier, since clocks run at different rates.
@@ -15,25 +15,25 @@
 pub(super) const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time by which a candidate waits longer than the one before it, so that candidates don't
-/// split the promises.
+/// split the votes.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(60);
 
 /// Time for which a host listens for an owner before it asks for the lease, after a pause or
-/// a question that brought too few promises. An owner asks within [`RENEWAL_INTERVAL`].
+/// a question that brought too few votes. An owner asks within [`RENEWAL_INTERVAL`].
 pub(super) const LISTEN_TIME: Duration = Duration::from_millis(300);
 
-/// What one seat has promised for a workspace.
+/// The vote of one voter for a workspace.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct SeatPromise {
+pub(super) struct VoterState {
     owner: Option<SocketAddr>,
-    /// Time until which the promise, or the ignorance of promises before the start, holds.
+    /// Time until which the vote, or the ignorance of votes before the start, holds.
     until: Timestamp,
     /// Time until which the host only listens.
     listen_until: Timestamp,
 }
 
-impl SeatPromise {
-    /// Creates the state of a seat that may have promised something before it started.
+impl VoterState {
+    /// Creates the state of a voter that may have voted before it started.
     pub(super) fn new(started_at: Timestamp) -> Self {
         Self {
             owner: None,
@@ -42,8 +42,8 @@
         }
     }
 
-    /// Promises to support `candidate`. Returns whether it may.
-    pub(super) fn promise(&mut self, now: Timestamp, candidate: SocketAddr) -> bool {
+    /// Votes for `candidate`. Returns whether it may.
+    pub(super) fn vote(&mut self, now: Timestamp, candidate: SocketAddr) -> bool {
         if now < self.until && self.owner != Some(candidate) {
             return false;
         }
@@ -62,43 +62,43 @@
         self.listen_until = now + LISTEN_TIME;
     }
 
-    /// Withdraws the promise of a host to itself.
+    /// Withdraws the vote of a host to itself.
     pub(super) fn withdraw(&mut self, now: Timestamp) {
         self.owner = None;
         self.until = now;
         self.listen(now);
     }
 
-    /// Returns the owner that the seat supports.
+    /// Returns the owner that the voter supports.
     pub(super) fn owner(&self, now: Timestamp) -> Option<SocketAddr> {
         self.owner.filter(|_| now < self.until)
     }
 }
 
-/// The promises that a candidate has got.
+/// The votes that a candidate has got.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OwnerLease {
-    /// Time of the question that each seat has answered with a promise.
-    promised: BTreeMap<SocketAddr, Timestamp>,
+    /// Time of the question that each voter has answered with a vote.
+    voted: BTreeMap<SocketAddr, Timestamp>,
 }
 
 impl OwnerLease {
-    pub(super) fn record_promise(&mut self, seat: SocketAddr, asked_at: Timestamp) {
-        let at = self.promised.entry(seat).or_insert(asked_at);
+    pub(super) fn record_vote(&mut self, voter: SocketAddr, asked_at: Timestamp) {
+        let at = self.voted.entry(voter).or_insert(asked_at);
         *at = (*at).max(asked_at);
     }
 
-    /// Forgets all promises, also those that still hold.
+    /// Forgets all votes, also those that still hold.
     pub(super) fn clear(&mut self) {
-        self.promised.clear();
+        self.voted.clear();
     }
 
-    /// Returns whether at least `quorum` promises of these seats hold.
-    pub(super) fn is_held(&self, now: Timestamp, seats: &[SocketAddr], quorum: usize) -> bool {
-        let holds = |seat: &&SocketAddr| {
-            let asked_at = self.promised.get(*seat);
+    /// Returns whether at least `quorum` votes of these voters hold.
+    pub(super) fn is_held(&self, now: Timestamp, voters: &[SocketAddr], quorum: usize) -> bool {
+        let holds = |voter: &&SocketAddr| {
+            let asked_at = self.voted.get(*voter);
             asked_at.is_some_and(|at| now.since(*at) < LEASE_TIME - LEASE_MARGIN)
         };
-        !seats.is_empty() && seats.iter().filter(holds).count() >= quorum
+        !voters.is_empty() && voters.iter().filter(holds).count() >= quorum
     }
 }
--- a/crates/policy/src/dispatch/quota/messages.rs
+++ b/crates/policy/src/dispatch/quota/messages.rs
@@ -23,7 +23,7 @@
 /// `asked_at_us` are by the clock of the host that asked, and come back unchanged.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum QuotaMessage {
-    /// Asks the receiver, a seat of these workspaces, to support the sender as their owner.
+    /// Asks the receiver, a voter of these workspaces, to support the sender as their owner.
     LeaseRequest {
         /// Time of the question.
         asked_at_us: u64,
@@ -31,7 +31,7 @@
         keys: Vec<QuotaKey>,
     },
     /// The sender supports the receiver as the owner of these workspaces.
-    LeasePromise {
+    LeaseVote {
         /// Time of the question.
         asked_at_us: u64,
         /// The workspaces.
--- a/crates/policy/src/dispatch/quota/ownership.rs
+++ b/crates/policy/src/dispatch/quota/ownership.rs
@@ -3,10 +3,10 @@
 
 use super::bucket::QuotaBucket;
 use super::hash_of;
-use super::lease::{OwnerLease, RENEWAL_INTERVAL, SeatPromise};
+use super::lease::{OwnerLease, RENEWAL_INTERVAL, VoterState};
 use super::limits::{QuotaKey, QuotaLimits, WorkspaceQuota};
 use super::messages::{QuotaGrant, QuotaMessage};
-use super::seats::WorkspaceSeats;
+use super::voters::WorkspaceVoters;
 use crate::Timestamp;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -42,32 +42,32 @@
 #[derive(Clone, Debug)]
 pub(super) struct WorkspaceOwnership {
     own: SocketAddr,
-    seats: WorkspaceSeats,
-    promise: SeatPromise,
+    voters: WorkspaceVoters,
+    vote: VoterState,
     lease: OwnerLease,
     asked_at: Option<Timestamp>,
     owned: Option<OwnedBucket>,
 }
 
 impl WorkspaceOwnership {
-    /// Creates the state of a host that may have made promises until `forgot_at`.
+    /// Creates the state of a host that may have cast votes until `forgot_at`.
     pub(super) fn new(own: SocketAddr, forgot_at: Timestamp) -> Self {
         Self {
             own,
-            seats: WorkspaceSeats::default(),
-            promise: SeatPromise::new(forgot_at),
+            voters: WorkspaceVoters::default(),
+            vote: VoterState::new(forgot_at),
             lease: OwnerLease::default(),
             asked_at: None,
             owned: None,
         }
     }
 
-    pub(super) fn set_seats(&mut self, seats: WorkspaceSeats) {
-        self.seats = seats;
+    pub(super) fn set_voters(&mut self, voters: WorkspaceVoters) {
+        self.voters = voters;
     }
 
-    pub(super) fn seats(&self) -> &[SocketAddr] {
-        self.seats.addresses()
+    pub(super) fn voters(&self) -> &[SocketAddr] {
+        self.voters.addresses()
     }
 
     pub(super) fn set_quota(&mut self, now: Timestamp, quota: WorkspaceQuota, limits: QuotaLimits) {
@@ -84,44 +84,44 @@
 
     /// Records that this process was held up until `now`, and may have missed an owner.
     pub(super) fn record_pause(&mut self, now: Timestamp) {
-        self.promise.listen(now);
+        self.vote.listen(now);
     }
 
-    /// Returns the seats to ask for the lease or its renewal, if it is time to ask.
+    /// Returns the voters to ask for the lease or its renewal, if it is time to ask.
     pub(super) fn begin_request(&mut self, now: Timestamp) -> &[SocketAddr] {
-        let Some(rank) = self.seats.rank_of(self.own) else {
+        let Some(rank) = self.voters.rank_of(self.own) else {
             return &[];
         };
         let is_due = self
             .asked_at
             .is_none_or(|at| now.since(at) >= RENEWAL_INTERVAL);
-        if is_due && self.promise.owner(now) == Some(self.own) && !self.is_lease_held(now) {
-            // A candidate that kept its own promise would never support the owner.
-            self.promise.withdraw(now);
+        if is_due && self.vote.owner(now) == Some(self.own) && !self.is_lease_held(now) {
+            // A candidate that kept its own vote would never support the owner.
+            self.vote.withdraw(now);
             self.lease.clear();
             self.owned = None;
         }
-        let is_candidate = match self.promise.owner(now) {
+        let is_candidate = match self.vote.owner(now) {
             Some(owner) => owner == self.own,
-            None => self.promise.is_vacant(now, rank),
+            None => self.vote.is_vacant(now, rank),
         };
         if !is_due || !is_candidate {
             return &[];
         }
         self.asked_at = Some(now);
-        self.seats.addresses()
+        self.voters.addresses()
     }
 
-    /// Returns whether this host, as a seat, promises to support `candidate`.
-    pub(super) fn promise(&mut self, now: Timestamp, candidate: SocketAddr) -> bool {
-        self.promise.promise(now, candidate)
+    /// Returns whether this host, as a voter, votes for `candidate`.
+    pub(super) fn vote(&mut self, now: Timestamp, candidate: SocketAddr) -> bool {
+        self.vote.vote(now, candidate)
     }
 
-    /// Records the promise of a seat that answers the question of `asked_at`.
-    pub(super) fn record_promise(
+    /// Records the vote of a voter that answers the question of `asked_at`.
+    pub(super) fn record_vote(
         &mut self,
         now: Timestamp,
-        seat: SocketAddr,
+        voter: SocketAddr,
         asked_at: Timestamp,
         bucket: impl FnOnce() -> QuotaBucket,
         seed: u64,
@@ -130,7 +130,7 @@
         if self.asked_at != Some(asked_at) {
             return;
         }
-        self.lease.record_promise(seat, asked_at);
+        self.lease.record_vote(voter, asked_at);
         if self.owned.is_none() && self.is_lease_held(now) {
             self.owned = Some(OwnedBucket {
                 term: hash_of(&(seed, now)),
@@ -190,8 +190,8 @@
     }
 
     fn is_lease_held(&self, now: Timestamp) -> bool {
-        let seats = self.seats.addresses();
-        seats.contains(&self.own) && self.lease.is_held(now, seats, self.seats.quorum())
+        let voters = self.voters.addresses();
+        voters.contains(&self.own) && self.lease.is_held(now, voters, self.voters.quorum())
     }
 
     fn drop_if_lapsed(&mut self, now: Timestamp) {
--- a/crates/policy/src/dispatch/quota/seats.rs
+++ b/crates/policy/src/dispatch/quota/voters.rs
@@ -5,11 +5,11 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
-/// Number of seats of a workspace. With few seats, the loss of a third of the hosts often
-/// takes so many seats of a workspace that nobody can own it.
-const SEATS: usize = 31;
+/// Number of voters of a workspace. With few voters, the loss of a third of the hosts often
+/// takes so many voters of a workspace that nobody can own it.
+const VOTERS: usize = 31;
 
-/// Promises that an owner needs if all seats are taken. Two owners need a common seat also
+/// Votes that an owner needs if all voters are taken. Two owners need a common voter also
 /// if their rosters differ by two hosts.
 const FULL_QUORUM: usize = 17;
 
@@ -23,19 +23,19 @@
     pub most_hosts: Option<usize>,
 }
 
-/// The seats of a workspace, the first candidate first.
+/// The voters of a workspace, the first candidate first.
 #[derive(Clone, Debug, Default)]
-pub(super) struct WorkspaceSeats(Vec<SocketAddr>);
+pub(super) struct WorkspaceVoters(Vec<SocketAddr>);
 
-impl WorkspaceSeats {
+impl WorkspaceVoters {
     pub(super) fn new(key: QuotaKey, members: &[SocketAddr]) -> Self {
         let mut ranked: Vec<_> = members
             .iter()
             .map(|address| (Reverse(hash_of(&(key, address))), *address))
             .collect();
-        if ranked.len() > SEATS {
-            ranked.select_nth_unstable(SEATS);
-            ranked.truncate(SEATS);
+        if ranked.len() > VOTERS {
+            ranked.select_nth_unstable(VOTERS);
+            ranked.truncate(VOTERS);
         }
         ranked.sort_unstable();
         Self(ranked.into_iter().map(|(_, address)| address).collect())
@@ -50,10 +50,10 @@
         self.0.iter().position(|one| *one == address)
     }
 
-    /// Returns the number of promises that an owner needs.
+    /// Returns the number of votes that an owner needs.
     pub(super) fn quorum(&self) -> usize {
         match self.0.len() {
-            SEATS => FULL_QUORUM,
+            VOTERS => FULL_QUORUM,
             fewer => fewer / 2 + 1,
         }
     }
