--- a/review/standin/src/gateway.rs
+++ b/review/standin/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::http;
 use std::fs::{self, File};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -78,7 +79,9 @@
             .stdout(log)
             .stderr(errors)
             .spawn();
-        self.child = Some(child.expect("the gateway starts"));
+        let child = child.expect("the gateway starts");
+        record_pid(child.id());
+        self.child = Some(child);
     }
 
     pub fn kill(&mut self) {
@@ -113,3 +116,14 @@
         self.kill();
     }
 }
+
+/// Names a process that was started in the file for the script, which ends it in any case.
+fn record_pid(pid: u32) {
+    if let Some(file) = std::env::var_os("REVIEW_PIDS") {
+        let mut file = File::options()
+            .append(true)
+            .open(file)
+            .expect("the file of the script");
+        writeln!(file, "{pid}").expect("the file can be written");
+    }
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cloud;
 mod common;
+mod crashing_part;
 mod extra_answer;
 mod gateway;
 mod http;
@@ -52,6 +53,7 @@
         "extra-answer" => extra_answer::run(&run),
         "stale-version" => stale_version::run(&run),
         "old-stream" => taken_up::run_old(&run),
+        "crashing-part" => crashing_part::run(&run),
         "all-killed" => taken_up::run_all_killed(&run),
         "split-route" => taken_up::run_split(&run),
         "unreadable-entry" => unreadable_entry::run(&run),
--- a/review/standin/src/stale_version.rs
+++ b/review/standin/src/stale_version.rs
@@ -81,6 +81,7 @@
             version: AtomicU64::new(1),
             is_down: AtomicBool::new(false),
             start: AtomicUsize::new(0),
+            crashes_on: None,
             events: EVENTS,
             pause: PAUSE,
         });
--- a/review/standin/src/streams.rs
+++ b/review/standin/src/streams.rs
@@ -46,11 +46,24 @@
     pub is_down: AtomicBool,
     /// Number of the incarnation.
     pub start: AtomicUsize,
+    /// Part of a prompt that crashes the runner as it begins to answer.
+    pub crashes_on: Option<&'static str>,
     /// Events of a stream, and the pause before each.
     pub events: u64,
     pub pause: Duration,
 }
 
+impl Runner {
+    fn crashes_at(&self, request: &http::Request) -> bool {
+        let parts = request.header("x-prefix-hash").unwrap_or_default();
+        let mut parts = parts
+            .split(',')
+            .map(|part| part.split(':').next().unwrap_or(""));
+        self.crashes_on
+            .is_some_and(|bad| parts.any(|part| part == bad))
+    }
+}
+
 fn stream_events(
     runner: &Runner,
     reader: &mut Reader,
@@ -100,6 +113,11 @@
                 let headers = [("X-Instance-Id", runner.id.clone()), ("X-Request-Id", id)];
                 reader.stream.write_all(&response(421, &headers, b""))
             }
+            () if runner.crashes_at(&request) => {
+                record.line(&format!("runner {} crashes on {id}", runner.id));
+                runner.is_down.store(true, Ordering::SeqCst);
+                Err(std::io::ErrorKind::ConnectionReset.into())
+            }
             () => {
                 let after = request
                     .header("last-event-id")
--- a/review/standin/src/taken_up.rs
+++ b/review/standin/src/taken_up.rs
@@ -138,6 +138,7 @@
             version: AtomicU64::new(*version),
             is_down: AtomicBool::new(false),
             start: AtomicUsize::new(0),
+            crashes_on: None,
             events: plan.events,
             pause: plan.pause,
         });
