gateway: failed sends name their connection

A response to an earlier request can only come on a connection that has carried one. The line "send failed" now has the number of the connection and how many requests it had carried, which tells a repeated response from a lost one.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -97,6 +97,10 @@
 
 /// An open connection.
 struct Connection {
+    /// Number of the connection among those that the process has opened.
+    number: u64,
+    /// Requests that it has carried, including the one in flight.
+    requests: u32,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     interim_count: InterimCount,
@@ -135,8 +139,8 @@
         let connection = match self.take_idle(endpoint) {
             Some(connection) => connection,
             None => {
-                self.opened.set(self.opened.get() + 1);
-                open(address, open_timeout.min(CONNECT_TIMEOUT)).await?
+                let number = self.next_number();
+                open(number, address, open_timeout.min(CONNECT_TIMEOUT)).await?
             }
         };
         Ok(PooledConnection {
@@ -153,8 +157,8 @@
         endpoint: Endpoint,
         address: SocketAddr,
     ) -> Result<(), CallError> {
-        self.opened.set(self.opened.get() + 1);
-        let connection = open(address, CONNECT_TIMEOUT).await?;
+        let number = self.next_number();
+        let connection = open(number, address, CONNECT_TIMEOUT).await?;
         let connection = PooledConnection {
             connection,
             endpoint,
@@ -184,6 +188,12 @@
         self.opened.get()
     }
 
+    /// Returns the number of the next connection.
+    fn next_number(&self) -> u64 {
+        self.opened.set(self.opened.get() + 1);
+        self.opened.get()
+    }
+
     fn take_idle(&self, endpoint: Endpoint) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
@@ -197,12 +207,30 @@
     }
 }
 
+/// Which connection carried a request, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ConnectionTrace {
+    /// Number of the connection among those that the process has opened; 0 if none was open.
+    pub(crate) number: u64,
+    /// Requests that it had carried before.
+    pub(crate) earlier_requests: u32,
+}
+
 impl PooledConnection {
+    /// Returns which connection this is, for the log of the next request.
+    pub(crate) fn trace(&self) -> ConnectionTrace {
+        ConnectionTrace {
+            number: self.connection.number,
+            earlier_requests: self.connection.requests,
+        }
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
         request: Request<Bytes>,
     ) -> Result<Response<Incoming>, CallError> {
+        self.connection.requests += 1;
         let mut request = request.map(Full::new);
         let interim_count = self.connection.interim_count.clone();
         interim_count.reset();
@@ -302,7 +330,7 @@
     })
 }
 
-async fn open(address: SocketAddr, limit: Duration) -> Result<Connection, CallError> {
+async fn open(number: u64, address: SocketAddr, limit: Duration) -> Result<Connection, CallError> {
     let not_sent = |error: String| CallError::NotSent(format!("{address}: {error}"));
     let stream = timeout(limit, TcpStream::connect(address))
         .await
@@ -328,6 +356,8 @@
         }
     });
     Ok(Connection {
+        number,
+        requests: 0,
         sender,
         driver: driver.abort_handle(),
         interim_count,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -2,7 +2,9 @@
 
 use crate::announcements::record_announcements;
 use crate::clock;
-use crate::connection::{CONNECT_TIMEOUT, CallError, Endpoint, PooledConnection, describe};
+use crate::connection::{
+    CONNECT_TIMEOUT, CallError, ConnectionTrace, Endpoint, PooledConnection, describe,
+};
 use crate::held::{HeldRequest, NoRoom};
 use crate::state::{AwaitedAnswer, GatewayState, UpstreamWork};
 use crate::upstream_health::record_health;
@@ -208,7 +210,8 @@
     let task = task_name(&attempt.task);
     let started = clock::now();
     let limit = clock::time_until(attempt.deadline);
-    let exchange = exchange(state, outgoing, &record, attempt);
+    let trace = Cell::new(ConnectionTrace::default());
+    let exchange = exchange(state, outgoing, &record, attempt, &trace);
     let outcome = match timeout(limit, exchange).await {
         Ok(outcome) => outcome,
         Err(_) => SendOutcome::TimedOut,
@@ -223,6 +226,8 @@
             task,
             outcome = outcome.name(),
             detail = outcome.detail(),
+            connection = trace.get().number,
+            earlier_requests = trace.get().earlier_requests,
             after_ms = clock::now().since(started).as_millis() as u64,
             "send failed"
         );
@@ -243,6 +248,7 @@
     outgoing: &OutgoingRequest,
     record: &UpstreamRecord,
     attempt: Attempt,
+    trace: &Cell<ConnectionTrace>,
 ) -> SendOutcome {
     state
         .table
@@ -275,6 +281,7 @@
         resume_after: attempt.resume_after,
     };
     attempt.is_sent.set(true);
+    trace.set(connection.trace());
     let sent_at = clock::now();
     let answer = AwaitedAnswer::new(state, attempt.upstream);
     let response = match connection.send(call.encode()).await {
