gateway: a connection carries each request identifier once

Cause: all attempts of a request share its identifier, and the connection of a refusal goes back to the pool, where the next attempt of the same request finds it first. A faulty upstream that sends its refusal once more as that attempt arrives was taken to refuse it, though it ran it. Prompts that wait for a full decode engine meet the same.

Change: a connection remembers what it has carried, and carries each identifier once; control calls to upstreams, which have none, get a connection that has carried no other. A response without an identifier, or a control response with one, proves nothing. So a response can only answer the exchange that it is for.

The soak checks that no connection to an upstream carries an identifier twice.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,12 +1,14 @@
 //! HTTP connections to upstreams, the store and the platform.
 //!
-//! A connection carries one request at a time and returns to the pool only after
-//! the whole response has been read. In every other case (a truncated response, a
+//! A connection carries one request at a time, never two that their responses don't tell
+//! apart (see [`crate::exchange`]), and returns to the pool only after the whole response has
+//! been read. In every other case (a truncated response, a
 //! response with the identifier of another request, a caller that disconnected)
 //! the connection is closed, which also makes the other end stop working on the
 //! request.
 
 use crate::clock;
+use crate::exchange::{CarriedExchanges, Exchange};
 use crate::interim::{GuardedStream, InterimCount};
 use bytes::Bytes;
 use http::{Request, Response};
@@ -99,8 +101,8 @@
 struct Connection {
     /// Number of the connection among those that the process has opened.
     number: u64,
-    /// Requests that it has carried, including the one in flight.
-    requests: u32,
+    /// What it has carried, including the exchange in flight.
+    carried: CarriedExchanges,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     interim_count: InterimCount,
@@ -125,18 +127,22 @@
 pub(crate) struct PooledConnection {
     connection: Connection,
     endpoint: Endpoint,
+    /// What the connection was taken for.
+    exchange: Exchange,
     pool: ConnectionPool,
 }
 
 impl ConnectionPool {
-    /// Returns an idle connection to `endpoint`, or opens one to `address`.
+    /// Returns an idle connection to `endpoint` that may carry `exchange`, or opens one to
+    /// `address`.
     pub(crate) async fn take(
         &self,
         endpoint: Endpoint,
         address: SocketAddr,
+        exchange: Exchange,
         open_timeout: Duration,
     ) -> Result<PooledConnection, CallError> {
-        let connection = match self.take_idle(endpoint) {
+        let connection = match self.take_idle(endpoint, exchange) {
             Some(connection) => connection,
             None => {
                 let number = self.next_number();
@@ -146,6 +152,7 @@
         Ok(PooledConnection {
             connection,
             endpoint,
+            exchange,
             pool: self.clone(),
         })
     }
@@ -159,12 +166,7 @@
     ) -> Result<(), CallError> {
         let number = self.next_number();
         let connection = open(number, address, CONNECT_TIMEOUT).await?;
-        let connection = PooledConnection {
-            connection,
-            endpoint,
-            pool: self.clone(),
-        };
-        connection.return_to_pool(None);
+        self.keep_idle(endpoint, connection, None);
         Ok(())
     }
 
@@ -194,17 +196,39 @@
         self.opened.get()
     }
 
-    fn take_idle(&self, endpoint: Endpoint) -> Option<Connection> {
+    /// Takes the connection that was used last among those that may carry `exchange`. Closes
+    /// those after it that can't be used any more.
+    fn take_idle(&self, endpoint: Endpoint, exchange: Exchange) -> Option<Connection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&endpoint)?;
-        while let Some(connection) = connections.pop() {
-            if connection.idle_until > now && connection.sender.is_ready() {
-                return Some(connection);
+        for position in (0..connections.len()).rev() {
+            let connection = &connections[position];
+            match connection.idle_until > now && connection.sender.is_ready() {
+                true if connection.carried.may_carry(exchange) => {
+                    return Some(connections.remove(position));
+                }
+                true => {}
+                false => drop(connections.remove(position)),
             }
         }
         None
     }
+
+    /// Keeps a connection that the server leaves open for `idle_timeout`.
+    fn keep_idle(
+        &self,
+        endpoint: Endpoint,
+        mut connection: Connection,
+        idle_timeout: Option<Duration>,
+    ) {
+        let idle = idle_timeout
+            .unwrap_or(DEFAULT_IDLE_TIMEOUT)
+            .mul_f64(REUSABLE_IDLE_SHARE);
+        connection.idle_until = clock::now() + idle;
+        let mut connections = self.idle.borrow_mut();
+        connections.entry(endpoint).or_default().push(connection);
+    }
 }
 
 /// Which connection carried a request, for the log.
@@ -213,7 +237,7 @@
     /// Number of the connection among those that the process has opened; 0 if none was open.
     pub(crate) number: u64,
     /// Requests that it had carried before.
-    pub(crate) earlier_requests: u32,
+    pub(crate) earlier_requests: usize,
 }
 
 impl PooledConnection {
@@ -221,7 +245,7 @@
     pub(crate) fn trace(&self) -> ConnectionTrace {
         ConnectionTrace {
             number: self.connection.number,
-            earlier_requests: self.connection.requests,
+            earlier_requests: self.connection.carried.len(),
         }
     }
 
@@ -230,7 +254,7 @@
         &mut self,
         request: Request<Bytes>,
     ) -> Result<Response<Incoming>, CallError> {
-        self.connection.requests += 1;
+        self.connection.carried.record(self.exchange);
         let mut request = request.map(Full::new);
         let interim_count = self.connection.interim_count.clone();
         interim_count.reset();
@@ -246,17 +270,11 @@
 
     /// Returns the connection to the pool. The whole response must have been read.
     /// The server keeps the idle connection open for `idle_timeout`.
-    pub(crate) fn return_to_pool(mut self, idle_timeout: Option<Duration>) {
-        let idle = idle_timeout
-            .unwrap_or(DEFAULT_IDLE_TIMEOUT)
-            .mul_f64(REUSABLE_IDLE_SHARE);
-        self.connection.idle_until = clock::now() + idle;
-        let pool = self.pool.clone();
-        let mut connections = pool.idle.borrow_mut();
-        connections
-            .entry(self.endpoint)
-            .or_default()
-            .push(self.connection);
+    pub(crate) fn return_to_pool(self, idle_timeout: Option<Duration>) {
+        if self.connection.carried.has_room() {
+            self.pool
+                .keep_idle(self.endpoint, self.connection, idle_timeout);
+        }
     }
 }
 
@@ -301,7 +319,11 @@
     request: Request<Bytes>,
     limits: CallLimits,
 ) -> Result<BufferedResponse, CallError> {
-    let mut connection = pool.take(endpoint, address, limits.time).await?;
+    let exchange = match endpoint {
+        Endpoint::Upstream(_) => Exchange::Control,
+        Endpoint::Address(_) => Exchange::Platform,
+    };
+    let mut connection = pool.take(endpoint, address, exchange, limits.time).await?;
     let exchange = async {
         let response = connection.send(request).await?;
         let (parts, body) = response.into_parts();
@@ -319,6 +341,9 @@
         }
     };
     let head = ResponseHead::decode(&parts);
+    if head.request_id.is_some() {
+        return Err(CallError::Lost("answer to another request".to_owned()));
+    }
     if !head.is_closing {
         connection.return_to_pool(head.idle_timeout);
     }
@@ -357,7 +382,7 @@
     });
     Ok(Connection {
         number,
-        requests: 0,
+        carried: CarriedExchanges::default(),
         sender,
         driver: driver.abort_handle(),
         interim_count,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod duty;
 mod era_monitor;
 mod events;
+mod exchange;
 mod final_publication;
 mod gateway;
 mod handler;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -5,6 +5,7 @@
 use crate::connection::{
     CONNECT_TIMEOUT, CallError, ConnectionTrace, Endpoint, PooledConnection, describe,
 };
+use crate::exchange::Exchange;
 use crate::held::{HeldRequest, NoRoom};
 use crate::state::{AwaitedAnswer, GatewayState, UpstreamWork};
 use crate::upstream_health::record_health;
@@ -257,7 +258,11 @@
     let work = UpstreamWork::new(state, attempt.upstream, attempt.prefill_tokens);
     let endpoint = Endpoint::Upstream(attempt.upstream);
     let open_limit = clock::time_until(attempt.deadline);
-    let mut connection = match state.pool.take(endpoint, record.address, open_limit).await {
+    let expected = Exchange::of_request(&outgoing.request.id);
+    let taken = state
+        .pool
+        .take(endpoint, record.address, expected, open_limit);
+    let mut connection = match taken.await {
         Ok(connection) => connection,
         Err(CallError::NotOpened(detail)) if open_limit < CONNECT_TIMEOUT => {
             return SendOutcome::NotOpened(detail, ContactResult::Silent);
@@ -323,13 +328,15 @@
     }
 }
 
-/// Classifies a response: as a response to this request, as a statement that the
-/// upstream has not run the request, or as invalid.
+/// Classifies a response: as a response to this attempt, as a statement that the upstream
+/// has not run it, or as invalid. Only the identifier shows that the response belongs to the
+/// attempt, as no earlier one on the connection had the same.
 fn classify(request_id: &str, response: Box<UpstreamResponse>) -> SendOutcome {
     let head = response.head.clone();
     match &head.request_id {
         Some(id) if id != request_id => SendOutcome::Lost("answer to another request".to_owned()),
-        _ if head.has_not_run => {
+        None => SendOutcome::Lost("answer without an identifier".to_owned()),
+        Some(_) if head.has_not_run => {
             response.discard_body();
             SendOutcome::NotRun
         }
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -9,7 +9,7 @@
 use crate::support::upstream::Received;
 use crate::support::{KEY, OTHER_KEY};
 use crate::versions;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -84,6 +84,10 @@
     for received in report.received.iter().flatten().filter(with_identifier) {
         check_received(received, &keys, &mut violations);
     }
+    report
+        .received
+        .iter()
+        .for_each(|received| check_connections(received, &mut violations));
     check_usage(&report.usage, &mut violations);
     announcements::check(report, &mut violations);
     engines::check(report, &mut violations);
@@ -114,6 +118,22 @@
     violations
 }
 
+/// Checks that no connection to an upstream carried the same identifier twice, since a response
+/// to the earlier one could be taken for that to the later one.
+fn check_connections(received: &[Received], violations: &mut Vec<String>) {
+    let mut carried = HashSet::new();
+    for one in received {
+        let id = one.header("x-request-id");
+        if !carried.insert((one.connection, id)) {
+            violations.push(format!(
+                "connection {} of an upstream carried {} twice",
+                one.connection,
+                id.unwrap_or("a control call")
+            ));
+        }
+    }
+}
+
 /// Returns whether an upstream executed the request itself. Prefill requests and
 /// releases of a KV cache don't count as executions.
 fn is_execution(received: &Received) -> bool {
