gateway: the answer "not run" needs a proof

Callers repeat what they are told has not run (408, 421, 429, 503). A refusal is now built without its status, and becomes such an answer only with a NotRunProof: from the history of attempts, or from the place before the first one.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -2,7 +2,7 @@
 
 use crate::held::{HeldRequest, NoRoom};
 use crate::quota;
-use crate::reply::GatewayReply;
+use crate::reply::{GatewayReply, Refusal};
 use crate::send::OutgoingRequest;
 use crate::state::GatewayState;
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    QuotaCharge, RequestContent, Route, ServingConfig, SuspectKey, WorkspaceQuota,
+    NotRunProof, QuotaCharge, RequestContent, Route, ServingConfig, SuspectKey, WorkspaceQuota,
 };
 use rand::RngExt;
 use std::error::Error;
@@ -241,7 +241,8 @@
         Ok(Ok(body)) => return Ok(body),
         Ok(Err(error)) if error.is::<NoRoom>() => {
             discard_body(body).await;
-            GatewayReply::not_run("the host holds too much for callers", NO_ROOM_RETRY_AFTER)
+            let refusal = Refusal::new("the host holds too much for callers", NO_ROOM_RETRY_AFTER);
+            GatewayReply::not_run(refusal, NotRunProof::before_attempts())
         }
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             discard_body(body).await;
@@ -253,9 +254,9 @@
         Ok(Err(_)) => {
             GatewayReply::without_retry_after(StatusCode::BAD_REQUEST, "the body broke off")
         }
-        Err(_) => GatewayReply::without_retry_after(
-            StatusCode::REQUEST_TIMEOUT,
+        Err(_) => GatewayReply::incomplete(
             "the body did not arrive in time",
+            NotRunProof::before_attempts(),
         ),
     };
     Err(reply.closing_connection())
@@ -264,5 +265,6 @@
 /// Returns the response of a host that can't decide now. It closes the connection so
 /// that the caller's retry may reach another host.
 fn undecided(reason: &'static str) -> GatewayReply {
-    GatewayReply::not_run(reason, UNDECIDED_RETRY_AFTER).closing_connection()
+    let refusal = Refusal::new(reason, UNDECIDED_RETRY_AFTER);
+    GatewayReply::not_run(refusal, NotRunProof::before_attempts()).closing_connection()
 }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -75,7 +75,8 @@
     request_log.record_admitted(&admitted);
     let charge = admitted.charge;
     let mut run = RequestRun::new(Rc::clone(state), admitted);
-    if let Err(reply) = run.find_version().await {
+    if let Err(refusal) = run.find_version().await {
+        let reply = run.reply(refusal);
         return_charge(state, charge, &reply);
         return end_with_reply(reply, &id, request_log);
     }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,13 +1,12 @@
 //! Charges requests to the quotas of their workspaces.
 
 use crate::clock;
-use crate::reply::GatewayReply;
+use crate::reply::{GatewayReply, Refusal};
 use crate::state::GatewayState;
-use http::StatusCode;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    AskId, HostQuotas, QuotaCharge, QuotaDecision, QuotaKey, QuotaLimits, QuotaRefusal,
-    ServingConfig, WorkspaceQuota,
+    AskId, HostQuotas, NotRunProof, QuotaCharge, QuotaDecision, QuotaKey, QuotaLimits,
+    QuotaRefusal, ServingConfig, WorkspaceQuota,
 };
 use lagoonlift_settings::GatewayBounds;
 use std::cell::{Cell, RefCell};
@@ -193,17 +192,16 @@
     );
 }
 
+/// Returns the response to a request that is refused before its first attempt.
 fn reply(refusal: &QuotaRefusal) -> GatewayReply {
+    let proof = NotRunProof::before_attempts();
     let reason = match refusal {
         QuotaRefusal::UsedUp { .. } => "the quota of the workspace is used up",
         QuotaRefusal::TooLarge { .. } => "the request is larger than the quota of its workspace",
         QuotaRefusal::NoOwner { retry_after } => {
             let reason = "the quota of the workspace is not known now";
-            return GatewayReply::not_run(reason, *retry_after);
+            return GatewayReply::not_run(Refusal::new(reason, *retry_after), proof);
         }
     };
-    GatewayReply {
-        status: StatusCode::TOO_MANY_REQUESTS,
-        ..GatewayReply::not_run(reason, refusal.retry_after())
-    }
+    GatewayReply::over_quota(Refusal::new(reason, refusal.retry_after()), proof)
 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -6,6 +6,7 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use lagoonlift_adapter::own_response_headers;
+use lagoonlift_policy::dispatch::NotRunProof;
 use std::pin::Pin;
 use std::time::Duration;
 use thiserror::Error;
@@ -35,18 +36,50 @@
     pub(crate) closes_connection: bool,
 }
 
+/// Why a request is given up, before it is known whether an earlier attempt has run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Refusal {
+    /// Reason, in the log and in the response body.
+    pub(crate) reason: &'static str,
+    /// Delay after which the caller may retry.
+    pub(crate) retry_after: Duration,
+}
+
+impl Refusal {
+    pub(crate) fn new(reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after,
+        }
+    }
+}
+
 impl GatewayReply {
-    /// The request has not run and will not run; the caller may retry it.
-    pub(crate) fn not_run(reason: &'static str, retry_after: Duration) -> Self {
+    /// The request has not run and will not run, as `_proof` shows; the caller may retry it.
+    pub(crate) fn not_run(refusal: Refusal, _proof: NotRunProof) -> Self {
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
-            retry_after: Some(retry_after),
-            reason,
+            retry_after: Some(refusal.retry_after),
+            reason: refusal.reason,
             closes_connection: false,
         }
     }
 
-    /// A response without `Retry-After`, with a status that the caller chooses. Most
+    /// The same for a request that uses up a quota.
+    pub(crate) fn over_quota(refusal: Refusal, proof: NotRunProof) -> Self {
+        Self {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            ..Self::not_run(refusal, proof)
+        }
+    }
+
+    /// The same for a request whose body didn't arrive in time.
+    pub(crate) fn incomplete(reason: &'static str, _proof: NotRunProof) -> Self {
+        Self::without_retry_after(StatusCode::REQUEST_TIMEOUT, reason)
+    }
+
+    /// A response without `Retry-After`, with a status that the caller chooses and that
+    /// promises nothing about a run. Most
     /// are for requests whose retry would fail in the same way; one for a truncated
     /// body, and those of `unknown` and `timed_out`, say nothing about a retry.
     pub(crate) fn without_retry_after(status: StatusCode, reason: &'static str) -> Self {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,7 +15,7 @@
 use crate::clock;
 use crate::crash_monitor::CrashCheck;
 use crate::kv_cache::HeldKvCache;
-use crate::reply::GatewayReply;
+use crate::reply::{GatewayReply, Refusal};
 use crate::send::{Attempt, BodyError, SendOutcome, UpstreamResponse, send};
 use crate::state::GatewayState;
 use bytes::Bytes;
@@ -171,7 +171,7 @@
         loop {
             let attempt = match self.prepare_attempt().await {
                 Ok(attempt) => attempt,
-                Err(reply) => return self.end_without_retry(reply),
+                Err(refusal) => return self.end_without_retry(refusal),
             };
             let step = match self.send(attempt).await {
                 Ok(outcome) => return outcome,
@@ -189,11 +189,11 @@
 
     /// Chooses the next attempt, and spends a retry if it is one. The error is the response
     /// to a request that has not run.
-    pub(crate) async fn prepare_attempt(&mut self) -> Result<Attempt, GatewayReply> {
+    pub(crate) async fn prepare_attempt(&mut self) -> Result<Attempt, Refusal> {
         self.end_crash_check().await;
         if clock::now() >= self.admitted.deadline {
             self.has_timed_out = true;
-            return Err(self.not_run("timed out", RefusalCause::NoCapacity));
+            return Err(self.refusal("timed out", RefusalCause::NoCapacity));
         }
         self.pass_quarantine().await?;
         let attempt = match self.is_prompt() {
@@ -211,10 +211,10 @@
 
     /// Returns the attempt if it may be made, and spends a retry if it is one. A prefill
     /// before it may have taken some time.
-    async fn confirm_attempt(&mut self, attempt: Attempt) -> Result<Attempt, GatewayReply> {
+    async fn confirm_attempt(&mut self, attempt: Attempt) -> Result<Attempt, Refusal> {
         self.pass_quarantine().await?;
         self.spend_retry(attempt)
-            .ok_or_else(|| self.not_run("no repeat is left", RefusalCause::NoCapacity))
+            .ok_or_else(|| self.refusal("no repeat is left", RefusalCause::NoCapacity))
     }
 
     /// Spends a retry from the budget if the attempt is a retry. Returns `None` if
@@ -399,52 +399,55 @@
         }
     }
 
-    /// Ends the request with the latest 5xx response of an upstream if there is one.
-    /// Otherwise returns `not_run` if the request certainly has not run, or else a
-    /// response with the same reason that leaves the outcome unknown.
-    fn end_without_retry(&mut self, not_run: GatewayReply) -> RunOutcome {
-        if let Some((parts, body)) = self.last_failure.take() {
-            return RunOutcome::Complete(parts, body);
+    /// Ends the request with the latest 5xx response of an upstream if there is one, or else
+    /// with the gateway's own response.
+    fn end_without_retry(&mut self, refusal: Refusal) -> RunOutcome {
+        match self.last_failure.take() {
+            Some((parts, body)) => RunOutcome::Complete(parts, body),
+            None => RunOutcome::Reply(self.reply(refusal)),
+        }
+    }
+
+    /// Returns the response to a request that is given up: `refusal` if the request certainly
+    /// has not run, or else one with the same reason that leaves the outcome unknown.
+    pub(crate) fn reply(&self, refusal: Refusal) -> GatewayReply {
+        match self.history.not_run_proof() {
+            Some(proof) => GatewayReply::not_run(refusal, proof),
+            None if self.has_timed_out => GatewayReply::timed_out(refusal.reason),
+            None => GatewayReply::unknown(refusal.reason),
         }
-        RunOutcome::Reply(match self.history.step_without_retry() {
-            NextStep::Refuse => not_run,
-            _ if self.has_timed_out => GatewayReply::timed_out(not_run.reason),
-            _ => GatewayReply::unknown(not_run.reason),
-        })
     }
 
     fn give_up(&mut self, reason: &'static str) -> RunOutcome {
-        let not_run = self.not_run(reason, RefusalCause::NoCapacity);
-        self.end_without_retry(not_run)
+        let refusal = self.refusal(reason, RefusalCause::NoCapacity);
+        self.end_without_retry(refusal)
     }
 
-    /// Returns the response to a request that has not run because no upstream is
-    /// available, or because those that would be hold off requests or take no more of
+    /// Returns why a request is refused: because no upstream is available, or because those that would be hold off requests or take no more of
     /// them at this time.
-    fn no_upstream(&self, reason: &'static str) -> GatewayReply {
+    fn no_upstream(&self, reason: &'static str) -> Refusal {
         let table = self.state.table.borrow();
         let (service, now) = (&self.admitted.service, clock::now());
         if let Some(wait) = table.time_to_next_share(service, now) {
             let reason = "the rates of the upstreams are used up";
-            return self.not_run(reason, RefusalCause::UsedUp(wait));
+            return self.refusal(reason, RefusalCause::UsedUp(wait));
         }
         match table.shortest_hold_off(service, now) {
-            Some(time) => self.not_run("the upstreams hold off", RefusalCause::HoldOff(time)),
+            Some(time) => self.refusal("the upstreams hold off", RefusalCause::HoldOff(time)),
             None => {
                 let reason = match self.required_version {
                     RequiredVersion::Any => reason,
                     _ => "no upstream of the stream's version is there",
                 };
-                self.not_run(reason, RefusalCause::NoUpstream)
+                self.refusal(reason, RefusalCause::NoUpstream)
             }
         }
     }
 
-    /// Returns the response to a request that has not run, with the delay after which
-    /// the caller may retry.
-    fn not_run(&self, reason: &'static str, cause: RefusalCause) -> GatewayReply {
+    /// Returns a refusal with the delay after which the caller may retry.
+    fn refusal(&self, reason: &'static str, cause: RefusalCause) -> Refusal {
         let time_left = clock::time_until(self.admitted.deadline);
         let wait = retry_after(cause, time_left, rand::rng().random());
-        GatewayReply::not_run(reason, wait)
+        Refusal::new(reason, wait)
     }
 }
--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -2,7 +2,7 @@
 
 use super::RequestRun;
 use crate::clock;
-use crate::reply::GatewayReply;
+use crate::reply::Refusal;
 use crate::send::Attempt;
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
@@ -80,7 +80,7 @@
 
     /// Returns an attempt of a request without a prompt, preferably on an upstream
     /// that has not been tried.
-    pub(super) fn plain_attempt(&self) -> Result<Attempt, GatewayReply> {
+    pub(super) fn plain_attempt(&self) -> Result<Attempt, Refusal> {
         let untried = self.choose_staying_upstream().or_else(|| {
             self.choose(&self.tried, |placement, view| {
                 placement.choose_upstream(view)
@@ -112,7 +112,7 @@
         }
     }
 
-    pub(super) fn prompt_plan(&self) -> Result<PromptPlan, GatewayReply> {
+    pub(super) fn prompt_plan(&self) -> Result<PromptPlan, Refusal> {
         let prompt = &self.admitted.outgoing.request.prompt;
         let goal = self.admitted.route.latency_goal;
         let time_left = clock::time_until(self.admitted.deadline);
@@ -127,15 +127,15 @@
         plan.map_err(|refusal| match refusal {
             PromptRefusal::NoEngine => self.no_upstream("no engine is there"),
             PromptRefusal::Overload(wait) => {
-                self.not_run("all engines are busy reading", RefusalCause::Overload(wait))
+                self.refusal("all engines are busy reading", RefusalCause::Overload(wait))
             }
-            PromptRefusal::KvCachesFull => self.not_run(
+            PromptRefusal::KvCachesFull => self.refusal(
                 "the KV caches of the engines are full",
                 RefusalCause::NoCapacity,
             ),
             PromptRefusal::TooLong => {
                 let reason = "the prompt does not fit into the KV cache of an engine";
-                self.not_run(reason, RefusalCause::NoCapacity)
+                self.refusal(reason, RefusalCause::NoCapacity)
             }
         })
     }
--- a/crates/gateway/src/run/decode.rs
+++ b/crates/gateway/src/run/decode.rs
@@ -2,7 +2,7 @@
 
 use super::RequestRun;
 use crate::clock;
-use crate::reply::GatewayReply;
+use crate::reply::Refusal;
 use crate::send::{Attempt, SendOutcome};
 use crate::state::UpstreamWork;
 use lagoonlift_adapter::upstream::UpstreamTask;
@@ -44,7 +44,7 @@
     /// Returns an attempt to continue from the KV cache on a decode engine, once one has
     /// room; `None` if there is no KV cache, it has used up its attempts, or no engine is
     /// there. The error is the response if none has room in time.
-    pub(super) async fn decode_attempt(&mut self) -> Result<Option<Attempt>, GatewayReply> {
+    pub(super) async fn decode_attempt(&mut self) -> Result<Option<Attempt>, Refusal> {
         let until = self.decode_wait_end();
         loop {
             match self.choose_decode() {
@@ -69,7 +69,7 @@
             waited_ms = waited.as_millis() as u64,
             "no decode engine had room in time"
         );
-        Err(self.not_run("no decode engine has room", RefusalCause::Overload(waited)))
+        Err(self.refusal("no decode engine has room", RefusalCause::Overload(waited)))
     }
 
     /// Returns the time until which the request waits for a decode engine.
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -11,7 +11,7 @@
 use crate::admit::Admitted;
 use crate::clock;
 use crate::kv_cache::HeldKvCache;
-use crate::reply::GatewayReply;
+use crate::reply::Refusal;
 use crate::send::{Attempt, SendOutcome, send};
 use crate::state::GatewayState;
 use crate::upstream_health::record_silence;
@@ -50,7 +50,7 @@
 impl RequestRun {
     /// Chooses the next attempt to run a prompt, after a prefill on another engine if the
     /// placement plans one.
-    pub(super) async fn prompt_attempt(&mut self) -> Result<Attempt, GatewayReply> {
+    pub(super) async fn prompt_attempt(&mut self) -> Result<Attempt, Refusal> {
         if let Some(attempt) = self.decode_attempt().await? {
             return self.confirm_attempt(attempt).await;
         }
@@ -79,7 +79,7 @@
         self.await_silent_prefills().await;
         match self.decode_attempt().await? {
             Some(attempt) => self.confirm_attempt(attempt).await,
-            None => Err(self.not_run("the prompt was not read", RefusalCause::NoCapacity)),
+            None => Err(self.refusal("the prompt was not read", RefusalCause::NoCapacity)),
         }
     }
 
--- a/crates/gateway/src/run/quarantine.rs
+++ b/crates/gateway/src/run/quarantine.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::crash_monitor;
 use crate::quarantine_store;
-use crate::reply::GatewayReply;
+use crate::reply::Refusal;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{QuarantinedSuspect, RefusalCause, SuspectKey, SuspectKind};
 
@@ -20,7 +20,7 @@
 impl RequestRun {
     /// Returns the response to a request that no upstream may get, because it, or a block
     /// of its prompt, crashes them. A request that may be sent as a probe passes.
-    pub(super) async fn pass_quarantine(&mut self) -> Result<(), GatewayReply> {
+    pub(super) async fn pass_quarantine(&mut self) -> Result<(), Refusal> {
         let Some(found) = self.find_quarantined() else {
             return Ok(());
         };
@@ -60,13 +60,13 @@
         }
     }
 
-    fn quarantined(&self, found: &QuarantinedSuspect) -> GatewayReply {
+    fn quarantined(&self, found: &QuarantinedSuspect) -> Refusal {
         let reason = match found.key.kind {
             SuspectKind::Block => "a prefix block crashes engines",
             SuspectKind::Request => "the request crashes upstreams",
         };
         let wait = found.time_until_probe().unwrap_or(found.time_left);
-        self.not_run(reason, RefusalCause::Quarantine(wait))
+        self.refusal(reason, RefusalCause::Quarantine(wait))
     }
 
     /// Records that the connection of an attempt ended early; the upstream may have
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -2,7 +2,7 @@
 
 use super::RequestRun;
 use crate::clock;
-use crate::reply::GatewayReply;
+use crate::reply::Refusal;
 use lagoonlift_policy::dispatch::{RefusalCause, RequiredVersion, StreamKey, VersionDigest};
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -20,7 +20,7 @@
     /// Finds out which version a stream requires that the caller takes up. The error is the
     /// response if it can't be known: a stream that goes on at another version is worse than
     /// one that goes on later.
-    pub(crate) async fn find_version(&mut self) -> Result<(), GatewayReply> {
+    pub(crate) async fn find_version(&mut self) -> Result<(), Refusal> {
         let request = &self.admitted.outgoing.request;
         if !self.admitted.route.retry_safety.is_resumable() {
             return Ok(());
@@ -41,7 +41,7 @@
             Some(_) => Ok(()),
             None => {
                 let reason = "the version that began the stream is not known";
-                Err(self.not_run(reason, RefusalCause::NoUpstream))
+                Err(self.refusal(reason, RefusalCause::NoUpstream))
             }
         }
     }
--- a/crates/policy/src/dispatch/attempts.rs
+++ b/crates/policy/src/dispatch/attempts.rs
@@ -33,6 +33,18 @@
     ForwardFailure,
 }
 
+/// Proof that a request has not run and never will. Callers repeat what they are told has not
+/// run, so nothing else allows that answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotRunProof(());
+
+impl NotRunProof {
+    /// Returns the proof for a request for which no attempt has been made or begun.
+    pub fn before_attempts() -> Self {
+        Self(())
+    }
+}
+
 /// The results of all attempts of one request so far.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptHistory {
@@ -88,6 +100,12 @@
         self.runs == 0
     }
 
+    /// Returns the proof that the request has not run: each attempt either reached no
+    /// upstream, or its upstream stated that it has not run.
+    pub fn not_run_proof(&self) -> Option<NotRunProof> {
+        self.has_not_run().then_some(NotRunProof(()))
+    }
+
     /// Records the result of an attempt and returns the next step, provided that
     /// the deadline and the retry budget allow it. Otherwise the request ends with a
     /// failure response if one is available, or else with the step that
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -83,7 +83,7 @@
 mod version_record;
 mod wall_clock;
 
-pub use attempts::{AttemptHistory, NextStep, SendResult};
+pub use attempts::{AttemptHistory, NextStep, NotRunProof, SendResult};
 pub use capacity::{CapacityModel, WorkSample};
 pub use config_confirmation::{ConfigConfirmation, StalenessLimits};
 pub use config_freshness::{ConfigFreshness, PeerConfirmation, PeerConfirmationResult};
