gateway: versions of streams outlive all hosts

Cause: which version began a stream lived in the memory of a few hosts only, and the record in the store proves it only where one version alone has served.

Change: while several versions may have begun a service's streams, two of the hosts that read the store write the versions of all new streams there, one object for half a second, and each process reads them at its start.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::reload;
 use crate::server;
 use crate::state::GatewayState;
+use crate::stream_store;
 use crate::version_store;
 use crate::watcher;
 use eyre::Result;
@@ -73,6 +74,8 @@
         spawn_local(run_maintenance(Rc::clone(&state)));
         spawn_local(quarantine_store::restore_at_start(Rc::clone(&state)));
         spawn_local(version_store::maintain(Rc::clone(&state)));
+        spawn_local(stream_store::restore_at_start(Rc::clone(&state)));
+        spawn_local(stream_store::maintain(Rc::clone(&state)));
         duty::start(&state);
         match state.settings.listen.peers {
             Some(address) => spawn_local(peers::exchange(Rc::clone(&state), address)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod state;
 mod store;
 mod store_gate;
+mod stream_store;
 mod trace;
 mod upstream_health;
 mod version_store;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -62,6 +62,9 @@
 /// Largest number of silent upstreams in a load message.
 const MAX_SILENT: usize = 20;
 
+/// Largest number of streams in a message, so that it fits into a datagram.
+pub(crate) const MAX_STREAM_NOTICES: usize = 60;
+
 /// A message to a peer, encoded with postcard: the order of variants and fields is
 /// the wire format.
 #[derive(Debug, Serialize, Deserialize)]
@@ -100,6 +103,8 @@
     Versions(VersionsNotice),
     /// Elects owners of quotas and grants tokens.
     Quota(QuotaMessage),
+    /// Software versions at which streams began, which the receiver writes to the store.
+    UnwrittenStreams(Vec<StreamNotice>),
 }
 
 /// Load of a host.
@@ -216,9 +221,17 @@
     for (peer, notices) in copies {
         send(socket, &PeerMessage::Streams(notices), &[peer]).await;
     }
-    for (stream, peers) in questions {
+    for (stream, mut peers) in questions {
+        // They have read what hosts wrote that have ended.
+        let readers = state.store_readers.borrow().readers_for(rand::random());
+        peers.extend(readers);
         send(socket, &PeerMessage::StreamQuery(stream), &peers).await;
     }
+    let unwritten = state.archive_messages.take();
+    for (archivist, notices) in unwritten {
+        let message = PeerMessage::UnwrittenStreams(notices);
+        send(socket, &message, &[archivist]).await;
+    }
 }
 
 /// Returns the loads of this host. If there are too many for a datagram, only the
@@ -391,6 +404,11 @@
             }
             state.streams_heard.notify_waiters();
         }
+        PeerMessage::UnwrittenStreams(notices) => {
+            let mut archive = state.stream_archive.borrow_mut();
+            let notices = notices.into_iter();
+            notices.for_each(|notice| archive.record_unwritten(notice));
+        }
         PeerMessage::Rates(notices) => {
             for notice in &notices {
                 announcements::record_rate_notice(state, address, notice);
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -3,7 +3,9 @@
 use super::RequestRun;
 use crate::clock;
 use crate::reply::Refusal;
-use lagoonlift_policy::dispatch::{RefusalCause, RequiredVersion, StreamKey, VersionDigest};
+use lagoonlift_policy::dispatch::{
+    RefusalCause, RequiredVersion, StreamKey, StreamNotice, VersionDigest,
+};
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -134,12 +136,21 @@
                 .stream_versions
                 .borrow_mut()
                 .record_begin(clock::now(), stream, version);
+            self.archive(StreamNotice { stream, version });
             self.state.stream_news.notify_one();
             // The copies are sent before the caller gets the event.
             tokio::task::yield_now().await;
         }
     }
 
+    /// Lets the version of a stream outlive all hosts if nothing else shows it then.
+    fn archive(&self, notice: StreamNotice) {
+        let mut archive = self.state.stream_archive.borrow_mut();
+        if archive.is_divided(&self.admitted.service) {
+            archive.add(notice);
+        }
+    }
+
     fn stream_key(&self, attempt: &str) -> StreamKey {
         let workspace = self.admitted.outgoing.workspace.as_deref();
         StreamKey::new(workspace, attempt)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,14 +19,15 @@
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostRoster, PeerLoads,
     Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner,
     ServedVersions, ServiceDigest, ServingConfig, StalenessLimits, StoreReaderSelection,
-    StoreStatus, StreamVersions, Upstream, UpstreamTable, UsageCopies, UsageCounts, WallClock,
-    WorkSample,
+    StoreStatus, StreamArchive, StreamNotice, StreamVersions, Upstream, UpstreamTable, UsageCopies,
+    UsageCounts, WallClock, WorkSample,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
 use lagoonlift_telemetry::LogSampler;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -66,6 +67,10 @@
     pub(crate) crash_monitor: RefCell<CrashMonitor>,
     /// Software versions at which streams began.
     pub(crate) stream_versions: RefCell<StreamVersions>,
+    /// The versions of streams that have to outlive all hosts.
+    pub(crate) stream_archive: RefCell<StreamArchive>,
+    /// Messages to the hosts that write them to the store.
+    pub(crate) archive_messages: RefCell<Vec<(SocketAddr, Vec<StreamNotice>)>>,
     /// Versions at which each service has served.
     pub(crate) served_versions: RefCell<ServedVersions>,
     /// Notified when peers have to be told of a new record of these versions at once.
@@ -144,6 +149,8 @@
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             crash_monitor: RefCell::new(CrashMonitor::default()),
             stream_versions: RefCell::new(StreamVersions::new()),
+            stream_archive: RefCell::new(StreamArchive::new()),
+            archive_messages: RefCell::default(),
             served_versions: RefCell::new(ServedVersions::new()),
             version_news: Notify::new(),
             stream_news: Notify::new(),
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -76,6 +76,7 @@
 mod store_backoff;
 mod store_era;
 mod store_readers;
+mod stream_archive;
 mod stream_versions;
 mod upstream;
 mod usage;
@@ -130,6 +131,7 @@
 pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
+pub use stream_archive::{BatchWrite, StreamArchive, StreamBatch, archivists};
 pub use stream_versions::{StreamKey, StreamNotice, StreamVersions, VersionDigest};
 pub use upstream::{
     EngineRole, ListChange, RateChange, RateNotice, RateSharing, RateStatement, SoftwareVersion,
--- a/crates/policy/src/dispatch/served_versions.rs
+++ b/crates/policy/src/dispatch/served_versions.rs
@@ -156,6 +156,26 @@
         (is_complete && is_sole).then_some(listed)
     }
 
+    /// Returns whether streams of `service` that last up to `lifetime` may have begun at
+    /// several versions, as far as this host can tell.
+    pub fn is_divided(&self, now: Timestamp, service: &str, lifetime: Duration) -> bool {
+        let Some(history) = self.services.get(service) else {
+            return false;
+        };
+        let period = lifetime + VIEW_LAG;
+        let is_recent = |at: Timestamp| now.since(at) < period;
+        let is_complete = self.is_read && !history.complete_since.is_some_and(is_recent);
+        let versions = history.versions.values();
+        let recent = versions.filter(|sighting| is_recent(sighting.listed_at));
+        !is_complete || recent.count() > 1
+    }
+
+    /// Returns the longest time for which a stream that lasts up to `lifetime` may have to be
+    /// known, by any host's clock.
+    pub fn known_for(lifetime: Duration) -> Duration {
+        lifetime + VIEW_LAG + CLOCK_MARGIN
+    }
+
     /// Returns what is known of a service, for the log: each version with the time since it
     /// was listed, and whether the records have been read.
     pub fn summary(&self, now: Timestamp, service: &str) -> String {
--- a/crates/policy/src/dispatch/stream_versions.rs
+++ b/crates/policy/src/dispatch/stream_versions.rs
@@ -38,7 +38,7 @@
 /// Hash of the caller's attempt that brought the first event of a stream, and of its
 /// workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct StreamKey(u64);
+pub struct StreamKey(pub(super) u64);
 
 impl StreamKey {
     /// Returns the key of the attempt with the identifier `attempt`.
@@ -49,7 +49,7 @@
 
 /// Hash of a service and a version of its upstreams' software, the same on all hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct VersionDigest(u64);
+pub struct VersionDigest(pub(super) u64);
 
 impl VersionDigest {
     /// Returns the hash of `version` at `service`.
@@ -79,6 +79,8 @@
     /// `None` if streams of several versions have the same key.
     version: Option<VersionDigest>,
     begun_at: Timestamp,
+    /// Whether the stream began at this host.
+    is_own: bool,
 }
 
 /// The versions of the streams that began here, and copies from other hosts.
@@ -101,7 +103,7 @@
 
     /// Records that a stream begins at `version`, and copies it to other hosts.
     pub fn record_begin(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest) {
-        self.record(now, stream, version);
+        self.record(now, stream, version, true);
         if self.news.len() < MAX_NEWS {
             self.news.push(StreamNotice { stream, version });
         }
@@ -109,7 +111,7 @@
 
     /// Records the version of a stream that another host knows.
     pub fn record_notice(&mut self, now: Timestamp, notice: StreamNotice) {
-        self.record(now, notice.stream, notice.version);
+        self.record(now, notice.stream, notice.version, false);
     }
 
     /// Asks other hosts for the version of a stream. `round` counts the questions about it,
@@ -169,7 +171,23 @@
         messages.collect()
     }
 
-    fn record(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest) {
+    /// Returns the streams that began at this host within `lifetime`, the latest first.
+    pub fn begun_here(
+        &self,
+        now: Timestamp,
+        lifetime: Duration,
+    ) -> impl Iterator<Item = StreamNotice> {
+        let known = self.order.iter().rev();
+        let known = known.filter_map(|stream| Some((*stream, self.streams.get(stream)?)));
+        let recent = known.take_while(move |(_, known)| now.since(known.begun_at) < lifetime);
+        let own = recent.filter(|(_, known)| known.is_own);
+        own.filter_map(|(stream, known)| {
+            let version = known.version?;
+            Some(StreamNotice { stream, version })
+        })
+    }
+
+    fn record(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest, is_own: bool) {
         match self.streams.get_mut(&stream) {
             Some(known) if known.version == Some(version) => {}
             Some(known) => known.version = None,
@@ -177,6 +195,7 @@
                 let known = KnownStream {
                     version: Some(version),
                     begun_at: now,
+                    is_own,
                 };
                 self.streams.insert(stream, known);
                 self.order.push_back(stream);
--- a/crates/policy/tests/all/dispatch/schedules/mod.rs
+++ b/crates/policy/tests/all/dispatch/schedules/mod.rs
@@ -14,6 +14,7 @@
 mod request_quarantine;
 mod sealed_sums;
 mod served_versions;
+mod stream_archive;
 mod stream_versions;
 
 use rand::rngs::StdRng;
