gateway: a host that is cut off sends requests by way of another host

Cause: a host decides for its callers from its own reach alone, and finds out anew for each prompt that two connections don't open.

Change: hosts tell each other which services they reach. One that can't reach half of a service's upstreams while another host does sends its requests by way of such a host, one hop, with the same proof for "not run"; if all hosts fail, none sends. A cut-off host blames no request for the crash and names no upstream as silent.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -1,6 +1,7 @@
 //! Admission of a request: finds its route and workspace and reads its body.
 
 use crate::held::{HeldRequest, NoRoom};
+use crate::hop::HopTerms;
 use crate::quota;
 use crate::reply::{GatewayReply, Refusal};
 use crate::send::OutgoingRequest;
@@ -53,6 +54,8 @@
     pub(crate) deadline: Timestamp,
     /// What the request was charged to the quota of its workspace.
     pub(crate) charge: Option<QuotaCharge>,
+    /// What to keep to if another host has sent the request here.
+    pub(crate) hop: Option<HopTerms>,
 }
 
 /// Route and service of a request, and the workspace that it belongs to.
@@ -73,9 +76,11 @@
     mut body: Incoming,
     arrived: Timestamp,
     held: &Rc<HeldRequest>,
+    hop: Option<HopTerms>,
 ) -> Result<Admitted, GatewayReply> {
     let config = state.config();
-    let resolved = match resolve_request(state, config.as_deref(), &request, arrived) {
+    let resolved = match resolve_request(state, config.as_deref(), &request, arrived, hop.as_ref())
+    {
         Ok(resolved) => resolved,
         Err(reply) => {
             discard_body(&mut body).await;
@@ -91,7 +96,8 @@
         request.remove_key();
     }
     let charge = match (&resolved.workspace, resolved.quota) {
-        (Some(workspace), Some(quota)) => {
+        // The host that sent the request here has charged it.
+        (Some(workspace), Some(quota)) if hop.is_none() => {
             let tokens = request.stated_tokens;
             Some(quota::charge(state, workspace, quota, &request.id, tokens).await?)
         }
@@ -115,6 +121,7 @@
         service: resolved.service,
         deadline: arrived + wait,
         charge: charge.flatten(),
+        hop,
     })
 }
 
@@ -157,8 +164,14 @@
     config: Option<&ServingConfig>,
     request: &CallerRequest,
     now: Timestamp,
+    hop: Option<&HopTerms>,
 ) -> Result<ResolvedRequest, GatewayReply> {
     let config = config.ok_or(undecided("no configuration yet"))?;
+    if hop.is_some_and(|terms| terms.config > config.version().0) {
+        return Err(undecided(
+            "the configuration is older than that of the other host",
+        ));
+    }
     let confirmation = state.confirmation();
     let deny = |status, reason| match confirmation.can_report_absence(now) {
         true => GatewayReply::without_retry_after(status, reason),
@@ -181,7 +194,10 @@
     }
     let urgency = workspace.and_then(|workspace| workspace.urgency);
     Ok(ResolvedRequest {
-        service: choose_service(route).ok_or(undecided("the route has no service"))?,
+        service: hop
+            .and_then(|terms| stated_service(route, &terms.service))
+            .or_else(|| choose_service(route))
+            .ok_or(undecided("the route has no service"))?,
         workspace: workspace.map(|workspace| workspace.name.clone()),
         quota: workspace.and_then(|workspace| workspace.quota),
         urgency: urgency.unwrap_or(route.urgency),
@@ -189,6 +205,13 @@
     })
 }
 
+/// Returns the service that another host has chosen if the route may use it.
+fn stated_service(route: &Route, service: &str) -> Option<String> {
+    let services = route.services.iter();
+    let mut stated = services.filter(|one| one.service == service && one.weight > 0.0);
+    stated.next().map(|one| one.service.clone())
+}
+
 /// Draws one of the route's services at random, in proportion to their weights.
 fn choose_service(route: &Route) -> Option<String> {
     let total: f64 = route.services.iter().map(|one| one.weight).sum();
--- a/crates/gateway/src/crash_monitor.rs
+++ b/crates/gateway/src/crash_monitor.rs
@@ -10,9 +10,11 @@
 
 use crate::clock;
 use crate::connection::refuses_connections;
+use crate::host_paths;
 use crate::state::GatewayState;
+use crate::upstream_health::record_path;
 use lagoonlift_policy::UpstreamKey;
-use lagoonlift_policy::dispatch::{CrashId, SuspectKey, SuspectKind, UpstreamRecord};
+use lagoonlift_policy::dispatch::{CrashId, PathSign, SuspectKey, SuspectKind, UpstreamRecord};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +30,9 @@
 /// Time for the notices of a crash to reach the peers, and theirs to arrive.
 const NOTICE_DELAY: Duration = Duration::from_millis(10);
 
+/// Time in which the other checks that began at the same time find out what they look for.
+const SETTLE_TIME: Duration = Duration::from_millis(3);
+
 /// Longest time for which a retry waits for the check.
 const MAX_CHECK_TIME: Duration = Duration::from_millis(60);
 
@@ -84,7 +89,13 @@
 
 /// Checks whether an upstream has crashed, and records the crash if so.
 async fn check(state: Rc<GatewayState>, upstream: UpstreamKey, record: UpstreamRecord) {
-    let has_crashed = has_crashed(record.address).await;
+    let mut has_crashed = has_crashed(record.address).await;
+    if has_crashed {
+        record_path(&state, upstream, PathSign::Failed);
+        sleep(SETTLE_TIME).await;
+        // Upstreams that are gone at the same time have a common cause.
+        has_crashed = !host_paths::have_common_cause(&state, &record.service);
+    }
     let check = state.crash_monitor.borrow_mut().checks.remove(&upstream);
     let Some(check) = check else {
         return;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,8 @@
 use crate::clock;
 use crate::crash_monitor;
 use crate::duty;
+use crate::handler::RequestSender;
+use crate::host_paths;
 use crate::metrics::GatewayMetrics;
 use crate::peers;
 use crate::quarantine_store;
@@ -20,6 +22,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -55,15 +58,26 @@
         let callers = server::listen(settings.listen.callers)?;
         let readiness = server::listen(settings.listen.readiness)?;
         let metrics_listener = settings.listen.metrics.map(server::listen).transpose()?;
+        let host_listener = settings.listen.peers.and_then(listen_for_hosts);
         let caller_addr = callers.local_addr()?;
         let readiness_addr = readiness.local_addr()?;
         let state = GatewayState::new(settings, GatewayMetrics::new(metrics));
         let (closing, closing_seen) = watch::channel(false);
-        spawn_local(server::serve_callers(
+        if let Some(listener) = host_listener {
+            spawn_local(server::serve_requests(
+                Rc::clone(&state),
+                listener,
+                closing_seen.clone(),
+                RequestSender::Host,
+            ));
+        }
+        spawn_local(server::serve_requests(
             Rc::clone(&state),
             callers,
             closing_seen,
+            RequestSender::Caller,
         ));
+        spawn_local(host_paths::maintain(Rc::clone(&state)));
         spawn_local(server::serve_admin(Rc::clone(&state), readiness));
         if let Some(metrics_listener) = metrics_listener {
             spawn_local(server::serve_admin(Rc::clone(&state), metrics_listener));
@@ -136,6 +150,18 @@
     }
 }
 
+/// Opens the listener for requests of other hosts. Without it this host serves its callers, and
+/// others that are cut off use other hosts.
+fn listen_for_hosts(address: SocketAddr) -> Option<TcpListener> {
+    match server::listen(address) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            tracing::error!(%address, %error, "no requests are taken from other hosts");
+            None
+        }
+    }
+}
+
 /// Runs the periodic maintenance until the process ends.
 async fn run_maintenance(state: Rc<GatewayState>) {
     loop {
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -3,6 +3,7 @@
 use crate::admit::{admit, discard_body, is_head_too_large};
 use crate::clock;
 use crate::held::HeldRequest;
+use crate::hop::{self, HopTerms};
 use crate::idle::RequestInUse;
 use crate::read_on::CurrentResponse;
 use crate::relay::StreamRelay;
@@ -19,16 +20,26 @@
 use lagoonlift_policy::dispatch::{NextStep, QuotaCharge};
 use std::rc::Rc;
 
-/// Handles one request of a caller. `in_use` is dropped with the response's body.
+/// Who sends a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestSender {
+    /// A caller.
+    Caller,
+    /// Another host, for one of its callers.
+    Host,
+}
+
+/// Handles one request. `in_use` is dropped with the response's body.
 pub(crate) async fn handle(
     state: Rc<GatewayState>,
     request: Request<Incoming>,
     in_use: RequestInUse,
     current: Rc<CurrentResponse>,
+    sender: RequestSender,
 ) -> Response<ReplyBody> {
     let in_flight = InFlight::new(&state);
     let held = state.held.open();
-    let mut response = respond(&state, request, &held).await;
+    let mut response = respond(&state, request, &held, sender).await;
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -48,9 +59,22 @@
     state: &Rc<GatewayState>,
     request: Request<Incoming>,
     held: &Rc<HeldRequest>,
+    sender: RequestSender,
 ) -> Response<ReplyBody> {
     let arrived = clock::now();
-    let (parts, mut body) = request.into_parts();
+    let (mut parts, mut body) = request.into_parts();
+    let hop = match sender {
+        RequestSender::Caller => None,
+        RequestSender::Host => match HopTerms::take_from(&mut parts.headers) {
+            Some(terms) => Some(terms),
+            None => {
+                discard_body(&mut body).await;
+                let status = StatusCode::BAD_REQUEST;
+                return GatewayReply::without_retry_after(status, "no terms").response_to("");
+            }
+        },
+    };
+    let is_hop = hop.is_some();
     if is_head_too_large(state, &parts) {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         discard_body(&mut body).await;
@@ -68,13 +92,24 @@
     let id = request.id.clone();
     held.set_id(&id);
     let mut request_log = RequestLog::new(state, &id, arrived);
-    let admitted = match admit(state, request, body, arrived, held).await {
+    let admitted = match admit(state, request, body, arrived, held, hop).await {
         Ok(admitted) => Rc::new(admitted),
-        Err(reply) => return end_with_reply(reply, &id, request_log),
+        Err(reply) => {
+            let mut response = end_with_reply(reply, &id, request_log);
+            if is_hop {
+                hop::mark_declined(response.headers_mut());
+            }
+            return response;
+        }
     };
     request_log.record_admitted(&admitted);
     let charge = admitted.charge;
     let mut run = RequestRun::new(Rc::clone(state), admitted);
+    if let Some(reply) = run.declines() {
+        let mut response = end_with_reply(reply, &id, request_log);
+        hop::mark_declined(response.headers_mut());
+        return response;
+    }
     if let Err(refusal) = run.find_version().await {
         let reply = run.reply(refusal);
         return_charge(state, charge, &reply);
@@ -95,11 +130,9 @@
                     true => SUCCESS_OUTCOME,
                     false => "failed",
                 });
-                return full_response(
-                    parts.status,
-                    forwarded_response_headers(&parts.headers),
-                    body,
-                );
+                let mut headers = forwarded_response_headers(&parts.headers);
+                run.describe_to_host(&mut headers);
+                return full_response(parts.status, headers, body);
             }
             RunOutcome::Stream(response) => response,
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,8 @@
 mod gateway;
 mod handler;
 mod held;
+mod hop;
+mod host_paths;
 mod idle;
 mod interim;
 mod kv_cache;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
     metrics: Metrics,
     requests: Counter<u64>,
     sends: Counter<u64>,
+    hops: Counter<u64>,
     duration: Histogram<f64>,
     first_byte: Histogram<f64>,
     decode_wait: Histogram<f64>,
@@ -46,6 +47,11 @@
                 "lagoonlift_gateway_requests",
                 "Requests by route and outcome.",
             ),
+            hops: counter(
+                &meter,
+                "lagoonlift_gateway_hops",
+                "Sends by way of another host by result.",
+            ),
             sends: counter(
                 &meter,
                 "lagoonlift_gateway_sends",
@@ -220,6 +226,11 @@
         self.sends.add(1, &labels);
     }
 
+    /// Counts a send by way of another host.
+    pub(crate) fn count_hop(&self, result: &'static str) {
+        self.hops.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts what a request was charged. `workspace` is one of a bounded number of labels.
     pub(crate) fn count_quota_charge(&self, workspace: &str, charge: u64) {
         let labels = [KeyValue::new("workspace", workspace.to_owned())];
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,10 +13,11 @@
 use crate::clock;
 use crate::crash_monitor;
 use crate::era_monitor::EraSource;
+use crate::host_paths;
 use crate::state::GatewayState;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    BlameNews, ConfigVersion, EngineRole, HostReport, InFlightLoad, PeerConfirmation,
+    BlameNews, ConfigVersion, EngineRole, HostReport, InFlightLoad, PathNotice, PeerConfirmation,
     PeerConfirmationResult, QuotaMessage, RateNotice, StoreStatus, StreamKey, StreamNotice,
     UpstreamDigest, UsageCopy, VersionsNotice,
 };
@@ -116,6 +117,8 @@
     sequence: u64,
     status: StoreStatus,
     report: HostReport,
+    /// Which services the sender reaches.
+    paths: PathNotice,
 }
 
 /// Exchanges messages with the peers until the process ends.
@@ -158,7 +161,9 @@
             };
         }
         let is_joining = state.roster.borrow().is_joining(clock::now());
-        let is_busy = report != HostReport::default() || status.is_reading_store || is_joining;
+        let paths = host_paths::notice(&state);
+        let is_reporting = report != HostReport::default() || paths.has_reached();
+        let is_busy = is_reporting || status.is_reading_store || is_joining;
         // After the load drops to zero, one message informs the peers; further
         // ones would repeat it.
         if is_busy || was_busy {
@@ -168,6 +173,7 @@
                 sequence,
                 status,
                 report,
+                paths,
             };
             let peers = next_peers(&state, sequence, PEERS_PER_INTERVAL);
             send(&socket, &PeerMessage::Load(message), &peers).await;
@@ -257,7 +263,10 @@
     let now = clock::now();
     let serving = table.iter().map(|(_, one)| one);
     let serving = serving.filter(|one| one.record.role != Some(EngineRole::Prefill));
-    let silent = serving.filter(|one| one.silent_requests(now) > 0);
+    // What a host that is cut off finds silent may answer others.
+    let silent = serving.filter(|one| {
+        one.silent_requests(now) > 0 && !host_paths::is_cut_off(state, &one.record.service)
+    });
     HostReport {
         loads,
         changing_role: changing.take(MAX_CHANGING).map(|one| one.digest).collect(),
@@ -386,6 +395,8 @@
             }
             let mut readers = state.store_readers.borrow_mut();
             readers.record(now, load.sender, address, load.status);
+            let mut paths = state.host_paths.borrow_mut();
+            paths.record_notice(now, address, load.paths);
             let mut loads = state.peer_loads.borrow_mut();
             let sample = loads.record(now, load.sender, load.sequence, load.report);
             if let Some(sample) = sample {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -61,6 +61,9 @@
     has_succeeded: bool,
     /// Whether the history of the request has the run of the current upstream.
     is_run_recorded: bool,
+    /// Whether the current response comes by way of another host, which counts the run and
+    /// judges the prompt.
+    is_from_host: bool,
 }
 
 /// Result of the search for an upstream that replaces a silent one.
@@ -92,6 +95,7 @@
         let mut relay = Self {
             run,
             head: response.parts.clone(),
+            is_from_host: response.upstream().is_none(),
             source: EventSource::new(response, last_event),
             request_log,
             is_usage_counted: false,
@@ -118,7 +122,8 @@
 
     fn into_response(mut self, first: StreamItem) -> Response<ReplyBody> {
         let status = self.head.status;
-        let headers = forwarded_response_headers(&self.head.headers);
+        let mut headers = forwarded_response_headers(&self.head.headers);
+        self.run.describe_to_host(&mut headers);
         self.request_log.record_first_byte();
         let items = stream::unfold((Some(self), Some(first)), |(relay, first)| async move {
             let mut relay = relay?;
@@ -257,7 +262,7 @@
         response: Box<UpstreamResponse>,
         by: Timestamp,
     ) -> Result<Replacement, NextStep> {
-        let upstream = response.work.key;
+        let upstream = response.upstream();
         let head = response.parts.clone();
         let mut other = EventSource::new(response, self.source.last_event());
         let item = tokio::select! {
@@ -272,9 +277,11 @@
             },
         };
         if let Some(StreamItem::Broken(detail)) = &item {
-            self.run.record_interruption(upstream);
-            self.request_log
-                .record_break(detail, self.run.name_of(upstream));
+            if let Some(upstream) = upstream {
+                self.run.record_interruption(upstream);
+            }
+            let name = upstream.and_then(|upstream| self.run.name_of(upstream));
+            self.request_log.record_break(detail, name);
             return Err(self.run.history.record_send(SendResult::Unknown));
         }
         self.request_log.record_silence("replaced");
@@ -307,7 +314,7 @@
             }
             None => false,
         };
-        if is_success && !self.has_succeeded {
+        if is_success && !self.has_succeeded && !self.is_from_host {
             self.has_succeeded = true;
             self.run.record_success();
         }
@@ -331,6 +338,7 @@
         self.request_log.record_resume();
         self.head = head;
         self.source = source;
+        self.is_from_host = false;
         self.first_event_at = None;
         self.has_succeeded = false;
         self.is_run_recorded = false;
@@ -338,7 +346,7 @@
 
     /// Counts the run for the usage report, once, when the first data has arrived.
     fn count_usage(&mut self) {
-        if self.is_usage_counted || !self.source.has_started() {
+        if self.is_usage_counted || !self.source.has_started() || self.is_from_host {
             return;
         }
         self.is_usage_counted = true;
@@ -382,8 +390,10 @@
         match self.run.next_outcome().await {
             RunOutcome::Stream(response) => {
                 let head = response.parts.clone();
+                let is_from_host = response.upstream().is_none();
                 let source = EventSource::new(response, self.source.last_event());
                 self.continue_with(source, head);
+                self.is_from_host = is_from_host;
                 Ok(())
             }
             RunOutcome::Complete(..) => self.fail(detail, "the upstream failed"),
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -63,9 +63,9 @@
         self.version
     }
 
-    /// Returns the current upstream, if there is one.
+    /// Returns the current upstream, if there is one and this host has sent the request there.
     pub(super) fn upstream(&self) -> Option<UpstreamKey> {
-        self.response.as_ref().map(|response| response.work.key)
+        self.response.as_ref()?.upstream()
     }
 
     /// Closes the connection to the current upstream, which makes it stop generating.
@@ -96,7 +96,9 @@
                 continue;
             };
             self.has_started = true;
-            response.work.end_prefill();
+            if let Some(work) = response.work.as_mut() {
+                work.end_prefill();
+            }
             let events = match self.scanner.push(&data) {
                 Ok(events) => events,
                 Err(error) => return Some(StreamItem::Broken(error.to_string())),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,6 +4,7 @@
 
 mod choice;
 mod decode;
+mod other_host;
 mod prefill;
 mod quarantine;
 mod version;
@@ -72,6 +73,10 @@
     /// Upstream that still runs the request but is silent, while another one is looked
     /// for. No attempt is made on it.
     pub(crate) silent_upstream: Option<UpstreamKey>,
+    /// Hosts by way of which the request was sent.
+    tried_hosts: Vec<SocketAddr>,
+    /// Time after which the latest of them that refused wants the caller to come back.
+    other_hosts_wait: Option<Duration>,
     /// Upstream of the attempt that is awaited, so that it is counted if its future is
     /// dropped, and whether the attempt may have reached it.
     attempt_in_progress: Option<(UpstreamKey, Rc<Cell<bool>>)>,
@@ -99,6 +104,8 @@
     pub(crate) upstream: Option<String>,
     /// Version of that upstream's software.
     pub(crate) version: Option<String>,
+    /// Host by way of which the last attempt went, if it did.
+    pub(crate) other_host: Option<SocketAddr>,
     /// Attempts so far, without prefills.
     pub(crate) sends: u32,
 }
@@ -106,10 +113,23 @@
 impl RequestRun {
     pub(crate) fn new(state: Rc<GatewayState>, admitted: Rc<Admitted>) -> Self {
         let route = &admitted.route;
-        state.with_retry_budget(&admitted.service, |retry_budget| {
-            retry_budget.record_request(clock::now())
-        });
-        let history = AttemptHistory::new(route.retry_safety, route.max_upstreams);
+        let history = match &admitted.hop {
+            // The host that sent the request here has counted it.
+            Some(terms) => {
+                let runs = terms.runs.min(route.max_upstreams);
+                let history = AttemptHistory::new(route.retry_safety, runs);
+                match terms.is_retry {
+                    true => history.with_earlier_arrival(),
+                    false => history,
+                }
+            }
+            None => {
+                state.with_retry_budget(&admitted.service, |retry_budget| {
+                    retry_budget.record_request(clock::now())
+                });
+                AttemptHistory::new(route.retry_safety, route.max_upstreams)
+            }
+        };
         let prompt = &admitted.outgoing.request.prompt;
         let mut suspects = SuspectKey::for_shared_blocks(&admitted.service, prompt);
         suspects.push(admitted.outgoing.key);
@@ -127,6 +147,8 @@
             has_recorded_version: false,
             resume_after: None,
             silent_upstream: None,
+            tried_hosts: Vec::new(),
+            other_hosts_wait: None,
             attempt_in_progress: None,
             sent_decode: None,
             prefills: Vec::new(),
@@ -169,11 +191,7 @@
     /// is called again to retry or resume the request.
     pub(crate) async fn next_outcome(&mut self) -> RunOutcome {
         loop {
-            let attempt = match self.prepare_attempt().await {
-                Ok(attempt) => attempt,
-                Err(refusal) => return self.end_without_retry(refusal),
-            };
-            let step = match self.send(attempt).await {
+            let step = match self.try_next().await {
                 Ok(outcome) => return outcome,
                 Err(step) => step,
             };
@@ -187,6 +205,29 @@
         }
     }
 
+    /// Makes one attempt: by way of another host if this one is cut off, or can't choose an
+    /// upstream while connections to them fail.
+    async fn try_next(&mut self) -> Result<RunOutcome, NextStep> {
+        if self.is_cut_off() {
+            if let Some(result) = self.run_elsewhere().await {
+                return result;
+            }
+            if let Some(refusal) = self.refused_elsewhere() {
+                return Ok(self.end_without_retry(refusal));
+            }
+        }
+        match self.prepare_attempt().await {
+            Ok(attempt) => self.send(attempt).await,
+            Err(refusal) => {
+                let result = match self.is_failing() {
+                    true => self.run_elsewhere().await,
+                    false => None,
+                };
+                result.unwrap_or_else(|| Ok(self.end_without_retry(refusal)))
+            }
+        }
+    }
+
     /// Chooses the next attempt, and spends a retry if it is one. The error is the response
     /// to a request that has not run.
     pub(crate) async fn prepare_attempt(&mut self) -> Result<Attempt, Refusal> {
@@ -371,12 +412,12 @@
             true => {}
             false => return Err(SendResult::Unknown),
         }
-        let upstream = response.work.key;
+        let upstream = response.upstream();
         let is_framed = response.head.is_framed;
         let (parts, body) = match response.read_body(self.admitted.deadline).await {
             Ok((parts, body)) => (Box::new(parts), body),
             Err(error) => {
-                if matches!(error, BodyError::Truncated(_)) {
+                if let (BodyError::Truncated(_), Some(upstream)) = (&error, upstream) {
                     self.record_interruption(upstream);
                 }
                 let request = &self.admitted.outgoing.request.id;
@@ -385,10 +426,12 @@
                 return Err(SendResult::Unknown);
             }
         };
-        let workspace = self.admitted.outgoing.workspace.as_deref();
-        self.state.count_usage(clock::now(), workspace);
-        if status.is_success() && is_framed {
-            self.record_success();
+        if upstream.is_some() {
+            let workspace = self.admitted.outgoing.workspace.as_deref();
+            self.state.count_usage(clock::now(), workspace);
+            if status.is_success() && is_framed {
+                self.record_success();
+            }
         }
         match status.is_server_error() {
             false => Ok(RunOutcome::Complete(parts, body)),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,7 +8,7 @@
 use crate::exchange::Exchange;
 use crate::held::{HeldRequest, NoRoom};
 use crate::state::{AwaitedAnswer, GatewayState, UpstreamWork};
-use crate::upstream_health::record_health;
+use crate::upstream_health::{record_health, record_path};
 use bytes::Bytes;
 use http::response::Parts;
 use http_body::Body;
@@ -16,7 +16,9 @@
 use hyper::body::Incoming;
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_adapter::upstream::{ResponseHead, UpstreamCall, UpstreamTask};
-use lagoonlift_policy::dispatch::{ContactResult, SuspectKey, UpstreamRecord, VersionDigest};
+use lagoonlift_policy::dispatch::{
+    ContactResult, PathSign, SuspectKey, UpstreamRecord, VersionDigest,
+};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -107,7 +109,8 @@
     pub(crate) head: ResponseHead,
     pub(crate) body: Incoming,
     pub(crate) connection: PooledConnection,
-    pub(crate) work: UpstreamWork,
+    /// This host's work on the upstream; `None` if another host sent the request there.
+    pub(crate) work: Option<UpstreamWork>,
     /// What the host holds for the request.
     pub(crate) held: Rc<HeldRequest>,
     /// Software version of the upstream when the request was sent, if it is known.
@@ -115,6 +118,11 @@
 }
 
 impl UpstreamResponse {
+    /// Returns the upstream; `None` if another host sent the request there.
+    pub(crate) fn upstream(&self) -> Option<UpstreamKey> {
+        self.work.as_ref().map(|work| work.key)
+    }
+
     /// Reads the whole body of an answer and returns the connection to the pool. Fails if
     /// the body isn't complete at `deadline`.
     pub(crate) async fn read_body(self, deadline: Timestamp) -> Result<(Parts, Bytes), BodyError> {
@@ -145,7 +153,7 @@
 
     /// Reads the body of a refusal in the background, which makes the connection reusable.
     /// A body that is long or late closes it.
-    fn discard_body(self) {
+    pub(crate) fn discard_body(self) {
         let Self {
             head,
             body,
@@ -268,9 +276,13 @@
             return SendOutcome::NotOpened(detail, ContactResult::Silent);
         }
         Err(CallError::NotOpened(detail)) => {
+            record_path(state, attempt.upstream, PathSign::Failed);
             return SendOutcome::NotOpened(detail, ContactResult::NotOpened);
         }
-        Err(error) => return SendOutcome::NotSent(error.to_string()),
+        Err(error) => {
+            record_path(state, attempt.upstream, PathSign::Failed);
+            return SendOutcome::NotSent(error.to_string());
+        }
     };
     if let Err(reason) = begin_request(state, attempt.upstream) {
         return SendOutcome::Withheld(reason);
@@ -305,7 +317,7 @@
         head,
         body,
         connection,
-        work,
+        work: Some(work),
         held: Rc::clone(&outgoing.held),
         version: record.version_digest(),
     });
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,7 +1,7 @@
 //! Serves callers, readiness checks of the load balancer, and metrics scrapes.
 
 use crate::connection::{describe, set_caller_options};
-use crate::handler;
+use crate::handler::{self, RequestSender};
 use crate::idle::ConnectionUse;
 use crate::lingering::LingeringStream;
 use crate::read_on::CurrentResponse;
@@ -70,12 +70,13 @@
     open().wrap_err_with(|| format!("failed to listen on {address}"))
 }
 
-/// Accepts callers' connections until `closing` becomes true, which also closes
+/// Accepts the connections of callers or of other hosts until `closing` becomes true, which also closes
 /// idle connections.
-pub(crate) async fn serve_callers(
+pub(crate) async fn serve_requests(
     state: Rc<GatewayState>,
     listener: TcpListener,
     mut closing: watch::Receiver<bool>,
+    sender: RequestSender,
 ) {
     loop {
         // A connection that has been established is accepted before the listener closes.
@@ -87,7 +88,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let state = Rc::clone(&state);
-                tokio::task::spawn_local(serve_caller(state, stream, closing.clone()));
+                tokio::task::spawn_local(serve_connection(state, stream, closing.clone(), sender));
             }
             Err(error) => {
                 tracing::warn!(%error, "a connection can't be accepted");
@@ -97,10 +98,11 @@
     }
 }
 
-async fn serve_caller(
+async fn serve_connection(
     state: Rc<GatewayState>,
     stream: TcpStream,
     mut closing: watch::Receiver<bool>,
+    sender: RequestSender,
 ) {
     let _open = OpenConnection::new(&state);
     set_caller_options(&stream);
@@ -113,7 +115,10 @@
         let state = Rc::clone(&state);
         let in_use = of_requests.0.begin_request();
         let current = Rc::clone(&of_requests.1);
-        async move { Ok::<_, Infallible>(handler::handle(state, request, in_use, current).await) }
+        async move {
+            let response = handler::handle(state, request, in_use, current, sender);
+            Ok::<_, Infallible>(response.await)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,11 +16,11 @@
 use crate::version_store;
 use lagoonlift_adapter::rules::UpstreamRules;
 use lagoonlift_policy::dispatch::{
-    ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostRoster, PeerLoads,
-    Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits, RolePlanner,
-    ServedVersions, ServiceDigest, ServingConfig, StalenessLimits, StoreReaderSelection,
-    StoreStatus, StreamArchive, StreamNotice, StreamVersions, Upstream, UpstreamTable, UsageCopies,
-    UsageCounts, WallClock, WorkSample,
+    ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostPaths, HostRoster,
+    PeerLoads, Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits,
+    RolePlanner, ServedVersions, ServiceDigest, ServingConfig, StalenessLimits,
+    StoreReaderSelection, StoreStatus, StreamArchive, StreamNotice, StreamVersions, Upstream,
+    UpstreamTable, UsageCopies, UsageCounts, WallClock, WorkSample,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
@@ -60,6 +60,8 @@
     /// host as open orders.
     pub(crate) changing_role: RefCell<Vec<UpstreamKey>>,
     pub(crate) peer_loads: RefCell<PeerLoads>,
+    /// Which services this host and others reach.
+    pub(crate) host_paths: RefCell<HostPaths>,
     /// Numbers of decode engines that this host announces while it holds the lease.
     pub(crate) decode_work: RefCell<Vec<(ServiceDigest, u32)>>,
     /// Prefix blocks and requests that crash upstreams.
@@ -146,6 +148,7 @@
             changing_role: RefCell::new(Vec::new()),
             decode_work: RefCell::new(Vec::new()),
             peer_loads: RefCell::new(PeerLoads::new()),
+            host_paths: RefCell::new(HostPaths::new(&settings.host.data_centre)),
             crash_quarantine: RefCell::new(CrashQuarantine::new()),
             crash_monitor: RefCell::new(CrashMonitor::default()),
             stream_versions: RefCell::new(StreamVersions::new()),
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -132,6 +132,7 @@
                 .prefill_time
                 .map(|time| time.as_millis() as u64),
             upstream = self.summary.upstream,
+            other_host = self.summary.other_host.map(|host| host.to_string()),
             version = self.summary.version,
             resumed_attempt = self.resumed_attempt,
             resumes = self.resumes,
--- a/crates/gateway/src/upstream_health.rs
+++ b/crates/gateway/src/upstream_health.rs
@@ -5,7 +5,7 @@
 use crate::connection::{CallError, Endpoint};
 use crate::send::SendOutcome;
 use crate::state::GatewayState;
-use lagoonlift_policy::dispatch::{ContactEffect, ContactResult};
+use lagoonlift_policy::dispatch::{ContactEffect, ContactResult, PathSign};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,6 +41,7 @@
     }
     match outcome {
         SendOutcome::Responded(_) | SendOutcome::NotRun => {
+            record_path(state, key, PathSign::Reached);
             record_contact(state, key, ContactResult::Reached);
         }
         SendOutcome::NotOpened(_, result) => record_contact(state, key, *result),
@@ -75,6 +76,23 @@
     record_contact(state, key, ContactResult::Silent);
 }
 
+/// Records whether an upstream could be reached, which tells whether this host is cut off. One
+/// that is reached again isn't avoided for its failures any more.
+pub(crate) fn record_path(state: &GatewayState, key: UpstreamKey, sign: PathSign) {
+    let mut table = state.table.borrow_mut();
+    let Some(service) = table.get(key).map(|one| one.record.service.clone()) else {
+        return;
+    };
+    let now = clock::now();
+    let mut paths = state.host_paths.borrow_mut();
+    if paths.record(now, &service, key, sign) {
+        table.record_contact(now, key, ContactResult::Reached);
+        if let Some(upstream) = table.get_mut(key) {
+            upstream.forget_failures();
+        }
+    }
+}
+
 /// Records what was observed of the path to an upstream.
 fn record_contact(state: &Rc<GatewayState>, key: UpstreamKey, result: ContactResult) {
     let mut table = state.table.borrow_mut();
@@ -114,9 +132,16 @@
         "checked the path to a silent upstream"
     );
     match opened {
-        Ok(()) => record_contact(&state, key, ContactResult::Reached),
-        Err(CallError::NotOpened(_)) => record_contact(&state, key, ContactResult::NotOpened),
+        Ok(()) => {
+            record_path(&state, key, PathSign::Reached);
+            record_contact(&state, key, ContactResult::Reached);
+        }
+        Err(CallError::NotOpened(_)) => {
+            record_path(&state, key, PathSign::Failed);
+            record_contact(&state, key, ContactResult::NotOpened);
+        }
         // An upstream that refuses connections may have ended.
-        Err(CallError::NotSent(_) | CallError::Lost(_)) => {}
+        Err(CallError::NotSent(_)) => record_path(&state, key, PathSign::Failed),
+        Err(CallError::Lost(_)) => {}
     }
 }
--- a/crates/policy/src/dispatch/attempts.rs
+++ b/crates/policy/src/dispatch/attempts.rs
@@ -127,6 +127,21 @@
         }
     }
 
+    /// Returns how many upstreams may still run the request.
+    pub fn runs_left(&self) -> u32 {
+        match self.retry_safety.is_retryable() {
+            true => self.max_runs.saturating_sub(self.runs),
+            false => 1_u32.saturating_sub(self.runs),
+        }
+    }
+
+    /// Makes the first send a retry, since another host has sent the request before.
+    #[must_use]
+    pub fn with_earlier_arrival(mut self) -> Self {
+        self.arrivals += 1;
+        self
+    }
+
     /// Returns whether another attempt is allowed, provided that the deadline and the
     /// retry budget allow it.
     pub fn may_retry(&self) -> bool {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -57,6 +57,7 @@
 mod demand;
 mod fleet_view;
 mod held_bytes;
+mod host_paths;
 mod host_roster;
 mod peer_load;
 mod placement;
@@ -103,6 +104,7 @@
 pub use held_bytes::{
     CutRule, HeldCut, HeldKey, HeldLimits, HeldResponse, ReadProgress, STALL_TIME, choose_cuts,
 };
+pub use host_paths::{HostPaths, PathNotice, PathSign};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{DecodeChoice, Placement, PlacementLimits, PrefilledRequest};
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -220,6 +220,13 @@
         self.failures_in_row >= MIN_REPEATED_FAILURES
     }
 
+    /// Ends the backoff after failures, since not the upstream but the path to it has failed.
+    pub fn forget_failures(&mut self) {
+        self.failures_in_row = 0;
+        self.failure_backoffs = 0;
+        self.avoided_until = None;
+    }
+
     /// Records a response whose first byte arrived after `latency`.
     pub fn record_response(&mut self, latency: Duration) {
         self.failures_in_row = 0;
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod decode_room_load;
 mod decode_work;
 mod held_bytes;
+mod host_paths;
 mod kv_room;
 mod peer_loads;
 mod placement;
