store: an object that can't be read hides no others

Cause: a page of the store was decoded as a whole, so one value that can't be held failed the call.

Change: each item is read by itself, and its contents apart from its name. What can't be read names no upstream and is logged; an entry that becomes unreadable is no longer used on.

--- a/crates/gateway/src/quarantine_store.rs
+++ b/crates/gateway/src/quarantine_store.rs
@@ -46,7 +46,9 @@
 
 impl StoredQuarantine {
     fn restored(&self, unix_ms: i64) -> RestoredQuarantine {
-        let age = |at_ms: i64| Duration::from_millis(u64::try_from(unix_ms - at_ms).unwrap_or(0));
+        let age = |at_ms: i64| {
+            Duration::from_millis(u64::try_from(unix_ms.saturating_sub(at_ms)).unwrap_or(0))
+        };
         RestoredQuarantine::new(age(self.decided_ms)).with_probes(ProbeHistory {
             count: self.probes,
             latest_age: self.probed_ms.map(age),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -131,7 +131,9 @@
         let response = self
             .call_within(request, wait + WATCH_TIMEOUT_MARGIN)
             .await?;
-        decode_changes(response.status, &response.body)
+        let page = decode_changes(response.status, &response.body)?;
+        log_unreadable(kind, page.unreadable);
+        Ok(page)
     }
 
     /// Writes one object if `condition` holds. Returns the written object, or
@@ -161,7 +163,9 @@
         read: ReadConsistency,
     ) -> Result<ObjectPage, StoreError> {
         let response = self.call(self.calls.list(kind, after, read)).await?;
-        decode_page(response.status, &response.body)
+        let page = decode_page(response.status, &response.body)?;
+        log_unreadable(kind, page.unreadable);
+        Ok(page)
     }
 
     async fn call(&self, request: Request<Bytes>) -> Result<BufferedResponse, StoreError> {
@@ -205,3 +209,10 @@
         }
     }
 }
+
+/// Logs objects without a name, which can't be used.
+fn log_unreadable(kind: &str, objects: usize) {
+    if objects > 0 {
+        tracing::warn!(kind, objects, "objects that can't be read are left out");
+    }
+}
--- a/crates/gateway/src/stream_store.rs
+++ b/crates/gateway/src/stream_store.rs
@@ -57,7 +57,8 @@
     let mut streams = 0;
     for object in objects {
         let name = object.name.clone();
-        let batch = decode(object).filter(|batch| unix_ms - batch.written_ms < kept_ms);
+        let batch =
+            decode(object).filter(|batch| unix_ms.saturating_sub(batch.written_ms) < kept_ms);
         let Some(batch) = batch else {
             outdated.push(name);
             continue;
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -7,10 +7,12 @@
 use crate::store_gate::StoreGate;
 use crate::version_store;
 use lagoonlift_adapter::listing::{UPSTREAM_KIND, decode_upstream};
-use lagoonlift_adapter::store::{ChangePage, ObjectChange, ReadConsistency, StoreError};
+use lagoonlift_adapter::store::{
+    ChangePage, ObjectChange, ReadConsistency, StoreError, StoreObject,
+};
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    EngineRole, ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId,
+    EngineRole, ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId, UpstreamRecord,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -78,7 +80,12 @@
         .list(UPSTREAM_KIND, ReadConsistency::Linearizable)
         .await?;
     let now = clock::now();
-    let records = objects.iter().filter_map(decode_upstream).collect();
+    let records = objects.iter().filter_map(|object| {
+        let record = decode_upstream(object);
+        log_if_odd(object, record.as_ref());
+        record
+    });
+    let records = records.collect();
     let removed = {
         record_store_available(state, now);
         let mut table = state.table.borrow_mut();
@@ -162,9 +169,7 @@
 
 fn apply_changes(state: &GatewayState, now: Timestamp, page: &ChangePage) {
     for change in &page.changes {
-        let Some(list_change) = decode_change(change) else {
-            continue;
-        };
+        let list_change = decode_change(change);
         log_change(change, &list_change);
         let removed = state.table.borrow_mut().apply(now, list_change);
         state.close_idle_connections(removed.as_slice());
@@ -177,6 +182,9 @@
         ListChange::Present(record) => Some(record),
         ListChange::Removed(_) => None,
     };
+    if !change.is_removed {
+        log_if_odd(&change.object, record);
+    }
     tracing::info!(
         upstream = change.object.name,
         revision = change.object.revision.0,
@@ -194,11 +202,27 @@
     );
 }
 
-/// Decodes a change. Returns `None`, which leaves the upstream unchanged, for a
-/// record that is malformed or whose state is neither ready nor draining.
-fn decode_change(change: &ObjectChange) -> Option<ListChange> {
-    match change.is_removed {
-        true => Some(ListChange::Removed(UpstreamId(change.object.name.clone()))),
-        false => decode_upstream(&change.object).map(ListChange::Present),
+/// Decodes a change. A record that is malformed or whose state is neither ready nor draining
+/// names no upstream to use, like one that is removed.
+fn decode_change(change: &ObjectChange) -> ListChange {
+    let record = match change.is_removed {
+        true => None,
+        false => decode_upstream(&change.object),
+    };
+    match record {
+        Some(record) => ListChange::Present(record),
+        None => ListChange::Removed(UpstreamId(change.object.name.clone())),
+    }
+}
+
+/// Logs a record that names no upstream though it is there.
+fn log_if_odd(object: &StoreObject, record: Option<&UpstreamRecord>) {
+    if record.is_none() {
+        tracing::warn!(
+            upstream = object.name,
+            revision = object.revision.0,
+            error = object.content_error,
+            "the entry names no upstream to use"
+        );
     }
 }
--- a/crates/policy/src/dispatch/version_record.rs
+++ b/crates/policy/src/dispatch/version_record.rs
@@ -71,7 +71,7 @@
 
     /// Removes the versions that no stream can have begun for long.
     pub(super) fn remove_old(&mut self, unix_ms: i64) {
-        let is_old = |gone_ms: i64| unix_ms - gone_ms > RETENTION_MS;
+        let is_old = |gone_ms: i64| unix_ms.saturating_sub(gone_ms) > RETENTION_MS;
         self.versions
             .retain(|entry| !entry.gone_ms.is_some_and(is_old));
     }
@@ -79,5 +79,5 @@
 
 /// Returns the time since `at_ms`, both as Unix times in milliseconds.
 pub(super) fn age_of(unix_ms: i64, at_ms: i64) -> Duration {
-    Duration::from_millis(u64::try_from(unix_ms - at_ms).unwrap_or(0))
+    Duration::from_millis(u64::try_from(unix_ms.saturating_sub(at_ms)).unwrap_or(0))
 }
