versions: an upstream's version is doubtful after a break of contact

Cause: the entry read last was taken for the incarnation that answers now, also when a host could see that contact had broken, or opened its first connection while the store was away.

Change: after a break, or a first connection while the store is away, the version is doubtful until the store shows the entry again, which is read when a stream needs it. Doubtful upstreams go on with no stream, and what begins there is filed as doubtful until it is certain.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -107,6 +107,8 @@
     driver: AbortHandle,
     interim_count: InterimCount,
     idle_until: Timestamp,
+    /// Set on connections to upstreams.
+    guard: Option<OpenGuard>,
 }
 
 impl Drop for Connection {
@@ -119,9 +121,31 @@
 #[derive(Clone, Default)]
 pub(crate) struct ConnectionPool {
     idle: Rc<RefCell<HashMap<Endpoint, Vec<Connection>>>>,
+    /// Upstreams that closed an idle connection earlier than they had stated.
+    closed_early: Rc<RefCell<Vec<UpstreamKey>>>,
+    /// Number of open connections to each upstream.
+    open: Rc<RefCell<HashMap<UpstreamKey, usize>>>,
     opened: Rc<std::cell::Cell<u64>>,
 }
 
+/// Counts a connection to an upstream as open until it is dropped.
+struct OpenGuard {
+    open: Rc<RefCell<HashMap<UpstreamKey, usize>>>,
+    key: UpstreamKey,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut open = self.open.borrow_mut();
+        if let Some(count) = open.get_mut(&self.key) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(&self.key);
+            }
+        }
+    }
+}
+
 /// A connection in use. It closes when dropped, unless it is returned to the
 /// pool.
 pub(crate) struct PooledConnection {
@@ -145,8 +169,8 @@
         let connection = match self.take_idle(endpoint, exchange) {
             Some(connection) => connection,
             None => {
-                let number = self.next_number();
-                open(number, address, open_timeout.min(CONNECT_TIMEOUT)).await?
+                self.open(endpoint, address, open_timeout.min(CONNECT_TIMEOUT))
+                    .await?
             }
         };
         Ok(PooledConnection {
@@ -164,8 +188,7 @@
         endpoint: Endpoint,
         address: SocketAddr,
     ) -> Result<(), CallError> {
-        let number = self.next_number();
-        let connection = open(number, address, CONNECT_TIMEOUT).await?;
+        let connection = self.open(endpoint, address, CONNECT_TIMEOUT).await?;
         self.keep_idle(endpoint, connection, None);
         Ok(())
     }
@@ -178,7 +201,10 @@
     /// Closes connections whose reuse time has passed or that the server closed.
     pub(crate) fn close_expired(&self) {
         let now = clock::now();
-        self.idle.borrow_mut().retain(|_, connections| {
+        self.idle.borrow_mut().retain(|endpoint, connections| {
+            connections
+                .iter()
+                .for_each(|one| self.note_if_closed_early(*endpoint, one));
             connections.retain(|one| one.idle_until > now && !one.sender.is_closed());
             !connections.is_empty()
         });
@@ -190,6 +216,26 @@
         self.opened.get()
     }
 
+    /// Returns whether there is an open connection to an upstream, in use or idle.
+    pub(crate) fn has_connection(&self, key: UpstreamKey) -> bool {
+        self.open.borrow().contains_key(&key)
+    }
+
+    async fn open(
+        &self,
+        endpoint: Endpoint,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, CallError> {
+        let mut connection = open(self.next_number(), address, limit).await?;
+        if let Endpoint::Upstream(key) = endpoint {
+            *self.open.borrow_mut().entry(key).or_default() += 1;
+            let open = Rc::clone(&self.open);
+            connection.guard = Some(OpenGuard { open, key });
+        }
+        Ok(connection)
+    }
+
     /// Returns the number of the next connection.
     fn next_number(&self) -> u64 {
         self.opened.set(self.opened.get() + 1);
@@ -209,12 +255,30 @@
                     return Some(connections.remove(position));
                 }
                 true => {}
-                false => drop(connections.remove(position)),
+                false => {
+                    self.note_if_closed_early(endpoint, connection);
+                    drop(connections.remove(position));
+                }
             }
         }
         None
     }
 
+    fn note_if_closed_early(&self, endpoint: Endpoint, connection: &Connection) {
+        if let Endpoint::Upstream(key) = endpoint
+            && connection.idle_until > clock::now()
+            && connection.sender.is_closed()
+        {
+            self.closed_early.borrow_mut().push(key);
+        }
+    }
+
+    /// Removes and returns the upstreams that closed an idle connection earlier than they had
+    /// stated.
+    pub(crate) fn take_closed_early(&self) -> Vec<UpstreamKey> {
+        self.closed_early.take()
+    }
+
     /// Keeps a connection that the server leaves open for `idle_timeout`.
     fn keep_idle(
         &self,
@@ -387,6 +451,7 @@
         driver: driver.abort_handle(),
         interim_count,
         idle_until: Timestamp::default(),
+        guard: None,
     })
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::run::{RequestRun, RunOutcome};
 use crate::send::UpstreamResponse;
 use crate::trace::{RequestLog, SUCCESS_OUTCOME};
+use crate::upstream_health::record_break;
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
@@ -356,6 +357,9 @@
 
     fn record_break(&self, detail: &str) {
         let upstream = self.source.upstream();
+        if let Some(upstream) = upstream {
+            record_break(&self.run.state, upstream);
+        }
         let name = upstream.and_then(|upstream| self.run.name_of(upstream));
         self.request_log.record_break(detail, name);
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -237,6 +237,7 @@
             return Err(self.refusal("timed out", RefusalCause::NoCapacity));
         }
         self.pass_quarantine().await?;
+        self.confirm_required_version().await;
         let attempt = match self.is_prompt() {
             true => self.prompt_attempt().await,
             false => match self.plain_attempt() {
--- a/crates/gateway/src/run/choice.rs
+++ b/crates/gateway/src/run/choice.rs
@@ -155,6 +155,7 @@
         Attempt {
             upstream,
             task,
+            version: self.required_version,
             resume_after: self.resume_after,
             prefill_tokens,
             caller_deadline: self.admitted.deadline,
--- a/crates/gateway/src/run/other_host.rs
+++ b/crates/gateway/src/run/other_host.rs
@@ -106,7 +106,14 @@
     pub(crate) fn describe_to_host(&self, headers: &mut HeaderMap) {
         if self.admitted.hop.is_some() {
             let upstream = self.summary.upstream.as_deref();
-            hop::describe_upstream(headers, upstream, self.summary.version.as_deref());
+            let is_certain = self.sent_to.as_ref().is_some_and(|(key, _)| {
+                let table = self.state.table.borrow();
+                table
+                    .get(*key)
+                    .is_some_and(|one| !one.is_version_doubtful())
+            });
+            let version = self.summary.version.as_deref().filter(|_| is_certain);
+            hop::describe_upstream(headers, upstream, version);
         }
     }
 
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -3,15 +3,23 @@
 use super::RequestRun;
 use crate::clock;
 use crate::reply::Refusal;
+use crate::state::GatewayState;
+use crate::watcher::confirm_versions;
+use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
     RefusalCause, RequiredVersion, StreamKey, StreamNotice, VersionDigest,
 };
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
 /// Time for which other hosts are asked for the version of a stream.
 const LOOKUP_TIME: Duration = Duration::from_millis(150);
 
+/// Number of times that an entry is read to confirm the version that has begun a stream. The
+/// stream itself may break meanwhile, which makes it doubtful again.
+const CONFIRMATIONS: usize = 3;
+
 /// Interval between two questions about it.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -92,7 +100,7 @@
         let end = clock::now() + LOOKUP_TIME;
         for round in 0.. {
             let known = state.stream_versions.borrow().find(clock::now(), stream);
-            if known.is_some() || clock::now() >= end {
+            if self.is_certain(stream) || clock::now() >= end {
                 return known;
             }
             state.stream_versions.borrow_mut().ask(stream, round);
@@ -103,11 +111,7 @@
                 if timeout(clock::time_until(next_question), heard)
                     .await
                     .is_err()
-                    || state
-                        .stream_versions
-                        .borrow()
-                        .find(clock::now(), stream)
-                        .is_some()
+                    || self.is_certain(stream)
                 {
                     break;
                 }
@@ -116,6 +120,32 @@
         None
     }
 
+    /// Returns whether the version of a stream is known here and isn't doubtful.
+    fn is_certain(&self, stream: StreamKey) -> bool {
+        let versions = self.state.stream_versions.borrow();
+        let known = versions.find(clock::now(), stream);
+        known.is_some_and(|version| version != VersionDigest::DOUBTFUL)
+    }
+
+    /// Waits until it is known of an upstream whether it has the required version, if none
+    /// certainly has it.
+    pub(super) async fn confirm_required_version(&self) {
+        let RequiredVersion::Only(version) = self.required_version else {
+            return;
+        };
+        let service = &self.admitted.service;
+        let doubtful = {
+            let table = self.state.table.borrow();
+            match table.has_version(service, version) {
+                true => Vec::new(),
+                false => table.doubtful_of(service, version),
+            }
+        };
+        if !doubtful.is_empty() {
+            confirm_versions(&self.state, &doubtful, LOOKUP_TIME).await;
+        }
+    }
+
     /// Records that an upstream of `version` has sent an event of the stream, before the
     /// caller gets it. Only this version may go on with the stream.
     pub(crate) async fn record_event(&mut self, version: Option<VersionDigest>) {
@@ -123,6 +153,11 @@
             return;
         }
         self.has_recorded_version = true;
+        // Hosts that know nothing of the stream could take another version for its own.
+        let version = version.or(Some(VersionDigest::DOUBTFUL));
+        if version == Some(VersionDigest::DOUBTFUL) {
+            self.confirm_later();
+        }
         if self.required_version == RequiredVersion::Any {
             self.required_version = RequiredVersion::of_stream(version);
         }
@@ -143,11 +178,34 @@
         }
     }
 
+    /// Records the version of the stream once it is certain which one has begun it.
+    fn confirm_later(&self) {
+        let begun_at = self.sent_to.as_ref().and_then(|(upstream, record)| {
+            let version = record.version_digest()?;
+            Some((*upstream, version))
+        });
+        let Some((upstream, version)) = begun_at else {
+            return;
+        };
+        let stream = self.stream_key(&self.admitted.outgoing.request.id);
+        let notice = StreamNotice { stream, version };
+        let state = Rc::clone(&self.state);
+        let admitted = Rc::clone(&self.admitted);
+        tokio::task::spawn_local(async move {
+            if is_confirmed(&state, upstream, version).await {
+                let mut versions = state.stream_versions.borrow_mut();
+                versions.record_begin(clock::now(), stream, version);
+                drop(versions);
+                archive(&state, &admitted.service, notice);
+                state.stream_news.notify_one();
+            }
+        });
+    }
+
     /// Lets the version of a stream outlive all hosts if nothing else shows it then.
     fn archive(&self, notice: StreamNotice) {
-        let mut archive = self.state.stream_archive.borrow_mut();
-        if archive.is_divided(&self.admitted.service) {
-            archive.add(notice);
+        if notice.version != VersionDigest::DOUBTFUL {
+            archive(&self.state, &self.admitted.service, notice);
         }
     }
 
@@ -156,3 +214,31 @@
         StreamKey::new(workspace, attempt)
     }
 }
+
+/// Returns whether the incarnation that has begun a stream certainly had `version`: the list
+/// still shows it after all breaks of contact.
+async fn is_confirmed(
+    state: &Rc<GatewayState>,
+    upstream: UpstreamKey,
+    version: VersionDigest,
+) -> bool {
+    let is_proven = || {
+        let table = state.table.borrow();
+        let proven = table.get(upstream).map(|one| one.proven_version());
+        proven == Some(Some(version))
+    };
+    for _ in 0..CONFIRMATIONS {
+        if is_proven() {
+            return true;
+        }
+        confirm_versions(state, &[upstream], LOOKUP_TIME).await;
+    }
+    is_proven()
+}
+
+fn archive(state: &GatewayState, service: &str, notice: StreamNotice) {
+    let mut archive = state.stream_archive.borrow_mut();
+    if archive.is_divided(service) {
+        archive.add(notice);
+    }
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,7 +8,7 @@
 use crate::exchange::Exchange;
 use crate::held::{HeldRequest, NoRoom};
 use crate::state::{AwaitedAnswer, GatewayState, UpstreamWork};
-use crate::upstream_health::{record_health, record_path};
+use crate::upstream_health::{record_break, record_health, record_path};
 use bytes::Bytes;
 use http::response::Parts;
 use http_body::Body;
@@ -17,7 +17,7 @@
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_adapter::upstream::{ResponseHead, UpstreamCall, UpstreamTask};
 use lagoonlift_policy::dispatch::{
-    ContactResult, PathSign, SuspectKey, UpstreamRecord, VersionDigest,
+    ContactResult, PathSign, RequiredVersion, SuspectKey, UpstreamRecord, VersionDigest,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::cell::Cell;
@@ -57,6 +57,8 @@
 pub(crate) struct Attempt {
     pub(crate) upstream: UpstreamKey,
     pub(crate) task: UpstreamTask,
+    /// Software version that the upstream must have.
+    pub(crate) version: RequiredVersion,
     pub(crate) resume_after: Option<u64>,
     /// Prompt tokens that the upstream has to prefill.
     pub(crate) prefill_tokens: u64,
@@ -267,10 +269,19 @@
     let endpoint = Endpoint::Upstream(attempt.upstream);
     let open_limit = clock::time_until(attempt.deadline);
     let expected = Exchange::of_request(&outgoing.request.id);
+    let had_connection = state.pool.has_connection(attempt.upstream);
     let taken = state
         .pool
         .take(endpoint, record.address, expected, open_limit);
-    let mut connection = match taken.await {
+    let taken = taken.await;
+    if !had_connection && taken.is_ok() {
+        let mut table = state.table.borrow_mut();
+        table.record_first_connection(clock::now(), attempt.upstream);
+    }
+    for key in state.pool.take_closed_early() {
+        record_break(state, key);
+    }
+    let mut connection = match taken {
         Ok(connection) => connection,
         Err(CallError::NotOpened(detail)) if open_limit < CONNECT_TIMEOUT => {
             return SendOutcome::NotOpened(detail, ContactResult::Silent);
@@ -284,7 +295,7 @@
             return SendOutcome::NotSent(error.to_string());
         }
     };
-    if let Err(reason) = begin_request(state, attempt.upstream) {
+    if let Err(reason) = begin_request(state, attempt.upstream, attempt.version) {
         return SendOutcome::Withheld(reason);
     }
     let call = UpstreamCall {
@@ -319,18 +330,34 @@
         connection,
         work: Some(work),
         held: Rc::clone(&outgoing.held),
-        version: record.version_digest(),
+        version: proven_version(state, attempt.upstream, record),
     });
     classify(&outgoing.request.id, upstream_response)
 }
 
+/// Returns the version of the upstream that has just answered, if it is certain.
+fn proven_version(
+    state: &GatewayState,
+    upstream: UpstreamKey,
+    record: &UpstreamRecord,
+) -> Option<VersionDigest> {
+    let table = state.table.borrow();
+    let listed = table.get(upstream)?.proven_version();
+    listed.filter(|listed| record.version_digest() == Some(*listed))
+}
+
 /// Counts a request that is about to be sent. The error says why the upstream takes none; it
 /// may have announced that while the connection was opened, or other requests may have used
 /// up this host's share of its rate.
-fn begin_request(state: &GatewayState, upstream: UpstreamKey) -> Result<(), &'static str> {
+fn begin_request(
+    state: &GatewayState,
+    upstream: UpstreamKey,
+    version: RequiredVersion,
+) -> Result<(), &'static str> {
     let mut table = state.table.borrow_mut();
     let now = clock::now();
     match table.get(upstream) {
+        Some(one) if !version.is_met_by(one) => return Err("its version has become doubtful"),
         Some(one) if one.accepts_requests(now) => {}
         Some(_) | None => return Err("the upstream drains or holds off requests"),
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,7 +26,7 @@
 use lagoonlift_settings::{GatewayBounds, GatewaySettings};
 use lagoonlift_telemetry::LogSampler;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,6 +77,10 @@
     pub(crate) served_versions: RefCell<ServedVersions>,
     /// Notified when peers have to be told of a new record of these versions at once.
     pub(crate) version_news: Notify,
+    /// Upstreams whose entries are being read again, because their versions are doubtful.
+    pub(crate) confirming: RefCell<HashSet<UpstreamKey>>,
+    /// Wakes those that wait for that.
+    pub(crate) confirmed: Notify,
     /// Notified when peers have to get or to be asked for the version of a stream at once.
     pub(crate) stream_news: Notify,
     /// Notified when a peer has told the versions of streams.
@@ -156,6 +160,8 @@
             archive_messages: RefCell::default(),
             served_versions: RefCell::new(ServedVersions::new()),
             version_news: Notify::new(),
+            confirming: RefCell::default(),
+            confirmed: Notify::new(),
             stream_news: Notify::new(),
             streams_heard: Notify::new(),
             crash_news: Notify::new(),
--- a/crates/gateway/src/upstream_health.rs
+++ b/crates/gateway/src/upstream_health.rs
@@ -36,6 +36,9 @@
             SendOutcome::Lost(_) | SendOutcome::TimedOut => upstream.record_failure(now, false),
         }
     }
+    if matches!(outcome, SendOutcome::Lost(_)) {
+        record_break(state, key);
+    }
     if matches!(outcome, SendOutcome::Responded(_)) {
         record_plain_work(state, key, now.since(started));
     }
@@ -85,6 +88,9 @@
     };
     let now = clock::now();
     let mut paths = state.host_paths.borrow_mut();
+    if sign == PathSign::Failed {
+        table.record_break(now, key);
+    }
     if paths.record(now, &service, key, sign) {
         table.record_contact(now, key, ContactResult::Reached);
         if let Some(upstream) = table.get_mut(key) {
@@ -93,6 +99,12 @@
     }
 }
 
+/// Records that a connection to an upstream broke, so that another incarnation may listen
+/// there by now.
+pub(crate) fn record_break(state: &GatewayState, key: UpstreamKey) {
+    state.table.borrow_mut().record_break(clock::now(), key);
+}
+
 /// Records what was observed of the path to an upstream.
 fn record_contact(state: &Rc<GatewayState>, key: UpstreamKey, result: ContactResult) {
     let mut table = state.table.borrow_mut();
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -10,13 +10,14 @@
 use lagoonlift_adapter::store::{
     ChangePage, ObjectChange, ReadConsistency, StoreError, StoreObject,
 };
-use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     EngineRole, ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId, UpstreamRecord,
 };
+use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
 
 /// Wait of a watch on the upstreams. It is short because a connection that failed
 /// without a reset is detected only when the wait is over.
@@ -59,7 +60,10 @@
                 position = None;
                 announce_reading(&state, false);
                 if error != StoreError::HistoryExpired {
-                    state.table.borrow_mut().record_store_unavailable();
+                    state
+                        .table
+                        .borrow_mut()
+                        .record_store_unavailable(clock::now());
                 }
                 record_failure(&state, "upstreams", &error);
                 back_off_after(&state, &error).await;
@@ -75,6 +79,7 @@
 }
 
 async fn list_upstreams(state: &GatewayState) -> Result<WatchPosition, StoreError> {
+    let started = clock::now();
     let (objects, position) = state
         .store
         .list(UPSTREAM_KIND, ReadConsistency::Linearizable)
@@ -89,7 +94,9 @@
     let removed = {
         record_store_available(state, now);
         let mut table = state.table.borrow_mut();
-        table.apply_list(now, records)
+        let removed = table.apply_list(now, records);
+        table.record_shown(started);
+        removed
     };
     version_store::observe(state);
     state.close_idle_connections(&removed);
@@ -107,16 +114,23 @@
     position: WatchPosition,
 ) -> Result<WatchPosition, StoreError> {
     let started = clock::now();
+    let mut read = watch_consistency(state);
+    let mut as_of = None;
     let page = tokio::select! {
         page = state
             .store
-            .watch(UPSTREAM_KIND, position, UPSTREAM_WATCH_WAIT, watch_consistency(state)) => page?,
+            .watch(UPSTREAM_KIND, position, UPSTREAM_WATCH_WAIT, read) => page?,
         () = wait_until_behind(state, position) => {
-            let read = ReadConsistency::Linearizable;
+            read = ReadConsistency::Linearizable;
+            as_of = Some(clock::now());
             state.store.watch(UPSTREAM_KIND, position, CATCH_UP_WAIT, read).await?
         }
     };
     apply_changes(state, clock::now(), &page);
+    if read == ReadConsistency::Linearizable {
+        let mut table = state.table.borrow_mut();
+        table.record_shown(as_of.unwrap_or(started));
+    }
     let next = position.advanced_to(page.revision);
     if !page.changes.is_empty() {
         announce_change(state, next);
@@ -146,6 +160,63 @@
     tracing::info!(revision, "the watch of the upstreams is behind");
 }
 
+/// Reads the entries of upstreams again whose versions are doubtful, and waits for that up to
+/// `limit`. Does nothing while the store doesn't respond.
+pub(crate) async fn confirm_versions(
+    state: &Rc<GatewayState>,
+    upstreams: &[UpstreamKey],
+    limit: Duration,
+) {
+    if !state.store_gate.is_open() {
+        return;
+    }
+    for key in upstreams {
+        if state.confirming.borrow_mut().insert(*key) {
+            spawn_local(confirm_version(Rc::clone(state), *key));
+        }
+    }
+    let is_open = || {
+        let confirming = state.confirming.borrow();
+        upstreams.iter().any(|key| confirming.contains(key))
+    };
+    let all = async {
+        while is_open() {
+            state.confirmed.notified().await;
+        }
+    };
+    if timeout(limit, all).await.is_err() {
+        tracing::info!("the entries of upstreams with doubtful versions aren't read in time");
+    }
+}
+
+async fn confirm_version(state: Rc<GatewayState>, key: UpstreamKey) {
+    let id = {
+        let table = state.table.borrow();
+        table.get(key).map(|one| one.record.id.clone())
+    };
+    if let Some(id) = id {
+        let as_of = clock::now();
+        let read = ReadConsistency::Linearizable;
+        let object = state.store.read(UPSTREAM_KIND, &id.0, read).await;
+        match object {
+            Ok(object) => {
+                let mut table = state.table.borrow_mut();
+                let record = object.as_ref().and_then(decode_upstream);
+                let change = record.map_or(ListChange::Removed(id), ListChange::Present);
+                let removed = table.apply(as_of, change);
+                table.record_entry_shown(as_of, key);
+                drop(table);
+                state.close_idle_connections(removed.as_slice());
+            }
+            Err(error) => {
+                record_failure(&state, "an upstream", &error);
+            }
+        }
+    }
+    state.confirming.borrow_mut().remove(&key);
+    state.confirmed.notify_waiters();
+}
+
 /// Announces the latest change of the upstreams to the peers.
 fn announce_change(state: &GatewayState, position: WatchPosition) {
     let status = state.announced_store_status.get();
--- a/crates/policy/src/dispatch/fleet_view.rs
+++ b/crates/policy/src/dispatch/fleet_view.rs
@@ -85,10 +85,11 @@
         version.map_or(Self::Unknown, Self::Only)
     }
 
-    fn is_met_by(self, upstream: &Upstream) -> bool {
+    /// Returns whether the upstream certainly has the version.
+    pub fn is_met_by(self, upstream: &Upstream) -> bool {
         match self {
             Self::Any => true,
-            Self::Only(version) => upstream.version == Some(version),
+            Self::Only(version) => upstream.proven_version() == Some(version),
             Self::Unknown => false,
         }
     }
--- a/crates/policy/src/dispatch/stream_versions.rs
+++ b/crates/policy/src/dispatch/stream_versions.rs
@@ -52,6 +52,10 @@
 pub struct VersionDigest(pub(super) u64);
 
 impl VersionDigest {
+    /// Stands for the version of an upstream whose version was doubtful when it began a stream.
+    /// No upstream has it, so the stream goes on nowhere until its version is known.
+    pub const DOUBTFUL: Self = Self(0);
+
     /// Returns the hash of `version` at `service`.
     pub fn new(service: &str, version: &SoftwareVersion) -> Self {
         Self(hash_of((service, &version.0)))
@@ -190,6 +194,10 @@
     fn record(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest, is_own: bool) {
         match self.streams.get_mut(&stream) {
             Some(known) if known.version == Some(version) => {}
+            Some(_) if version == VersionDigest::DOUBTFUL => {}
+            Some(known) if known.version == Some(VersionDigest::DOUBTFUL) => {
+                known.version = Some(version);
+            }
             Some(known) => known.version = None,
             None => {
                 let known = KnownStream {
--- a/crates/policy/src/dispatch/upstream.rs
+++ b/crates/policy/src/dispatch/upstream.rs
@@ -61,6 +61,12 @@
     pub digest: UpstreamDigest,
     /// Version of its software, if the entry states it.
     pub version: Option<VersionDigest>,
+    /// Time at which contact to the upstream broke last, unless the list has shown its entry
+    /// since. Another incarnation may listen there by now, at another version.
+    doubtful_since: Option<Timestamp>,
+    /// Time since which this host has had a connection to the upstream; a later one may have
+    /// followed a time without any.
+    contact_since: Option<Timestamp>,
     /// Whether the upstream gets no requests while others can serve, because its version
     /// isn't in the record of the versions that have served.
     pub awaits_record: bool,
@@ -101,6 +107,8 @@
             has_rate: false,
             digest: UpstreamDigest::new(&record.id),
             version: record.version_digest(),
+            doubtful_since: None,
+            contact_since: None,
             awaits_record: false,
             record,
             in_flight: 0,
@@ -119,6 +127,24 @@
         }
     }
 
+    /// Returns the version of the incarnation that answers now; `None` if the entry states none,
+    /// or contact has broken since it was read.
+    pub fn proven_version(&self) -> Option<VersionDigest> {
+        self.version.filter(|_| self.doubtful_since.is_none())
+    }
+
+    /// Returns whether contact has broken since the list last showed the entry.
+    pub fn is_version_doubtful(&self) -> bool {
+        self.doubtful_since.is_some()
+    }
+
+    /// Records that the list showed the entry at a time that is no later than `as_of`.
+    fn record_shown(&mut self, as_of: Timestamp) {
+        if self.doubtful_since.is_some_and(|since| as_of > since) {
+            self.doubtful_since = None;
+        }
+    }
+
     /// Returns whether requests should be sent to the upstream: it accepts them and
     /// isn't in backoff.
     pub fn is_usable(&self, now: Timestamp) -> bool {
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -41,6 +41,8 @@
     /// listed again.
     relist_until: Option<Timestamp>,
     reachability: Reachability,
+    /// Latest time as of which the store has shown the whole list.
+    shown_at: Timestamp,
     rate_sharing: RateSharing,
     /// Number of upstreams that wait until their version is in the record.
     awaiting_record: usize,
@@ -113,13 +115,13 @@
     }
 
     /// Returns the only version that the listed upstreams of `service` have, draining ones
-    /// included; `None` if there are several, or one isn't known.
+    /// included; `None` if there are several, or one isn't known or doubtful.
     pub fn sole_version(&self, service: &str) -> Option<VersionDigest> {
         let of_service = self
             .entries
             .values()
             .filter(|one| one.record.service == service);
-        let mut versions = of_service.map(|one| one.version);
+        let mut versions = of_service.map(Upstream::proven_version);
         let first = versions.next()??;
         versions.all(|other| other == Some(first)).then_some(first)
     }
@@ -251,9 +253,79 @@
         }
     }
 
+    /// Records that contact to an upstream broke: a connection was refused, closed early or
+    /// reset. Its version is doubtful until the list is known to show the entry.
+    pub fn record_break(&mut self, now: Timestamp, key: UpstreamKey) {
+        if let Some(upstream) = self.entries.get_mut(key) {
+            upstream.doubtful_since = Some(now);
+        }
+    }
+
+    /// Records that this host has opened a connection to an upstream to which it had none. While
+    /// the store is away, nothing says which incarnation accepted it.
+    pub fn record_first_connection(&mut self, now: Timestamp, key: UpstreamKey) {
+        let is_unavailable = self.is_store_unavailable;
+        let Some(upstream) = self.entries.get_mut(key) else {
+            return;
+        };
+        upstream.contact_since = Some(now);
+        if is_unavailable {
+            upstream.doubtful_since = Some(now);
+        }
+    }
+
+    /// Records that the store has shown the whole list, or all changes of it, in a response to a
+    /// call of the time `as_of`. It proves nothing of what broke later.
+    pub fn record_shown(&mut self, as_of: Timestamp) {
+        if self.can_prove(as_of) {
+            self.shown_at = self.shown_at.max(as_of);
+            let upstreams = self.entries.values_mut();
+            upstreams.for_each(|one| one.record_shown(as_of));
+        }
+    }
+
+    /// Records that the store has shown the entry of one upstream in the same way.
+    pub fn record_entry_shown(&mut self, as_of: Timestamp, key: UpstreamKey) {
+        if self.can_prove(as_of)
+            && let Some(upstream) = self.entries.get_mut(key)
+        {
+            upstream.record_shown(as_of);
+        }
+    }
+
+    /// Returns whether the list of the time `as_of` names the incarnations that answer. For a
+    /// time after an outage of the store, those that started during it aren't listed yet.
+    fn can_prove(&self, as_of: Timestamp) -> bool {
+        !self.is_store_unavailable && self.relist_until.is_none_or(|until| as_of >= until)
+    }
+
+    /// Returns whether an upstream of `service` certainly has `version`.
+    pub fn has_version(&self, service: &str, version: VersionDigest) -> bool {
+        let mut upstreams = self.entries.values();
+        upstreams.any(|one| one.record.service == service && one.proven_version() == Some(version))
+    }
+
+    /// Returns the upstreams of `service` whose version would be `version`, but is doubtful.
+    pub fn doubtful_of(&self, service: &str, version: VersionDigest) -> Vec<UpstreamKey> {
+        let upstreams = self.entries.iter().filter(|(_, one)| {
+            let is_of_version = one.version == Some(version);
+            one.record.service == service && is_of_version && one.is_version_doubtful()
+        });
+        upstreams.map(|(key, _)| key).collect()
+    }
+
     /// Records that a call to the store failed.
-    pub fn record_store_unavailable(&mut self) {
+    ///
+    /// The store may have been away for some time: of an upstream to which there has been no
+    /// connection since the list was last shown, another incarnation may listen there by now.
+    pub fn record_store_unavailable(&mut self, now: Timestamp) {
         self.is_store_unavailable = true;
+        let shown_at = self.shown_at;
+        for upstream in self.entries.values_mut() {
+            if upstream.contact_since.is_none_or(|since| since > shown_at) {
+                upstream.doubtful_since = Some(now);
+            }
+        }
     }
 
     /// Records that the store responded. After the first response that follows a
--- a/crates/policy/tests/all/dispatch/schedules/announcements.rs
+++ b/crates/policy/tests/all/dispatch/schedules/announcements.rs
@@ -114,7 +114,7 @@
     /// draining upstream may state that it is serving.
     fn write_list(&mut self, now: u64) {
         if self.randomness.once_in(LIST_RARITY * 10) {
-            self.table.record_store_unavailable();
+            self.table.record_store_unavailable(at_ms(now));
             self.table.record_store_available(at_ms(now), None);
         }
         if !self.randomness.once_in(LIST_RARITY) {
--- a/crates/policy/tests/all/dispatch/upstreams.rs
+++ b/crates/policy/tests/all/dispatch/upstreams.rs
@@ -31,7 +31,7 @@
 #[test]
 fn upstreams_missing_after_an_outage_have_time_to_be_listed_again() {
     let mut table = three_engines();
-    table.record_store_unavailable();
+    table.record_store_unavailable(at_ms(4_000));
     let listed_again = vec![engine(0, EngineRole::Decode)];
     table.record_store_available(at_ms(5_000), None);
     table.apply_list(at_ms(5_000), listed_again);
@@ -51,7 +51,7 @@
     table.apply(at_ms(0), present(draining));
     // A heartbeat that was sent before the drain arrives late and says `Serving`.
     table.apply(at_ms(100), present(engine(1, EngineRole::Decode)));
-    table.record_store_unavailable();
+    table.record_store_unavailable(at_ms(4_000));
     table.record_store_available(at_ms(5_000), None);
     table.apply_list(at_ms(5_000), vec![engine(0, EngineRole::Decode)]);
     assert_eq!(usable(&table, 5_000), 2);
@@ -118,7 +118,7 @@
 #[test]
 fn upstreams_that_left_during_a_cut_of_one_host_are_not_kept() {
     let mut table = three_engines();
-    table.record_store_unavailable();
+    table.record_store_unavailable(at_ms(4_000));
     let available_since = Some(at_ms(0));
     table.record_store_available(at_ms(12_000), available_since);
     let removed = table.apply_list(at_ms(12_000), vec![engine(0, EngineRole::Decode)]);
@@ -131,7 +131,7 @@
 #[test]
 fn time_to_be_listed_again_counts_from_the_return_of_the_store() {
     let mut table = three_engines();
-    table.record_store_unavailable();
+    table.record_store_unavailable(at_ms(4_000));
     table.record_store_available(at_ms(9_500), Some(at_ms(8_000)));
     table.apply_list(at_ms(9_500), vec![engine(0, EngineRole::Decode)]);
     assert_eq!(usable(&table, 9_600), 3);
