--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -55,7 +55,7 @@
 
 /// Largest number of upstream loads in a load message, so that it fits into a
 /// datagram.
-const MAX_LOADS: usize = 100;
+const MAX_LOADS: usize = 90;
 
 /// Largest number of engines with an open role order in a load message.
 const MAX_CHANGING: usize = 30;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -43,6 +43,9 @@
     pub(crate) reason: &'static str,
     /// Delay after which the caller may retry.
     pub(crate) retry_after: Duration,
+    /// Whether no upstream could take the request. Otherwise they could, and have too much
+    /// work, or want none.
+    pub(crate) is_for_lack_of_upstreams: bool,
 }
 
 impl Refusal {
@@ -50,6 +53,7 @@
         Self {
             reason,
             retry_after,
+            is_for_lack_of_upstreams: false,
         }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -73,6 +73,8 @@
     /// Upstream that still runs the request but is silent, while another one is looked
     /// for. No attempt is made on it.
     pub(crate) silent_upstream: Option<UpstreamKey>,
+    /// Whether an attempt or a prefill couldn't reach its upstream.
+    had_path_failure: bool,
     /// Hosts by way of which the request was sent.
     tried_hosts: Vec<SocketAddr>,
     /// Time after which the latest of them that refused wants the caller to come back.
@@ -147,6 +149,7 @@
             has_recorded_version: false,
             resume_after: None,
             silent_upstream: None,
+            had_path_failure: false,
             tried_hosts: Vec::new(),
             other_hosts_wait: None,
             attempt_in_progress: None,
@@ -219,7 +222,7 @@
         match self.prepare_attempt().await {
             Ok(attempt) => self.send(attempt).await,
             Err(refusal) => {
-                let result = match self.is_failing() {
+                let result = match self.may_be_out_of_reach(&refusal) {
                     true => self.run_elsewhere().await,
                     false => None,
                 };
@@ -322,6 +325,7 @@
             },
             SendOutcome::Withheld(_) | SendOutcome::NotSent(_) | SendOutcome::NotOpened(..) => {
                 self.refund_retry(is_retry);
+                self.had_path_failure = true;
                 SendResult::NotSent
             }
             SendOutcome::NotRun => {
@@ -492,6 +496,10 @@
     fn refusal(&self, reason: &'static str, cause: RefusalCause) -> Refusal {
         let time_left = clock::time_until(self.admitted.deadline);
         let wait = retry_after(cause, time_left, rand::rng().random());
-        Refusal::new(reason, wait)
+        let is_for_lack = matches!(cause, RefusalCause::NoUpstream | RefusalCause::NoCapacity);
+        Refusal {
+            is_for_lack_of_upstreams: is_for_lack,
+            ..Refusal::new(reason, wait)
+        }
     }
 }
--- a/crates/gateway/src/run/other_host.rs
+++ b/crates/gateway/src/run/other_host.rs
@@ -20,11 +20,12 @@
         self.admitted.hop.is_none() && host_paths::is_cut_off(&self.state, &self.admitted.service)
     }
 
-    /// Returns whether connections to upstreams of the service fail, so that a request that
-    /// this host can't send may have a better chance at another one.
-    pub(super) fn is_failing(&self) -> bool {
+    /// Returns whether a request that this host refuses may have a better chance at another
+    /// one, because this one couldn't reach its upstreams.
+    pub(super) fn may_be_out_of_reach(&self, refusal: &Refusal) -> bool {
         let paths = self.state.host_paths.borrow();
-        paths.is_failing(&self.admitted.service)
+        let is_out_of_reach = paths.is_out_of_reach(&self.admitted.service);
+        refusal.is_for_lack_of_upstreams && (self.had_path_failure || is_out_of_reach)
     }
 
     /// Returns whether the request may go by way of another host: it is one of this host's own
--- a/crates/gateway/src/run/prefill.rs
+++ b/crates/gateway/src/run/prefill.rs
@@ -190,6 +190,7 @@
                 self.end_silence(&prefill, "failed");
                 if result == SendResult::NotSent {
                     self.refund_retry(prefill.is_retry);
+                    self.had_path_failure = true;
                 }
                 if !prefill.is_silent {
                     self.tried.push(prefill.engine);
--- a/crates/policy/src/dispatch/host_paths.rs
+++ b/crates/policy/src/dispatch/host_paths.rs
@@ -33,7 +33,7 @@
 const BUSY_REQUESTS: u32 = 120;
 
 /// Largest number of services in a notice.
-const MAX_SERVICES: usize = 16;
+const MAX_SERVICES: usize = 8;
 
 /// What a host says of its paths.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -176,12 +176,6 @@
         }
     }
 
-    /// Returns whether connections to some upstreams of `service` fail.
-    pub fn is_failing(&self, service: &str) -> bool {
-        let path = self.services.get(service);
-        path.is_some_and(|path| !path.failed.is_empty())
-    }
-
     /// Returns whether so many upstreams of `service` can't be reached that the host may be
     /// cut off, or they are down.
     pub fn is_out_of_reach(&self, service: &str) -> bool {
