--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::exchange::{CarriedExchanges, Exchange};
 use crate::interim::{GuardedStream, InterimCount};
+use crate::socket_options::set_service_options;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -18,7 +19,6 @@
 use hyper::ext::on_informational;
 use lagoonlift_adapter::upstream::ResponseHead;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
-use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -34,27 +34,6 @@
 /// after one second, so waiting longer than a few round trips doesn't help.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time for which sent bytes or keepalive probes may stay unacknowledged before the
-/// connection fails. Linux goes by this time, not by the number of probes; two probes
-/// fit into it, so that the loss of one packet ends no connection.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// The same time for callers' connections. It also ends connections whose other end takes
-/// no data, and callers that pause for some seconds are sound.
-const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Bytes that the kernel holds for a caller's connection beyond those that are under way.
-/// Without a limit it holds up to 4 MiB for each caller that reads slowly.
-const MAX_UNSENT_BYTES: u32 = 32 * 1024;
-
-/// Idle time before the first TCP keepalive probe, and interval between probes. The
-/// kernel takes whole seconds.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Unacknowledged keepalive probes after which a connection fails, where the time above
-/// doesn't apply.
-const KEEPALIVE_PROBES: u32 = 2;
-
 /// Idle timeout assumed for a server that announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -429,8 +408,7 @@
             ))
         })?
         .map_err(|error| not_sent(error.to_string()))?;
-    set_options(&stream, UNACKNOWLEDGED_TIMEOUT);
-    reset_on_close(&stream);
+    set_service_options(&stream);
     let interim_count = InterimCount::default();
     let stream = GuardedStream::new(stream, interim_count.clone());
     let (sender, connection) = http1::Builder::new()
@@ -462,42 +440,6 @@
     matches!(result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Sets the options of a caller's connection. What its caller doesn't read is held in the
-/// process, where it is counted, and not in the buffers of the kernel.
-pub(crate) fn set_caller_options(stream: &TcpStream) {
-    set_options(stream, CALLER_UNACKNOWLEDGED_TIMEOUT);
-    if let Err(error) = SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
-        tracing::debug!(%error, "failed to limit the unsent bytes of a connection");
-    }
-}
-
-/// Sets the TCP options that make the process detect a connection that failed
-/// without a reset.
-fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    let results = [
-        socket.set_tcp_nodelay(true),
-        socket.set_tcp_user_timeout(Some(unacknowledged_timeout)),
-        socket.set_tcp_keepalive(&keepalive),
-    ];
-    for error in results.into_iter().filter_map(Result::err) {
-        tracing::debug!(%error, "failed to set a socket option");
-    }
-}
-
-/// Makes closing the connection discard unacknowledged data. Otherwise the kernel
-/// would deliver a call that timed out during a partition when the partition
-/// heals.
-fn reset_on_close(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        tracing::warn!(%error, "failed to set SO_LINGER; a cancelled call may be delivered");
-    }
-}
-
 /// Formats an error and its sources as one line.
 pub(crate) fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -5,6 +5,7 @@
 //! response of an upstream: a refusal proves that the request has not run, and a lost answer
 //! proves nothing.
 
+use crate::announcements::record_announcements;
 use crate::clock;
 use crate::connection::{CallError, Endpoint};
 use crate::exchange::Exchange;
@@ -37,7 +38,7 @@
 /// Time to open a connection to another host.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Share of the caller's remaining time that is left to this host for its own answer.
+/// Part of the caller's remaining time that this host keeps for its own answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(20);
 
 /// What another host has to keep to when it handles a request of this one's caller.
@@ -173,7 +174,7 @@
     let is_declined = parts.headers.contains_key(DECLINED);
     if let Some(record) = record.filter(|_| head.has_signature) {
         // This host passes the announcements on to its caller.
-        crate::announcements::record_announcements(&run.state, &record, &head, clock::now());
+        record_announcements(&run.state, &record, &head, clock::now());
     }
     let retry_after = parts.headers.get(RETRY_AFTER);
     let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
@@ -192,11 +193,11 @@
             response.discard_body();
             HopOutcome::NotSent("the other host declined".to_owned())
         }
-        // A host that answers in this way has sent the request nowhere, or its upstreams
-        // have stated that it has not run.
         StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => {
             HopOutcome::Lost("the other host had no answer".to_owned())
         }
+        // A host that answers in this way has sent the request nowhere, or its upstreams
+        // have stated that it has not run.
         StatusCode::SERVICE_UNAVAILABLE
         | StatusCode::TOO_MANY_REQUESTS
         | StatusCode::REQUEST_TIMEOUT => {
--- a/crates/gateway/src/kv_cache.rs
+++ b/crates/gateway/src/kv_cache.rs
@@ -2,7 +2,8 @@
 
 use crate::clock;
 use crate::connection::{CallLimits, Endpoint, call};
-use crate::state::{GatewayState, UpstreamWork};
+use crate::in_flight::UpstreamWork;
+use crate::state::GatewayState;
 use lagoonlift_adapter::upstream::{KvCacheHandle, release_kv_cache_request};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::rc::Rc;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,11 +7,13 @@
 mod other_host;
 mod prefill;
 mod quarantine;
+mod summary;
 mod version;
 
 use self::decode::SentDecode;
 use self::prefill::SentPrefill;
 use self::quarantine::ClaimedProbe;
+pub(crate) use self::summary::AttemptSummary;
 use crate::admit::Admitted;
 use crate::clock;
 use crate::crash_monitor::CrashCheck;
@@ -95,23 +97,6 @@
     summary: AttemptSummary,
 }
 
-/// Summary of a request's attempts for its log line.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct AttemptSummary {
-    /// Engine that ran the prefill.
-    pub(crate) prefill_engine: Option<String>,
-    /// Duration of the prefill.
-    pub(crate) prefill_time: Option<Duration>,
-    /// Upstream of the last attempt.
-    pub(crate) upstream: Option<String>,
-    /// Version of that upstream's software.
-    pub(crate) version: Option<String>,
-    /// Host by way of which the last attempt went, if it did.
-    pub(crate) other_host: Option<SocketAddr>,
-    /// Attempts so far, without prefills.
-    pub(crate) sends: u32,
-}
-
 impl RequestRun {
     pub(crate) fn new(state: Rc<GatewayState>, admitted: Rc<Admitted>) -> Self {
         let route = &admitted.route;
--- a/crates/gateway/src/run/decode.rs
+++ b/crates/gateway/src/run/decode.rs
@@ -2,9 +2,9 @@
 
 use super::RequestRun;
 use crate::clock;
+use crate::in_flight::UpstreamWork;
 use crate::reply::Refusal;
 use crate::send::{Attempt, SendOutcome};
-use crate::state::UpstreamWork;
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::dispatch::{DecodeChoice, PrefilledRequest, RefusalCause};
 use lagoonlift_policy::{Timestamp, UpstreamKey};
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -7,7 +7,8 @@
 };
 use crate::exchange::Exchange;
 use crate::held::{HeldRequest, NoRoom};
-use crate::state::{AwaitedAnswer, GatewayState, UpstreamWork};
+use crate::in_flight::{AwaitedAnswer, UpstreamWork};
+use crate::state::GatewayState;
 use crate::upstream_health::{record_break, record_health, record_path};
 use bytes::Bytes;
 use http::response::Parts;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,12 +1,14 @@
 //! Serves callers, readiness checks of the load balancer, and metrics scrapes.
 
-use crate::connection::{describe, set_caller_options};
+use crate::connection::describe;
 use crate::handler::{self, RequestSender};
 use crate::idle::ConnectionUse;
+use crate::in_flight::OpenConnection;
 use crate::lingering::LingeringStream;
 use crate::read_on::CurrentResponse;
 use crate::reply::{ReplyBody, full_response};
-use crate::state::{GatewayState, OpenConnection};
+use crate::socket_options::set_caller_options;
+use crate::state::GatewayState;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{HeaderMap, Request, Response, StatusCode};
