versions: the proof of a sole version needs a list that was just read

A stream could still be joined at a host that had stood still: the only listed version changed, the store took no writes, and the record that the host read when it woke named the old version alone.

Change: with the record, the list of upstreams is read again.

--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -17,7 +17,7 @@
 /// Time for which other hosts are asked for the version of a stream.
 const LOOKUP_TIME: Duration = Duration::from_millis(150);
 
-/// Time for which the records of the versions that have served are read again.
+/// Time for which the records of the versions that have served, and the list, are read again.
 const RECORD_READ_TIME: Duration = Duration::from_millis(300);
 
 /// Number of times that an entry is read to confirm the version that has begun a stream. The
@@ -77,7 +77,8 @@
 
     /// Returns the version of the service if no other one can have begun a stream that a
     /// caller may still resume. Unless several may have anyway, the records of the versions that
-    /// have served are read: another one may have joined while this host was out of step.
+    /// have served and the list are read: another one may have joined while this host was out of
+    /// step.
     async fn proven_version(&self) -> Option<VersionDigest> {
         let service = &self.admitted.service;
         let lifetime = self.state.config()?.longest_resumable(service);
--- a/crates/gateway/src/version_store.rs
+++ b/crates/gateway/src/version_store.rs
@@ -7,6 +7,8 @@
 use crate::clock;
 use crate::state::GatewayState;
 use crate::store_gate::StoreGate;
+use crate::watcher::list_upstreams;
+use futures::future::try_join;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::VersionRecord;
@@ -100,16 +102,20 @@
     }
 }
 
-/// Reads the records again if they aren't current, and waits for that up to `limit`. Does
-/// nothing while the store doesn't respond. Requests that wait at the same time share a call.
+/// Reads the records and the list of upstreams again if they aren't current, and waits for that
+/// up to `limit`. Does nothing while the store doesn't respond. Requests that wait at the same
+/// time share the calls.
 pub(crate) async fn refresh(state: &GatewayState, limit: Duration) {
     let read = async {
         let _reading = state.reading_versions.lock().await;
-        let is_current = state.served_versions.borrow().is_current(clock::now());
-        match is_current || !state.store_gate.is_open() {
-            true => Ok(()),
-            false => load(state).await,
+        let as_of = clock::now();
+        let is_current = state.served_versions.borrow().is_current(as_of);
+        if !is_current && state.store_gate.is_open() {
+            // A version whose record couldn't be written yet is on the list.
+            try_join(load(state), list_upstreams(state)).await?;
+            state.served_versions.borrow_mut().record_read(as_of);
         }
+        Ok::<_, StoreError>(())
     };
     match timeout(limit, read).await {
         Ok(Ok(())) => {}
@@ -120,7 +126,6 @@
 
 async fn load(state: &GatewayState) -> Result<(), StoreError> {
     StoreGate::wait_until_open(state).await;
-    let as_of = clock::now();
     let read = ReadConsistency::Linearizable;
     let (objects, position) = state.store.list(VERSIONS_KIND, read).await?;
     let count = objects.len();
@@ -128,16 +133,13 @@
         .into_iter()
         .filter_map(|object| Some((object.revision.0, decode(object)?)))
         .collect();
-    let mut served = state.served_versions.borrow_mut();
-    served.load(
+    state.served_versions.borrow_mut().load(
         clock::now(),
         unix_ms(state),
         position.era,
         &records,
         records.len() < count,
     );
-    served.record_read(as_of);
-    drop(served);
     observe(state);
     tracing::info!(records = records.len(), "versions that have served read");
     Ok(())
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -78,7 +78,8 @@
     table.record_store_available(now, available_since);
 }
 
-async fn list_upstreams(state: &GatewayState) -> Result<WatchPosition, StoreError> {
+/// Reads the whole list and applies it.
+pub(crate) async fn list_upstreams(state: &GatewayState) -> Result<WatchPosition, StoreError> {
     let started = clock::now();
     let (objects, position) = state
         .store
--- a/crates/policy/src/dispatch/served_versions.rs
+++ b/crates/policy/src/dispatch/served_versions.rs
@@ -9,7 +9,7 @@
 //! the store was restored from a copy that lacks the record.
 //!
 //! A host that is cut off, or stood still, doesn't learn of versions that join meanwhile. What
-//! it knows therefore counts only if it has just read the records.
+//! it knows therefore counts only if it has just read the records and the list.
 
 mod history;
 mod notices;
@@ -33,7 +33,7 @@
     services: HashMap<String, ServiceHistory>,
     /// Whether the records have been read since the start.
     is_read: bool,
-    /// Time of the latest call that read the records.
+    /// Time as of which the records and the list were read last.
     read_as_of: Option<Timestamp>,
     /// Completeness of the services that have no record.
     complete_since: Option<Timestamp>,
@@ -50,13 +50,15 @@
         self.is_read
     }
 
-    /// Records that a call of the time `as_of` has read all records, which were taken over.
+    /// Records that calls of the time `as_of` have read all records and the list of upstreams,
+    /// which were taken over.
     pub fn record_read(&mut self, as_of: Timestamp) {
         self.read_as_of = self.read_as_of.max(Some(as_of));
     }
 
-    /// Returns whether the records were read so lately that they had every version at which a
-    /// stream has begun by now: a version gets requests only some time after its record.
+    /// Returns whether the records and the list were read so lately that one of them had every
+    /// version at which a stream has begun by now: a version gets requests only some time after
+    /// its record.
     pub fn is_current(&self, now: Timestamp) -> bool {
         self.read_as_of
             .is_some_and(|as_of| now.since(as_of) < NEWS_TIME)
@@ -151,7 +153,7 @@
     }
 
     /// Returns `listed`, the only version that the list names, if it alone can have begun the
-    /// streams of `service` that last up to `lifetime`. The records must be current.
+    /// streams of `service` that last up to `lifetime`. What is known must be current.
     pub fn sole_version(
         &self,
         now: Timestamp,
--- a/crates/policy/tests/all/dispatch/schedules/served_versions.rs
+++ b/crates/policy/tests/all/dispatch/schedules/served_versions.rs
@@ -275,22 +275,32 @@
         // A host without a record isn't ready.
         if self.hosts[number].served.has_records() {
             self.begin_stream(now, number, &listed);
-            if !is_away {
-                self.read_record(now, unix_ms, number);
-            }
+            let listed = match is_away {
+                true => listed,
+                false => self.read_again(now, unix_ms, number),
+            };
             return self.resume(now, number, &listed);
         }
         Ok(())
     }
 
-    /// Reads the record again, as a host does before it takes up a stream that no host knows.
-    fn read_record(&mut self, now: u64, unix_ms: i64, number: usize) {
+    /// Reads the record and the list again, as a host does before it takes up a stream that no
+    /// host knows. Returns the versions that the list names.
+    fn read_again(&mut self, now: u64, unix_ms: i64, number: usize) -> BTreeSet<u64> {
+        let host = &self.hosts[number];
+        let lacks = usize::from(now < host.lacks_until_ms) * host.lacks;
+        let list = self.lists[self.lists.len() - 1];
+        let listed: BTreeSet<u64> = list[lacks..].iter().copied().collect();
         let served = &mut self.hosts[number].served;
         if let Some(record) = &self.store.record {
             let revision = (Some(StoreEra(self.era)), self.store.revision);
             served.record_stored(at_ms(now), unix_ms, revision, record);
         }
+        for version in &listed {
+            served.record_listed(at_ms(now), SERVICE, Some(&software(*version)));
+        }
         served.record_read(at_ms(now));
+        listed
     }
 
     fn write(&mut self, now: u64, unix_ms: i64, number: usize) {
