gateway: the time to find out that a host is cut off hardly grows with the upstreams

Change: while none opens, each round tries as many others as have failed, so the number doubles every 400 ms, up to 32 at a time. Where others are reached it stays at two.

--- a/crates/gateway/src/host_paths.rs
+++ b/crates/gateway/src/host_paths.rs
@@ -20,8 +20,9 @@
 /// Interval between two looks at the paths.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Looks between two connection attempts to upstreams of a service that isn't reached.
-const PROBE_TURNS: u64 = 3;
+/// Looks between two connection attempts to upstreams of a service that isn't reached. Attempts
+/// that hang have failed by the next one.
+const PROBE_TURNS: u64 = 4;
 
 /// The same where only few upstreams aren't reached, which may be down.
 const SLOW_PROBE_TURNS: u64 = 10;
@@ -29,7 +30,7 @@
 /// Time within which upstreams that can't be reached any more have a common cause.
 const COMMON_CAUSE_TIME: Duration = Duration::from_millis(100);
 
-/// Number of connections that are opened at a time.
+/// Number of upstreams that failed to which connections are opened at a time.
 const PROBES: usize = 3;
 
 /// Returns whether this host is cut off from the upstreams of `service`, which others reach.
@@ -72,9 +73,12 @@
             let serving = serving(&state, name);
             state.host_paths.borrow_mut().set_serving(name, serving);
             log_change(&state, name, &mut was_cut_off);
-            let turns = match state.host_paths.borrow().is_out_of_reach(name) {
-                true => PROBE_TURNS,
-                false => SLOW_PROBE_TURNS,
+            let turns = {
+                let paths = state.host_paths.borrow();
+                match paths.is_out_of_reach(name) || paths.is_undecided(name) {
+                    true => PROBE_TURNS,
+                    false => SLOW_PROBE_TURNS,
+                }
             };
             if turn.is_multiple_of(turns) {
                 probe(&state, name);
@@ -99,16 +103,17 @@
 /// Opens connections to a few of the upstreams that aren't reached. While only few failed, a
 /// connection to another one shows whether more of them can't be reached.
 fn probe(state: &Rc<GatewayState>, service: &str) {
-    let (failed, mut serving) = {
+    let (failed, trials, mut serving) = {
         let paths = state.host_paths.borrow();
-        (paths.failed(service), paths.serving(service))
+        let trials = paths.trials(service);
+        (paths.failed(service), trials, paths.serving(service))
     };
     if failed == 0 {
         return;
     }
     let failing = serving.split_off(serving.len() - failed.min(serving.len()));
     let mut random = rand::rng();
-    let others = serving.sample(&mut random, PROBES - 1);
+    let others = serving.sample(&mut random, trials);
     let chosen = failing.sample(&mut random, PROBES).chain(others);
     for key in chosen {
         spawn_local(probe_upstream(Rc::clone(state), *key));
--- a/crates/policy/src/dispatch/host_paths.rs
+++ b/crates/policy/src/dispatch/host_paths.rs
@@ -22,6 +22,12 @@
 /// fewer.
 const MIN_FAILED_UPSTREAMS: usize = 3;
 
+/// Upstreams beside the failed ones to which connections are opened at a time: least number while
+/// nothing is reached, largest number, and number while others are reached.
+const MIN_TRIALS: usize = 4;
+const MAX_TRIALS: usize = 32;
+const TRIALS_IF_REACHED: usize = 2;
+
 /// Time for which a host that reached a service before says so.
 const REACHED_TIME: Duration = Duration::from_secs(10);
 
@@ -87,6 +93,19 @@
         let least = MIN_FAILED_UPSTREAMS.min(self.serving.len()).max(1);
         self.failed.len() >= least && self.failed.len() * 2 >= self.serving.len()
     }
+
+    fn failing_since(&self) -> Option<Timestamp> {
+        self.failed.values().min().copied()
+    }
+
+    /// Returns whether connections fail, none has opened since the first failure, and too few have
+    /// been tried to know whether the host may be cut off.
+    fn is_undecided(&self) -> bool {
+        let failing_since = self.failing_since();
+        let is_dark =
+            failing_since.is_some_and(|since| self.reached_at.is_none_or(|at| at < since));
+        is_dark && !self.is_out_of_reach()
+    }
 }
 
 /// The paths of this host and of others to the services.
@@ -191,6 +210,25 @@
         recent.count() >= MIN_FAILED_UPSTREAMS
     }
 
+    /// Returns whether connections to upstreams of `service` fail, none has opened since the first
+    /// failure, and too few have been tried to know whether this host may be cut off.
+    pub fn is_undecided(&self, service: &str) -> bool {
+        let path = self.services.get(service);
+        path.is_some_and(ServicePath::is_undecided)
+    }
+
+    /// Returns to how many upstreams of `service` that haven't failed connections are to be opened,
+    /// to find out whether this host is cut off. While none opens, the number doubles each time, so
+    /// that the time to find out hardly grows with the upstreams.
+    pub fn trials(&self, service: &str) -> usize {
+        match self.services.get(service) {
+            Some(path) if path.failed.is_empty() => 0,
+            Some(path) if path.is_undecided() => path.failed.len().clamp(MIN_TRIALS, MAX_TRIALS),
+            Some(_) => TRIALS_IF_REACHED,
+            None => 0,
+        }
+    }
+
     /// Returns the upstreams of `service` that serve, those first that haven't failed.
     pub fn serving(&self, service: &str) -> Vec<UpstreamKey> {
         let path = self.services.get(service);
@@ -215,13 +253,13 @@
         let Some(path) = path.filter(|path| path.is_out_of_reach()) else {
             return false;
         };
-        let Some(failing_since) = path.failed.values().min() else {
+        let Some(failing_since) = path.failing_since() else {
             return false;
         };
         let digest = ServiceDigest::new(service);
         self.fresh_peers(now).any(|(_, peer)| {
             let reached_at = peer.reached_at(digest);
-            reached_at.is_some_and(|at| at >= *failing_since)
+            reached_at.is_some_and(|at| at >= failing_since)
         })
     }
 
--- a/crates/policy/tests/all/dispatch/host_paths.rs
+++ b/crates/policy/tests/all/dispatch/host_paths.rs
@@ -199,3 +199,39 @@
     assert_eq!(chosen(60), Some(address(1)));
     assert_eq!(chosen(500), Some(address(2)));
 }
+
+/// Guards against a host with many upstreams that takes long to find out that it is cut off: the
+/// platform's rule counts from three seconds on, and an attempt that hangs takes 400 ms.
+#[test]
+fn time_to_find_out_hardly_grows_with_the_upstreams() {
+    for count in [1, 9, 95, 250] {
+        let upstreams = keys(count);
+        let mut hosts = hosts(&["a", "b"], &upstreams);
+        hosts[0].record(at_ms(1_000), SERVICE, upstreams[0], PathSign::Failed);
+        let mut now = 1_000;
+        while hosts[0].is_undecided(SERVICE) {
+            now += 400;
+            let trials = hosts[0].trials(SERVICE);
+            assert!(trials <= 32, "{trials} connections at a time");
+            for upstream in hosts[0].serving(SERVICE).into_iter().take(trials) {
+                hosts[0].record(at_ms(now), SERVICE, upstream, PathSign::Failed);
+            }
+        }
+        hosts[1].record(at_ms(now), SERVICE, upstreams[0], PathSign::Reached);
+        exchange(&mut hosts, now);
+        assert!(hosts[0].is_cut_off(at_ms(now), SERVICE), "{count}");
+        assert!(now <= 4_000, "{count} upstreams: {now} ms");
+    }
+}
+
+/// Guards against many connections on each host whenever one upstream ends.
+#[test]
+fn one_failure_beside_others_that_are_reached_causes_few_connections() {
+    let upstreams = keys(95);
+    let mut host = hosts(&["a"], &upstreams).remove(0);
+    assert_eq!(host.trials(SERVICE), 0);
+    host.record(at_ms(1_000), SERVICE, upstreams[0], PathSign::Failed);
+    assert!(host.is_undecided(SERVICE) && host.trials(SERVICE) <= 4);
+    host.record(at_ms(1_100), SERVICE, upstreams[1], PathSign::Reached);
+    assert!(!host.is_undecided(SERVICE) && host.trials(SERVICE) <= 2);
+}
