gateway: buffers of connections take no more memory than is counted

Cause: two buffers that weren't counted. An event that waits for its caller was a part of the scanner's buffer and kept the whole of it; and the HTTP library doubles the read buffer of a connection, up to 64 KiB, whenever a read fills it, and keeps it.

Change: complete events are copied, and a read takes less than the buffer has at first.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -55,17 +55,20 @@
     /// Appends bytes and returns the events that they complete, without events
     /// that were returned before. Fails if the next event is too long; the events
     /// before it are returned first.
+    ///
+    /// The events are copied, so that what is held for a slow caller takes no more memory than
+    /// its bytes: a part of `pending` would keep the whole buffer, which isn't counted.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         self.pending.extend_from_slice(bytes);
-        let mut events = BytesMut::new();
+        let mut events = Vec::new();
         while let Some(event) = self.next_event() {
             if self.accept(&event) {
-                events.unsplit(event);
+                events.extend_from_slice(&event);
             }
         }
         match events.is_empty() && self.pending.len() > MAX_EVENT_BYTES {
             true => Err(EventTooLong),
-            false => Ok(events.freeze()),
+            false => Ok(Bytes::from(events.into_boxed_slice())),
         }
     }
 
--- a/crates/gateway/src/interim.rs
+++ b/crates/gateway/src/interim.rs
@@ -5,15 +5,21 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Largest number of interim responses before the head of a response.
 const MAX_INTERIM_RESPONSES: usize = 100;
 
+/// Largest number of bytes that are read at once: less than hyper's read buffer has at first.
+/// hyper enlarges the buffer of a connection whose reads fill it, and keeps it.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// Number of interim responses to the request in flight on a connection.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InterimCount(Arc<AtomicUsize>);
@@ -55,12 +61,17 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        match self.interim_count.is_exceeded() {
-            true => Poll::Ready(Err(io::Error::other("too many interim responses"))),
-            false => Pin::new(&mut self.stream).poll_read(context, buffer),
+        if self.interim_count.is_exceeded() {
+            return Poll::Ready(Err(io::Error::other("too many interim responses")));
         }
+        let mut part = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let length = part.len().min(buffer.remaining());
+        let mut part = ReadBuf::uninit(&mut part[..length]);
+        ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut part))?;
+        buffer.put_slice(part.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
