versions: doubtful versions are confirmed when they are needed

Cause: each stream that began at an upstream whose connection had broken read its entry at once, on each host.

Change: a host tells those that ask for its confirmation of the configuration when the store last showed it the list. So doubt ends without a call on all hosts that know the same changes. The entry is read only when somebody takes the stream up, here or at another host, or after six seconds.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,8 +18,8 @@
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     BlameNews, ConfigVersion, EngineRole, HostReport, InFlightLoad, PathNotice, PeerConfirmation,
-    PeerConfirmationResult, QuotaMessage, RateNotice, StoreStatus, StreamKey, StreamNotice,
-    UpstreamDigest, UsageCopy, VersionsNotice,
+    PeerConfirmationResult, QuotaMessage, RateNotice, ShownList, StoreStatus, StreamKey,
+    StreamNotice, UpstreamDigest, UsageCopy, VersionsNotice,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -85,6 +85,8 @@
         sender: u64,
         /// Wall clock time of the sender, as Unix time.
         unix_us: i64,
+        /// What the store has shown the sender of the upstreams.
+        shown: Option<ShownList>,
     },
     /// Usage counts of the sender, which the receiver publishes if the sender can't.
     Usage(UsageCopy),
@@ -381,6 +383,9 @@
             return news.chain(versions).collect();
         }
         PeerMessage::StreamQuery(stream) => {
+            if state.stream_versions.borrow_mut().record_question(stream) {
+                state.doubt_asked.notify_waiters();
+            }
             let version = state.stream_versions.borrow().find(now, stream);
             let notice = version.map(|version| StreamNotice { stream, version });
             let reply = notice.map(|notice| PeerMessage::Streams(vec![notice]));
@@ -441,6 +446,7 @@
             age_us,
             sender: peer,
             unix_us,
+            shown,
         } => {
             let asked_at = Timestamp(asked_at_us);
             let confirmation = PeerConfirmation {
@@ -456,6 +462,12 @@
             }
             let mut wall = state.wall_clock.borrow_mut();
             wall.record_peer(peer, asked_at, now, unix_us);
+            let status = state.announced_store_status.get();
+            if let Some(shown) = shown.filter(|shown| shown.is_known_to(status)) {
+                // The query was sent before the age was taken.
+                let as_of = asked_at - Duration::from_micros(shown.age_us);
+                state.table.borrow_mut().record_shown(as_of);
+            }
         }
     }
     Vec::new()
@@ -464,11 +476,18 @@
 /// Returns the response to a query for this host's confirmation, if it has one.
 fn confirmation(state: &GatewayState, now: Timestamp, asked_at_us: u64) -> Option<PeerMessage> {
     let own = state.freshness.borrow().local_confirmation(now)?;
+    let status = state.announced_store_status.get();
+    let shown = state.table.borrow().shown_at().map(|at| ShownList {
+        era: status.era,
+        upstream_revision: status.upstream_revision,
+        age_us: now.since(at).as_micros() as u64,
+    });
     Some(PeerMessage::Confirmation {
         asked_at_us,
         version: own.version.0,
         age_us: own.age.as_micros() as u64,
         sender: state.incarnation_id,
         unix_us: state.wall_clock.borrow().unix_us(now),
+        shown,
     })
 }
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -24,6 +24,11 @@
 /// stream itself may break meanwhile, which makes it doubtful again.
 const CONFIRMATIONS: usize = 3;
 
+/// Time after which the entry is read for a stream that nobody has taken up, and interval at
+/// which it is looked whether the list has been shown.
+const CONFIRMATION_DELAY: Duration = Duration::from_secs(6);
+const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval between two questions about it.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -118,6 +123,9 @@
             if self.is_certain(stream) || clock::now() >= end {
                 return known;
             }
+            if state.stream_versions.borrow_mut().record_question(stream) {
+                state.doubt_asked.notify_waiters();
+            }
             state.stream_versions.borrow_mut().ask(stream, round);
             state.stream_news.notify_one();
             let next_question = clock::now() + QUESTION_INTERVAL;
@@ -193,7 +201,8 @@
         }
     }
 
-    /// Records the version of the stream once it is certain which one has begun it.
+    /// Records the version of the stream once it is certain which one has begun it: the list
+    /// has been shown since, or the entry is read because the stream is taken up.
     fn confirm_later(&self) {
         let begun_at = self.sent_to.as_ref().and_then(|(upstream, record)| {
             let version = record.version_digest()?;
@@ -207,6 +216,15 @@
         let state = Rc::clone(&self.state);
         let admitted = Rc::clone(&self.admitted);
         tokio::task::spawn_local(async move {
+            let until = clock::now() + CONFIRMATION_DELAY;
+            while clock::now() < until
+                && !is_proven(&state, upstream, version)
+                && !state.stream_versions.borrow().is_asked(stream)
+            {
+                // The timeout is the polling interval for the list.
+                let asked = timeout(CONFIRMATION_POLL_INTERVAL, state.doubt_asked.notified());
+                asked.await.unwrap_or_default();
+            }
             if is_confirmed(&state, upstream, version).await {
                 let mut versions = state.stream_versions.borrow_mut();
                 versions.record_begin(clock::now(), stream, version);
@@ -237,18 +255,20 @@
     upstream: UpstreamKey,
     version: VersionDigest,
 ) -> bool {
-    let is_proven = || {
-        let table = state.table.borrow();
-        let proven = table.get(upstream).map(|one| one.proven_version());
-        proven == Some(Some(version))
-    };
     for _ in 0..CONFIRMATIONS {
-        if is_proven() {
+        if is_proven(state, upstream, version) {
             return true;
         }
         confirm_versions(state, &[upstream], LOOKUP_TIME).await;
     }
-    is_proven()
+    is_proven(state, upstream, version)
+}
+
+/// Returns whether the list has shown the upstream with `version` after all breaks of contact.
+fn is_proven(state: &GatewayState, upstream: UpstreamKey, version: VersionDigest) -> bool {
+    let table = state.table.borrow();
+    let proven = table.get(upstream).map(|one| one.proven_version());
+    proven == Some(Some(version))
 }
 
 fn archive(state: &GatewayState, service: &str, notice: StreamNotice) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -83,6 +83,8 @@
     pub(crate) confirming: RefCell<HashSet<UpstreamKey>>,
     /// Wakes those that wait for that.
     pub(crate) confirmed: Notify,
+    /// Notified when a stream is taken up whose version is doubtful.
+    pub(crate) doubt_asked: Notify,
     /// Notified when peers have to get or to be asked for the version of a stream at once.
     pub(crate) stream_news: Notify,
     /// Notified when a peer has told the versions of streams.
@@ -165,6 +167,7 @@
             version_news: Notify::new(),
             confirming: RefCell::default(),
             confirmed: Notify::new(),
+            doubt_asked: Notify::new(),
             stream_news: Notify::new(),
             streams_heard: Notify::new(),
             crash_news: Notify::new(),
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -132,7 +132,7 @@
 pub use standing_fleet::{OccupiedUpstreams, StandingFleet};
 pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
-pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, StoreReaderSelection, StoreStatus};
+pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, ShownList, StoreReaderSelection, StoreStatus};
 pub use stream_archive::{BatchWrite, StreamArchive, StreamBatch, archivists};
 pub use stream_versions::{StreamKey, StreamNotice, StreamVersions, VersionDigest};
 pub use upstream::{
--- a/crates/policy/src/dispatch/store_readers.rs
+++ b/crates/policy/src/dispatch/store_readers.rs
@@ -51,6 +51,24 @@
     pub upstream_revision: u64,
 }
 
+/// When the store last showed a host the whole list of upstreams, or all changes of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShownList {
+    /// Era of the store.
+    pub era: Option<StoreEra>,
+    /// Store revision of the latest change that the host knew by then.
+    pub upstream_revision: u64,
+    /// Time since then in microseconds.
+    pub age_us: u64,
+}
+
+impl ShownList {
+    /// Returns whether a host of this status knows all changes that the list had.
+    pub fn is_known_to(self, status: StoreStatus) -> bool {
+        status.era == self.era && status.upstream_revision >= self.upstream_revision
+    }
+}
+
 /// The latest store status received from a host.
 #[derive(Clone, Copy, Debug)]
 struct ReceivedStatus {
--- a/crates/policy/src/dispatch/stream_versions.rs
+++ b/crates/policy/src/dispatch/stream_versions.rs
@@ -85,6 +85,8 @@
     begun_at: Timestamp,
     /// Whether the stream began at this host.
     is_own: bool,
+    /// Whether the version is doubtful, and it was asked for.
+    is_asked: bool,
 }
 
 /// The versions of the streams that began here, and copies from other hosts.
@@ -140,6 +142,21 @@
         asked.collect()
     }
 
+    /// Records that a caller takes a stream up, here or at another host, so that a doubtful
+    /// version has to be confirmed. Returns whether it is doubtful.
+    pub fn record_question(&mut self, stream: StreamKey) -> bool {
+        let known = self.streams.get_mut(&stream);
+        let doubtful = known.filter(|known| known.version == Some(VersionDigest::DOUBTFUL));
+        doubtful.map(|known| known.is_asked = true).is_some()
+    }
+
+    /// Returns whether the doubtful version of a stream was asked for.
+    pub fn is_asked(&self, stream: StreamKey) -> bool {
+        self.streams
+            .get(&stream)
+            .is_some_and(|known| known.is_asked)
+    }
+
     /// Returns the version at which a stream began, if it is known.
     pub fn find(&self, now: Timestamp, stream: StreamKey) -> Option<VersionDigest> {
         let known = self.streams.get(&stream)?;
@@ -204,6 +221,7 @@
                     version: Some(version),
                     begun_at: now,
                     is_own,
+                    is_asked: false,
                 };
                 self.streams.insert(stream, known);
                 self.order.push_back(stream);
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -284,6 +284,11 @@
         }
     }
 
+    /// Returns the latest time as of which the store has shown the whole list, if it has.
+    pub fn shown_at(&self) -> Option<Timestamp> {
+        Some(self.shown_at).filter(|at| *at > Timestamp::default())
+    }
+
     /// Records that the store has shown the entry of one upstream in the same way.
     pub fn record_entry_shown(&mut self, as_of: Timestamp, key: UpstreamKey) {
         if self.can_prove(as_of)
