soak: the check of draining tells incarnations apart

An incarnation ends when draining ends or the upstream crashes; within one, the check is as strict as before.

--- a/tests/soak/announcements.rs
+++ b/tests/soak/announcements.rs
@@ -67,7 +67,12 @@
         for (index, announced) in arrivals.iter().enumerate() {
             let later = &arrivals[index + 1..];
             match announced.received.behaviour {
-                Behaviour::Draining => check_draining(report, announced, later, violations),
+                Behaviour::Draining => {
+                    let ends = report.drain_ends[upstream].iter();
+                    let ends = ends.chain(&report.crashes[upstream]).copied();
+                    let end = ends.filter(|at| *at > announced.received.at).min();
+                    check_draining(report, announced, later, end, violations);
+                }
                 Behaviour::HoldOff(_) => {
                     check_hold_off(report, upstream, announced, later, violations);
                 }
@@ -77,18 +82,23 @@
     }
 }
 
+/// `incarnation_end` is the end of the incarnation that has announced it. The next one may
+/// announce anew that it drains.
 fn check_draining(
     report: &RunReport,
     announced: &Arrival<'_>,
     later: &[Arrival<'_>],
+    incarnation_end: Option<Instant>,
     violations: &mut Vec<String>,
 ) {
     let was_passed_on = matches!(&announced.sent.response, Some(one) if one.status == 200);
     let host = announced.sent.host;
     let bound = announced.sent.ended_at + DRAINING_BOUND;
+    let is_of_next = |at: Instant| incarnation_end.is_some_and(|end| at >= end);
     // An arrival with another behaviour may be at the next incarnation.
     let too_late = later.iter().filter(|one| {
         one.received.behaviour == Behaviour::Draining
+            && !is_of_next(one.received.at)
             && one.sent.host == host
             && one.sent.sent_at > bound
             && !is_disrupted(
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -36,6 +36,8 @@
     pub(crate) actual_disruptions: Vec<Disruption>,
     /// Times at which each upstream crashed.
     pub(crate) crashes: Vec<Vec<Instant>>,
+    /// Times at which each upstream stopped draining, as a new incarnation.
+    pub(crate) drain_ends: Vec<Vec<Instant>>,
     /// Prefix block on which the decode engines crashed, if there was one.
     pub(crate) crashing_block: Option<&'static str>,
     pub(crate) usage: Vec<DutyCall>,
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -73,8 +73,8 @@
     has_crashing_callers: bool,
     /// Tasks that list crashed engines again.
     listings: JoinSet<()>,
-    /// Number of restarts of each upstream.
-    restarts: Vec<u64>,
+    /// Times at which each upstream stopped draining, as a new incarnation.
+    drain_ends: Vec<Vec<Instant>>,
     /// Whether a release has taken the engines of one version off the list.
     is_released: bool,
 }
@@ -131,7 +131,7 @@
             crashing_block: faults::crashing_block(seed),
             has_crashing_callers: false,
             listings: JoinSet::new(),
-            restarts: vec![0; roles().len()],
+            drain_ends: vec![Vec::new(); roles().len()],
             is_released: false,
         };
         cluster.wait_until_serving("first").await;
@@ -286,6 +286,7 @@
                 .collect(),
             actual_disruptions: self.actual_disruptions,
             crashes,
+            drain_ends: self.drain_ends,
             crashing_block: self.crashing_block,
             usage: self.duties.calls("/usage"),
             withdrawn_at: self.withdrawn_at,
@@ -437,9 +438,10 @@
 
     /// Lists a new incarnation of an upstream, which has stopped draining.
     fn restart_upstream(&mut self, upstream: usize) {
-        self.restarts[upstream] += 1;
+        self.drain_ends[upstream].push(Instant::now());
+        let restarts = self.drain_ends[upstream].len() as u64;
         let address = self.upstream_links[upstream].address;
-        let record = upstream_record_for(self.seed, upstream, address, self.restarts[upstream]);
+        let record = upstream_record_for(self.seed, upstream, address, restarts);
         self.store.put("servers", &format!("p{upstream}"), record);
     }
 
