--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,52 @@
+//! Stand-ins and scripts of the cases of the second review.
+//!
+//! Usage: `lagoonlift-review-2 CASE RECORD`, in the repository's root. With `TROUBLE=0` the
+//! disruption is left out. Exits with 1 if the rule was broken, with 0 if it held, and with 2
+//! if the case couldn't run.
+
+mod client;
+mod deployment;
+mod doubtful;
+mod hosts;
+mod http;
+mod in_place;
+mod record;
+mod runner;
+mod store;
+mod unframed;
+
+use crate::record::Record;
+use std::process::ExitCode;
+
+/// How a case ended.
+pub enum Verdict {
+    Held,
+    Broken,
+    CouldNotRun,
+}
+
+/// Returns a number from the environment, with which a case is played in another form.
+pub fn setting(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, path] = arguments.as_slice() else {
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::create(path);
+    let verdict = match case.as_str() {
+        "doubtful" => doubtful::play(&record, has_trouble),
+        "unframed" => unframed::play(&record, has_trouble),
+        "in-place" => in_place::play(&record, has_trouble),
+        _ => Verdict::CouldNotRun,
+    };
+    match verdict {
+        Verdict::Held => ExitCode::from(0),
+        Verdict::Broken => ExitCode::from(1),
+        Verdict::CouldNotRun => ExitCode::from(2),
+    }
+}
