--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -4,6 +4,7 @@
 use crate::store::{Store, start_platform};
 use serde_json::{Value, json};
 use std::fs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 pub struct Deployment {
@@ -26,6 +27,7 @@
         "version": 7,
         "routes": [
             route("read", "idempotent", "desk", 2000),
+            route("book", "non_idempotent", "desk", 2000),
             route("tell", "streaming", "desk", 15000),
             route("ask", "streaming", "llm", 4000),
         ],
@@ -61,9 +63,19 @@
 
     /// Starts the machines; returns whether all have become ready.
     pub fn start_hosts(&mut self, count: usize) -> bool {
+        self.start_hosts_apart(count, self.store.address)
+    }
+
+    /// Starts the machines, of which the first one has an address of its own for the store.
+    pub fn start_hosts_apart(&mut self, count: usize, first: SocketAddr) -> bool {
         let platform = start_platform();
         for number in 1..=count {
-            let host = Host::start(number, self.store.address, platform, &self.folder);
+            let store = if number == 1 {
+                first
+            } else {
+                self.store.address
+            };
+            let host = Host::start(number, store, platform, &self.folder);
             self.hosts.push(host);
         }
         self.hosts.iter().all(Host::wait_until_ready)
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,11 +5,13 @@
 //! if the case couldn't run.
 
 mod client;
+mod cut_off;
 mod deployment;
 mod doubtful;
 mod hosts;
 mod http;
 mod in_place;
+mod link;
 mod record;
 mod runner;
 mod store;
@@ -39,6 +41,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(path);
     let verdict = match case.as_str() {
+        "cut-off" => cut_off::play(&record, has_trouble),
         "doubtful" => doubtful::play(&record, has_trouble),
         "unframed" => unframed::play(&record, has_trouble),
         "in-place" => in_place::play(&record, has_trouble),
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -76,19 +76,35 @@
             for stream in listener.incoming().flatten() {
                 let store = served.clone();
                 // The gateway may close the connection at any time.
-                thread::spawn(move || store.serve(stream).unwrap_or_default());
+                thread::spawn(move || store.serve(stream, &[]).unwrap_or_default());
             }
         });
         store
     }
 
+    /// Returns another address of the store, whose answers have the second text of each pair in
+    /// place of the first: a machine's own way to the runners.
+    pub fn start_view(&self, replaced: Vec<(String, String)>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let store = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (store, replaced) = (store.clone(), replaced.clone());
+                // The gateway may close the connection at any time.
+                thread::spawn(move || store.serve(stream, &replaced).unwrap_or_default());
+            }
+        });
+        address
+    }
+
     /// Writes an object, as the operator and the runners do.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.objects.0.lock().expect("a lock").put(kind, name, spec);
         self.objects.1.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream, replaced: &[(String, String)]) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = Reader::new(stream);
@@ -99,7 +115,11 @@
             thread::sleep(Duration::from_millis(4));
             let (status, answer) = self.answer(head.method(), head.path(), &body);
             let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
-            respond(&mut writer, status, &headers, answer.to_string().as_bytes())?;
+            let mut text = answer.to_string();
+            for (from, to) in replaced {
+                text = text.replace(from, to);
+            }
+            respond(&mut writer, status, &headers, text.as_bytes())?;
         }
     }
 
