--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -12,8 +12,10 @@
 mod http;
 mod in_place;
 mod link;
+mod long;
 mod record;
 mod runner;
+mod shortened;
 mod store;
 mod unframed;
 
@@ -43,6 +45,8 @@
     let verdict = match case.as_str() {
         "cut-off" => cut_off::play(&record, has_trouble),
         "doubtful" => doubtful::play(&record, has_trouble),
+        "long" => long::play(&record, has_trouble),
+        "shortened" => shortened::play(&record, has_trouble),
         "unframed" => unframed::play(&record, has_trouble),
         "in-place" => in_place::play(&record, has_trouble),
         _ => Verdict::CouldNotRun,
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -104,6 +104,12 @@
         self.objects.1.notify_all();
     }
 
+    /// Removes an object, as the platform does with the entry of a runner that has left.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.objects.0.lock().expect("a lock").remove(kind, name);
+        self.objects.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream, replaced: &[(String, String)]) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
