--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -46,6 +46,8 @@
     stage: Option<&'static str>,
     /// Whether an order is being carried out.
     is_changing: bool,
+    /// A crash closes it at once, so that nothing accepts connections any more.
+    listener: Option<TcpListener>,
     connections: Vec<TcpStream>,
 }
 
@@ -99,6 +101,7 @@
             life.born = unix_ms();
             life.orders = 0;
             life.is_changing = false;
+            life.listener = Some(listener);
             life.turn
         };
         self.record
@@ -106,14 +109,20 @@
         let runner = self.clone();
         thread::spawn(move || {
             while runner.is_in(turn) {
-                match listener.accept() {
-                    Ok((stream, _)) => runner.open(stream, turn),
-                    Err(_) => sleep(Duration::from_millis(1)),
+                match runner.accept() {
+                    Some(stream) => runner.open(stream, turn),
+                    None => sleep(Duration::from_millis(1)),
                 }
             }
         });
     }
 
+    fn accept(&self) -> Option<TcpStream> {
+        let life = self.life.lock().expect("a lock");
+        let accepted = life.listener.as_ref()?.accept();
+        accepted.ok().map(|(stream, _)| stream)
+    }
+
     fn is_in(&self, turn: u64) -> bool {
         self.life.lock().expect("a lock").turn == turn
     }
@@ -158,6 +167,7 @@
                 return;
             }
             life.turn += 1;
+            life.listener = None;
             std::mem::take(&mut life.connections)
         };
         self.crashes.fetch_add(1, Ordering::SeqCst);
