--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 # file has fetched.
 set -eu
 cd "$(dirname "$0")/.."
-cargo build --release --offline --manifest-path review/standin-2/Cargo.toml \
+cargo build --release --offline --locked --manifest-path review/standin-2/Cargo.toml \
     --target-dir target/review-2
--- a/review/standin-2/src/hosts.rs
+++ b/review/standin-2/src/hosts.rs
@@ -1,9 +1,10 @@
 //! The system's own program, one process for each machine, as the deploy file starts it.
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, kill_process, set_parent_process_death_signal};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
@@ -67,11 +68,16 @@
             .create(true)
             .append(true)
             .open(&self.log);
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        command
             .env("LAGOONLIFT_SETTINGS", &self.settings)
             .stdin(Stdio::null())
-            .stdout(log.expect("a log"))
-            .spawn();
+            .stdout(log.expect("a log"));
+        // The process ends with this one, also if this one is ended.
+        let end_together = || Ok(set_parent_process_death_signal(Some(Signal::KILL))?);
+        // SAFETY: between fork and exec, the closure only makes a system call.
+        unsafe { command.pre_exec(end_together) };
+        let child = command.spawn();
         self.child = Some(child.expect("the gateway starts"));
     }
 
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -20,6 +20,7 @@
 mod unframed;
 
 use crate::record::Record;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 
 /// How a case ended.
@@ -42,7 +43,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(path);
-    let verdict = match case.as_str() {
+    let play = || match case.as_str() {
         "cut-off" => cut_off::play(&record, has_trouble),
         "doubtful" => doubtful::play(&record, has_trouble),
         "long" => long::play(&record, has_trouble),
@@ -51,6 +52,8 @@
         "in-place" => in_place::play(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
+    // A stand-in that fails has played nothing.
+    let verdict = catch_unwind(AssertUnwindSafe(play)).unwrap_or(Verdict::CouldNotRun);
     match verdict {
         Verdict::Held => ExitCode::from(0),
         Verdict::Broken => ExitCode::from(1),
