--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -14,7 +14,8 @@
 use lagoonlift_adapter::caller::CallerRequest;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
-    NotRunProof, QuotaCharge, RequestContent, Route, ServingConfig, SuspectKey, WorkspaceQuota,
+    NotRunProof, QuotaCharge, RequestContent, Route, ServingConfig, StreamLifetime, SuspectKey,
+    WorkspaceQuota,
 };
 use rand::RngExt;
 use std::error::Error;
@@ -42,6 +43,9 @@
 /// Largest part of a refused request's body that is read, in bytes.
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 
+/// Longest wait of a caller that is told apart from longer ones.
+const LONGEST_WAIT: Duration = StreamLifetime::LONGEST.duration();
+
 /// Range of the urgency that upstreams accept. 0 is the most urgent, 9 the least.
 const URGENCY_RANGE: std::ops::RangeInclusive<u32> = 0..=9;
 
@@ -52,6 +56,8 @@
     pub(crate) service: String,
     /// Latest time for the response to the caller.
     pub(crate) deadline: Timestamp,
+    /// Time until which the caller waits, whatever the route allows; `None` if it names none.
+    pub(crate) caller_deadline: Option<Timestamp>,
     /// What the request was charged to the quota of its workspace.
     pub(crate) charge: Option<QuotaCharge>,
     /// What to keep to if another host has sent the request here.
@@ -91,6 +97,10 @@
         config.limits().max_body_bytes
     });
     let wait = waiting_time(&request, &resolved.route);
+    let caller_wait = match &hop {
+        Some(terms) => terms.caller_wait.or(request.deadline),
+        None => request.deadline,
+    };
     let body = read_body(&mut body, max_bytes, wait, held).await?;
     if config.is_some_and(|config| config.has_workspaces()) {
         request.remove_key();
@@ -120,6 +130,7 @@
         route: resolved.route,
         service: resolved.service,
         deadline: arrived + wait,
+        caller_deadline: caller_wait.map(|wait| arrived + wait.min(LONGEST_WAIT)),
         charge: charge.flatten(),
         hop,
     })
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -26,6 +26,10 @@
 /// Header of a request that another host has sent here, with [`HopTerms`].
 const TERMS: HeaderName = HeaderName::from_static("lagoonlift-terms");
 
+/// Header of such a request: the time for which the caller still waits, in milliseconds, which
+/// may be longer than the first host does.
+const CALLER_WAIT: HeaderName = HeaderName::from_static("lagoonlift-caller-wait-ms");
+
 /// Header of the response to it: the identifier of the upstream.
 const UPSTREAM: HeaderName = HeaderName::from_static("lagoonlift-upstream");
 
@@ -52,29 +56,41 @@
     pub(crate) runs: u32,
     /// Whether the first send is a retry.
     pub(crate) is_retry: bool,
+    /// Time for which the caller still waits; `None` if it isn't known.
+    pub(crate) caller_wait: Option<Duration>,
 }
 
 impl HopTerms {
-    fn encode(&self) -> Option<HeaderValue> {
+    /// Adds the terms to the head of a request for another host.
+    fn add_to(&self, headers: &mut HeaderMap) {
         let Self {
             config,
             service,
             runs,
             is_retry,
+            caller_wait,
         } = self;
         let retry = u8::from(*is_retry);
-        HeaderValue::from_str(&format!("{config} {runs} {retry} {service}")).ok()
+        let text = format!("{config} {runs} {retry} {service}");
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            headers.insert(TERMS, value);
+        }
+        if let Some(wait) = caller_wait {
+            headers.insert(CALLER_WAIT, HeaderValue::from(wait.as_millis() as u64));
+        }
     }
 
     /// Removes the terms from the head of a request that came from another host.
     pub(crate) fn take_from(headers: &mut HeaderMap) -> Option<Self> {
         let value = headers.remove(TERMS)?;
+        let wait_ms = take_text(headers, &CALLER_WAIT).and_then(|text| text.parse().ok());
         let mut fields = value.to_str().ok()?.splitn(4, ' ');
         Some(Self {
             config: fields.next()?.parse().ok()?,
             runs: fields.next()?.parse().ok()?,
             is_retry: fields.next()? == "1",
             service: fields.next()?.to_owned(),
+            caller_wait: wait_ms.map(Duration::from_millis),
         })
     }
 }
@@ -120,9 +136,7 @@
     let mut request = outgoing
         .request
         .encode_for_host(body, time_left, resume_after);
-    if let Some(value) = terms.encode() {
-        request.headers_mut().insert(TERMS, value);
-    }
+    terms.add_to(request.headers_mut());
     let started = clock::now();
     let exchange = exchange(run, host, request);
     let outcome = match timeout(clock::time_until(deadline), exchange).await {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,7 +19,7 @@
 use lagoonlift_policy::dispatch::{
     BlameNews, ConfigVersion, EngineRole, HostReport, InFlightLoad, PathNotice, PeerConfirmation,
     PeerConfirmationResult, QuotaMessage, RateNotice, ShownList, StoreStatus, StreamKey,
-    StreamNotice, UpstreamDigest, UsageCopy, VersionsNotice,
+    StreamLifetime, StreamNotice, UpstreamDigest, UsageCopy, VersionsNotice,
 };
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -67,7 +67,8 @@
 pub(crate) const MAX_STREAM_NOTICES: usize = 60;
 
 /// A message to a peer, encoded with postcard: the order of variants and fields is
-/// the wire format.
+/// the wire format. The lifetimes of the streams or versions in it follow the message;
+/// releases that don't know them ignore what follows.
 #[derive(Debug, Serialize, Deserialize)]
 enum PeerMessage {
     /// Load of the sender.
@@ -110,6 +111,54 @@
     UnwrittenStreams(Vec<StreamNotice>),
 }
 
+impl PeerMessage {
+    fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let bytes = postcard::to_stdvec(self)?;
+        match self.lifetimes() {
+            lifetimes if lifetimes.is_empty() => Ok(bytes),
+            lifetimes => postcard::to_extend(&lifetimes, bytes),
+        }
+    }
+
+    fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let (mut message, rest): (Self, _) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            message.set_lifetimes(postcard::from_bytes(rest)?);
+        }
+        Ok(message)
+    }
+
+    fn lifetimes(&self) -> Vec<StreamLifetime> {
+        match self {
+            Self::Streams(notices) | Self::UnwrittenStreams(notices) => {
+                notices.iter().map(|one| one.lifetime).collect()
+            }
+            Self::Versions(notice) => {
+                let versions = notice.versions.iter();
+                let lifetimes = versions.map(|one| one.lifetime);
+                lifetimes
+                    .map(|one| one.unwrap_or(StreamLifetime::LEAST))
+                    .collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn set_lifetimes(&mut self, lifetimes: Vec<StreamLifetime>) {
+        match self {
+            Self::Streams(notices) | Self::UnwrittenStreams(notices) => {
+                let known = notices.iter_mut().zip(lifetimes);
+                known.for_each(|(one, lifetime)| one.lifetime = lifetime);
+            }
+            Self::Versions(notice) => {
+                let known = notice.versions.iter_mut().zip(lifetimes);
+                known.for_each(|(one, lifetime)| one.lifetime = Some(lifetime));
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Load of a host.
 #[derive(Debug, Serialize, Deserialize)]
 struct LoadMessage {
@@ -307,7 +356,7 @@
 }
 
 async fn send(socket: &UdpSocket, message: &PeerMessage, peers: &[SocketAddr]) {
-    let bytes = match postcard::to_stdvec(message) {
+    let bytes = match message.encode() {
         Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
         Ok(bytes) => {
             tracing::debug!(
@@ -351,7 +400,7 @@
                 continue;
             }
         };
-        let message: PeerMessage = match postcard::from_bytes(&buffer[..length]) {
+        let message = match PeerMessage::decode(&buffer[..length]) {
             Ok(message) => message,
             Err(error) => {
                 tracing::debug!(%peer, %error, "malformed datagram");
@@ -386,8 +435,7 @@
             if state.stream_versions.borrow_mut().record_question(stream) {
                 state.doubt_asked.notify_waiters();
             }
-            let version = state.stream_versions.borrow().find(now, stream);
-            let notice = version.map(|version| StreamNotice { stream, version });
+            let notice = state.stream_versions.borrow().notice_of(now, stream);
             let reply = notice.map(|notice| PeerMessage::Streams(vec![notice]));
             return reply.into_iter().collect();
         }
@@ -422,8 +470,11 @@
         }
         PeerMessage::UnwrittenStreams(notices) => {
             let mut archive = state.stream_archive.borrow_mut();
-            let notices = notices.into_iter();
-            notices.for_each(|notice| archive.record_unwritten(notice));
+            let mut served = state.served_versions.borrow_mut();
+            for notice in notices {
+                served.record_filed_stream(notice.version, notice.lifetime);
+                archive.record_unwritten(notice);
+            }
         }
         PeerMessage::Rates(notices) => {
             for notice in &notices {
--- a/crates/gateway/src/run/other_host.rs
+++ b/crates/gateway/src/run/other_host.rs
@@ -50,6 +50,7 @@
             service: self.admitted.service.clone(),
             runs: self.history.runs_left(),
             is_retry: self.history.next_is_retry(),
+            caller_wait: self.admitted.caller_deadline.map(clock::time_until),
         };
         self.tried_hosts.push(host);
         self.sent_to = None;
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -8,7 +8,7 @@
 use crate::watcher::confirm_versions;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    RefusalCause, RequiredVersion, StreamKey, StreamNotice, VersionDigest,
+    RefusalCause, RequiredVersion, StreamKey, StreamLifetime, StreamNotice, VersionDigest,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +32,9 @@
 /// Interval between two questions about it.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Time for which the first stream of a lifetime waits until the record covers it.
+const COVERAGE_TIME: Duration = Duration::from_millis(500);
+
 /// Polling interval of a new stream that waits for the record of its version.
 const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -41,12 +44,16 @@
     /// one that goes on later.
     pub(crate) async fn find_version(&mut self) -> Result<(), Refusal> {
         let request = &self.admitted.outgoing.request;
-        if !self.admitted.route.retry_safety.is_resumable() {
+        let safety = self.admitted.route.retry_safety;
+        if !safety.is_stream() {
             return Ok(());
         }
+        // The route may have been resumable when the stream began that the caller takes up.
         let version = match (&request.resumed_attempt, request.last_event_id) {
             (None, None) => {
-                self.wait_for_record().await;
+                if safety.is_resumable() {
+                    self.wait_for_record().await;
+                }
                 return Ok(());
             }
             (Some(attempt), _) => match self.look_up(self.stream_key(attempt)).await {
@@ -86,10 +93,9 @@
     /// step.
     async fn proven_version(&self) -> Option<VersionDigest> {
         let service = &self.admitted.service;
-        let lifetime = self.state.config()?.longest_resumable(service);
         let may_be_sole = {
             let served = self.state.served_versions.borrow();
-            let is_divided = served.is_divided(clock::now(), service, lifetime);
+            let is_divided = served.is_divided(clock::now(), service);
             !is_divided && self.state.table.borrow().sole_version(service).is_some()
         };
         if may_be_sole {
@@ -97,8 +103,7 @@
         }
         let listed = self.state.table.borrow().sole_version(service);
         let served = self.state.served_versions.borrow();
-        let proven =
-            listed.and_then(|listed| served.sole_version(clock::now(), service, listed, lifetime));
+        let proven = listed.and_then(|listed| served.sole_version(clock::now(), service, listed));
         let metrics = &self.state.metrics;
         metrics.count_unknown_stream(service, proven.is_some());
         tracing::info!(
@@ -107,7 +112,6 @@
             has_sole_listed = listed.is_some(),
             is_proven = proven.is_some(),
             is_current = served.is_current(clock::now()),
-            lifetime_ms = lifetime.as_millis() as u64,
             versions = %served.summary(clock::now(), service),
             "version of a resumed stream that no host knows"
         );
@@ -189,15 +193,33 @@
             return;
         };
         if is_resumable {
-            let stream = self.stream_key(&self.admitted.outgoing.request.id);
+            let notice = self.notice_of(version);
             self.state
                 .stream_versions
                 .borrow_mut()
-                .record_begin(clock::now(), stream, version);
-            self.archive(StreamNotice { stream, version });
+                .record_begin(clock::now(), notice);
+            let is_covered = archive(&self.state, &self.admitted.service, notice);
             self.state.stream_news.notify_one();
             // The copies are sent before the caller gets the event.
             tokio::task::yield_now().await;
+            if !is_covered {
+                self.wait_until_covered(notice).await;
+            }
+        }
+    }
+
+    /// Waits for a bounded time until the record covers the lifetime of the first stream of a
+    /// service that lives as long. If all hosts end before, others could take the stream for
+    /// one that nobody can resume any more.
+    async fn wait_until_covered(&self, notice: StreamNotice) {
+        let until = clock::now() + COVERAGE_TIME;
+        let service = &self.admitted.service;
+        let is_covered = || {
+            let served = self.state.served_versions.borrow();
+            served.is_covered(service, notice.version, notice.lifetime)
+        };
+        while self.state.store_gate.is_open() && clock::now() < until && !is_covered() {
+            sleep(RECORD_POLL_INTERVAL).await;
         }
     }
 
@@ -211,8 +233,8 @@
         let Some((upstream, version)) = begun_at else {
             return;
         };
-        let stream = self.stream_key(&self.admitted.outgoing.request.id);
-        let notice = StreamNotice { stream, version };
+        let notice = self.notice_of(version);
+        let stream = notice.stream;
         let state = Rc::clone(&self.state);
         let admitted = Rc::clone(&self.admitted);
         tokio::task::spawn_local(async move {
@@ -227,7 +249,7 @@
             }
             if is_confirmed(&state, upstream, version).await {
                 let mut versions = state.stream_versions.borrow_mut();
-                versions.record_begin(clock::now(), stream, version);
+                versions.record_begin(clock::now(), notice);
                 drop(versions);
                 archive(&state, &admitted.service, notice);
                 state.stream_news.notify_one();
@@ -235,10 +257,15 @@
         });
     }
 
-    /// Lets the version of a stream outlive all hosts if nothing else shows it then.
-    fn archive(&self, notice: StreamNotice) {
-        if notice.version != VersionDigest::DOUBTFUL {
-            archive(&self.state, &self.admitted.service, notice);
+    /// Returns what other hosts have to know of this request's stream, which `version` begins.
+    fn notice_of(&self, version: VersionDigest) -> StreamNotice {
+        let until = self.admitted.caller_deadline;
+        StreamNotice {
+            stream: self.stream_key(&self.admitted.outgoing.request.id),
+            version,
+            lifetime: until.map_or(StreamLifetime::LONGEST, |until| {
+                StreamLifetime::covering(clock::time_until(until))
+            }),
         }
     }
 
@@ -271,9 +298,15 @@
     proven == Some(Some(version))
 }
 
-fn archive(state: &GatewayState, service: &str, notice: StreamNotice) {
+/// Lets the version of a stream outlive all hosts if nothing else shows it then. Returns `false`
+/// if hosts that don't know the stream could take it for one that nobody can resume.
+fn archive(state: &GatewayState, service: &str, notice: StreamNotice) -> bool {
+    let mut served = state.served_versions.borrow_mut();
+    let is_covered = served.record_stream(service, notice.version, notice.lifetime);
     let mut archive = state.stream_archive.borrow_mut();
-    if archive.is_divided(service) {
+    let is_doubtful = notice.version == VersionDigest::DOUBTFUL;
+    if !is_doubtful && (archive.is_divided(service) || !is_covered) {
         archive.add(notice);
     }
+    is_covered || is_doubtful
 }
--- a/crates/gateway/src/stream_store.rs
+++ b/crates/gateway/src/stream_store.rs
@@ -10,9 +10,7 @@
 use lagoonlift_adapter::store::{
     ReadConsistency, Revision, StoreError, StoreObject, WriteCondition,
 };
-use lagoonlift_policy::dispatch::{
-    BatchWrite, ServedVersions, StreamBatch, StreamNotice, archivists,
-};
+use lagoonlift_policy::dispatch::{BatchWrite, StreamBatch, StreamNotice, archivists};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,9 +32,6 @@
 
 /// Reads what earlier processes have written, and removes what nobody needs any more.
 pub(crate) async fn restore_at_start(state: Rc<GatewayState>) {
-    while state.config().is_none() {
-        sleep(CHECK_INTERVAL).await;
-    }
     loop {
         StoreGate::wait_until_open(&state).await;
         match restore(&state).await {
@@ -52,19 +47,17 @@
     let read = ReadConsistency::Linearizable;
     let (objects, _) = state.store.list(STREAMS_KIND, read).await?;
     let (now, unix_ms) = (clock::now(), unix_ms(state));
-    let kept_ms = ServedVersions::known_for(longest_lifetime(state)).as_millis() as i64;
     let mut outdated = Vec::new();
     let mut streams = 0;
     for object in objects {
         let name = object.name.clone();
-        let batch =
-            decode(object).filter(|batch| unix_ms.saturating_sub(batch.written_ms) < kept_ms);
+        let batch = decode(object).filter(|batch| !batch.is_outdated(unix_ms));
         let Some(batch) = batch else {
             outdated.push(name);
             continue;
         };
         let mut versions = state.stream_versions.borrow_mut();
-        for notice in batch.notices() {
+        for notice in batch.notices(unix_ms) {
             versions.record_notice(now, notice);
             streams += 1;
         }
@@ -100,8 +93,7 @@
         if !state.store_gate.is_open() {
             continue;
         }
-        let lifetime = ServedVersions::known_for(longest_lifetime(&state));
-        let next = |now| state.stream_archive.borrow_mut().next_batch(now, lifetime);
+        let next = |now| state.stream_archive.borrow_mut().next_batch(now);
         while let Some(write) = next(clock::now()) {
             if let Err(error) = write_batch(&state, write).await {
                 tracing::info!(%error, "failed to record streams that have begun");
@@ -114,20 +106,18 @@
 /// Updates which services have streams of several versions. Streams that began here before a
 /// second version appeared are added.
 fn update_divided(state: &GatewayState) {
-    let Some(config) = state.config() else {
-        return;
-    };
     let now = clock::now();
     let served = state.served_versions.borrow();
     let mut archive = state.stream_archive.borrow_mut();
-    for service in config.services() {
-        let lifetime = config.longest_resumable(&service.name);
-        let is_divided = !lifetime.is_zero() && served.is_divided(now, &service.name, lifetime);
-        if archive.set_divided(&service.name, is_divided) {
+    for service in served.services() {
+        if archive.set_divided(service, served.is_divided(now, service)) {
             let versions = state.stream_versions.borrow();
-            let begun: Vec<StreamNotice> = versions.begun_here(now, lifetime).collect();
+            let begun = versions.begun_here(now);
+            let begun: Vec<StreamNotice> = begun
+                .filter(|notice| served.may_have_begun(service, notice.version))
+                .collect();
             tracing::info!(
-                service = service.name,
+                service,
                 streams = begun.len(),
                 "streams of several versions: recorded in the store from now on"
             );
@@ -210,16 +200,6 @@
     }
 }
 
-/// Returns the longest time for which a stream of any service lasts.
-fn longest_lifetime(state: &GatewayState) -> Duration {
-    let Some(config) = state.config() else {
-        return Duration::ZERO;
-    };
-    let services = config.services().iter();
-    let lifetimes = services.map(|service| config.longest_resumable(&service.name));
-    lifetimes.max().unwrap_or_default()
-}
-
 fn unix_ms(state: &GatewayState) -> i64 {
     state.wall_clock.borrow().unix_us(clock::now()) / 1_000
 }
--- a/crates/gateway/src/version_store.rs
+++ b/crates/gateway/src/version_store.rs
@@ -11,7 +11,7 @@
 use futures::future::try_join;
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject, WriteCondition};
 use lagoonlift_policy::Timestamp;
-use lagoonlift_policy::dispatch::VersionRecord;
+use lagoonlift_policy::dispatch::{ServingConfig, StreamLifetime, VersionRecord};
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -91,6 +91,19 @@
     });
 }
 
+/// Records how long the streams of the routes will live as a rule: callers wait as long as
+/// the timeout.
+pub(crate) fn expect_lifetimes(state: &GatewayState, config: &ServingConfig) {
+    let mut served = state.served_versions.borrow_mut();
+    let routes = config.routes().iter();
+    for route in routes.filter(|route| route.retry_safety.is_resumable()) {
+        let lifetime = StreamLifetime::covering(route.timeout);
+        for weight in &route.services {
+            served.expect_lifetime(&weight.service, lifetime);
+        }
+    }
+}
+
 /// Returns the services whose record this host has to write.
 fn outdated(state: &GatewayState) -> Vec<String> {
     let now = clock::now();
--- a/crates/gateway/src/watcher/config.rs
+++ b/crates/gateway/src/watcher/config.rs
@@ -7,6 +7,7 @@
 use crate::state::GatewayState;
 use crate::store::WatchPosition;
 use crate::store_gate::StoreGate;
+use crate::version_store;
 use lagoonlift_adapter::listing::{CONFIG_KIND, CONFIG_NAME, decode_config};
 use lagoonlift_adapter::store::{ReadConsistency, StoreError, StoreObject};
 use lagoonlift_policy::Timestamp;
@@ -197,5 +198,6 @@
         "configuration in force"
     );
     state.quota_state.apply_config(&config);
+    version_store::expect_lifetimes(state, &config);
     *state.config.borrow_mut() = Some(Rc::new(config));
 }
--- a/crates/policy/src/dispatch/configuration.rs
+++ b/crates/policy/src/dispatch/configuration.rs
@@ -225,18 +225,6 @@
         !self.workspaces.is_empty()
     }
 
-    /// Returns the longest timeout of the routes to `service` whose streams callers may
-    /// resume.
-    pub fn longest_resumable(&self, service: &str) -> Duration {
-        let leads_to = |route: &Route| route.services.iter().any(|one| one.service == service);
-        let resumable = self
-            .routes
-            .iter()
-            .filter(|route| route.retry_safety.is_resumable() && leads_to(route));
-        let timeouts = resumable.map(|route| route.timeout);
-        timeouts.max().unwrap_or_default()
-    }
-
     /// Returns the quotas of the workspaces that have one.
     pub fn quotas(&self) -> impl Iterator<Item = (QuotaKey, WorkspaceQuota)> {
         let workspaces = self.workspaces.iter();
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -78,6 +78,7 @@
 mod store_era;
 mod store_readers;
 mod stream_archive;
+mod stream_lifetime;
 mod stream_versions;
 mod upstream;
 mod usage;
@@ -134,6 +135,7 @@
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, ShownList, StoreReaderSelection, StoreStatus};
 pub use stream_archive::{BatchWrite, StreamArchive, StreamBatch, archivists};
+pub use stream_lifetime::StreamLifetime;
 pub use stream_versions::{StreamKey, StreamNotice, StreamVersions, VersionDigest};
 pub use upstream::{
     EngineRole, ListChange, RateChange, RateNotice, RateSharing, RateStatement, SoftwareVersion,
--- a/crates/policy/src/dispatch/served_versions.rs
+++ b/crates/policy/src/dispatch/served_versions.rs
@@ -8,6 +8,10 @@
 //! can serve meanwhile. A service without a record has therefore begun no stream, unless
 //! the store was restored from a copy that lacks the record.
 //!
+//! How long a stream lives its caller decides. The record has, for each version, a bound on the
+//! lifetimes of the streams that began at it, which only rises. A stream that exceeds it
+//! is filed by itself until the record covers it.
+//!
 //! A host that is cut off, or stood still, doesn't learn of versions that join meanwhile. What
 //! it knows therefore counts only if it has just read the records and the list.
 
@@ -18,11 +22,10 @@
 
 use super::stream_versions::VersionDigest;
 use super::version_record::{CLOCK_MARGIN, VersionRecord, age_of};
-use super::{SoftwareVersion, StoreEra};
+use super::{SoftwareVersion, StoreEra, StreamLifetime};
 use crate::Timestamp;
-use history::{NEWS_TIME, ServiceHistory, Sighting, VIEW_LAG};
+use history::{NEWS_TIME, ServiceHistory, Sighting, is_recent};
 use std::collections::HashMap;
-use std::time::Duration;
 
 /// A write of a record: the store's era and revision.
 pub type RecordRevision = (Option<StoreEra>, u64);
@@ -83,8 +86,12 @@
                 history.complete_since = Some(now);
             }
         }
+        let is_first = !self.is_read;
         for (revision, record) in records {
             self.record_stored(now, unix_ms, (era, *revision), record);
+            if is_first && record.era != era {
+                self.history_mut(&record.service).forget_lifetimes();
+            }
         }
         self.is_read = true;
     }
@@ -107,12 +114,12 @@
         for entry in &record.versions {
             let listed_at = now - entry.least_age(unix_ms);
             // Hosts that run know better than the record when a version was last listed.
-            history
-                .versions
-                .entry(entry.version.clone())
-                .or_insert(Sighting::new(listed_at));
+            let known = history.versions.entry(entry.version.clone());
+            let sighting = known.or_insert(Sighting::new(listed_at));
+            sighting.raise_lifetime(entry.lifetime());
         }
         if history.revision < Some(revision) {
+            history.set_recorded_lifetimes(record);
             history.revision = Some(revision);
             history.revision_known_at = now;
             history.has_outdated_record = record.era != revision.0;
@@ -130,6 +137,7 @@
             if history.revision < Some((Some(era), 0)) {
                 history.revision = Some((Some(era), 0));
                 history.has_outdated_record = true;
+                history.forget_recorded_lifetimes();
             }
         }
     }
@@ -146,64 +154,137 @@
             Some(sighting) => sighting.record_listed(now),
             None => {
                 let mut sighting = Sighting::new(now);
+                sighting.lifetime = history.initial_lifetime(now);
                 sighting.record_listed(now);
                 history.versions.insert(version.cloned(), sighting);
             }
         }
     }
 
+    /// Records that a stream begins that callers may resume for `lifetime`: at `version` or, if
+    /// that is [`VersionDigest::DOUBTFUL`], at any version of the service. Returns whether
+    /// the record covers the lifetime, as far as this host knows.
+    pub fn record_stream(
+        &mut self,
+        service: &str,
+        version: VersionDigest,
+        lifetime: StreamLifetime,
+    ) -> bool {
+        let Some(history) = self.services.get_mut(service) else {
+            return false;
+        };
+        let mut versions = history.versions.values();
+        if versions.len() > 0 && versions.all(|one| one.has_recorded(lifetime)) {
+            return true;
+        }
+        let began_at = |name: &_| {
+            version == VersionDigest::DOUBTFUL || digest_of(service, name) == Some(version)
+        };
+        let versions = history.versions.iter_mut();
+        let mut is_covered = false;
+        for (_, sighting) in versions.filter(|(name, _)| began_at(name)) {
+            sighting.raise_lifetime(lifetime);
+            is_covered = sighting.has_recorded(lifetime);
+        }
+        is_covered
+    }
+
+    /// Returns whether the record covers the lifetime of a stream that began at `version`, as far
+    /// as this host knows.
+    pub fn is_covered(
+        &self,
+        service: &str,
+        version: VersionDigest,
+        lifetime: StreamLifetime,
+    ) -> bool {
+        let history = self.services.get(service);
+        let mut versions = history.iter().flat_map(|history| &history.versions);
+        versions.any(|(name, sighting)| {
+            sighting.has_recorded(lifetime) && digest_of(service, name) == Some(version)
+        })
+    }
+
+    /// Records that streams of `service` will begin that callers may resume for `lifetime`, so
+    /// that the record covers it before they do.
+    pub fn expect_lifetime(&mut self, service: &str, lifetime: StreamLifetime) {
+        let history = self.history_mut(service);
+        history.expected_lifetime = history.expected_lifetime.max(lifetime.rounded_up());
+        let lifetime = history.expected_lifetime;
+        let versions = history.versions.values_mut();
+        let listed = versions.filter(|one| one.is_open || one.is_unrecorded);
+        listed.for_each(|one| one.raise_lifetime(lifetime));
+    }
+
+    /// Records that another host files a stream by itself.
+    pub fn record_filed_stream(&mut self, version: VersionDigest, lifetime: StreamLifetime) {
+        for (service, history) in &mut self.services {
+            for (name, sighting) in &mut history.versions {
+                if sighting.lifetime < lifetime && digest_of(service, name) == Some(version) {
+                    sighting.raise_lifetime(lifetime);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a stream of `service` may have begun at `version`.
+    pub fn may_have_begun(&self, service: &str, version: VersionDigest) -> bool {
+        let history = self.services.get(service);
+        let mut names = history.iter().flat_map(|history| history.versions.keys());
+        version == VersionDigest::DOUBTFUL
+            || names.any(|name| digest_of(service, name) == Some(version))
+    }
+
+    /// Returns the services of which versions are known.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
     /// Returns `listed`, the only version that the list names, if it alone can have begun the
-    /// streams of `service` that last up to `lifetime`. What is known must be current.
+    /// streams of `service` that callers may still resume. What is known must be current.
     pub fn sole_version(
         &self,
         now: Timestamp,
         service: &str,
         listed: VersionDigest,
-        lifetime: Duration,
     ) -> Option<VersionDigest> {
         let history = self.services.get(service)?;
-        let period = lifetime + VIEW_LAG;
-        let is_recent = |at: Timestamp| now.since(at) < period;
-        let is_complete = self.is_read && !history.complete_since.is_some_and(is_recent);
         let recent = history.versions.iter();
-        let mut recent = recent.filter(|(_, sighting)| is_recent(sighting.listed_at));
-        let is_listed = |version: &Option<SoftwareVersion>| {
-            let digest = version.as_ref().map(|one| VersionDigest::new(service, one));
-            digest == Some(listed)
-        };
-        let is_sole = recent.all(|(version, _)| is_listed(version));
-        (is_complete && is_sole && self.is_current(now)).then_some(listed)
+        let mut recent = recent.filter(|(_, sighting)| sighting.is_recent(now));
+        let is_sole = recent.all(|(name, _)| digest_of(service, name) == Some(listed));
+        let is_proven = is_sole && self.is_complete(now, history) && self.is_current(now);
+        is_proven.then_some(listed)
     }
 
-    /// Returns whether streams of `service` that last up to `lifetime` may have begun at
+    /// Returns whether the streams of `service` that callers may still resume may have begun at
     /// several versions, as far as this host can tell.
-    pub fn is_divided(&self, now: Timestamp, service: &str, lifetime: Duration) -> bool {
+    pub fn is_divided(&self, now: Timestamp, service: &str) -> bool {
         let Some(history) = self.services.get(service) else {
             return false;
         };
-        let period = lifetime + VIEW_LAG;
-        let is_recent = |at: Timestamp| now.since(at) < period;
-        let is_complete = self.is_read && !history.complete_since.is_some_and(is_recent);
         let versions = history.versions.values();
-        let recent = versions.filter(|sighting| is_recent(sighting.listed_at));
-        !is_complete || recent.count() > 1
+        let recent = versions.filter(|sighting| sighting.is_recent(now));
+        !self.is_complete(now, history) || recent.count() > 1
     }
 
-    /// Returns the longest time for which a stream that lasts up to `lifetime` may have to be
-    /// known, by any host's clock.
-    pub fn known_for(lifetime: Duration) -> Duration {
-        lifetime + VIEW_LAG + CLOCK_MARGIN
+    /// Returns whether all versions are known at which streams began that callers may still
+    /// resume.
+    fn is_complete(&self, now: Timestamp, history: &ServiceHistory) -> bool {
+        let lifetime = history.longest_lifetime();
+        let since = history.complete_since;
+        self.is_read && !since.is_some_and(|since| is_recent(now, since, lifetime))
     }
 
     /// Returns what is known of a service, for the log: each version with the time since it
-    /// was listed, and whether the records have been read.
+    /// was listed and the longest lifetime of its streams, and whether the records have been read.
     pub fn summary(&self, now: Timestamp, service: &str) -> String {
         let history = self.services.get(service);
         let versions = history.iter().flat_map(|history| &history.versions);
         let mut parts: Vec<String> = versions
             .map(|(version, sighting)| {
                 let name = version.as_ref().map_or("unstated", |one| one.0.as_str());
-                format!("{name} {} ms", now.since(sighting.listed_at).as_millis())
+                let age_ms = now.since(sighting.listed_at).as_millis();
+                let lifetime_s = sighting.lifetime.duration().as_secs();
+                format!("{name} {age_ms} ms for {lifetime_s} s")
             })
             .collect();
         let since = history.and_then(|history| history.complete_since);
@@ -273,7 +354,7 @@
                 true => None,
                 false => Some(unix_of(sighting.listed_at)),
             };
-            record.set(version.as_ref(), gone_ms);
+            record.set(version.as_ref(), gone_ms, sighting.lifetime);
         }
         if stored == Some(&record) {
             return None;
@@ -299,3 +380,8 @@
             })
     }
 }
+
+fn digest_of(service: &str, version: &Option<SoftwareVersion>) -> Option<VersionDigest> {
+    let version = version.as_ref()?;
+    Some(VersionDigest::new(service, version))
+}
--- a/crates/policy/src/dispatch/served_versions/history.rs
+++ b/crates/policy/src/dispatch/served_versions/history.rs
@@ -2,7 +2,8 @@
 
 use super::RecordRevision;
 use crate::Timestamp;
-use crate::dispatch::SoftwareVersion;
+use crate::dispatch::version_record::{RETENTION, VersionRecord};
+use crate::dispatch::{SoftwareVersion, StreamLifetime};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -13,9 +14,6 @@
 /// Time after which a version that no host lists is recorded as gone.
 const GONE_DELAY: Duration = Duration::from_secs(3);
 
-/// Time for which a version is known here after it was last listed.
-const RETENTION: Duration = Duration::from_secs(900);
-
 /// Longest time for which the upstreams of a version get no requests, while others can
 /// serve, because it isn't in the record.
 const MAX_HOLD: Duration = Duration::from_secs(10);
@@ -33,6 +31,11 @@
 pub(super) struct Sighting {
     /// Latest time at which it may have been listed at any host.
     pub(super) listed_at: Timestamp,
+    /// Lifetime that no stream which began at the version exceeds, as far as known here. It
+    /// only rises.
+    pub(super) lifetime: StreamLifetime,
+    /// Lifetime that the record states; `None` if it states none.
+    pub(super) recorded_lifetime: Option<StreamLifetime>,
     /// Latest time at which it was listed here.
     pub(super) seen_at: Option<Timestamp>,
     /// Whether the record has it as listed.
@@ -50,6 +53,8 @@
     pub(super) revision: Option<RecordRevision>,
     /// Time at which this host learned of that write.
     pub(super) revision_known_at: Timestamp,
+    /// Lifetime that streams to come are expected to have.
+    pub(super) expected_lifetime: StreamLifetime,
     /// Time before which other versions may have served.
     pub(super) complete_since: Option<Timestamp>,
     /// Whether the record was last written before the store was restored.
@@ -92,8 +97,49 @@
     }
 
     pub(super) fn is_outdated(&self, now: Timestamp) -> bool {
-        let mut versions = self.versions.values();
-        self.has_outdated_record || versions.any(|one| one.is_open != one.is_listed(now))
+        let is_outdated =
+            |one: &Sighting| one.is_open != one.is_listed(now) || one.has_outdated_lifetime();
+        self.has_outdated_record || self.versions.values().any(is_outdated)
+    }
+
+    /// Returns the lifetime that no stream of the service exceeds.
+    pub(super) fn longest_lifetime(&self) -> StreamLifetime {
+        let lifetimes = self.versions.values().map(|one| one.lifetime);
+        lifetimes.max().unwrap_or(StreamLifetime::LONGEST)
+    }
+
+    /// Returns the lifetime of a version that is new to this host. Its callers are those of the
+    /// other versions, which saves a write when their first long stream begins. A service
+    /// whose record may lack versions may have lost all that was known of this one.
+    pub(super) fn initial_lifetime(&self, now: Timestamp) -> StreamLifetime {
+        let lifetimes = self.versions.values().map(|one| one.lifetime);
+        let known = lifetimes.filter(|one| *one < StreamLifetime::LONGEST).max();
+        let longest = StreamLifetime::LONGEST;
+        let lacks_versions = |since| is_recent(now, since, longest);
+        match known {
+            None if self.complete_since.is_some_and(lacks_versions) => longest,
+            known => self.expected_lifetime.max(known.unwrap_or_default()),
+        }
+    }
+
+    /// Records that streams of any lifetime may have begun at the known versions.
+    pub(super) fn forget_lifetimes(&mut self) {
+        let sightings = self.versions.values_mut();
+        sightings.for_each(|one| one.raise_lifetime(StreamLifetime::unknown()));
+    }
+
+    /// Takes over the lifetimes that the latest write of the record states.
+    pub(super) fn set_recorded_lifetimes(&mut self, record: &VersionRecord) {
+        for (version, sighting) in &mut self.versions {
+            let entry = record.find(version.as_ref());
+            sighting.recorded_lifetime = entry.and_then(|entry| entry.lifetime_s);
+        }
+    }
+
+    /// Records that what the record stated may be lost.
+    pub(super) fn forget_recorded_lifetimes(&mut self) {
+        let sightings = self.versions.values_mut();
+        sightings.for_each(|one| one.recorded_lifetime = None);
     }
 
     pub(super) fn has_record(&self) -> bool {
@@ -106,6 +152,8 @@
     pub(super) fn new(listed_at: Timestamp) -> Self {
         Self {
             listed_at,
+            lifetime: StreamLifetime::LEAST,
+            recorded_lifetime: None,
             seen_at: None,
             is_open: false,
             is_unrecorded: false,
@@ -122,6 +170,30 @@
         }
     }
 
+    /// Records that a stream may have begun at the version that lives for `lifetime`.
+    pub(super) fn raise_lifetime(&mut self, lifetime: StreamLifetime) {
+        self.lifetime = self.lifetime.max(lifetime.rounded_up());
+    }
+
+    /// Returns whether the record states a lifetime that covers `lifetime`.
+    pub(super) fn has_recorded(&self, lifetime: StreamLifetime) -> bool {
+        self.recorded_lifetime.is_some_and(|one| one >= lifetime)
+    }
+
+    /// Returns whether the record has to state a longer lifetime. A version that left long ago
+    /// isn't in the record any more.
+    fn has_outdated_lifetime(&self) -> bool {
+        match self.recorded_lifetime {
+            Some(recorded) => recorded < self.lifetime,
+            None => self.is_open,
+        }
+    }
+
+    /// Returns whether streams that began at the version may still be resumed.
+    pub(super) fn is_recent(&self, now: Timestamp) -> bool {
+        is_recent(now, self.listed_at, self.lifetime)
+    }
+
     /// Returns the time until which a new stream waits if all versions are held.
     pub(super) fn waits_until(&self) -> Option<Timestamp> {
         let held_until = self.held_until?;
@@ -146,3 +218,9 @@
         now.since(self.listed_at) >= GONE_DELAY
     }
 }
+
+/// Returns whether a stream of `lifetime` may still be resumed that began at a version which
+/// was last listed at `at`.
+pub(super) fn is_recent(now: Timestamp, at: Timestamp, lifetime: StreamLifetime) -> bool {
+    now.since(at) < lifetime.duration() + VIEW_LAG
+}
--- a/crates/policy/src/dispatch/served_versions/notices.rs
+++ b/crates/policy/src/dispatch/served_versions/notices.rs
@@ -3,7 +3,7 @@
 use super::history::Sighting;
 use super::{RecordRevision, ServedVersions};
 use crate::Timestamp;
-use crate::dispatch::SoftwareVersion;
+use crate::dispatch::{SoftwareVersion, StreamLifetime};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -34,12 +34,21 @@
     pub age_ms: Option<u32>,
     /// Whether the record has it as listed.
     pub is_open: bool,
+    /// Lifetime that the record states; `None` from hosts of releases that don't tell it. It
+    /// isn't part of the encoded form, which these releases decode too.
+    #[serde(skip)]
+    pub lifetime: Option<StreamLifetime>,
 }
 
 impl ServedVersions {
     /// Records what a peer knows. Returns whether it knew a later write of the record.
     pub fn record_notice(&mut self, now: Timestamp, notice: &VersionsNotice) -> bool {
         let history = self.history_mut(&notice.service);
+        let era_of = |revision: Option<RecordRevision>| revision.map(|(era, _)| era);
+        let (era, told_era) = (era_of(history.revision), era_of(notice.revision));
+        if told_era > era {
+            history.forget_recorded_lifetimes();
+        }
         for one in &notice.versions {
             let Some(age_ms) = one.age_ms else {
                 continue;
@@ -63,6 +72,22 @@
                 versions.any(|one| one.version.as_ref() == version && one.is_open)
             });
         }
+        for one in &notice.versions {
+            let known = history.versions.get_mut(&one.version);
+            let Some(sighting) = known else {
+                continue;
+            };
+            match one.lifetime {
+                Some(lifetime) => {
+                    sighting.raise_lifetime(lifetime);
+                    if told_era >= era {
+                        let recorded = sighting.recorded_lifetime;
+                        sighting.recorded_lifetime = recorded.max(Some(lifetime));
+                    }
+                }
+                None => sighting.raise_lifetime(StreamLifetime::unknown()),
+            }
+        }
         is_later
     }
 
@@ -74,6 +99,7 @@
                 version: version.clone(),
                 age_ms: sighting.seen_age(now).map(|age| age.as_millis() as u32),
                 is_open: sighting.is_open,
+                lifetime: sighting.recorded_lifetime.or(Some(StreamLifetime::LEAST)),
             });
             let mut versions: Vec<NoticedVersion> = known
                 .filter(|one| one.is_open || one.age_ms.is_some())
--- a/crates/policy/src/dispatch/stream_archive.rs
+++ b/crates/policy/src/dispatch/stream_archive.rs
@@ -9,7 +9,9 @@
 //!
 //! A stream whose batch wasn't written in time is unknown afterwards, and goes on nowhere.
 
+use super::StreamLifetime;
 use super::stream_versions::{StreamKey, StreamNotice, VersionDigest};
+use super::version_record::CLOCK_MARGIN;
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -46,6 +48,10 @@
 pub struct StreamBatch {
     /// Unix time of the write, in milliseconds.
     pub written_ms: i64,
+    /// Unix time until which callers may resume a stream of the batch, in milliseconds; `None`
+    /// in batches of releases that didn't state it.
+    #[serde(default)]
+    until_ms: Option<i64>,
     /// The streams by the version that began them.
     versions: Vec<ArchivedVersion>,
 }
@@ -73,24 +79,57 @@
         });
         Self {
             written_ms: unix_ms,
+            until_ms: Some(unix_ms + millis_of(longest_of(notices).duration())),
             versions: versions.collect(),
         }
     }
 
+    /// Returns whether callers may resume no stream of the batch any more, by any host's clock.
+    pub fn is_outdated(&self, unix_ms: i64) -> bool {
+        self.time_left(unix_ms).is_zero()
+    }
+
+    /// Returns the longest time for which callers may resume a stream of the batch.
+    fn time_left(&self, unix_ms: i64) -> Duration {
+        let longest = millis_of(StreamLifetime::LONGEST.duration());
+        let latest_ms = self.written_ms.saturating_add(longest);
+        let until_ms = self
+            .until_ms
+            .map_or(latest_ms, |until| until.min(latest_ms));
+        let left_ms = until_ms
+            .saturating_add(millis_of(CLOCK_MARGIN))
+            .saturating_sub(unix_ms);
+        Duration::from_millis(u64::try_from(left_ms).unwrap_or(0))
+    }
+
     /// Returns the streams of the batch. What isn't a key is left out.
-    pub fn notices(&self) -> impl Iterator<Item = StreamNotice> {
-        self.versions.iter().flat_map(|one| {
+    pub fn notices(&self, unix_ms: i64) -> impl Iterator<Item = StreamNotice> {
+        let lifetime = StreamLifetime::covering(self.time_left(unix_ms));
+        self.versions.iter().flat_map(move |one| {
             let version = decode_key(one.version.as_bytes()).map(VersionDigest);
             let keys = one.streams.as_bytes().chunks(KEY_DIGITS);
             let streams = keys.filter_map(decode_key).map(StreamKey);
             streams.filter_map(move |stream| {
                 let version = version?;
-                Some(StreamNotice { stream, version })
+                Some(StreamNotice {
+                    stream,
+                    version,
+                    lifetime,
+                })
             })
         })
     }
 }
 
+fn longest_of(notices: &[StreamNotice]) -> StreamLifetime {
+    let lifetimes = notices.iter().map(|notice| notice.lifetime);
+    lifetimes.max().unwrap_or(StreamLifetime::LEAST)
+}
+
+fn millis_of(time: Duration) -> i64 {
+    time.as_millis() as i64
+}
+
 fn decode_key(digits: &[u8]) -> Option<u64> {
     let text = str::from_utf8(digits).ok()?;
     let is_key = text.len() == KEY_DIGITS && text.bytes().all(|one| one.is_ascii_hexdigit());
@@ -113,7 +152,8 @@
 struct WrittenBatch {
     number: u32,
     revision: u64,
-    written_at: Timestamp,
+    /// Time until which callers may resume a stream of the batch.
+    until: Timestamp,
 }
 
 /// What this host has to tell the archivists, and what it has to write if it is one.
@@ -125,8 +165,8 @@
     untold: Vec<StreamNotice>,
     /// Streams that this host has to write.
     unwritten: VecDeque<StreamNotice>,
-    /// Objects of this host, the oldest first.
-    written: VecDeque<WrittenBatch>,
+    /// Objects of this host.
+    written: Vec<WrittenBatch>,
     next_number: u32,
     latest_write: Option<Timestamp>,
 }
@@ -173,9 +213,9 @@
         }
     }
 
-    /// Removes and returns the next batch if one is due. Objects that are older than
-    /// `lifetime` are replaced.
-    pub fn next_batch(&mut self, now: Timestamp, lifetime: Duration) -> Option<BatchWrite> {
+    /// Removes and returns the next batch if one is due. It replaces an object whose streams
+    /// callers have given up.
+    pub fn next_batch(&mut self, now: Timestamp) -> Option<BatchWrite> {
         let is_full = self.unwritten.len() >= MAX_BATCH_STREAMS;
         let has_waited = self
             .latest_write
@@ -185,34 +225,28 @@
         }
         self.latest_write = Some(now);
         let count = self.unwritten.len().min(MAX_BATCH_STREAMS);
-        let notices = self.unwritten.drain(..count).collect();
-        let oldest = self.written.front().copied();
-        match oldest.filter(|one| now.since(one.written_at) >= lifetime) {
-            Some(oldest) => {
-                self.written.pop_front();
-                Some(BatchWrite {
-                    number: oldest.number,
-                    replaced: Some(oldest.revision),
-                    notices,
-                })
-            }
+        let notices: Vec<StreamNotice> = self.unwritten.drain(..count).collect();
+        let ended = self.written.iter().position(|one| one.until <= now);
+        let (number, replaced) = match ended.map(|index| self.written.swap_remove(index)) {
+            Some(ended) => (ended.number, Some(ended.revision)),
             None => {
                 self.next_number += 1;
-                Some(BatchWrite {
-                    number: self.next_number,
-                    replaced: None,
-                    notices,
-                })
+                (self.next_number, None)
             }
-        }
+        };
+        Some(BatchWrite {
+            number,
+            replaced,
+            notices,
+        })
     }
 
     /// Records that a batch was written with this revision.
     pub fn record_written(&mut self, now: Timestamp, write: &BatchWrite, revision: u64) {
-        self.written.push_back(WrittenBatch {
+        self.written.push(WrittenBatch {
             number: write.number,
             revision,
-            written_at: now,
+            until: now + longest_of(&write.notices).duration(),
         });
     }
 
--- a/crates/policy/src/dispatch/stream_versions.rs
+++ b/crates/policy/src/dispatch/stream_versions.rs
@@ -7,23 +7,19 @@
 //! hosts have the copy follows from the attempt and the roster of hosts, so that another
 //! host knows whom to ask, also when the first one has ended.
 
-use super::SoftwareVersion;
+use super::{SoftwareVersion, StreamLifetime};
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::time::Duration;
 
 /// Number of hosts that get a copy of a stream's version.
 const COPIES: usize = 4;
 
-/// Time for which the version of a stream is kept after its beginning. Callers come back
-/// within the deadline of their first attempt.
-const RETENTION: Duration = Duration::from_secs(60);
-
-/// Largest number of streams whose version is kept. The oldest ones are forgotten first.
+/// Largest number of streams whose version is kept. Those that callers give up first are
+/// forgotten first.
 const MAX_STREAMS: usize = 40_000;
 
 /// Largest number of copies and of questions that wait to be sent.
@@ -37,7 +33,7 @@
 
 /// Hash of the caller's attempt that brought the first event of a stream, and of its
 /// workspace.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StreamKey(pub(super) u64);
 
 impl StreamKey {
@@ -75,6 +71,10 @@
     pub stream: StreamKey,
     /// The version that began it.
     pub version: VersionDigest,
+    /// Time for which callers may resume it. It isn't part of the encoded form, which earlier
+    /// releases decode too.
+    #[serde(skip, default = "StreamLifetime::unknown")]
+    pub lifetime: StreamLifetime,
 }
 
 /// What is known of a stream.
@@ -82,7 +82,8 @@
 struct KnownStream {
     /// `None` if streams of several versions have the same key.
     version: Option<VersionDigest>,
-    begun_at: Timestamp,
+    /// Time until which callers may resume it.
+    until: Timestamp,
     /// Whether the stream began at this host.
     is_own: bool,
     /// Whether the version is doubtful, and it was asked for.
@@ -93,8 +94,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct StreamVersions {
     streams: HashMap<StreamKey, KnownStream>,
-    /// The streams in the order in which they became known.
-    order: VecDeque<StreamKey>,
+    /// The streams in the order in which callers give them up.
+    order: BTreeSet<(Timestamp, StreamKey)>,
     /// Streams of which other hosts have no copy yet.
     news: Vec<StreamNotice>,
     /// Streams whose version other hosts are asked for, and the number of the question.
@@ -107,17 +108,17 @@
         Self::default()
     }
 
-    /// Records that a stream begins at `version`, and copies it to other hosts.
-    pub fn record_begin(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest) {
-        self.record(now, stream, version, true);
+    /// Records that a stream begins, and copies it to other hosts.
+    pub fn record_begin(&mut self, now: Timestamp, notice: StreamNotice) {
+        self.record(now, notice, true);
         if self.news.len() < MAX_NEWS {
-            self.news.push(StreamNotice { stream, version });
+            self.news.push(notice);
         }
     }
 
     /// Records the version of a stream that another host knows.
     pub fn record_notice(&mut self, now: Timestamp, notice: StreamNotice) {
-        self.record(now, notice.stream, notice.version, false);
+        self.record(now, notice, false);
     }
 
     /// Asks other hosts for the version of a stream. `round` counts the questions about it,
@@ -159,9 +160,18 @@
 
     /// Returns the version at which a stream began, if it is known.
     pub fn find(&self, now: Timestamp, stream: StreamKey) -> Option<VersionDigest> {
+        self.notice_of(now, stream).map(|notice| notice.version)
+    }
+
+    /// Returns what other hosts have to know of a stream, if its version is known.
+    pub fn notice_of(&self, now: Timestamp, stream: StreamKey) -> Option<StreamNotice> {
         let known = self.streams.get(&stream)?;
-        let is_kept = now.since(known.begun_at) < RETENTION;
-        known.version.filter(|_| is_kept)
+        let version = known.version.filter(|_| now < known.until)?;
+        Some(StreamNotice {
+            stream,
+            version,
+            lifetime: StreamLifetime::covering(known.until.since(now)),
+        })
     }
 
     /// Returns the number of streams whose version is kept.
@@ -192,53 +202,61 @@
         messages.collect()
     }
 
-    /// Returns the streams that began at this host within `lifetime`, the latest first.
-    pub fn begun_here(
-        &self,
-        now: Timestamp,
-        lifetime: Duration,
-    ) -> impl Iterator<Item = StreamNotice> {
-        let known = self.order.iter().rev();
-        let known = known.filter_map(|stream| Some((*stream, self.streams.get(stream)?)));
-        let recent = known.take_while(move |(_, known)| now.since(known.begun_at) < lifetime);
-        let own = recent.filter(|(_, known)| known.is_own);
-        own.filter_map(|(stream, known)| {
-            let version = known.version?;
-            Some(StreamNotice { stream, version })
-        })
+    /// Returns the streams that began at this host and that callers may still resume.
+    pub fn begun_here(&self, now: Timestamp) -> impl Iterator<Item = StreamNotice> {
+        let own = self.streams.iter().filter(|(_, known)| known.is_own);
+        own.filter_map(move |(stream, _)| self.notice_of(now, *stream))
     }
 
-    fn record(&mut self, now: Timestamp, stream: StreamKey, version: VersionDigest, is_own: bool) {
+    fn record(&mut self, now: Timestamp, notice: StreamNotice, is_own: bool) {
+        let StreamNotice {
+            stream,
+            version,
+            lifetime,
+        } = notice;
+        let until = now + lifetime.duration();
         match self.streams.get_mut(&stream) {
-            Some(known) if known.version == Some(version) => {}
-            Some(_) if version == VersionDigest::DOUBTFUL => {}
-            Some(known) if known.version == Some(VersionDigest::DOUBTFUL) => {
-                known.version = Some(version);
+            Some(known) => {
+                known.merge(version);
+                if known.until < until {
+                    self.order.remove(&(known.until, stream));
+                    self.order.insert((until, stream));
+                    known.until = until;
+                }
             }
-            Some(known) => known.version = None,
             None => {
                 let known = KnownStream {
                     version: Some(version),
-                    begun_at: now,
+                    until,
                     is_own,
                     is_asked: false,
                 };
                 self.streams.insert(stream, known);
-                self.order.push_back(stream);
+                self.order.insert((until, stream));
             }
         }
         self.remove_old(now);
     }
 
     fn remove_old(&mut self, now: Timestamp) {
-        while let Some(oldest) = self.order.front() {
-            let begun_at = self.streams.get(oldest).map(|known| known.begun_at);
-            let is_kept = begun_at.is_some_and(|at| now.since(at) < RETENTION);
-            if is_kept && self.order.len() <= MAX_STREAMS {
+        while let Some((until, stream)) = self.order.first().copied() {
+            if now < until && self.order.len() <= MAX_STREAMS {
                 return;
             }
-            self.streams.remove(oldest);
-            self.order.pop_front();
+            self.streams.remove(&stream);
+            self.order.pop_first();
+        }
+    }
+}
+
+impl KnownStream {
+    /// Takes over a version at which the stream is said to have begun.
+    fn merge(&mut self, version: VersionDigest) {
+        match self.version {
+            Some(known) if known == version => {}
+            _ if version == VersionDigest::DOUBTFUL => {}
+            Some(VersionDigest::DOUBTFUL) => self.version = Some(version),
+            _ => self.version = None,
         }
     }
 }
--- a/crates/policy/src/dispatch/version_record.rs
+++ b/crates/policy/src/dispatch/version_record.rs
@@ -3,15 +3,16 @@
 //! Hosts keep nothing on disk. When all of them end at once, the record is what is left of
 //! the knowledge which versions may have begun the streams that callers resume.
 
-use super::{SoftwareVersion, StoreEra};
+use super::{SoftwareVersion, StoreEra, StreamLifetime};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Largest difference between the clocks of two hosts.
 pub(super) const CLOCK_MARGIN: Duration = Duration::from_secs(6);
 
-/// Time for which the record keeps a version that is no longer listed.
-const RETENTION_MS: i64 = 3_600_000;
+/// Time for which a version is known that is no longer listed: longer than any stream lives
+/// that began at it, by any host's clock.
+pub(super) const RETENTION: Duration = Duration::from_secs(4_200);
 
 /// Contents of the record of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +38,10 @@
     /// listed at the latest write.
     #[serde(default)]
     pub gone_ms: Option<i64>,
+    /// Lifetime that no stream which began at the version exceeds; `None` in records of
+    /// releases that didn't state it, where it is unknown.
+    #[serde(default)]
+    pub lifetime_s: Option<StreamLifetime>,
 }
 
 impl RecordedVersion {
@@ -46,6 +51,11 @@
             age_of(unix_ms, gone_ms).saturating_sub(CLOCK_MARGIN)
         })
     }
+
+    /// Returns the lifetime that no stream which began at the version exceeds.
+    pub(super) fn lifetime(&self) -> StreamLifetime {
+        self.lifetime_s.unwrap_or(StreamLifetime::unknown())
+    }
 }
 
 impl VersionRecord {
@@ -55,23 +65,31 @@
         versions.find(|one| one.version.as_ref() == version)
     }
 
-    /// Sets the entry of a version. Of two times at which it was last listed, the later one
-    /// is kept.
-    pub(super) fn set(&mut self, version: Option<&SoftwareVersion>, gone_ms: Option<i64>) {
+    /// Sets the entry of a version. Of two times at which it was last listed, and of two
+    /// lifetimes, the later and the longer one are kept.
+    pub(super) fn set(
+        &mut self,
+        version: Option<&SoftwareVersion>,
+        gone_ms: Option<i64>,
+        lifetime: StreamLifetime,
+    ) {
         let mut versions = self.versions.iter_mut();
         match versions.find(|one| one.version.as_ref() == version) {
-            Some(entry) if gone_ms.is_some() => entry.gone_ms = entry.gone_ms.max(gone_ms),
-            Some(entry) => entry.gone_ms = None,
+            Some(entry) => {
+                entry.gone_ms = gone_ms.map(|at| entry.gone_ms.map_or(at, |known| known.max(at)));
+                entry.lifetime_s = Some(entry.lifetime().max(lifetime));
+            }
             None => self.versions.push(RecordedVersion {
                 version: version.cloned(),
                 gone_ms,
+                lifetime_s: Some(lifetime),
             }),
         }
     }
 
     /// Removes the versions that no stream can have begun for long.
     pub(super) fn remove_old(&mut self, unix_ms: i64) {
-        let is_old = |gone_ms: i64| unix_ms.saturating_sub(gone_ms) > RETENTION_MS;
+        let is_old = |gone_ms: i64| age_of(unix_ms, gone_ms) > RETENTION;
         self.versions
             .retain(|entry| !entry.gone_ms.is_some_and(is_old));
     }
--- a/crates/policy/tests/all/dispatch/schedules/served_versions.rs
+++ b/crates/policy/tests/all/dispatch/schedules/served_versions.rs
@@ -1,23 +1,32 @@
 //! Tests of the versions that have served: all hosts end and start again beside releases,
 //! roll-backs, incomplete lists, outages and restores of the store, with clocks that differ.
-//! Single hosts are cut off from the store and the others, or stand still.
+//! Single hosts are cut off from the store and the others, or stand still. Timeouts change, and
+//! some callers wait for longer.
 
 use super::{Randomness, run_schedules};
 use crate::dispatch::support::{SERVICE, at_ms};
 use lagoonlift_policy::dispatch::{
-    ServedVersions, SoftwareVersion, StoreEra, VersionDigest, VersionRecord, VersionsNotice,
+    ServedVersions, SoftwareVersion, StoreEra, StreamLifetime, VersionDigest, VersionRecord,
+    VersionsNotice,
 };
 use std::cell::Cell;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
+/// A host begins a stream in one of this many steps.
+const STREAM_RARITY: u64 = 4;
 /// Length of a schedule and of a simulation step, in milliseconds.
 const SCHEDULE_LENGTH_MS: u64 = 70_000;
 const STEP_MS: u64 = 100;
-/// Longest time for which a stream lives, and the margin for clocks, in milliseconds.
-const LIFETIME_MS: u64 = 4_000;
+/// Timeouts of the route, the margin for clocks, and the time for which a version that has
+/// left may still begin streams, in milliseconds.
+const TIMEOUTS_MS: [u64; 3] = [1_000, 4_000, 12_000];
 const CLOCK_MARGIN_MS: u64 = 6_000;
+const VIEW_LAG_MS: u64 = 5_000;
+/// One in this many callers waits for longer than the timeout, and for how long.
+const PATIENCE_RARITY: u64 = 30;
+const PATIENCE_MS: u64 = 25_000;
 /// Least time in which a caller gets the first event, loses the stream and comes back.
 const RETURN_MS: u64 = 100;
 /// Longest time by which a host's list is behind the store's, in milliseconds.
@@ -67,6 +76,17 @@
     }
 }
 
+/// A stream that its caller may resume.
+#[derive(Clone, Copy)]
+struct BegunStream {
+    at: u64,
+    version: u64,
+    until_ms: u64,
+    /// Whether it has to be written to the store by itself, and when it was.
+    is_filed: bool,
+    filed_ms: Option<u64>,
+}
+
 /// The store's record and what it has counted.
 #[derive(Clone, Default)]
 struct Store {
@@ -87,8 +107,9 @@
     messages: Vec<(u64, usize, VersionsNotice)>,
     /// Time since which the list names one version.
     sole_since_ms: u64,
-    /// Streams that callers may resume: the time of their beginning and their version.
-    streams: VecDeque<(u64, u64)>,
+    streams: Vec<BegunStream>,
+    /// Timeout of the route in force, in milliseconds.
+    timeout_ms: u64,
     could: u64,
     continued: u64,
 }
@@ -123,7 +144,8 @@
             store_away_until_ms: 0,
             messages: Vec::new(),
             sole_since_ms: 0,
-            streams: VecDeque::new(),
+            streams: Vec::new(),
+            timeout_ms: TIMEOUTS_MS[1],
             could: 0,
             continued: 0,
         }
@@ -138,6 +160,7 @@
                 let longest = [800, 30_000][self.randomness.below(2) as usize];
                 next_fault_ms = now + self.randomness.below(longest);
             }
+            self.file_streams(now);
             let list = self.lists[self.lists.len() - 1];
             let before = self.lists[self.lists.len().saturating_sub(2)];
             if list.iter().chain(&before).any(|one| *one != list[0]) {
@@ -165,7 +188,11 @@
     /// Disturbs the fleet: hosts end, versions change, the store is away or restored.
     fn disturb(&mut self, now: u64) {
         let list = self.lists.back_mut().expect("a list");
-        match self.randomness.below(9) {
+        match self.randomness.below(11) {
+            9 | 10 => {
+                let choice = self.randomness.below(TIMEOUTS_MS.len() as u64);
+                self.timeout_ms = TIMEOUTS_MS[choice as usize];
+            }
             0 => *list = [1 + self.randomness.below(3); UPSTREAMS],
             1 | 2 => {
                 let version = 1 + self.randomness.below(3);
@@ -175,7 +202,7 @@
                 self.store_away_from_ms = now;
                 self.store_away_until_ms = now + self.randomness.below(4_000);
             }
-            4 if self.randomness.once_in(2) => self.restore_store(),
+            4 if self.randomness.once_in(2) => self.restore_store(now),
             7 | 8 => {
                 let number = self.randomness.below(self.hosts.len() as u64) as usize;
                 let host = &mut self.hosts[number];
@@ -198,13 +225,33 @@
         }
     }
 
-    fn restore_store(&mut self) {
+    /// Writes streams to the store that hosts that run have to write. Forgets those that have
+    /// ended.
+    fn file_streams(&mut self, now: u64) {
+        self.streams.retain(|stream| now < stream.until_ms);
+        if now < self.store_away_until_ms || !self.hosts.iter().any(|one| one.is_running(now)) {
+            return;
+        }
+        let unfiled = self.streams.iter_mut();
+        for stream in unfiled.filter(|one| one.is_filed && one.filed_ms.is_none()) {
+            stream.filed_ms = Some(now);
+        }
+    }
+
+    fn restore_store(&mut self, now: u64) {
         let age = self.randomness.below(self.copies.len().min(40) as u64);
+        let lost_ms = now.saturating_sub((age + 1) * STEP_MS);
+        // What is lost of single streams isn't in the record either.
+        self.streams
+            .retain(|one| one.filed_ms.is_none_or(|at| at < lost_ms));
         self.store = self.copies[self.copies.len() - 1 - age as usize].clone();
         self.era += 1;
     }
 
     fn end_host(&mut self, now: u64, number: usize) {
+        // Nothing outlives all hosts while the store is away.
+        self.streams
+            .retain(|one| !one.is_filed || one.filed_ms.is_some());
         let host = &mut self.hosts[number];
         host.served = ServedVersions::new();
         host.starts_ms = now + STEP_MS + self.randomness.below(MAX_DOWN_MS);
@@ -255,6 +302,8 @@
                 .collect();
             host.served.load(at_ms(now), unix_ms, era, &records, false);
         }
+        let expected = StreamLifetime::covering(Duration::from_millis(self.timeout_ms));
+        host.served.expect_lifetime(SERVICE, expected);
         host.served.record_restored(StoreEra(self.era));
         for version in &listed {
             let version = software(*version);
@@ -354,36 +403,67 @@
             .iter()
             .rev()
             .take((MAX_END_MS / STEP_MS) as usize);
-        if lately.any(|list| list.contains(&version)) {
-            self.streams.push_back((now, version));
+        let is_served = lately.any(|list| list.contains(&version));
+        if is_served && self.randomness.once_in(STREAM_RARITY) {
+            self.add_stream(now, number, version);
         }
     }
 
+    fn add_stream(&mut self, now: u64, number: usize, version: u64) {
+        let is_patient = self.randomness.once_in(PATIENCE_RARITY);
+        let wait_ms = self.timeout_ms + PATIENCE_MS * u64::from(is_patient);
+        let lifetime = StreamLifetime::covering(Duration::from_millis(wait_ms));
+        let digest = VersionDigest::new(SERVICE, &software(version));
+        let served = &mut self.hosts[number].served;
+        let is_divided = served.is_divided(at_ms(now), SERVICE);
+        let is_covered = served.record_stream(SERVICE, digest, lifetime);
+        if !is_covered {
+            self.hosts
+                .iter_mut()
+                .for_each(|host| host.served.record_filed_stream(digest, lifetime));
+            // The stream waits for the record while the store answers.
+            if !self.is_away(now, number) {
+                return;
+            }
+        }
+        self.streams.push(BegunStream {
+            at: now,
+            version,
+            until_ms: now + wait_ms,
+            is_filed: is_divided || !is_covered,
+            filed_ms: None,
+        });
+    }
+
     /// Resumes a stream that no host knows.
     fn resume(&mut self, now: u64, number: usize, listed: &BTreeSet<u64>) -> Result<(), String> {
-        while self
-            .streams
-            .front()
-            .is_some_and(|(at, _)| at + LIFETIME_MS < now)
-        {
-            self.streams.pop_front();
-        }
         let served = &self.hosts[number].served;
         let sole = listed.iter().copied().next().filter(|_| listed.len() == 1);
-        let lifetime = Duration::from_millis(LIFETIME_MS);
         let proven = sole.and_then(|sole| {
             let digest = VersionDigest::new(SERVICE, &software(sole));
-            served.sole_version(at_ms(now), SERVICE, digest, lifetime)
+            served.sole_version(at_ms(now), SERVICE, digest)
         });
-        let mut back = self.streams.iter().filter(|(at, _)| at + RETURN_MS <= now);
-        let joined = back.find(|(_, begun)| Some(*begun) != sole);
-        if let (Some(_), Some((at, begun))) = (proven, joined) {
-            return Err(format!("{now} ms: v{begun} of {at} ms goes on at {sole:?}"));
+        // The latest are at the end.
+        let count = self
+            .streams
+            .partition_point(|one| one.at + RETURN_MS <= now);
+        let back = &self.streams[..count];
+        // Of the others the store knows the version.
+        let mut unknown = back.iter().filter(|one| !one.is_filed);
+        let joined = unknown.find(|one| Some(one.version) != sole);
+        if let (Some(_), Some(BegunStream { at, version, .. })) = (proven, joined) {
+            return Err(format!(
+                "{now} ms: v{version} of {at} ms goes on at {sole:?}"
+            ));
         }
-        let could_continue = now >= self.sole_since_ms + LIFETIME_MS + CLOCK_MARGIN_MS;
-        if !self.streams.is_empty() && could_continue {
+        let longest = back.iter().map(|one| one.until_ms - one.at).max();
+        let could_continue = longest.is_some_and(|longest| {
+            now >= self.sole_since_ms + longest + VIEW_LAG_MS + CLOCK_MARGIN_MS
+        });
+        if could_continue {
+            let resumed = back[self.randomness.below(count as u64) as usize];
             self.could += 1;
-            self.continued += u64::from(proven.is_some());
+            self.continued += u64::from(proven.is_some() || resumed.filed_ms.is_some());
         }
         Ok(())
     }
--- a/crates/policy/tests/all/dispatch/schedules/stream_archive.rs
+++ b/crates/policy/tests/all/dispatch/schedules/stream_archive.rs
@@ -5,8 +5,8 @@
 use super::{Network, Randomness, run_schedules};
 use crate::dispatch::support::{SERVICE, at_ms};
 use lagoonlift_policy::dispatch::{
-    BatchWrite, SoftwareVersion, StreamArchive, StreamBatch, StreamKey, StreamNotice,
-    VersionDigest, archivists,
+    BatchWrite, SoftwareVersion, StreamArchive, StreamBatch, StreamKey, StreamLifetime,
+    StreamNotice, VersionDigest, archivists,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -22,8 +22,10 @@
 const STEP_MS: u64 = 50;
 /// Interval in which hosts tell the archivists of streams, in milliseconds.
 const TELL_INTERVAL_MS: u64 = 100;
-/// Longest life of a stream, in milliseconds.
+/// Life of a stream, in milliseconds, and what one in [`LONG_RARITY`] lives longer.
 const LIFE_MS: u64 = 8_000;
+const LONG_LIFE_MS: u64 = 30_000;
+const LONG_RARITY: u64 = 6;
 /// Least and greatest time until all hosts end, in milliseconds.
 const KILL_MS: (u64, u64) = (10_000, 16_000);
 /// One in this many steps restarts a host, or begins an outage of the store.
@@ -59,6 +61,7 @@
 struct BegunStream {
     version: VersionDigest,
     begun_ms: u64,
+    life_ms: u64,
     answering_ms: u64,
 }
 
@@ -75,7 +78,6 @@
     store: Store,
     begun: HashMap<StreamKey, BegunStream>,
     versions: u64,
-    lifetime_ms: u64,
 }
 
 fn address(host: usize) -> SocketAddr {
@@ -121,7 +123,6 @@
             .collect();
         Self {
             versions: 2 + randomness.below(2),
-            lifetime_ms: LIFE_MS + randomness.below(12_000),
             randomness,
             network: Network::new(),
             hosts,
@@ -171,11 +172,16 @@
             let begun = BegunStream {
                 version,
                 begun_ms: now,
+                life_ms: LIFE_MS + LONG_LIFE_MS * u64::from(self.randomness.once_in(LONG_RARITY)),
                 answering_ms: self.store.answering_ms,
             };
+            let life = Duration::from_millis(begun.life_ms);
             self.begun.insert(stream, begun);
-            let notice = StreamNotice { stream, version };
-            self.hosts[host].archive.add(notice);
+            self.hosts[host].archive.add(StreamNotice {
+                stream,
+                version,
+                lifetime: StreamLifetime::covering(life),
+            });
         }
     }
 
@@ -203,9 +209,8 @@
     }
 
     fn write(&mut self, now: u64) {
-        let lifetime = Duration::from_millis(self.lifetime_ms);
         for number in 0..READERS {
-            let Some(write) = self.hosts[number].archive.next_batch(at_ms(now), lifetime) else {
+            let Some(write) = self.hosts[number].archive.next_batch(at_ms(now)) else {
                 continue;
             };
             let key = (number, self.hosts[number].incarnation, write.number);
@@ -226,7 +231,8 @@
     fn judge(self, killed_ms: u64) -> Result<(), String> {
         let mut known = HashMap::new();
         let batches = self.store.objects.values();
-        for notice in batches.flat_map(|(_, batch)| batch.notices()) {
+        let read = batches.filter(|(_, batch)| !batch.is_outdated(killed_ms as i64));
+        for notice in read.flat_map(|(_, batch)| batch.notices(killed_ms as i64)) {
             let begun = self.begun.get(&notice.stream);
             match begun {
                 Some(begun) if begun.version == notice.version => {}
@@ -235,7 +241,7 @@
             known.insert(notice.stream, notice.version);
         }
         let judged = self.begun.iter().filter(|(_, begun)| {
-            let is_alive = begun.begun_ms + LIFE_MS >= killed_ms;
+            let is_alive = begun.begun_ms + begun.life_ms >= killed_ms;
             is_alive && self.store.answering_ms >= begun.answering_ms + RECORD_MS
         });
         let alive: Vec<&StreamKey> = judged.map(|(stream, _)| stream).collect();
@@ -265,7 +271,7 @@
     ];
     for text in texts {
         let batch: StreamBatch = serde_json::from_str(text).expect("the form of a batch");
-        assert_eq!(batch.notices().count(), 0, "{text}");
+        assert_eq!(batch.notices(1).count(), 0, "{text}");
     }
 }
 
@@ -279,10 +285,9 @@
         archive.record_unwritten(StreamNotice {
             stream: StreamKey::new(None, &format!("s{round}")),
             version: version(1),
+            lifetime: StreamLifetime::from(26),
         });
-        let write = archive
-            .next_batch(now, Duration::from_secs(26))
-            .expect("a batch is due");
+        let write = archive.next_batch(now).expect("a batch is due");
         numbers.insert(write.number);
         archive.record_written(now, &write, round);
     }
--- a/crates/policy/tests/all/dispatch/schedules/stream_versions.rs
+++ b/crates/policy/tests/all/dispatch/schedules/stream_versions.rs
@@ -5,7 +5,7 @@
 use super::{Network, Randomness, run_schedules};
 use crate::dispatch::support::{SERVICE, at_ms};
 use lagoonlift_policy::dispatch::{
-    SoftwareVersion, StreamKey, StreamNotice, StreamVersions, VersionDigest,
+    SoftwareVersion, StreamKey, StreamLifetime, StreamNotice, StreamVersions, VersionDigest,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,6 +14,8 @@
 const SCHEDULE_LENGTH_MS: u64 = 6_000;
 /// Length of a simulation step, in milliseconds.
 const STEP_MS: u64 = 10;
+/// Time for which callers may resume a stream.
+const LIFETIME: StreamLifetime = StreamLifetime::LONGEST;
 /// Largest number of hosts.
 const MAX_HOSTS: u64 = 30;
 /// A stream begins, or is taken up, each in one of this many steps.
@@ -168,7 +170,12 @@
             host: number,
         });
         let host = &mut self.hosts[number];
-        host.versions.record_begin(at_ms(now), stream, version);
+        let notice = StreamNotice {
+            stream,
+            version,
+            lifetime: LIFETIME,
+        };
+        host.versions.record_begin(at_ms(now), notice);
         let copies = host.versions.take_news(host.peers.iter().copied());
         for (peer, notices) in copies {
             let to = self.addresses[&peer];
@@ -261,9 +268,9 @@
                 }
             }
             Message::Question { to, from, stream } => {
-                let known = self.hosts[to].versions.find(at_ms(now), stream);
-                if let Some(version) = known {
-                    let notices = vec![StreamNotice { stream, version }];
+                let known = self.hosts[to].versions.notice_of(at_ms(now), stream);
+                if let Some(notice) = known {
+                    let notices = vec![notice];
                     self.send(now, to, from, Message::Copy { to: from, notices });
                 }
             }
--- a/crates/policy/tests/all/dispatch/stream_versions.rs
+++ b/crates/policy/tests/all/dispatch/stream_versions.rs
@@ -4,8 +4,9 @@
 use super::support::{SERVICE, at_ms, engine, key_of, prompt, table_of, view};
 use lagoonlift_policy::dispatch::{
     EngineRole, ListChange, PeerLoads, Placement, PlacementLimits, PromptPlan, PromptRefusal,
-    RecordedVersion, RequiredVersion, RolePlanner, ServedVersions, SoftwareVersion, StreamKey,
-    StreamVersions, UpstreamPhase, UpstreamRecord, VersionDigest, VersionRecord,
+    RecordedVersion, RequiredVersion, RolePlanner, ServedVersions, SoftwareVersion, StreamBatch,
+    StreamKey, StreamLifetime, StreamNotice, StreamVersions, UpstreamPhase, UpstreamRecord,
+    VersionDigest, VersionRecord,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,6 +16,15 @@
     VersionDigest::new(SERVICE, &SoftwareVersion(name.to_owned()))
 }
 
+/// Returns what hosts tell of a stream that callers may resume for a minute.
+fn notice(stream: StreamKey, name: &str) -> StreamNotice {
+    StreamNotice {
+        stream,
+        version: version(name),
+        lifetime: StreamLifetime::from(60),
+    }
+}
+
 fn engine_of(number: usize, role: EngineRole, version: &str) -> UpstreamRecord {
     UpstreamRecord {
         version: Some(SoftwareVersion(version.to_owned())),
@@ -38,7 +48,7 @@
         let mut found = 0;
         for number in 0..200 {
             let stream = StreamKey::new(Some("north"), &format!("a{number}"));
-            first.record_begin(at_ms(0), stream, version("v1"));
+            first.record_begin(at_ms(0), notice(stream, "v1"));
             let copies = first.take_news(peers.iter().copied());
             let holders: Vec<SocketAddr> = copies.iter().map(|(holder, _)| *holder).collect();
             assert!(holders.len() <= 4, "{} copies", holders.len());
@@ -60,11 +70,11 @@
 fn ambiguous_attempts_are_unknown() {
     let mut versions = StreamVersions::new();
     let stream = StreamKey::new(Some("north"), "a1");
-    versions.record_begin(at_ms(0), stream, version("v1"));
+    versions.record_begin(at_ms(0), notice(stream, "v1"));
     assert_eq!(versions.find(at_ms(1), stream), Some(version("v1")));
     let other = StreamKey::new(Some("south"), "a1");
     assert_eq!(versions.find(at_ms(1), other), None);
-    versions.record_begin(at_ms(2), stream, version("v2"));
+    versions.record_begin(at_ms(2), notice(stream, "v2"));
     assert_eq!(versions.find(at_ms(3), stream), None);
 }
 
@@ -74,11 +84,11 @@
     let mut versions = StreamVersions::new();
     for number in 0..50_000_u64 {
         let stream = StreamKey::new(None, &number.to_string());
-        versions.record_begin(at_ms(number / 10), stream, version("v1"));
+        versions.record_begin(at_ms(number / 10), notice(stream, "v1"));
     }
     assert!(versions.len() <= 40_000);
     let late = at_ms(5_000) + Duration::from_secs(61);
-    versions.record_begin(late, StreamKey::new(None, "late"), version("v1"));
+    versions.record_begin(late, notice(StreamKey::new(None, "late"), "v1"));
     assert_eq!(versions.len(), 1);
 }
 
@@ -198,6 +208,72 @@
     assert_eq!(staying(&records), None);
 }
 
+/// Guards against streams that are forgotten while their callers still wait.
+#[test]
+fn streams_are_known_as_long_as_callers_wait() {
+    let mut versions = StreamVersions::new();
+    let long = StreamKey::new(None, "long");
+    versions.record_begin(
+        at_ms(0),
+        StreamNotice {
+            lifetime: StreamLifetime::from(300),
+            ..notice(long, "v1")
+        },
+    );
+    versions.record_begin(at_ms(0), notice(StreamKey::new(None, "short"), "v1"));
+    let told = versions.notice_of(at_ms(290_000), long);
+    let left = told.map(|told| told.lifetime);
+    assert_eq!(left, Some(StreamLifetime::from(10)));
+    assert_eq!(versions.begun_here(at_ms(290_000)).count(), 1);
+    assert_eq!(versions.find(at_ms(300_000), long), None);
+}
+
+/// Guards against records of earlier releases, which state no lifetimes, that are taken for
+/// proof: streams of any length may have begun at the version that left.
+#[test]
+fn records_without_lifetimes_prove_nothing() {
+    let proven = |lifetime: &str| {
+        let text = format!(
+            r#"{{"service": "{SERVICE}", "era": null, "versions": [
+                {{"version": "v1", "gone_ms": 1000000{lifetime}}},
+                {{"version": "v2", "gone_ms": null{lifetime}}}]}}"#
+        );
+        let record: VersionRecord = serde_json::from_str(&text).expect("a record");
+        let mut served = ServedVersions::new();
+        let now = at_ms(600_000);
+        served.load(now, 1_300_000, None, &[(1, record)], false);
+        served.record_read(now);
+        served.sole_version(now, SERVICE, version("v2"))
+    };
+    assert_eq!(proven(""), None);
+    assert_eq!(proven(r#", "lifetime_s": 4"#), Some(version("v2")));
+}
+
+/// Guards against stored streams of earlier releases that are removed while callers wait, and
+/// against objects that stay for ever.
+#[test]
+fn batches_without_an_end_are_kept() {
+    let text = r#"{"written_ms": 1000000,
+        "versions": [{"version": "00000000000000ff", "streams": "00000000000000aa"}]}"#;
+    let batch: StreamBatch = serde_json::from_str(text).expect("a batch");
+    assert!(!batch.is_outdated(1_600_000));
+    assert_eq!(batch.notices(1_600_000).count(), 1);
+    assert!(batch.is_outdated(1_000_000 + 4_200_000));
+}
+
+/// Guards against notices that hosts of earlier releases can't decode: lifetimes follow them
+/// in the datagram.
+#[test]
+fn notices_keep_their_encoded_form() {
+    let notice = notice(StreamKey::new(None, "a"), "v1");
+    let bytes = postcard::to_stdvec(&notice).expect("a notice is encoded");
+    let (stream, version): (u64, u64) = postcard::from_bytes(&bytes).expect("two numbers");
+    let earlier = postcard::to_stdvec(&(stream, version)).expect("two numbers are encoded");
+    assert_eq!(bytes, earlier);
+    let decoded: StreamNotice = postcard::from_bytes(&earlier).expect("a notice");
+    assert_eq!(decoded.lifetime, StreamLifetime::LONGEST);
+}
+
 /// Guards against a record whose times come from a clock that is behind: a stream of the
 /// version that left 4 s ago may still be resumed, though this host's clock shows 10 s.
 #[test]
@@ -205,6 +281,7 @@
     let entry = |name: &str, gone_ms| RecordedVersion {
         version: Some(SoftwareVersion(name.to_owned())),
         gone_ms,
+        lifetime_s: Some(StreamLifetime::from(4)),
     };
     let record = VersionRecord {
         service: SERVICE.to_owned(),
@@ -212,16 +289,15 @@
         complete_since_ms: None,
         versions: vec![entry("v1", Some(1_000_000)), entry("v2", None)],
     };
-    let lifetime = Duration::from_secs(4);
     let proven = |unix_ms, later_ms| {
         let mut served = ServedVersions::new();
         let start = at_ms(60_000);
         served.load(start, unix_ms, None, &[(1, record.clone())], false);
         let now = start + Duration::from_millis(later_ms);
-        let unread = served.sole_version(now, SERVICE, version("v2"), lifetime);
+        let unread = served.sole_version(now, SERVICE, version("v2"));
         assert_eq!(unread, None);
         served.record_read(now);
-        served.sole_version(now, SERVICE, version("v2"), lifetime)
+        served.sole_version(now, SERVICE, version("v2"))
     };
     assert_eq!(proven(1_010_000, 0), None);
     assert_eq!(proven(1_010_000, 10_000), Some(version("v2")));
