run: an upstream's failure isn't passed on where it would promise that nothing has run

Cause: the status of an upstream's own failure was passed on as it was. An upstream that runs a booking and fails with 503, 429 or 408 of its own, without stating that it has not run, thereby gave a promise that nobody had made.

Evidence: a new soak of gateways as processes joins what upstreams ran with what callers were answered (refusals_are_true_under_random_faults).

Change: a failure with status 408, 421, 429 or 503 is forwarded only where the request may run more than once; otherwise the caller gets 502 without the upstream's seal. The run is counted as before.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -387,7 +387,8 @@
 
     /// Processes a response that belongs to this request. Returns `Err` with the result
     /// of the attempt if the response is not forwarded now: it has no signature, its
-    /// body was truncated, or it is a 5xx, which is kept in `last_failure` and forwarded
+    /// body was truncated, its status would promise that a request which may run once has not
+    /// run, or it is a 5xx, which is kept in `last_failure` and forwarded
     /// later if no other attempt succeeds.
     async fn process_response(
         &mut self,
@@ -404,6 +405,7 @@
         }
         let upstream = response.upstream();
         let is_framed = response.head.is_framed;
+        let reads_as_not_run = response.head.reads_as_not_run;
         let (parts, body) = match response.read_body(self.admitted.deadline).await {
             Ok((parts, body)) => (Box::new(parts), body),
             Err(error) => {
@@ -423,6 +425,14 @@
                 self.record_success();
             }
         }
+        if reads_as_not_run && !self.admitted.route.retry_safety.is_retryable() {
+            // The upstream doesn't state that it has not run the request, but callers would
+            // take its status for that.
+            let request = &self.admitted.outgoing.request.id;
+            let status = status.as_u16();
+            tracing::info!(request, status, "failure of the upstream isn't forwarded");
+            return Err(SendResult::Unknown);
+        }
         match status.is_server_error() {
             false => Ok(RunOutcome::Complete(parts, body)),
             true => {
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -120,6 +120,51 @@
     violations
 }
 
+/// Returns a description of each request that may run once and ran twice, or ran though it was
+/// refused as not run.
+pub(crate) fn find_untrue_refusals(report: &RunReport) -> Vec<String> {
+    let executions = count_executions(report.received.iter().flatten());
+    let mut violations = Vec::new();
+    for request in &report.requests {
+        let mut untrue = Vec::new();
+        check_promise(request, &executions, &mut untrue);
+        let described = untrue
+            .into_iter()
+            .map(|text| format!("{text}: {}", describe(report, request)));
+        violations.extend(described);
+    }
+    violations
+}
+
+/// Returns what the caller and the upstreams saw of a request, with the times since it was sent.
+fn describe(report: &RunReport, request: &SentRequest) -> String {
+    let id = Some(request.id.as_str());
+    let answer = request.response.as_ref().map(|one| (one.status, &one.body));
+    let ended_ms = request.ended_at.duration_since(request.sent_at).as_millis();
+    let mut text = format!(
+        "{:?} at {} answered {answer:?} after {ended_ms} ms",
+        request.kind, request.host
+    );
+    for (upstream, received) in report.received.iter().enumerate() {
+        for one in received
+            .iter()
+            .filter(|one| one.header("x-request-id") == id)
+        {
+            let at_ms = one
+                .at
+                .saturating_duration_since(request.sent_at)
+                .as_millis();
+            text.push_str(&format!(
+                "; upstream {upstream} {:?} at {at_ms} ms on connection {} ({})",
+                one.behaviour,
+                one.connection,
+                one.header("x-stage").unwrap_or("run")
+            ));
+        }
+    }
+    text
+}
+
 /// Checks that no connection to an upstream carried the same identifier twice, since a response
 /// to the earlier one could be taken for that to the later one.
 fn check_connections(received: &[Received], violations: &mut Vec<String>) {
@@ -159,10 +204,10 @@
     executions
 }
 
-fn check_request(
+/// Checks that a request that may run once ran once at most, and not at all if it was refused.
+fn check_promise(
     request: &SentRequest,
     executions: &HashMap<String, usize>,
-    withdrawn_at: Option<Instant>,
     violations: &mut Vec<String>,
 ) {
     let id = &request.id;
@@ -170,6 +215,22 @@
     if request.kind.is_at_most_once() && executions > 1 {
         violations.push(format!("{id} was executed {executions} times"));
     }
+    let status = request.response.as_ref().map(|response| response.status);
+    let reports_not_executed = matches!(status, Some(408 | 421 | 429 | 503));
+    if reports_not_executed && executions > 0 && request.kind.is_at_most_once() {
+        violations.push(format!("{id} was refused as not executed but was executed"));
+    }
+}
+
+fn check_request(
+    request: &SentRequest,
+    executions: &HashMap<String, usize>,
+    withdrawn_at: Option<Instant>,
+    violations: &mut Vec<String>,
+) {
+    check_promise(request, executions, violations);
+    let id = &request.id;
+    let executions = executions.get(id).copied().unwrap_or(0);
     let is_late = withdrawn_at.is_some_and(|at| request.sent_at > at + REVOCATION_BOUND);
     if request.key == OTHER_KEY && is_late && executions > 0 {
         violations.push(format!("{id} was executed with a withdrawn key"));
@@ -177,10 +238,6 @@
     let Some(response) = &request.response else {
         return;
     };
-    let reports_not_executed = matches!(response.status, 408 | 421 | 429 | 503);
-    if reports_not_executed && executions > 0 && request.kind.is_at_most_once() {
-        violations.push(format!("{id} was refused as not executed but was executed"));
-    }
     if response.status == 503 && response.header("retry-after").is_none() {
         violations.push(format!("{id} was refused without a Retry-After header"));
     }
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -25,6 +25,9 @@
 /// Callers that take up broken streams at other hosts.
 const RESUMING_CALLERS: usize = 4;
 
+/// Callers of each kind and host in the runs with refusals.
+const REFUSAL_CALLERS: usize = 4;
+
 /// Length of the phase in which new faults start.
 const FAULT_PHASE: Duration = Duration::from_secs(6);
 
@@ -61,6 +64,8 @@
     store_link: FaultProxy,
     duty_link: FaultProxy,
     upstream_links: Vec<FaultProxy>,
+    /// Links of the first host alone to those links, if it has its own.
+    first_links: Vec<FaultProxy>,
     hosts: Vec<HostProcess>,
     log: Arc<CallerLog>,
     callers: JoinSet<()>,
@@ -83,6 +88,16 @@
     /// Starts the stand-ins and hosts, waits until all hosts serve, and starts the
     /// callers.
     pub(crate) async fn start(seed: u64) -> Self {
+        Self::start_with(seed, false).await
+    }
+
+    /// Starts a run in which upstreams refuse requests in many ways and the first host is cut
+    /// off from them at times.
+    pub(crate) async fn start_with_refusals(seed: u64) -> Self {
+        Self::start_with(seed, true).await
+    }
+
+    async fn start_with(seed: u64, has_refusals: bool) -> Self {
         let store = StoreStandin::start().await;
         let duties = DutyStandin::start().await;
         let mut upstreams = Vec::new();
@@ -106,8 +121,23 @@
             store: store_link.address,
             duties: duty_link.address,
         };
+        let mut first_links = Vec::new();
+        let mut first_platform = platform;
+        if has_refusals {
+            let mut replacements = Vec::new();
+            for link in &upstream_links {
+                let first_link = FaultProxy::start(link.address).await;
+                let quoted = |address: SocketAddr| format!("\"{address}\"");
+                replacements.push((quoted(link.address), quoted(first_link.address)));
+                first_links.push(first_link);
+            }
+            first_platform.store = store.start_view(replacements).await;
+        }
         let hosts: Vec<HostProcess> = (0..HOSTS)
-            .map(|number| HostProcess::start(number, platform))
+            .map(|number| match number {
+                0 => HostProcess::start(number, first_platform),
+                _ => HostProcess::start(number, platform),
+            })
             .collect();
         if faults::has_versions(seed) {
             upstreams[faults::LIMITED_UPSTREAM].state_rate(faults::STATED_RATE);
@@ -121,6 +151,7 @@
             store_link,
             duty_link,
             upstream_links,
+            first_links,
             hosts,
             log: Arc::default(),
             callers: JoinSet::new(),
@@ -137,7 +168,11 @@
         cluster.wait_until_serving("first").await;
         for key in load::keys() {
             for caller in [CallerKind::Plain, CallerKind::Stream] {
-                cluster.start_callers(key, caller);
+                let groups = match has_refusals {
+                    true => REFUSAL_CALLERS,
+                    false => 1,
+                };
+                (0..groups).for_each(|_| cluster.start_callers(key, caller));
             }
         }
         if faults::has_versions(seed) {
@@ -224,6 +259,10 @@
             self.start_fault(scheduled);
             let trouble = self.schedule.next_trouble();
             self.start_fault(trouble);
+            if !self.first_links.is_empty() {
+                let refusals = self.schedule.next_refusals().into_iter();
+                refusals.for_each(|refusal| self.start_fault(refusal));
+            }
         }
     }
 
@@ -390,6 +429,7 @@
             Fault::Trouble(upstream, behaviour) => {
                 self.upstreams[*upstream].behave(behaviour.clone());
             }
+            Fault::CutOff(state) => self.first_links.iter().for_each(|link| link.set(*state)),
         }
         self.active_faults.push((end, scheduled.fault));
     }
@@ -420,6 +460,10 @@
                         self.restart_upstream(upstream);
                     }
                 }
+                Fault::CutOff(_) => {
+                    let links = self.first_links.iter();
+                    links.for_each(|link| link.set(LinkState::Open));
+                }
                 Fault::Trouble(upstream, _) if self.is_faulty(upstream) => {}
                 Fault::Trouble(upstream, _) => {
                     self.upstreams[upstream].behave(roles()[upstream].behaviour());
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -46,6 +46,22 @@
     Behaviour::InterruptedStream(2),
 ];
 
+/// Statuses of failures of upstreams that have run the request. As the gateway's own, all but the
+/// first would promise that it has not.
+const OWN_FAILURES: [&str; 5] = [
+    "500 Failed",
+    "503 Down",
+    "429 Busy",
+    "408 Late",
+    "503 Overloaded",
+];
+
+/// One in this many times, all upstreams of a role refuse at once.
+const ALL_REFUSE_RARITY: u32 = 3;
+
+/// Silence of a plain upstream before its response, in milliseconds.
+const PLAIN_SILENCE_MS: std::ops::Range<u64> = 300..5_000;
+
 /// Time to hold off that upstreams state, in seconds.
 pub(crate) const HOLD_OFF_S: &str = "0.9";
 
@@ -62,6 +78,9 @@
 /// Distinguishes the generator of troubles from those of the other faults.
 const TROUBLE_SEED: u64 = 0x7472_6f75;
 
+/// Distinguishes the generator of refusals from those of the other faults.
+const REFUSAL_SEED: u64 = 0x7265_6675;
+
 /// Silence of a decode engine in the middle of a stream, in milliseconds.
 const SILENCE_MS: std::ops::Range<u64> = 900..1_800;
 
@@ -126,6 +145,11 @@
     }
 }
 
+/// Returns the behaviour of an upstream of a role that repeats its refusals.
+fn repeated_refusal(role: UpstreamRole) -> Behaviour {
+    Behaviour::RepeatedRefusal(Box::new(role.behaviour()))
+}
+
 /// Returns the role of each upstream of a run.
 pub(crate) fn roles() -> [UpstreamRole; 7] {
     [
@@ -161,6 +185,8 @@
     Upstream(usize, Behaviour),
     /// A behaviour that starts only at an upstream without another fault.
     Trouble(usize, Behaviour),
+    /// The links of the first host to all upstreams have this state.
+    CutOff(LinkState),
 }
 
 /// A fault, the delay before its start, and its duration.
@@ -176,6 +202,7 @@
     rng: StdRng,
     announcement_rng: StdRng,
     trouble_rng: StdRng,
+    refusal_rng: StdRng,
     hosts: usize,
 }
 
@@ -185,6 +212,7 @@
             rng: StdRng::seed_from_u64(seed),
             announcement_rng: StdRng::seed_from_u64(seed ^ ANNOUNCEMENT_SEED),
             trouble_rng: StdRng::seed_from_u64(seed ^ TROUBLE_SEED),
+            refusal_rng: StdRng::seed_from_u64(seed ^ REFUSAL_SEED),
             hosts,
         }
     }
@@ -220,6 +248,49 @@
         }
     }
 
+    /// Returns faults after which a request may be refused though it has run: one, or all
+    /// upstreams of a role refuse at once.
+    pub(crate) fn next_refusals(&mut self) -> Vec<ScheduledFault> {
+        if !self.refusal_rng.random_ratio(1, ALL_REFUSE_RARITY) {
+            return vec![self.next_refusal()];
+        }
+        let duration = Duration::from_millis(self.refusal_rng.random_range(FAULT_DURATION_MS));
+        let role = roles()[self.refusal_rng.random_range(0..roles().len())];
+        let upstreams = (0..roles().len()).filter(|number| roles()[*number] == role);
+        let refusals = upstreams.map(|upstream| ScheduledFault {
+            delay: Duration::ZERO,
+            fault: Fault::Trouble(upstream, repeated_refusal(role)),
+            duration,
+        });
+        refusals.collect()
+    }
+
+    fn next_refusal(&mut self) -> ScheduledFault {
+        let rng = &mut self.refusal_rng;
+        let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        let upstream = rng.random_range(0..roles().len());
+        let failure = OWN_FAILURES[rng.random_range(0..OWN_FAILURES.len())];
+        let silence = Duration::from_millis(rng.random_range(PLAIN_SILENCE_MS));
+        let state = match rng.random_range(0..2) {
+            0 => LinkState::Blocked,
+            _ => LinkState::ResponsesBlocked,
+        };
+        let fault = match rng.random_range(0..8) {
+            0..=2 => Fault::Trouble(upstream, repeated_refusal(roles()[upstream])),
+            3 | 4 => Fault::Trouble(upstream, Behaviour::OwnFailure(failure)),
+            5 if roles()[upstream] == UpstreamRole::Plain => {
+                Fault::Trouble(upstream, Behaviour::PausedRespond(silence))
+            }
+            5 | 6 => Fault::CutOff(state),
+            _ => Fault::Trouble(upstream, Behaviour::NotRun),
+        };
+        ScheduledFault {
+            delay: Duration::ZERO,
+            fault,
+            duration,
+        }
+    }
+
     fn stream_trouble(&mut self) -> Behaviour {
         let silence = Duration::from_millis(self.trouble_rng.random_range(SILENCE_MS));
         let broken_after = self.trouble_rng.random_range(1..=STREAM_EVENTS);
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -15,6 +15,9 @@
 /// Environment variable with the directory for the logs of the gateways.
 const LOGS_VARIABLE: &str = "LAGOONLIFT_SOAK_LOGS";
 
+/// Environment variable with another gateway's program, such as an earlier release's.
+const PROGRAM_VARIABLE: &str = "LAGOONLIFT_SOAK_GATEWAY";
+
 /// Addresses of the platform services that the gateways use.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlatformAddresses {
@@ -63,7 +66,8 @@
 
     /// Starts the process with the existing settings file.
     pub(crate) fn launch(&mut self) {
-        let program = env!("CARGO_BIN_EXE_lagoonlift-gateway");
+        let program = env::var(PROGRAM_VARIABLE);
+        let program = program.unwrap_or(env!("CARGO_BIN_EXE_lagoonlift-gateway").to_owned());
         let child = Command::new(program)
             .arg("--settings")
             .arg(self.settings.path())
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -16,7 +16,8 @@
 //!     LAGOONLIFT_SOAK_SEEDS=1-50 cargo test --test soak -- --nocapture
 //!
 //! With a directory in `LAGOONLIFT_SOAK_LOGS`, each gateway appends its log to a file
-//! there.
+//! there; with a program in `LAGOONLIFT_SOAK_GATEWAY`, that one runs, such as an earlier
+//! release's.
 
 mod announcements;
 mod checks;
@@ -51,13 +52,12 @@
 /// the store for lost sound prompts.
 const SHORT_SEEDS: [u64; 5] = [1, 2, 3, 1005, 1010];
 
+/// Seeds of the runs with refusals that run by default.
+const SHORT_REFUSAL_SEEDS: [u64; 2] = [1, 2];
+
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
-    let seeds: Vec<u64> = match env::var(SEEDS_VARIABLE) {
-        Ok(range) => parse_range(&range).collect(),
-        Err(_) => SHORT_SEEDS.to_vec(),
-    };
-    for seed in seeds {
+    for seed in seeds(&SHORT_SEEDS) {
         let mut cluster = SoakCluster::start(seed).await;
         cluster.run_faults().await;
         let report = cluster.finish().await;
@@ -67,6 +67,28 @@
     }
 }
 
+/// Guards against a promise for a request that has run, and against a second run of one that
+/// may run once: upstreams refuse, repeat refusals, fail with statuses that would be promises
+/// and are silent, and one host alone is cut off from them, so that others run its requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_are_true_under_random_faults() {
+    for seed in seeds(&SHORT_REFUSAL_SEEDS) {
+        let mut cluster = SoakCluster::start_with_refusals(seed).await;
+        cluster.run_faults().await;
+        let report = cluster.finish().await;
+        println!("seed {seed}: {report}");
+        let violations = checks::find_untrue_refusals(&report);
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+fn seeds(by_default: &[u64]) -> Vec<u64> {
+    match env::var(SEEDS_VARIABLE) {
+        Ok(range) => parse_range(&range).collect(),
+        Err(_) => by_default.to_vec(),
+    }
+}
+
 fn parse_range(text: &str) -> RangeInclusive<u64> {
     let (first, last) = text
         .split_once('-')
