Tests: responses without end of nine kinds at once leave the memory to others

Another operator's report: bytes without end, in a head or a body, filled a machine's memory and ended the requests of others with it. Can it happen here? For each reader by itself tests ruled it out before (head, lines, interim responses, body, refusal's body, event, prefill's handle, store, platform). New: a process with 160 MB, nine upstreams that send them at once (also an extension of a chunk and a trailer) and a sound one, 1,000 callers 4 ms apart.

--- a/tests/slow_callers/main.rs
+++ b/tests/slow_callers/main.rs
@@ -1,4 +1,5 @@
-//! Tests of the memory that a gateway process needs for callers that read slowly.
+//! Tests of the memory that a gateway process needs for callers that read slowly, and for
+//! responses without end.
 
 #[path = "../soak/host.rs"]
 #[expect(dead_code, reason = "shared with the soak test")]
@@ -16,7 +17,8 @@
 use crate::support::fleet::upstream_record;
 use crate::support::upstream::IMPATIENT_EVENT_BYTES;
 use crate::support::{
-    Behaviour, DutyStandin, KEY, Request, StoreStandin, UpstreamStandin, configuration, eventually,
+    Behaviour, DutyStandin, EndlessHead, KEY, Request, ResponsePace, StoreStandin, UpstreamStandin,
+    configuration, eventually, send,
 };
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -53,6 +55,9 @@
     read_bytes: 2_048,
 };
 
+/// Time between two requests while upstreams send responses without end.
+const ENDLESS_ARRIVAL_INTERVAL: Duration = Duration::from_millis(4);
+
 /// Time within which a caller must get its whole response or its end.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -106,6 +111,78 @@
     assert_eq!(report.unread, 0, "{report:?}");
 }
 
+/// Responses without end, each of which one upstream sends.
+fn endless_behaviours() -> [Behaviour; 9] {
+    [
+        Behaviour::EndlessBody(ResponsePace::Fast),
+        Behaviour::EndlessHead(EndlessHead::Line),
+        Behaviour::EndlessHead(EndlessHead::Lines),
+        Behaviour::EndlessHead(EndlessHead::Interim),
+        Behaviour::EndlessNotRun(ResponsePace::Fast),
+        Behaviour::EndlessEvent(0),
+        Behaviour::RepeatedEvent,
+        // An extension of a chunk, and a trailer.
+        Behaviour::EndlessFraming("5;x="),
+        Behaviour::EndlessFraming("2\r\nok\r\n0\r\nX-Trailer: "),
+    ]
+}
+
+/// Guards against a process that keeps what faulty upstreams send without end, runs out of
+/// memory and takes the requests of other callers with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_responses_leave_the_memory_to_others() {
+    let _running = RUNNING.lock().await;
+    let store = StoreStandin::start().await;
+    let duties = DutyStandin::start().await;
+    let mut faulty = Vec::new();
+    for (number, behaviour) in endless_behaviours().into_iter().enumerate() {
+        let upstream = UpstreamStandin::start(behaviour).await;
+        let record = upstream_record("app", upstream.address, None, "ready");
+        store.put("servers", &format!("p{number}"), record);
+        faulty.push(upstream);
+    }
+    let sound = UpstreamStandin::start(Behaviour::Respond).await;
+    let mut record = upstream_record("app", sound.address, None, "ready");
+    record["slots"] = 600.into();
+    store.put("servers", "sound", record);
+    store.put("config", "main", configuration(1));
+    let platform = PlatformAddresses {
+        store: store.address,
+        duties: duties.address,
+    };
+    let mut host = HostProcess::start(0, platform);
+    eventually("readiness", || host.is_ready()).await;
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        sleep(ENDLESS_ARRIVAL_INTERVAL).await;
+        let path = ["/read/1", "/book/1", "/plain-talk/1", "/plain-tell/1"][number % 4];
+        let id = format!("{path}-{number}");
+        let request = Request::new("POST", path, &id, KEY).with_body("{}");
+        let address = host.callers;
+        callers.spawn(async move { (id, timeout(CALLER_TIMEOUT, send(address, &request)).await) });
+    }
+    let responses = callers.join_all().await;
+    let memory_bytes = host.peak_memory_bytes();
+    let endless = faulty.iter().map(|one| one.received().len());
+    println!(
+        "{memory_bytes} bytes, {} requests at faulty upstreams, {} at the sound one",
+        endless.clone().sum::<usize>(),
+        sound.received().len()
+    );
+    assert!(endless.clone().all(|count| count > 0), "not all were used");
+    assert!(memory_bytes < MAX_MEMORY_BYTES, "{memory_bytes} bytes");
+    assert_eq!(host.exit_status(), None);
+    for (id, response) in responses {
+        let response = response.expect("the response ends in time");
+        let received = sound.received();
+        let mut at_sound = received.iter().map(|one| one.header("x-request-id"));
+        let is_at_sound = at_sound.any(|one| one == Some(id.as_str()));
+        // What the sound upstream sends is no stream.
+        let is_served = response.status == 200 && response.is_whole || id.starts_with("/plain");
+        assert!(!is_at_sound || is_served, "{id}: {response:?}");
+    }
+}
+
 /// Runs callers that read streams of this many events slowly.
 async fn run_slow_callers(events: u64, pace: CallerPace) -> SlowCallersReport {
     let _running = RUNNING.lock().await;
