upstreams: responses to control calls are read up to 4 MiB

On the own interface the responses of an engine to load, cache events, status and orders had none but the time limit of the call.

Evidence: endless_responses_to_control_calls_end_at_their_size_limit failed before: the load of an engine without an end was read for the whole 8 s that the call allowed.

Change: one function reads these bodies, up to 4 MiB; a longer one ends the call and closes the connection.

--- a/crates/upstreams/src/engine.rs
+++ b/crates/upstreams/src/engine.rs
@@ -1,5 +1,6 @@
 //! HTTP client of one model engine.
 
+use crate::body::read_json;
 use crate::connection::{ConnectionUse, UpstreamConnections};
 use crate::error::SendError;
 use crate::report::{CacheEvents, EngineLoad};
@@ -153,11 +154,9 @@
         max_wait: Duration,
     ) -> Result<T, SendError> {
         let request = client.get(self.connections.url(path));
-        let response = async { request.send().await?.error_for_status()?.json().await };
-        let value = timeout(max_wait, response)
-            .await
-            .map_err(|_| SendError::Timeout(max_wait))??;
-        Ok(value)
+        let response = async { read_json(request.send().await?.error_for_status()?).await };
+        let value = timeout(max_wait, response).await;
+        value.map_err(|_| SendError::Timeout(max_wait))?
     }
 }
 
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -8,6 +8,7 @@
 //! belong on a fresh connection ([`ConnectionUse::Fresh`]), never on a pooled one
 //! that the upstream may be closing at that moment.
 
+mod body;
 mod connection;
 mod engine;
 mod error;
--- a/crates/upstreams/src/orders.rs
+++ b/crates/upstreams/src/orders.rs
@@ -6,6 +6,7 @@
 //! What the steward may do next depends on whether a failed call had an effect,
 //! so [`OrderError`] distinguishes a refusal from a lost response.
 
+use crate::body::read_json;
 use crate::connection::ConnectionUse;
 use crate::engine::EngineClient;
 use crate::error::SendError;
@@ -156,7 +157,7 @@
             if response.status() == StatusCode::NOT_FOUND {
                 return Ok(None);
             }
-            let body: ProgressBody = response.error_for_status()?.json().await?;
+            let body: ProgressBody = read_json(response.error_for_status()?).await?;
             Ok(Some(body.state))
         };
         let progress = timeout(max_wait, progress).await;
@@ -187,7 +188,7 @@
 
 async fn read_refusal(response: Response, max_wait: Duration) -> OrderError {
     let status = response.status();
-    let body = timeout(max_wait, response.json::<RefusalBody>()).await;
+    let body = timeout(max_wait, read_json::<RefusalBody>(response)).await;
     match body {
         Ok(Ok(body)) if body.result == "stale-fencing" => OrderError::StaleFencing,
         Ok(Ok(body)) if body.result == "another-open" => OrderError::AnotherOpen,
--- a/crates/upstreams/tests/all/main.rs
+++ b/crates/upstreams/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the upstream clients.
 
 mod decoder;
+mod endless;
