gateway: a stopping host begins only what ends before it does, and answers the rest

Another operator's report: in a planned stop, requests that came late in the grace were passed on and cut with no answer at its end, among them requests that may not be repeated (LOST).

Cause, here too: for 2.6 s after a stop is asked for, and on kept connections, whatever came was begun, also what its route lets take longer than the grace. Requests in flight without a response were cut with the process.

Change: StopAdmission, asked before each attempt, so also for queued requests, resumptions and requests of other hosts: a request begins if its timeout or deadline, or the longest response of its route lately (one and a half times that, if it may run only once), fits into what is left. Otherwise it is refused at once, with a promise. What has no response 250 ms before the end of draining is answered 502. A grace under 5.2 s is divided between the balancer's notice and the requests.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,14 @@
 /// Margin between the end of draining and the time when the process is killed.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time before the end of draining at which requests in flight are answered that have no
+/// response yet, since they would be cut with the process.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// Least number of times that the notice fits into the grace, so that a short one leaves time for
+/// the requests that come meanwhile.
+const MIN_NOTICES_PER_GRACE: u32 = 2;
+
 /// Polling interval for open connections while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -126,9 +134,11 @@
         requested.await;
         let kill_deadline = clock::now() + self.state.settings.bounds.shutdown_timeout;
         let drain_deadline = kill_deadline - SHUTDOWN_MARGIN;
-        self.state.begin_stop();
+        let answered_by = drain_deadline - FINAL_ANSWER_TIME;
+        self.state.begin_stop(answered_by);
         tracing::info!(in_flight = self.state.in_flight(), "stopping");
-        sleep(BALANCER_NOTICE_TIME).await;
+        let grace = self.state.settings.bounds.shutdown_timeout;
+        sleep(BALANCER_NOTICE_TIME.min(grace / MIN_NOTICES_PER_GRACE)).await;
         // No new connection is accepted, idle connections close, and the others
         // close after their response. Once all have closed, ending the process
         // can't truncate a response.
@@ -138,6 +148,9 @@
         // The connections that were just established are counted after the first sleep.
         loop {
             sleep(DRAIN_POLL_INTERVAL).await;
+            if clock::now() >= answered_by {
+                self.state.requests_end.notify_waiters();
+            }
             if self.state.connections() == 0 || clock::now() >= drain_deadline {
                 break;
             }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -11,7 +11,7 @@
 use crate::reply::{GatewayReply, ReplyBody, full_response};
 use crate::run::{RequestRun, RunOutcome};
 use crate::state::GatewayState;
-use crate::trace::{RequestLog, SUCCESS_OUTCOME};
+use crate::trace::{FAILURE_OUTCOME, RequestLog, SUCCESS_OUTCOME};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -40,7 +40,14 @@
 ) -> Response<ReplyBody> {
     let in_flight = InFlight::new(&state);
     let held = state.held.open();
-    let mut response = respond(&state, request, &held, sender).await;
+    let mut response = tokio::select! {
+        biased;
+        response = respond(&state, request, &held, sender) => response,
+        () = state.requests_end.notified() => {
+            let reply = GatewayReply::unknown("the host stops before the response");
+            reply.response_to(&held.id())
+        }
+    };
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -129,7 +136,7 @@
                 request_log.record_first_byte();
                 request_log.end(match parts.status.is_success() {
                     true => SUCCESS_OUTCOME,
-                    false => "failed",
+                    false => FAILURE_OUTCOME,
                 });
                 let mut headers = forwarded_response_headers(&parts.headers);
                 run.describe_to_host(&mut headers);
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -195,6 +195,11 @@
 }
 
 impl HeldRequest {
+    /// Returns the identifier of the request; empty if it isn't known yet.
+    pub(crate) fn id(&self) -> String {
+        self.request_id.borrow().clone()
+    }
+
     /// Records the identifier of the request for the log.
     pub(crate) fn set_id(&self, id: &str) {
         id.clone_into(&mut self.request_id.borrow_mut());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -26,7 +26,7 @@
 use lagoonlift_adapter::upstream::UpstreamTask;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
-    AttemptHistory, NextStep, RefusalCause, RequiredVersion, SendResult, SuspectKey,
+    AttemptHistory, LateRequest, NextStep, RefusalCause, RequiredVersion, SendResult, SuspectKey,
     UpstreamRecord, retry_after,
 };
 use rand::RngExt;
@@ -39,6 +39,9 @@
 /// attempts may be prefilled more often.
 const PREFILLS_PER_ATTEMPT: usize = 2;
 
+/// Time after which a caller may come back whom a stopping host refuses: others serve.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Result of a request.
 pub(crate) enum RunOutcome {
     /// Complete response of an upstream, either a success or a failure.
@@ -224,6 +227,7 @@
             self.has_timed_out = true;
             return Err(self.refusal("timed out", RefusalCause::NoCapacity));
         }
+        self.pass_stop()?;
         self.pass_quarantine().await?;
         self.confirm_required_version().await;
         let attempt = match self.is_prompt() {
@@ -243,10 +247,30 @@
     /// before it may have taken some time.
     async fn confirm_attempt(&mut self, attempt: Attempt) -> Result<Attempt, Refusal> {
         self.pass_quarantine().await?;
+        // The request may have been queued when the stop began.
+        self.pass_stop()?;
         self.spend_retry(attempt)
             .ok_or_else(|| self.refusal("no repeat is left", RefusalCause::NoCapacity))
     }
 
+    /// Refuses a request that can't end before this host does, if it is stopping.
+    fn pass_stop(&self) -> Result<(), Refusal> {
+        let Some(stops_by) = self.state.stops_by() else {
+            return Ok(());
+        };
+        let route = &self.admitted.route;
+        let request = LateRequest {
+            route: &route.name,
+            allowed: clock::time_until(self.admitted.deadline),
+            may_repeat: route.retry_safety.is_retryable(),
+        };
+        let stop_admission = self.state.stop_admission.borrow();
+        match stop_admission.may_begin(clock::now(), stops_by, request) {
+            true => Ok(()),
+            false => Err(Refusal::new("the host stops", STOP_RETRY_AFTER)),
+        }
+    }
+
     /// Spends a retry from the budget if the attempt is a retry. Returns `None` if
     /// the budget is exhausted.
     fn spend_retry(&self, attempt: Attempt) -> Option<Attempt> {
--- a/crates/gateway/src/run/other_host.rs
+++ b/crates/gateway/src/run/other_host.rs
@@ -33,6 +33,7 @@
     fn may_use_other_host(&self) -> bool {
         self.admitted.hop.is_none()
             && self.tried_hosts.len() < MAX_HOSTS
+            && self.pass_stop().is_ok()
             && self.silent_upstream.is_none()
             && self.history.may_retry()
             && clock::now() < self.admitted.deadline
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostPaths, HostRoster,
     PeerLoads, Placement, PlacementLimits, RateSharing, RetryBudget, RetryBudgetLimits,
-    RolePlanner, ServedVersions, ServiceDigest, ServingConfig, StalenessLimits,
+    RolePlanner, ServedVersions, ServiceDigest, ServingConfig, StalenessLimits, StopAdmission,
     StoreReaderSelection, StoreStatus, StreamArchive, StreamNotice, StreamVersions, Upstream,
     UpstreamTable, UsageCopies, UsageCounts, WallClock, WorkSample,
 };
@@ -128,7 +128,11 @@
     max_host_count: Cell<usize>,
     pub(crate) in_flight: Cell<usize>,
     pub(crate) connections: Cell<usize>,
-    is_stopping: Cell<bool>,
+    /// Time by which all requests are answered, once a shutdown has been requested.
+    stops_by: Cell<Option<Timestamp>>,
+    /// Ends the requests that have no response by then.
+    pub(crate) requests_end: Notify,
+    pub(crate) stop_admission: RefCell<StopAdmission>,
     /// Whether any request has been received, also one that was refused.
     pub(crate) has_received_request: Cell<bool>,
 }
@@ -198,7 +202,9 @@
             max_host_count: Cell::new(INITIAL_HOST_COUNT),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
-            is_stopping: Cell::new(false),
+            stops_by: Cell::new(None),
+            requests_end: Notify::new(),
+            stop_admission: RefCell::new(StopAdmission::new()),
             has_received_request: Cell::new(false),
             incarnation_id,
             started_at: clock::now(),
@@ -222,7 +228,7 @@
     /// Returns whether the load balancer may send new connections to this host.
     pub(crate) fn is_ready(&self) -> bool {
         let now = clock::now();
-        !self.is_stopping.get()
+        !self.is_stopping()
             && self.config.borrow().is_some()
             && self.table.borrow().is_loaded()
             && self.confirmation().can_report_ready(now)
@@ -248,12 +254,19 @@
 
     /// Returns whether a shutdown has been requested.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.get()
+        self.stops_by.get().is_some()
     }
 
-    /// Marks the process as stopping, which makes it report that it isn't ready.
-    pub(crate) fn begin_stop(&self) {
-        self.is_stopping.set(true);
+    /// Returns the time by which all requests are answered, once a shutdown has been
+    /// requested.
+    pub(crate) fn stops_by(&self) -> Option<Timestamp> {
+        self.stops_by.get()
+    }
+
+    /// Marks the process as stopping, which makes it report that it isn't ready. It answers
+    /// all requests by `stops_by`.
+    pub(crate) fn begin_stop(&self, stops_by: Timestamp) {
+        self.stops_by.set(Some(stops_by));
     }
 
     /// Returns the number of requests in flight.
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -13,6 +13,9 @@
 /// send, the same word covers any response, including 5xx.
 pub(crate) const SUCCESS_OUTCOME: &str = "answered";
 
+/// Outcome of a request to which an upstream has responded with a failure.
+pub(crate) const FAILURE_OUTCOME: &str = "failed";
+
 /// Writes one log line and updates the metrics when the request ends, also if the
 /// caller disconnects. Of requests that succeeded at the first attempt, only a
 /// sample is logged at high request rates.
@@ -106,6 +109,10 @@
         self.state
             .metrics
             .count_request(&self.route, outcome, duration);
+        if matches!(outcome, SUCCESS_OUTCOME | FAILURE_OUTCOME) {
+            let mut stop_admission = self.state.stop_admission.borrow_mut();
+            stop_admission.record_response(now, &self.route, duration);
+        }
         let left_out = match outcome {
             SUCCESS_OUTCOME if self.summary.sends <= 1 && self.resumes == 0 => self
                 .state
@@ -149,8 +156,11 @@
 impl Drop for RequestLog {
     fn drop(&mut self) {
         let is_cut = self.held.as_ref().is_some_and(|held| held.is_cut());
+        let stops_by = self.state.stops_by();
+        let has_stopped = stops_by.is_some_and(|at| clock::now() >= at);
         self.end(match is_cut {
             true => "cut",
+            false if has_stopped => "stopped",
             false => "caller-left",
         });
     }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -74,6 +74,7 @@
 mod served_versions;
 mod spot_replacement;
 mod standing_fleet;
+mod stop_admission;
 mod store_backoff;
 mod store_era;
 mod store_readers;
@@ -131,6 +132,7 @@
     count_listed_fleets,
 };
 pub use standing_fleet::{OccupiedUpstreams, StandingFleet};
+pub use stop_admission::{LateRequest, StopAdmission};
 pub use store_backoff::{ProbeRole, StoreBackoff, StorePermit};
 pub use store_era::{EraChange, EraTracker, StoreEra};
 pub use store_readers::{MIN_HOSTS_FOR_SHARED_READS, ShownList, StoreReaderSelection, StoreStatus};
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -24,6 +24,7 @@
 mod silent_upstreams;
 mod spot_replacement;
 mod standing_fleet;
+mod stop_admission;
 mod store_outage;
 mod store_readers;
 mod stream_versions;
