relay: only an event stream goes on with a stream that broke off

Cause, here too: every signed success was taken for the rest of the stream, whatever its status and content type.

Evidence: three tests failed before: after three events the caller got "<html> id: 9 data: t9 </html>" and a complete end, from a plain upstream, from a decode engine, and in place of a silent upstream that would have gone on.

Change: an answer goes on with a stream only with status 200 and content type text/event-stream; anything else is a failed attempt. A resumption without an event must state its end. A stream whose events have no identifiers isn't resumed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -65,6 +65,8 @@
     /// Whether the current response comes by way of another host, which counts the run and
     /// judges the prompt.
     is_from_host: bool,
+    /// Whether the caller has got events.
+    has_passed_events: bool,
 }
 
 /// Result of the search for an upstream that replaces a silent one.
@@ -103,6 +105,7 @@
             first_event_at: None,
             has_succeeded: false,
             is_run_recorded: false,
+            has_passed_events: false,
         };
         match relay.next_item().await {
             StreamItem::Broken(detail) => {
@@ -161,6 +164,7 @@
             match current {
                 StreamItem::Events(events) => {
                     self.run.record_event(self.source.version()).await;
+                    self.has_passed_events = true;
                     return Ok(Some(self.run.admitted.outgoing.held.hold(events)));
                 }
                 StreamItem::End => return Ok(None),
@@ -201,7 +205,7 @@
 
     /// Looks for another upstream, and continues with it if it accepts the request.
     async fn replace_silent_upstream(&mut self) -> Replacement {
-        if self.record_run() != NextStep::Retry {
+        if !self.can_be_continued() || self.record_run() != NextStep::Retry {
             return Replacement::None;
         }
         self.run.silent_upstream = self.source.upstream();
@@ -265,7 +269,7 @@
     ) -> Result<Replacement, NextStep> {
         let upstream = response.upstream();
         let head = response.parts.clone();
-        let mut other = EventSource::new(response, self.source.last_event());
+        let mut other = EventSource::continuing(response, self.source.last_event());
         let item = tokio::select! {
             biased;
             item = other.next(by) => item,
@@ -380,6 +384,11 @@
         self.run.admitted.route.retry_safety.is_resumable()
     }
 
+    /// Returns whether another upstream can be told after which event to go on.
+    fn can_be_continued(&self) -> bool {
+        !self.has_passed_events || self.source.last_event().is_some()
+    }
+
     /// Resumes the stream at another upstream after the last complete event.
     async fn resume(&mut self, detail: String) -> Result<(), RelayError> {
         self.source.close();
@@ -387,6 +396,9 @@
         if !self.is_resumable() {
             return self.fail(detail, "the stream is not resumable");
         }
+        if !self.can_be_continued() {
+            return self.fail(detail, "the events have no identifiers");
+        }
         if self.record_run() != NextStep::Retry {
             return self.fail(detail, "no attempt is left");
         }
@@ -395,7 +407,7 @@
             RunOutcome::Stream(response) => {
                 let head = response.parts.clone();
                 let is_from_host = response.upstream().is_none();
-                let source = EventSource::new(response, self.source.last_event());
+                let source = EventSource::continuing(response, self.source.last_event());
                 self.continue_with(source, head);
                 self.is_from_host = is_from_host;
                 Ok(())
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -26,6 +26,9 @@
     version: Option<VersionDigest>,
     scanner: EventScanner,
     has_started: bool,
+    /// Whether it goes on with a stream of which the caller has got a part.
+    is_continuation: bool,
+    has_events: bool,
     /// Whether the response, once it has ended, had a length or chunks.
     was_framed: bool,
 }
@@ -38,10 +41,21 @@
             response: Some(response),
             scanner: EventScanner::new(last_event),
             has_started: false,
+            is_continuation: false,
+            has_events: false,
             was_framed: false,
         }
     }
 
+    /// Creates a source that goes on with a stream after `last_event`, which the caller has
+    /// got.
+    pub(super) fn continuing(response: Box<UpstreamResponse>, last_event: Option<u64>) -> Self {
+        Self {
+            is_continuation: last_event.is_some(),
+            ..Self::new(response, last_event)
+        }
+    }
+
     /// Returns whether any data has arrived.
     pub(super) fn has_started(&self) -> bool {
         self.has_started
@@ -104,6 +118,7 @@
                 Err(error) => return Some(StreamItem::Broken(error.to_string())),
             };
             if !events.is_empty() {
+                self.has_events = true;
                 return Some(StreamItem::Events(events));
             }
         }
@@ -113,6 +128,10 @@
         if self.scanner.is_inside_event() {
             return StreamItem::Broken("the stream ended inside an event".to_owned());
         }
+        let is_stated = self.response.as_ref().is_none_or(|one| one.head.is_framed);
+        if self.is_continuation && !self.has_events && !is_stated {
+            return StreamItem::Broken("neither an event nor an end is stated".to_owned());
+        }
         if let Some(response) = self.response.take() {
             self.was_framed = response.head.is_framed;
             if response.head.is_framed && !response.head.is_closing {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -412,7 +412,7 @@
     /// Processes a response that belongs to this request. Returns `Err` with the result
     /// of the attempt if the response is not forwarded now: it has no signature, its
     /// body was truncated, its status would promise that a request which may run once has not
-    /// run, or it is a 5xx, which is kept in `last_failure` and forwarded
+    /// run, it isn't the stream that it should go on with, or it is a 5xx, which is kept in `last_failure` and forwarded
     /// later if no other attempt succeeds.
     async fn process_response(
         &mut self,
@@ -422,6 +422,12 @@
         let has_signature = response.head.has_signature;
         match has_signature {
             true if status.is_success() && self.admitted.route.retry_safety.is_stream() => {
+                if self.resume_after.is_some() && !response.head.continues_stream() {
+                    let request = &self.admitted.outgoing.request.id;
+                    let status = status.as_u16();
+                    tracing::info!(request, status, "the answer doesn't go on with the stream");
+                    return Err(SendResult::Unknown);
+                }
                 return Ok(RunOutcome::Stream(response));
             }
             true => {}
