--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -410,9 +410,9 @@
     }
 
     /// Processes a response that belongs to this request. Returns `Err` with the result
-    /// of the attempt if the response is not forwarded now: it has no signature, its
-    /// body was truncated, its status would promise that a request which may run once has not
-    /// run, it isn't the stream that it should go on with, or it is a 5xx, which is kept in `last_failure` and forwarded
+    /// of the attempt if the response is not forwarded now: it has no signature, its body was
+    /// truncated, its status would promise that a request which may run once has not run, or it
+    /// isn't the stream that it should go on with. A 5xx is kept in `last_failure` and forwarded
     /// later if no other attempt succeeds.
     async fn process_response(
         &mut self,
