Write names into the targets of calls encoded, or not at all

What callers saw: with one entry of another writer under a name such as `p0&` in the list of upstreams, at the end of a page, no process that started was ever ready.

Cause: `StoreCalls::list` put the name of a page's last object into `after` as it was, as did reads, writes, removals and the release of a KV cache. `&` and `#` end the field, `+` is read as a blank, a `%` without two digits is no field (400), and with a blank or a control byte the target didn't parse: `control_request` then sent the call, a removal too, to `/`. Headers that can't be written were left out in the same way.

Evidence: the stand-in store listed everything on one page and didn't read `after`, so no test could fail.

A text that can't be written whole (a target too long, the segments `.`, `..` and none, a header with control bytes or blanks around the text) is an error, `StoreError::NotSendable` at the store, and nothing is sent.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
+use lagoonlift_adapter::EncodeError;
 use lagoonlift_adapter::upstream::ResponseHead;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
 use std::cell::RefCell;
@@ -65,7 +66,8 @@
 /// Why a call returned no response. The variant names are logged.
 #[derive(Debug, Error)]
 pub(crate) enum CallError {
-    /// The connection was refused, or closed before the request was sent.
+    /// The connection was refused, or closed before the request was sent, or the call can't be
+    /// written as a request.
     #[error("not sent: {0}")]
     NotSent(String),
     /// The connection did not open in time, so nothing was sent.
@@ -359,9 +361,10 @@
     pool: &ConnectionPool,
     endpoint: Endpoint,
     address: SocketAddr,
-    request: Request<Bytes>,
+    request: Result<Request<Bytes>, EncodeError>,
     limits: CallLimits,
 ) -> Result<BufferedResponse, CallError> {
+    let request = request.map_err(|error| CallError::NotSent(error.to_string()))?;
     let exchange = match endpoint {
         Endpoint::Upstream(_) => Exchange::Control,
         Endpoint::Address(_) => Exchange::Platform,
--- a/crates/gateway/src/duty/lease.rs
+++ b/crates/gateway/src/duty/lease.rs
@@ -192,9 +192,9 @@
             None => LeaseCallFailure::Conflict(None),
         },
         StoreError::NotFound => LeaseCallFailure::Conflict(None),
-        StoreError::UnexpectedStatus(_) | StoreError::HistoryExpired => {
-            LeaseCallFailure::NotApplied
-        }
+        StoreError::UnexpectedStatus(_)
+        | StoreError::HistoryExpired
+        | StoreError::NotSendable(_) => LeaseCallFailure::NotApplied,
         StoreError::NoResponse(_) | StoreError::Malformed(_) | StoreError::Restored => {
             LeaseCallFailure::OutcomeUnknown
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -21,6 +21,7 @@
     ContactResult, PathSign, RequiredVersion, SuspectKey, UpstreamRecord, VersionDigest,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,8 +78,9 @@
     /// The upstream responded with any status, including 5xx; the body is still to be
     /// read.
     Responded(Box<UpstreamResponse>),
-    /// Nothing was sent, because the upstream drains or holds off requests.
-    Withheld(&'static str),
+    /// Nothing was sent, because the upstream drains or holds off requests, or because the
+    /// call can't be written as a request.
+    Withheld(Cow<'static, str>),
     /// Nothing reached the upstream.
     NotSent(String),
     /// No connection opened in time, so nothing reached the upstream. The result says
@@ -296,9 +298,6 @@
             return SendOutcome::NotSent(error.to_string());
         }
     };
-    if let Err(reason) = begin_request(state, attempt.upstream, attempt.version) {
-        return SendOutcome::Withheld(reason);
-    }
     let call = UpstreamCall {
         request: &outgoing.request,
         body: outgoing.body.clone(),
@@ -309,11 +308,18 @@
         urgency: outgoing.urgency,
         resume_after: attempt.resume_after,
     };
+    let request = match call.encode() {
+        Ok(request) => request,
+        Err(error) => return SendOutcome::Withheld(error.to_string().into()),
+    };
+    if let Err(reason) = begin_request(state, attempt.upstream, attempt.version) {
+        return SendOutcome::Withheld(reason.into());
+    }
     attempt.is_sent.set(true);
     trace.set(connection.trace());
     let sent_at = clock::now();
     let answer = AwaitedAnswer::new(state, attempt.upstream);
-    let response = match connection.send(call.encode()).await {
+    let response = match connection.send(request).await {
         Ok(response) => response,
         Err(CallError::NotSent(detail) | CallError::NotOpened(detail)) => {
             return SendOutcome::NotSent(detail);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,6 +4,7 @@
 use crate::era_monitor::{EraMonitor, EraSource};
 use bytes::Bytes;
 use http::Request;
+use lagoonlift_adapter::EncodeError;
 use lagoonlift_adapter::store::{
     ChangePage, ObjectPage, ReadConsistency, Revision, StoreCalls, StoreError, StoreObject,
     WriteCondition, decode_changes, decode_era, decode_object, decode_page, decode_removal,
@@ -168,13 +169,16 @@
         Ok(page)
     }
 
-    async fn call(&self, request: Request<Bytes>) -> Result<BufferedResponse, StoreError> {
+    async fn call(
+        &self,
+        request: Result<Request<Bytes>, EncodeError>,
+    ) -> Result<BufferedResponse, StoreError> {
         self.call_within(request, CALL_TIMEOUT).await
     }
 
     async fn call_within(
         &self,
-        request: Request<Bytes>,
+        request: Result<Request<Bytes>, EncodeError>,
         time: Duration,
     ) -> Result<BufferedResponse, StoreError> {
         let limits = CallLimits {
@@ -183,6 +187,7 @@
         };
         let era = self.era.latest();
         let endpoint = Endpoint::Address(self.address);
+        let request = Ok(request?);
         let response = tokio::select! {
             response = call(&self.pool, endpoint, self.address, request, limits) => response,
             () = self.era.changed_from(era), if era.is_some() => {
--- a/crates/gateway/src/store_gate.rs
+++ b/crates/gateway/src/store_gate.rs
@@ -75,8 +75,13 @@
         self.is_recorded = true;
         match result {
             // These say nothing about whether the store responds.
-            Err(StoreError::Restored) if self.permit == StorePermit::Call => {}
-            Err(StoreError::NoResponse(_) | StoreError::UnexpectedStatus(_)) => self.fail(),
+            Err(StoreError::Restored | StoreError::NotSendable(_))
+                if self.permit == StorePermit::Call => {}
+            Err(
+                StoreError::NoResponse(_)
+                | StoreError::UnexpectedStatus(_)
+                | StoreError::NotSendable(_),
+            ) => self.fail(),
             _ => self.state.store_gate.backoff.borrow_mut().record_success(),
         }
     }
