Use no upstream whose name isn't written in the same way everywhere

What callers saw: an entry under a name of another writer, with a record that can be read, got requests. Where its name is no header value, the header that ties a call to one upstream was left out, and whoever listened at the address took the call.

Cause: any text was an upstream's identifier. It goes into paths, queries, headers and messages, and into calls between hosts, each with other rules.

Change: `is_plain_name` says which names stand everywhere as they are: RFC 3986's unreserved characters, `:` and `@`, 256 bytes at most, and not `.` or `..`.

--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -61,6 +61,7 @@
 mod host_roster;
 mod peer_load;
 mod placement;
+mod plain_name;
 mod prefill_rate;
 mod prompt;
 mod quota;
@@ -110,6 +111,7 @@
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{DecodeChoice, Placement, PlacementLimits, PrefilledRequest};
+pub use plain_name::is_plain_name;
 pub use prefill_rate::PrefillRate;
 pub use prompt::{PrefixBlock, PromptFacts, PromptPlan, PromptRefusal};
 pub use quota::{
