Write the terms of a request for another host whatever its service is called

What callers saw: a host that had lost its links to the upstreams served none of the requests for a service whose name has a letter beyond ASCII.

Cause: the terms under which another host handles a request are a header. Where the service's name couldn't be written as its text, the header was left out, so the other host took the request for one of its own caller's, and the header with the caller's wait went on to the upstream.

Change: the header holds the name's bytes. Terms that can't be written are an error: the request isn't sent there.

Result: `requests_for_a_service_of_any_name_go_by_way_of_other_hosts` failed with "0 requests of the host that is cut off were served", and passes.

--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -13,7 +13,7 @@
 use crate::send::UpstreamResponse;
 use crate::state::GatewayState;
 use bytes::Bytes;
-use http::header::RETRY_AFTER;
+use http::header::{InvalidHeaderValue, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use lagoonlift_adapter::upstream::ResponseHead;
 use lagoonlift_policy::Timestamp;
@@ -62,7 +62,7 @@
 
 impl HopTerms {
     /// Adds the terms to the head of a request for another host.
-    fn add_to(&self, headers: &mut HeaderMap) {
+    fn add_to(&self, headers: &mut HeaderMap) -> Result<(), InvalidHeaderValue> {
         let Self {
             config,
             service,
@@ -72,19 +72,18 @@
         } = self;
         let retry = u8::from(*is_retry);
         let text = format!("{config} {runs} {retry} {service}");
-        if let Ok(value) = HeaderValue::from_str(&text) {
-            headers.insert(TERMS, value);
-        }
+        headers.insert(TERMS, HeaderValue::from_bytes(text.as_bytes())?);
         if let Some(wait) = caller_wait {
             headers.insert(CALLER_WAIT, HeaderValue::from(wait.as_millis() as u64));
         }
+        Ok(())
     }
 
     /// Removes the terms from the head of a request that came from another host.
     pub(crate) fn take_from(headers: &mut HeaderMap) -> Option<Self> {
         let value = headers.remove(TERMS)?;
         let wait_ms = take_text(headers, &CALLER_WAIT).and_then(|text| text.parse().ok());
-        let mut fields = value.to_str().ok()?.splitn(4, ' ');
+        let mut fields = std::str::from_utf8(value.as_bytes()).ok()?.splitn(4, ' ');
         Some(Self {
             config: fields.next()?.parse().ok()?,
             runs: fields.next()?.parse().ok()?,
@@ -136,12 +135,15 @@
     let mut request = outgoing
         .request
         .encode_for_host(body, time_left, resume_after);
-    terms.add_to(request.headers_mut());
     let started = clock::now();
-    let exchange = exchange(run, host, request);
-    let outcome = match timeout(clock::time_until(deadline), exchange).await {
-        Ok(outcome) => outcome,
-        Err(_) => HopOutcome::TimedOut,
+    let outcome = match terms.add_to(request.headers_mut()) {
+        Ok(()) => {
+            let exchange = exchange(run, host, request);
+            let outcome = timeout(clock::time_until(deadline), exchange).await;
+            outcome.unwrap_or(HopOutcome::TimedOut)
+        }
+        // Without its terms the other host would take the request for one of its own callers.
+        Err(error) => HopOutcome::NotSent(format!("the terms can't be written: {error}")),
     };
     run.state.metrics.count_hop(outcome.name());
     if !matches!(outcome, HopOutcome::Responded(_)) {
