Walk through the pages of a list from names that any store reads, and end where none goes on

What callers saw: with an entry whose name has 70,000 bytes no process became ready. Where no object of a page could be read, the process was ready and refused everything, as the list ended there. A store that showed the same page again was asked for it thousands of times a second.

Cause: the next page began after the last object that could be read, whatever its name, and the list ended at a page without one, though the store said that more follow. Nothing checked that a step went on.

Ways weighed: the raw name (no name at all in the worst case, and stores differ in how they read bytes that are no text); a watch from an early revision (the store discards its history); single reads (a process that starts knows no names). The last plain name of a page serves any store, at the price of some objects that are shown again.

Change: `ListWalk` in `crates/policy` decides from where the next page is read: after the last plain name of a page, else after its last name, in both cases after a place that wasn't asked for before.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,14 +3,15 @@
 use crate::connection::{BufferedResponse, CallError, CallLimits, ConnectionPool, Endpoint, call};
 use crate::era_monitor::{EraMonitor, EraSource};
 use bytes::Bytes;
-use http::Request;
+use http::{Request, StatusCode};
 use lagoonlift_adapter::EncodeError;
 use lagoonlift_adapter::store::{
     ChangePage, ObjectPage, ReadConsistency, Revision, StoreCalls, StoreError, StoreObject,
     WriteCondition, decode_changes, decode_era, decode_object, decode_page, decode_removal,
 };
-use lagoonlift_policy::dispatch::{EraChange, StoreEra};
+use lagoonlift_policy::dispatch::{EraChange, ListStep, ListWalk, StoreEra};
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -71,32 +72,26 @@
         &self.era
     }
 
-    /// Reads all objects of a kind, page by page. The position is that of the first
-    /// page.
+    /// Reads all objects of a kind, page by page. Those whose names can't be read are left
+    /// out. The position is that of the first page.
     pub(crate) async fn list(
         &self,
         kind: &str,
         read: ReadConsistency,
     ) -> Result<(Vec<StoreObject>, WatchPosition), StoreError> {
-        let mut objects: Vec<StoreObject> = Vec::new();
-        let mut position: Option<WatchPosition> = None;
+        let mut list = CollectedList::default();
+        let mut after: Option<String> = None;
         loop {
-            let after = objects.last().map(|object| object.name.as_str());
-            let page = self.page(kind, after, read).await?;
-            // A watch from the first page's revision includes the changes made while
-            // the other pages were read.
-            let era = self.era.latest();
-            let first = *position.get_or_insert(WatchPosition {
-                era,
-                revision: page.revision,
-            });
-            if first.era != era {
-                return Err(StoreError::Restored);
-            }
-            let is_last = !page.is_truncated || page.objects.is_empty();
-            objects.extend(page.objects);
-            if is_last {
-                return Ok((objects, first));
+            let page = self.page(kind, after.as_deref(), read).await;
+            let step = match page {
+                Err(error) if list.walk.is_at_rejectable_place() && is_rejection(&error) => {
+                    list.walk.record_rejection()
+                }
+                page => list.record_page(page?, self.era.latest())?,
+            };
+            match step {
+                ListStep::PageAfter(place) => after = Some(place),
+                ListStep::End { is_whole } => return list.into_objects(kind, is_whole),
             }
         }
     }
@@ -164,9 +159,7 @@
         read: ReadConsistency,
     ) -> Result<ObjectPage, StoreError> {
         let response = self.call(self.calls.list(kind, after, read)).await?;
-        let page = decode_page(response.status, &response.body)?;
-        log_unreadable(kind, page.unreadable);
-        Ok(page)
+        decode_page(response.status, &response.body)
     }
 
     async fn call(
@@ -215,6 +208,67 @@
     }
 }
 
+/// The pages of a list that were read so far.
+#[derive(Default)]
+struct CollectedList {
+    walk: ListWalk,
+    /// Objects by their names, as a page may show some of an earlier one again.
+    objects: BTreeMap<String, StoreObject>,
+    unreadable: usize,
+    /// Position of the first page. A watch from there includes the changes made while the
+    /// other pages were read.
+    position: Option<WatchPosition>,
+}
+
+impl CollectedList {
+    /// Records a page that was read in the era `era`; returns how the list goes on.
+    fn record_page(
+        &mut self,
+        page: ObjectPage,
+        era: Option<StoreEra>,
+    ) -> Result<ListStep, StoreError> {
+        let revision = page.revision;
+        let first = self.position.get_or_insert(WatchPosition { era, revision });
+        if first.era != era {
+            return Err(StoreError::Restored);
+        }
+        let names: Vec<Option<&str>> = page
+            .objects
+            .iter()
+            .map(|object| object.as_ref().map(|one| one.name.as_str()))
+            .collect();
+        self.unreadable += names.iter().filter(|name| name.is_none()).count();
+        let step = self.walk.record_page(&names, page.is_truncated);
+        let named = page.objects.into_iter().flatten();
+        self.objects
+            .extend(named.map(|object| (object.name.clone(), object)));
+        Ok(step)
+    }
+
+    fn into_objects(
+        self,
+        kind: &str,
+        is_whole: bool,
+    ) -> Result<(Vec<StoreObject>, WatchPosition), StoreError> {
+        log_unreadable(kind, self.unreadable);
+        match self.position {
+            Some(position) if is_whole => Ok((self.objects.into_values().collect(), position)),
+            _ => Err(StoreError::Malformed(
+                "the list shows no place from which it goes on".to_owned(),
+            )),
+        }
+    }
+}
+
+/// Returns whether the store has read a call and rejects it as wrong.
+fn is_rejection(error: &StoreError) -> bool {
+    match error {
+        StoreError::UnexpectedStatus(StatusCode::TOO_MANY_REQUESTS) => false,
+        StoreError::UnexpectedStatus(status) => status.is_client_error(),
+        _ => false,
+    }
+}
+
 /// Logs objects without a name, which can't be used.
 fn log_unreadable(kind: &str, objects: usize) {
     if objects > 0 {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -31,6 +31,7 @@
 //!
 //! * [`EraTracker`] tracks restores of the store from a copy.
 //! * [`StoreBackoff`] decides when to call a store again that didn't respond.
+//! * [`ListWalk`] decides from where the next page of a list is read.
 //! * [`StoreReaderSelection`] selects the hosts that read the store for all.
 //! * [`UsageCounts`] counts requests by workspace and usage window.
 //! * [`SealedSums`] decides which sum of a usage window may be reported.
@@ -59,6 +60,7 @@
 mod held_bytes;
 mod host_paths;
 mod host_roster;
+mod list_walk;
 mod peer_load;
 mod placement;
 mod plain_name;
@@ -109,6 +111,7 @@
 };
 pub use host_paths::{HostPaths, PathNotice, PathSign};
 pub use host_roster::{HOST_TTL, HostPosition, HostRoster};
+pub use list_walk::{ListStep, ListWalk};
 pub use peer_load::{HostReport, InFlightLoad, PeerLoads, UpstreamDigest};
 pub use placement::{DecodeChoice, Placement, PlacementLimits, PrefilledRequest};
 pub use plain_name::is_plain_name;
--- a/crates/policy/tests/all/dispatch/mod.rs
+++ b/crates/policy/tests/all/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod held_bytes;
 mod host_paths;
 mod kv_room;
+mod list_walk;
 mod peer_loads;
 mod placement;
 mod rate_sizes;
