Take a list that isn't whole for the part that it is

What callers saw: with one object without a readable name, alone on its page, a process that started refused everything, and a running one that read the list again (after a 410 or a restore) dropped all upstreams behind it and refused everything. With such an object in a kind of the system's own, or beside the configuration, a process wasn't ready.

Change: a list says whether it is whole. Of the upstreams, the part that can be read is used, known ones that it doesn't show stay and their entries are read one by one (at most 50, a removed one goes), the watch goes on from it, and the list is read again after 5 to 80 seconds. A host that has found no upstream isn't ready. The configuration is read by its name if the list lacks it. Versions count as incomplete; quarantines and streams are taken as far as they can be read. Sums of usage and the number of hosts need the whole list, since they would be too low. Gaps are logged when they change.

--- a/crates/gateway/src/duty/usage.rs
+++ b/crates/gateway/src/duty/usage.rs
@@ -214,9 +214,14 @@
     state: &GatewayState,
     read: ReadConsistency,
 ) -> Result<Vec<PublishedCounts>, StoreError> {
-    let (objects, _) = state.store.list(COUNTS_KIND, read).await?;
+    let list = state.store.list(COUNTS_KIND, read).await?;
+    if !list.is_whole {
+        // A sum without the counts of a host would be too low.
+        let detail = "the counts of a host may be missing from the list".to_owned();
+        return Err(StoreError::Malformed(detail));
+    }
     let mut published = Vec::new();
-    for object in objects {
+    for object in list.objects {
         match HostCounts::deserialize(&object.contents) {
             Ok(counts) => published.push(PublishedCounts {
                 host: object.name,
--- a/crates/gateway/src/quarantine_store.rs
+++ b/crates/gateway/src/quarantine_store.rs
@@ -73,16 +73,17 @@
     }
 }
 
-/// Reads the quarantines and puts them into force; returns the suspects.
+/// Reads the quarantines and puts them into force; returns the suspects. One that can't be
+/// listed is put into force again by the crashes that it causes.
 pub(crate) async fn restore(state: &GatewayState) -> Result<Vec<SuspectKey>, StoreError> {
-    let (objects, _) = state
+    let list = state
         .store
         .list(QUARANTINE_KIND, ReadConsistency::Linearizable)
         .await?;
     let now = clock::now();
     let unix_ms = unix_ms(state);
     let mut suspects = Vec::new();
-    for object in objects {
+    for object in list.objects {
         if let Some(stored) = decode(object) {
             let mut quarantine = state.crash_quarantine.borrow_mut();
             quarantine.restore(now, stored.key, stored.restored(unix_ms));
--- a/crates/gateway/src/run/version.rs
+++ b/crates/gateway/src/run/version.rs
@@ -5,7 +5,7 @@
 use crate::reply::Refusal;
 use crate::state::GatewayState;
 use crate::version_store;
-use crate::watcher::confirm_versions;
+use crate::watcher::confirm_entries;
 use lagoonlift_policy::UpstreamKey;
 use lagoonlift_policy::dispatch::{
     RefusalCause, RequiredVersion, StreamKey, StreamLifetime, StreamNotice, VersionDigest,
@@ -169,7 +169,7 @@
             }
         };
         if !doubtful.is_empty() {
-            confirm_versions(&self.state, &doubtful, LOOKUP_TIME).await;
+            confirm_entries(&self.state, &doubtful, LOOKUP_TIME).await;
         }
     }
 
@@ -286,7 +286,7 @@
         if is_proven(state, upstream, version) {
             return true;
         }
-        confirm_versions(state, &[upstream], LOOKUP_TIME).await;
+        confirm_entries(state, &[upstream], LOOKUP_TIME).await;
     }
     is_proven(state, upstream, version)
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,8 +11,10 @@
 };
 use lagoonlift_policy::dispatch::{EraChange, ListStep, ListWalk, StoreEra};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Timeout of a call.
@@ -45,6 +47,17 @@
     }
 }
 
+/// The objects of a kind.
+#[derive(Clone, Debug)]
+pub(crate) struct ObjectList {
+    /// Objects whose names can be read, each once.
+    pub(crate) objects: Vec<StoreObject>,
+    /// Position of the first page.
+    pub(crate) position: WatchPosition,
+    /// Whether all objects were shown. If not, one that is missing may exist.
+    pub(crate) is_whole: bool,
+}
+
 /// Makes calls to the store; clones share the connection pool.
 ///
 /// A call during which the store turns out to have been restored from a copy fails
@@ -55,6 +68,9 @@
     calls: StoreCalls,
     pool: ConnectionPool,
     era: EraMonitor,
+    /// Gaps of the latest list of each kind that had some: objects without a readable name, and
+    /// whether all others were shown.
+    gaps: Rc<RefCell<HashMap<String, (usize, bool)>>>,
 }
 
 impl StoreClient {
@@ -64,6 +80,7 @@
             calls: StoreCalls::new(address),
             pool,
             era: EraMonitor::new(),
+            gaps: Rc::default(),
         }
     }
 
@@ -73,12 +90,12 @@
     }
 
     /// Reads all objects of a kind, page by page. Those whose names can't be read are left
-    /// out. The position is that of the first page.
+    /// out.
     pub(crate) async fn list(
         &self,
         kind: &str,
         read: ReadConsistency,
-    ) -> Result<(Vec<StoreObject>, WatchPosition), StoreError> {
+    ) -> Result<ObjectList, StoreError> {
         let mut list = CollectedList::default();
         let mut after: Option<String> = None;
         loop {
@@ -91,7 +108,10 @@
             };
             match step {
                 ListStep::PageAfter(place) => after = Some(place),
-                ListStep::End { is_whole } => return list.into_objects(kind, is_whole),
+                ListStep::End { is_whole } => {
+                    self.log_gaps(kind, list.unreadable, is_whole);
+                    return list.finish(is_whole);
+                }
             }
         }
     }
@@ -152,6 +172,21 @@
         decode_removal(response.status, &response.body)
     }
 
+    /// Logs the gaps of a list unless they are those of the latest one.
+    fn log_gaps(&self, kind: &str, unreadable: usize, is_whole: bool) {
+        let gaps = (unreadable, is_whole);
+        let mut logged = self.gaps.borrow_mut();
+        let latest = logged.insert(kind.to_owned(), gaps);
+        if gaps != latest.unwrap_or((0, true)) {
+            tracing::warn!(
+                kind,
+                unreadable,
+                is_whole,
+                "objects whose names can't be read are left out of the list"
+            );
+        }
+    }
+
     async fn page(
         &self,
         kind: &str,
@@ -245,17 +280,14 @@
         Ok(step)
     }
 
-    fn into_objects(
-        self,
-        kind: &str,
-        is_whole: bool,
-    ) -> Result<(Vec<StoreObject>, WatchPosition), StoreError> {
-        log_unreadable(kind, self.unreadable);
+    fn finish(self, is_whole: bool) -> Result<ObjectList, StoreError> {
         match self.position {
-            Some(position) if is_whole => Ok((self.objects.into_values().collect(), position)),
-            _ => Err(StoreError::Malformed(
-                "the list shows no place from which it goes on".to_owned(),
-            )),
+            Some(position) => Ok(ObjectList {
+                objects: self.objects.into_values().collect(),
+                position,
+                is_whole,
+            }),
+            None => Err(StoreError::Malformed("the list has no page".to_owned())),
         }
     }
 }
--- a/crates/gateway/src/stream_store.rs
+++ b/crates/gateway/src/stream_store.rs
@@ -45,11 +45,11 @@
 /// Reads the objects. Returns the names of those that are outdated.
 async fn restore(state: &GatewayState) -> Result<Vec<String>, StoreError> {
     let read = ReadConsistency::Linearizable;
-    let (objects, _) = state.store.list(STREAMS_KIND, read).await?;
+    let list = state.store.list(STREAMS_KIND, read).await?;
     let (now, unix_ms) = (clock::now(), unix_ms(state));
     let mut outdated = Vec::new();
     let mut streams = 0;
-    for object in objects {
+    for object in list.objects {
         let name = object.name.clone();
         let batch = decode(object).filter(|batch| !batch.is_outdated(unix_ms));
         let Some(batch) = batch else {
--- a/crates/gateway/src/version_store.rs
+++ b/crates/gateway/src/version_store.rs
@@ -140,18 +140,19 @@
 async fn load(state: &GatewayState) -> Result<(), StoreError> {
     StoreGate::wait_until_open(state).await;
     let read = ReadConsistency::Linearizable;
-    let (objects, position) = state.store.list(VERSIONS_KIND, read).await?;
-    let count = objects.len();
-    let records: Vec<(u64, VersionRecord)> = objects
+    let list = state.store.list(VERSIONS_KIND, read).await?;
+    let count = list.objects.len();
+    let records: Vec<(u64, VersionRecord)> = list
+        .objects
         .into_iter()
         .filter_map(|object| Some((object.revision.0, decode(object)?)))
         .collect();
     state.served_versions.borrow_mut().load(
         clock::now(),
         unix_ms(state),
-        position.era,
+        list.position.era,
         &records,
-        records.len() < count,
+        records.len() < count || !list.is_whole,
     );
     observe(state);
     tracing::info!(records = records.len(), "versions that have served read");
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -13,7 +13,7 @@
 mod upstreams;
 
 pub(crate) use config::{follow_config, renew_confirmation};
-pub(crate) use upstreams::{confirm_versions, follow_upstreams, list_upstreams};
+pub(crate) use upstreams::{confirm_entries, follow_upstreams, list_upstreams};
 
 use crate::clock;
 use crate::state::GatewayState;
--- a/crates/gateway/src/watcher/config.rs
+++ b/crates/gateway/src/watcher/config.rs
@@ -141,17 +141,18 @@
 }
 
 async fn list_config(state: &GatewayState) -> Result<WatchPosition, StoreError> {
-    let (objects, position) = state
-        .store
-        .list(CONFIG_KIND, ReadConsistency::Linearizable)
-        .await?;
-    if !objects.iter().any(|object| object.name == CONFIG_NAME) {
-        state.freshness.borrow_mut().record_absence();
-    }
-    for object in &objects {
-        apply_config(state, object);
+    let read = ReadConsistency::Linearizable;
+    let list = state.store.list(CONFIG_KIND, read).await?;
+    let mut objects = list.objects.into_iter();
+    let config = match objects.find(|object| object.name == CONFIG_NAME) {
+        None if !list.is_whole => state.store.read(CONFIG_KIND, CONFIG_NAME, read).await?,
+        config => config,
+    };
+    match config {
+        Some(object) => apply_config(state, &object),
+        None => state.freshness.borrow_mut().record_absence(),
     }
-    Ok(position)
+    Ok(list.position)
 }
 
 /// Waits for changes of the configuration. A stale watch may return them late; the
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -3,7 +3,7 @@
 use super::{back_off_after, pause_if_immediate, record_failure, watch_consistency};
 use crate::clock;
 use crate::state::GatewayState;
-use crate::store::WatchPosition;
+use crate::store::{ObjectList, WatchPosition};
 use crate::store_gate::StoreGate;
 use crate::version_store;
 use lagoonlift_adapter::listing::{UPSTREAM_KIND, decode_upstream};
@@ -14,6 +14,7 @@
     EngineRole, ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId, UpstreamRecord,
 };
 use lagoonlift_policy::{Timestamp, UpstreamKey};
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -36,16 +37,57 @@
 /// The same delay with many hosts, each of which makes the call.
 const MANY_HOSTS_COALESCE_DELAY: Duration = Duration::from_millis(700);
 
+/// Range of the delay before the list is read again when a part of it couldn't be read. The
+/// delay doubles each time.
+const RELIST_DELAYS: RangeInclusive<Duration> = Duration::from_secs(5)..=Duration::from_secs(80);
+
+/// Longest wait until the entries are read of upstreams that a list doesn't show.
+const CONFIRMATION_LIMIT: Duration = Duration::from_secs(1);
+
+/// Largest number of entries that are read one by one at a time.
+const MAX_CONFIRMATIONS: usize = 50;
+
+/// When to read the list again of which a part couldn't be read.
+#[derive(Default)]
+struct Relisting {
+    due: Option<Timestamp>,
+    delay: Duration,
+}
+
+impl Relisting {
+    fn is_due(&self, now: Timestamp) -> bool {
+        self.due.is_some_and(|due| due <= now)
+    }
+
+    /// Records that the list was read.
+    fn record_list(&mut self, now: Timestamp, is_whole: bool) {
+        let (shortest, longest) = RELIST_DELAYS.into_inner();
+        self.delay = match is_whole {
+            true => Duration::ZERO,
+            false => (self.delay * 2).clamp(shortest, longest),
+        };
+        self.due = (!is_whole).then(|| now + self.delay);
+    }
+}
+
 /// Watches the list of upstreams until the process ends.
 pub(crate) async fn follow_upstreams(state: Rc<GatewayState>) {
     let mut position = None;
+    let mut relisting = Relisting::default();
     loop {
         let pass = StoreGate::enter(&state).await;
-        if pass.is_probe() {
+        if pass.is_probe() || relisting.is_due(clock::now()) {
             position = None;
         }
         let result = match position {
-            None => list_upstreams(&state).await,
+            None => match list_upstreams(&state).await {
+                Ok(listed) => {
+                    relisting.record_list(clock::now(), listed.is_whole);
+                    confirm_entries(&state, &listed.unseen, CONFIRMATION_LIMIT).await;
+                    Ok(listed.position)
+                }
+                Err(error) => Err(error),
+            },
             Some(position) => watch_upstreams(&state, position).await,
         };
         pass.record(&result);
@@ -78,10 +120,22 @@
     table.record_store_available(now, available_since);
 }
 
+/// What a list of the upstreams has shown.
+pub(crate) struct ListedUpstreams {
+    position: WatchPosition,
+    is_whole: bool,
+    /// Known upstreams that a list which isn't whole doesn't show. They may have left.
+    unseen: Vec<UpstreamKey>,
+}
+
 /// Reads the whole list and applies it.
-pub(crate) async fn list_upstreams(state: &GatewayState) -> Result<WatchPosition, StoreError> {
+pub(crate) async fn list_upstreams(state: &GatewayState) -> Result<ListedUpstreams, StoreError> {
     let started = clock::now();
-    let (objects, position) = state
+    let ObjectList {
+        objects,
+        position,
+        is_whole,
+    } = state
         .store
         .list(UPSTREAM_KIND, ReadConsistency::Linearizable)
         .await?;
@@ -91,13 +145,21 @@
         log_if_odd(object, record.as_ref());
         record
     });
-    let records = records.collect();
-    let removed = {
+    let records: Vec<UpstreamRecord> = records.collect();
+    let (removed, unseen) = {
         record_store_available(state, now);
         let mut table = state.table.borrow_mut();
-        let removed = table.apply_list(now, records);
-        table.record_shown(started);
-        removed
+        match is_whole {
+            true => {
+                let removed = table.apply_list(now, records);
+                table.record_shown(started);
+                (removed, Vec::new())
+            }
+            false => {
+                let unseen = table.missing_from(&records);
+                (table.apply_partial_list(now, records), unseen)
+            }
+        }
     };
     version_store::observe(state);
     state.close_idle_connections(&removed);
@@ -105,9 +167,14 @@
     tracing::info!(
         upstreams = objects.len(),
         gone = removed.len(),
+        is_whole,
         "upstreams listed"
     );
-    Ok(position)
+    Ok(ListedUpstreams {
+        position,
+        is_whole,
+        unseen,
+    })
 }
 
 async fn watch_upstreams(
@@ -161,9 +228,9 @@
     tracing::info!(revision, "the watch of the upstreams is behind");
 }
 
-/// Reads the entries of upstreams again whose versions are doubtful, and waits for that up to
-/// `limit`. Does nothing while the store doesn't respond.
-pub(crate) async fn confirm_versions(
+/// Reads the entries of upstreams one by one, whose versions are doubtful or that a list doesn't
+/// show, and waits for that up to `limit`. Does nothing while the store doesn't respond.
+pub(crate) async fn confirm_entries(
     state: &Rc<GatewayState>,
     upstreams: &[UpstreamKey],
     limit: Duration,
@@ -171,9 +238,9 @@
     if !state.store_gate.is_open() {
         return;
     }
-    for key in upstreams {
+    for key in upstreams.iter().take(MAX_CONFIRMATIONS) {
         if state.confirming.borrow_mut().insert(*key) {
-            spawn_local(confirm_version(Rc::clone(state), *key));
+            spawn_local(confirm_entry(Rc::clone(state), *key));
         }
     }
     let is_open = || {
@@ -186,11 +253,11 @@
         }
     };
     if timeout(limit, all).await.is_err() {
-        tracing::info!("the entries of upstreams with doubtful versions aren't read in time");
+        tracing::info!("the entries of upstreams that are doubtful aren't read in time");
     }
 }
 
-async fn confirm_version(state: Rc<GatewayState>, key: UpstreamKey) {
+async fn confirm_entry(state: Rc<GatewayState>, key: UpstreamKey) {
     let id = {
         let table = state.table.borrow();
         table.get(key).map(|one| one.record.id.clone())
--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -54,7 +54,8 @@
         Self::default()
     }
 
-    /// Returns whether the list of upstreams has been read from the store.
+    /// Returns whether the list of upstreams has been read from the store, or the part of it
+    /// that can be read has some.
     pub fn is_loaded(&self) -> bool {
         self.is_loaded
     }
@@ -366,6 +367,28 @@
         removed
     }
 
+    /// Returns the upstreams that have none of these records.
+    pub fn missing_from(&self, records: &[UpstreamRecord]) -> Vec<UpstreamKey> {
+        let has_record = |id: &UpstreamId| records.iter().any(|record| record.id == *id);
+        let missing = self.by_id.iter().filter(|(id, _)| !has_record(id));
+        missing.map(|(_, key)| *key).collect()
+    }
+
+    /// Applies the records of a list that may lack some that exist. The upstreams without
+    /// one stay. Returns the keys of incarnations that others have replaced.
+    pub fn apply_partial_list(
+        &mut self,
+        now: Timestamp,
+        records: Vec<UpstreamRecord>,
+    ) -> Vec<UpstreamKey> {
+        // A host that has found no upstream doesn't know that there is none.
+        self.is_loaded |= !records.is_empty();
+        let changes = records.into_iter().map(ListChange::Present);
+        changes
+            .filter_map(|change| self.apply(now, change))
+            .collect()
+    }
+
     /// Applies one change and returns the key of the upstream that was removed by
     /// it, if any.
     pub fn apply(&mut self, now: Timestamp, change: ListChange) -> Option<UpstreamKey> {
--- a/crates/policy/tests/all/dispatch/upstreams.rs
+++ b/crates/policy/tests/all/dispatch/upstreams.rs
@@ -42,6 +42,22 @@
     assert_eq!(usable(&table, 7_001), 2);
 }
 
+/// Guards against upstreams that are dropped because a list doesn't show them that isn't whole, and
+/// against a host that takes an empty part for a fleet without upstreams.
+#[test]
+fn part_of_a_list_removes_no_upstreams() {
+    let mut table = three_engines();
+    let records = vec![engine(0, EngineRole::Decode), engine(3, EngineRole::Decode)];
+    assert_eq!(table.missing_from(&records).len(), 2);
+    assert!(table.apply_partial_list(at_ms(10), records).is_empty());
+    assert_eq!(usable(&table, 10), 4);
+    let mut table = UpstreamTable::new();
+    table.apply_partial_list(at_ms(0), Vec::new());
+    assert!(!table.is_loaded());
+    table.apply_partial_list(at_ms(10), vec![engine(0, EngineRole::Decode)]);
+    assert!(table.is_loaded());
+}
+
 /// An outage must not retain an upstream that was draining before.
 #[test]
 fn draining_upstream_is_not_used_after_an_outage() {
