Log an odd entry once a revision, and no more of its name than a line bears

What operators saw: a warning for each odd entry each time the list was read, with the whole name, of up to a megabyte.

Cause: the line was written wherever the entry was decoded.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::store::StoreClient;
 use crate::store_gate::StoreGate;
 use crate::version_store;
+use crate::watcher::OddEntries;
 use lagoonlift_adapter::rules::UpstreamRules;
 use lagoonlift_policy::dispatch::{
     ConfigConfirmation, ConfigFreshness, CrashQuarantine, HeldLimits, HostPaths, HostRoster,
@@ -108,6 +109,8 @@
     pub(crate) quota_state: QuotaState,
     /// Revision of the latest configuration that couldn't be decoded; 0 if there was none.
     pub(crate) malformed_config: Cell<u64>,
+    /// Entries of the list that name no upstream.
+    pub(crate) odd_entries: RefCell<OddEntries>,
     pub(crate) config: RefCell<Option<Rc<ServingConfig>>>,
     pub(crate) freshness: RefCell<ConfigFreshness>,
     /// Notified when a peer has a newer configuration.
@@ -187,6 +190,7 @@
                 clock::now(),
             )),
             malformed_config: Cell::new(0),
+            odd_entries: RefCell::default(),
             quota_state: QuotaState::new(settings.listen.peers, incarnation_id, &settings.bounds),
             freshness: RefCell::new(ConfigFreshness::new(limits)),
             usage: RefCell::new(UsageCounts::new(window_us)),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -10,9 +10,11 @@
 //! that they don't all list at once.
 
 mod config;
+mod odd_entries;
 mod upstreams;
 
 pub(crate) use config::{follow_config, renew_confirmation};
+pub(crate) use odd_entries::OddEntries;
 pub(crate) use upstreams::{confirm_entries, follow_upstreams, list_upstreams};
 
 use crate::clock;
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -1,5 +1,6 @@
 //! Watches the list of upstreams.
 
+use super::odd_entries::shown_name;
 use super::{back_off_after, pause_if_immediate, record_failure, watch_consistency};
 use crate::clock;
 use crate::state::GatewayState;
@@ -7,9 +8,7 @@
 use crate::store_gate::StoreGate;
 use crate::version_store;
 use lagoonlift_adapter::listing::{UPSTREAM_KIND, decode_upstream};
-use lagoonlift_adapter::store::{
-    ChangePage, ObjectChange, ReadConsistency, StoreError, StoreObject,
-};
+use lagoonlift_adapter::store::{ChangePage, ObjectChange, ReadConsistency, StoreError};
 use lagoonlift_policy::dispatch::{
     EngineRole, ListChange, MIN_HOSTS_FOR_SHARED_READS, StoreStatus, UpstreamId, UpstreamRecord,
 };
@@ -142,7 +141,9 @@
     let now = clock::now();
     let records = objects.iter().filter_map(|object| {
         let record = decode_upstream(object);
-        log_if_odd(object, record.as_ref());
+        if record.is_none() {
+            state.odd_entries.borrow_mut().log(object);
+        }
         record
     });
     let records: Vec<UpstreamRecord> = records.collect();
@@ -309,23 +310,23 @@
 fn apply_changes(state: &GatewayState, now: Timestamp, page: &ChangePage) {
     for change in &page.changes {
         let list_change = decode_change(change);
-        log_change(change, &list_change);
+        log_change(state, change, &list_change);
         let removed = state.table.borrow_mut().apply(now, list_change);
         state.close_idle_connections(removed.as_slice());
     }
     version_store::observe(state);
 }
 
-fn log_change(change: &ObjectChange, list_change: &ListChange) {
+fn log_change(state: &GatewayState, change: &ObjectChange, list_change: &ListChange) {
     let record = match list_change {
         ListChange::Present(record) => Some(record),
         ListChange::Removed(_) => None,
     };
-    if !change.is_removed {
-        log_if_odd(&change.object, record);
+    if record.is_none() && !change.is_removed {
+        state.odd_entries.borrow_mut().log(&change.object);
     }
     tracing::info!(
-        upstream = change.object.name,
+        upstream = shown_name(&change.object.name),
         revision = change.object.revision.0,
         is_removed = change.is_removed,
         service = record.map(|record| record.service.as_str()),
@@ -353,15 +354,3 @@
         None => ListChange::Removed(UpstreamId(change.object.name.clone())),
     }
 }
-
-/// Logs a record that names no upstream though it is there.
-fn log_if_odd(object: &StoreObject, record: Option<&UpstreamRecord>) {
-    if record.is_none() {
-        tracing::warn!(
-            upstream = object.name,
-            revision = object.revision.0,
-            error = object.content_error,
-            "the entry names no upstream to use"
-        );
-    }
-}
