Take no answer for whole that ended while the request was being written

What callers saw: an upstream answered a long upload at once with a 200 without a length, wrote a part of its body, and ended its sending side. The caller got that part as a complete answer.

Cause: a body without a length ends with its connection, and the end of the upstream's side looks like the end of the body. Nothing compared it with the request, of which the upstream can't have read what wasn't written yet.

Change: `RequestProgress` counts what the connection has taken of the request in flight. An end of the upstream's side before that is all of it is an error of the connection, so the body is cut off: 502, another try where it may run again, or a stream that ends visibly incomplete. An answer with a length is whole by its length, as before. What the kernel has taken counts as written: an upload that fits its buffers can't be told from one that was read.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::exchange::{CarriedExchanges, Exchange};
 use crate::interim::{GuardedStream, InterimCount};
+use crate::request_progress::RequestProgress;
 use crate::socket_options::set_service_options;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -87,6 +88,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     interim_count: InterimCount,
+    progress: RequestProgress,
     idle_until: Timestamp,
     /// Set on connections to upstreams.
     guard: Option<OpenGuard>,
@@ -300,6 +302,7 @@
         request: Request<Bytes>,
     ) -> Result<Response<Incoming>, CallError> {
         self.connection.carried.record(self.exchange);
+        self.connection.progress.begin(request.body().len());
         let mut request = request.map(Full::new);
         let interim_count = self.connection.interim_count.clone();
         interim_count.reset();
@@ -413,7 +416,8 @@
         .map_err(|error| not_sent(error.to_string()))?;
     set_service_options(&stream);
     let interim_count = InterimCount::default();
-    let stream = GuardedStream::new(stream, interim_count.clone());
+    let progress = RequestProgress::default();
+    let stream = GuardedStream::new(stream, interim_count.clone(), progress.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEAD_LINES)
@@ -431,6 +435,7 @@
         sender,
         driver: driver.abort_handle(),
         interim_count,
+        progress,
         idle_until: Timestamp::default(),
         guard: None,
     })
--- a/crates/gateway/src/interim.rs
+++ b/crates/gateway/src/interim.rs
@@ -1,7 +1,8 @@
-//! Limits the interim responses (1xx) that an upstream sends before the head of its
-//! response. Without a limit, a server that sends them without end keeps the thread
+//! Guards the connection to an upstream. It limits the interim responses (1xx) that an upstream
+//! sends before the head of its response, and tells an end within a request from one after it. Without a limit, a server that sends them without end keeps the thread
 //! busy, since hyper reads over them.
 
+use crate::request_progress::RequestProgress;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::io;
@@ -40,19 +41,27 @@
     }
 }
 
-/// A TCP stream from which reading fails after too many interim responses.
+/// A TCP stream from which reading fails after too many interim responses, and at an end
+/// within a request.
 #[derive(Debug)]
 pub(crate) struct GuardedStream {
     stream: TokioIo<TcpStream>,
     interim_count: InterimCount,
+    progress: RequestProgress,
 }
 
 impl GuardedStream {
-    /// Returns a stream that fails once `interim_count` is too high.
-    pub(crate) fn new(stream: TcpStream, interim_count: InterimCount) -> Self {
+    /// Returns a stream that fails once `interim_count` is too high, or when it ends while
+    /// the request whose `progress` it records is unfinished.
+    pub(crate) fn new(
+        stream: TcpStream,
+        interim_count: InterimCount,
+        progress: RequestProgress,
+    ) -> Self {
         Self {
             stream: TokioIo::new(stream),
             interim_count,
+            progress,
         }
     }
 }
@@ -70,6 +79,10 @@
         let length = part.len().min(buffer.remaining());
         let mut part = ReadBuf::uninit(&mut part[..length]);
         ready!(Pin::new(self.stream.inner_mut()).poll_read(context, &mut part))?;
+        if part.filled().is_empty() && length > 0 && self.progress.is_unfinished() {
+            let detail = "the connection ended before the request was written";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::UnexpectedEof, detail)));
+        }
         buffer.put_slice(part.filled());
         Poll::Ready(Ok(()))
     }
@@ -81,7 +94,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.progress.record_written(&bytes[..written]);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -101,6 +116,13 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices))?;
+        let mut left = written;
+        for slice in slices {
+            let taken = left.min(slice.len());
+            self.progress.record_written(&slice[..taken]);
+            left -= taken;
+        }
+        Poll::Ready(Ok(written))
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod relay;
 mod reload;
 mod reply;
+mod request_progress;
 mod run;
 mod send;
 mod server;
