--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -17,6 +17,7 @@
 mod report;
 mod service;
 mod stream;
+mod upload;
 
 pub use connection::{ConnectionUse, UpstreamConnections};
 pub use engine::{ATTEMPT_HEADER, ChatCall, EngineClient, PRIORITY_HEADER, REQUEST_HEADER};
--- a/crates/upstreams/src/service.rs
+++ b/crates/upstreams/src/service.rs
@@ -4,10 +4,11 @@
 use crate::connection::{ConnectionUse, UpstreamConnections};
 use crate::engine::{ATTEMPT_HEADER, REQUEST_HEADER};
 use crate::error::{SendError, format_with_causes};
+use crate::upload::{UploadBody, UploadProgress};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, StatusCode, header};
 use lagoonlift_types::RequestId;
-use reqwest::Response;
+use reqwest::{Body, Response};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -57,6 +58,7 @@
 #[derive(Debug)]
 pub struct ServiceResponse {
     response: Response,
+    upload: UploadProgress,
 }
 
 /// HTTP client of one plain service.
@@ -89,16 +91,17 @@
     /// request.
     pub async fn send(&self, call: ServiceCall) -> Result<ServiceResponse, SendError> {
         let client = self.connections.client(call.connection);
+        let (body, upload) = UploadBody::new(call.body);
         let request = client
             .request(call.method, self.connections.url(&call.path))
             .headers(forwarded_headers(call.headers))
             .header(REQUEST_HEADER, call.request.to_string())
             .header(ATTEMPT_HEADER, call.attempt.to_string())
-            .body(call.body);
+            .body(Body::wrap(body));
         let response = timeout(call.header_timeout, request.send())
             .await
             .map_err(|_| SendError::Timeout(call.header_timeout))??;
-        Ok(ServiceResponse { response })
+        Ok(ServiceResponse { response, upload })
     }
 }
 
@@ -123,7 +126,23 @@
         let part = timeout(max_wait, self.response.chunk())
             .await
             .map_err(|_| StreamError::Timeout(max_wait))?;
-        part.map_err(|error| StreamError::Interrupted(format_with_causes(&error)))
+        match part {
+            Ok(None) if !self.is_framed() && self.upload.is_unfinished() => {
+                let detail = "the connection ended before the request was written";
+                Err(StreamError::Interrupted(detail.to_owned()))
+            }
+            Ok(part) => Ok(part),
+            Err(error) => Err(StreamError::Interrupted(format_with_causes(&error))),
+        }
+    }
+
+    /// Returns whether the response states its end by a length or chunks, or has no body.
+    fn is_framed(&self) -> bool {
+        let has_chunks = self
+            .response
+            .headers()
+            .contains_key(header::TRANSFER_ENCODING);
+        has_chunks || self.response.content_length().is_some()
     }
 }
 
--- a/crates/upstreams/tests/all/main.rs
+++ b/crates/upstreams/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod decoder;
 mod endless;
+mod odd_answers;
