Own interface: one odd object holds up no orders for upstreams

What operators saw: with one malformed object among the requests for upstreams, or among the recorded orders, no order was sent any more. A request whose name holds `#` or `?` would have been recorded and deleted under another name: the key went into a target as it was.

Cause: each object of the list was decoded on the way, and the first error ended the round; the last part of a key, which any writer chooses, was taken for an identifier.

Change: an object that can't be decoded, or whose name isn't plain, is left alone with a log line; a recorded order counts only under its own identifier.

Result: `an_odd_object_keeps_no_orders_from_being_sent` failed (no order within the timeout) and passes. `an_odd_object_beside_the_configuration_hides_it_from_nobody` held before.

--- a/crates/steward/src/purchases.rs
+++ b/crates/steward/src/purchases.rs
@@ -11,7 +11,9 @@
 use crate::lease::Authority;
 use lagoonlift_platform::wire::{SupplyChange, UpstreamOrder};
 use lagoonlift_platform::{PlatformClient, PlatformError, Version, VersionedObject};
+use lagoonlift_policy::dispatch::is_plain_name;
 use lagoonlift_types::{Configuration, DataCentreName, Epoch};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -139,20 +141,22 @@
         let prefix = PurchaseRecord::prefix(&self.context.data_centre);
         let mut purchased_count = 0;
         for object in client.list(&prefix).await?.objects {
-            let record: PurchaseRecord = object.parse()?;
+            let record = match read_object::<PurchaseRecord>(&object, &prefix) {
+                Some((id, record)) if record.order.id == id => record,
+                _ => continue,
+            };
             purchased_count += record.count_change();
             self.send_purchase(epoch, record, object.version).await?;
         }
         let prefix = PurchaseRequest::prefix(&self.context.data_centre);
         let requests = client.list(&prefix).await?;
         for object in requests.objects {
-            let id = object
-                .key
-                .strip_prefix(&prefix)
-                .unwrap_or_default()
-                .to_owned();
+            let Some((id, request)) = read_object(&object, &prefix) else {
+                continue;
+            };
+            let version = object.version;
             purchased_count += self
-                .process_request(epoch, &id, object, purchased_count)
+                .process_request(epoch, id, request, version, purchased_count)
                 .await?;
         }
         client
@@ -168,10 +172,10 @@
         &self,
         epoch: Epoch,
         id: &str,
-        object: VersionedObject,
+        request: PurchaseRequest,
+        version: Version,
         purchased_count: i64,
     ) -> Result<i64, Interruption> {
-        let request: PurchaseRequest = object.parse()?;
         let order = UpstreamOrder {
             change: request.change,
             data_centre: self.context.data_centre.to_string(),
@@ -200,12 +204,8 @@
             Err(PlatformError::Conflict { .. }) => 0,
             Err(error) => return Err(error.into()),
         };
-        match self
-            .context
-            .client
-            .delete(&object.key, object.version)
-            .await
-        {
+        let key = PurchaseRequest::key(&self.context.data_centre, id);
+        match self.context.client.delete(&key, version).await {
             Ok(()) | Err(PlatformError::Conflict { .. }) => Ok(change),
             Err(error) => Err(error.into()),
         }
@@ -256,3 +256,24 @@
         capacity.map_or(0, |capacity| i64::from(capacity.order_limit))
     }
 }
+
+/// Returns the identifier and the value of an object, or `None`, with a log line, if another
+/// writer left it: calls name objects by their identifiers.
+fn read_object<'a, T: DeserializeOwned>(
+    object: &'a VersionedObject,
+    prefix: &str,
+) -> Option<(&'a str, T)> {
+    let id = object.key.strip_prefix(prefix);
+    match (id.filter(|id| is_plain_name(id)), object.parse()) {
+        (Some(id), Ok(value)) => Some((id, value)),
+        (id, value) => {
+            tracing::warn!(
+                key = object.key,
+                has_plain_name = id.is_some(),
+                error = value.err().map(|error| error.to_string()),
+                "ignored a malformed object about purchases"
+            );
+            None
+        }
+    }
+}
--- a/crates/steward/tests/all/configuration.rs
+++ b/crates/steward/tests/all/configuration.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{self, HANG_TIMEOUT, settings, start_platform, start_steward, wait_until};
 use lagoonlift_standins::platform::PlatformStandin;
-use lagoonlift_types::{DataCentreCapacity, DataCentreName, Revision};
+use lagoonlift_types::{DataCentreCapacity, DataCentreName, Manifest, Revision};
+use serde_json::json;
 use tokio::time::timeout;
 
 fn publish(platform: &PlatformStandin, revision: u64, order_limit: u32) {
@@ -13,6 +14,20 @@
     support::publish(platform, revision, capacity);
 }
 
+/// Guards against an object beside the configuration, with a key that begins like its, that keeps
+/// every process from reading it.
+#[tokio::test]
+async fn an_odd_object_beside_the_configuration_hides_it_from_nobody() {
+    let platform = start_platform().await;
+    platform.put_object(&format!("{}-odd", Manifest::KEY), json!(["odd"]));
+    publish(&platform, 1, 1);
+    let steward = start_steward(&settings("h1", platform.addr(), &[])).await;
+    let mut configurations = steward.configurations();
+    let first = configurations.wait_for(|c| c.revision == Revision(1));
+    let first = timeout(HANG_TIMEOUT, first).await.expect("no timeout");
+    first.expect("a running steward");
+}
+
 #[tokio::test]
 async fn an_accepted_change_comes_into_force() {
     let platform = start_platform().await;
--- a/crates/steward/tests/all/purchases.rs
+++ b/crates/steward/tests/all/purchases.rs
@@ -85,3 +85,30 @@
     wait_until(|| purchase_state(&platform, "p2") == "refused").await;
     assert_eq!(platform.upstream_orders().len(), 1);
 }
+
+/// Guards against an odd object of another writer that keeps all orders from being sent, or that
+/// is taken for another object because of its name.
+#[tokio::test]
+async fn an_odd_object_keeps_no_orders_from_being_sent() {
+    let platform = start_platform().await;
+    publish_limit(&platform, 4);
+    for name in ["a", "a#b", "a?b=c", "p1#", "..", "", "a b", "%70%31"] {
+        platform.put_object(&format!("purchases/dc1/{name}"), json!({ "odd": name }));
+        let key = format!("upstream-requests/dc1/{name}");
+        platform.put_object(&key, json!({ "odd": name }));
+    }
+    request_upstreams(&platform, "p2#odd", 1);
+    request_upstreams(&platform, "../p2", 1);
+    let _steward = start_steward(&settings("h1", platform.addr(), &[])).await;
+    request_upstreams(&platform, "p1", 1);
+    wait_until(|| purchase_state(&platform, "p1") == "accepted").await;
+    request_upstreams(&platform, "p3", 1);
+    wait_until(|| purchase_state(&platform, "p3") == "accepted").await;
+    let ids: Vec<Value> = platform
+        .upstream_orders()
+        .iter()
+        .map(|one| one["id"].clone())
+        .collect();
+    assert_eq!(ids, ["p1", "p3"]);
+    assert!(platform.object("upstream-requests/dc1/p2#odd").is_some());
+}
