--- a/crates/gateway/src/interim.rs
+++ b/crates/gateway/src/interim.rs
@@ -1,6 +1,9 @@
-//! Guards the connection to an upstream. It limits the interim responses (1xx) that an upstream
-//! sends before the head of its response, and tells an end within a request from one after it. Without a limit, a server that sends them without end keeps the thread
-//! busy, since hyper reads over them.
+//! Guards the connection to an upstream.
+//!
+//! It limits the interim responses (1xx) that an upstream sends before the head of its response.
+//! Without a limit, a server that sends them without end keeps the thread busy, since hyper reads
+//! over them. And it tells an end of the connection while a request is being written from one
+//! after that.
 
 use crate::request_progress::RequestProgress;
 use hyper::rt::{Read, ReadBufCursor, Write};
--- a/crates/gateway/src/watcher/upstreams.rs
+++ b/crates/gateway/src/watcher/upstreams.rs
@@ -43,8 +43,8 @@
 /// Longest wait until the entries are read of upstreams that a list doesn't show.
 const CONFIRMATION_LIMIT: Duration = Duration::from_secs(1);
 
-/// Largest number of entries that are read one by one at a time.
-const MAX_CONFIRMATIONS: usize = 50;
+/// Largest number of these entries that are read after one list.
+const MAX_UNSEEN_READS: usize = 50;
 
 /// When to read the list again of which a part couldn't be read.
 #[derive(Default)]
@@ -82,7 +82,8 @@
             None => match list_upstreams(&state).await {
                 Ok(listed) => {
                     relisting.record_list(clock::now(), listed.is_whole);
-                    confirm_entries(&state, &listed.unseen, CONFIRMATION_LIMIT).await;
+                    let unseen = listed.unseen.len().min(MAX_UNSEEN_READS);
+                    confirm_entries(&state, &listed.unseen[..unseen], CONFIRMATION_LIMIT).await;
                     Ok(listed.position)
                 }
                 Err(error) => Err(error),
@@ -239,7 +240,7 @@
     if !state.store_gate.is_open() {
         return;
     }
-    for key in upstreams.iter().take(MAX_CONFIRMATIONS) {
+    for key in upstreams {
         if state.confirming.borrow_mut().insert(*key) {
             spawn_local(confirm_entry(Rc::clone(state), *key));
         }
