--- a/crates/policy/src/dispatch/upstream/table.rs
+++ b/crates/policy/src/dispatch/upstream/table.rs
@@ -351,19 +351,16 @@
     /// removed.
     pub fn apply_list(&mut self, now: Timestamp, records: Vec<UpstreamRecord>) -> Vec<UpstreamKey> {
         self.is_loaded = true;
-        let mut removed = Vec::new();
-        let missing: Vec<UpstreamId> = self
-            .by_id
-            .keys()
-            .filter(|id| !records.iter().any(|record| record.id == **id))
-            .cloned()
+        let missing = self.missing_from(&records).into_iter();
+        let missing: Vec<UpstreamId> = missing
+            .filter_map(|key| self.entries.get(key))
+            .map(|upstream| upstream.record.id.clone())
             .collect();
-        for id in missing {
-            removed.extend(self.apply(now, ListChange::Removed(id)));
-        }
-        for record in records {
-            removed.extend(self.apply(now, ListChange::Present(record)));
-        }
+        let mut removed: Vec<UpstreamKey> = missing
+            .into_iter()
+            .filter_map(|id| self.apply(now, ListChange::Removed(id)))
+            .collect();
+        removed.extend(self.apply_partial_list(now, records));
         removed
     }
 
