Free the rest of an upload that has been answered already

Callers saw: 503 "the host holds too much for callers" for sound uploads, right after others whose upstream had answered whole before it had read the upload.

Cause: once such an answer had been read whole, its connection went back to the pool though the request was still being written on it. The rest of the request stayed in memory and counted as held until the upstream took it, closed, or the connection expired.

Fix: a connection whose request isn't written is closed in place of being kept. It couldn't have carried another request before the rest was written.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -318,8 +318,12 @@
 
     /// Returns the connection to the pool. The whole response must have been read.
     /// The server keeps the idle connection open for `idle_timeout`.
+    ///
+    /// A connection on which the request is still being written is closed: the server has
+    /// answered without the rest, which would stay in memory until it takes it.
     pub(crate) fn return_to_pool(self, idle_timeout: Option<Duration>) {
-        if self.connection.carried.has_room() {
+        let is_written = !self.connection.progress.is_unfinished();
+        if is_written && self.connection.carried.has_room() {
             self.pool
                 .keep_idle(self.endpoint, self.connection, idle_timeout);
         }
