Count what has been read of events that aren't complete

Callers saw: requests that end with their host.

Cause: an event counted as held only once it was complete. Until then up to 1 MiB of it (2 MiB of buffer) lay in the scanner of each stream, bounded for one stream and not for all of them.

Fix: the scanner's buffer counts from 16 KiB on, which a connection's other buffers take, too. Without room the stream's attempt ends, as it does for whole answers; that is the host's doing, so it's no sign against the upstream, its version or the prompt. The scanner removes complete events at once in place of splitting a shared buffer, so that its capacity is what it keeps, and gives memory back after a long one.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,6 +1,6 @@
 //! Splits an event stream into events, so that a truncated event isn't passed on.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use thiserror::Error;
 
 /// Delimiter at the end of an event.
@@ -18,10 +18,14 @@
 #[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
 pub(crate) struct EventTooLong;
 
+/// Capacity up to which the buffer of an incomplete event counts as one of the buffers that each
+/// connection has.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 /// Splits chunks of bytes into complete events and drops duplicates.
 #[derive(Debug, Default)]
 pub(crate) struct EventScanner {
-    pending: BytesMut,
+    pending: Vec<u8>,
     /// Number of bytes at the start of `pending` in which no delimiter starts.
     searched: usize,
     last_id: Option<u64>,
@@ -46,9 +50,17 @@
         !self.pending.is_empty()
     }
 
-    /// Discards the incomplete event at the end.
+    /// Returns the memory that an incomplete event takes beyond the usual buffer.
+    pub(crate) fn held_bytes(&self) -> usize {
+        match self.pending.capacity() {
+            0..=BUFFER_BYTES => 0,
+            capacity => capacity,
+        }
+    }
+
+    /// Discards the incomplete event at the end, and its memory.
     pub(crate) fn drop_partial(&mut self) {
-        self.pending.clear();
+        self.pending = Vec::new();
         self.searched = 0;
     }
 
@@ -57,48 +69,63 @@
     /// before it are returned first.
     ///
     /// The events are copied, so that what is held for a slow caller takes no more memory than
-    /// its bytes: a part of `pending` would keep the whole buffer, which isn't counted.
+    /// its bytes.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(event) = self.next_event() {
-            if self.accept(&event) {
-                events.extend_from_slice(&event);
+        let mut start = 0;
+        while let Some(end) = self.next_end(start) {
+            let event = &self.pending[start..end];
+            if accept(&mut self.last_id, event) {
+                events.extend_from_slice(event);
             }
+            start = end;
         }
+        self.remove(start);
         match events.is_empty() && self.pending.len() > MAX_EVENT_BYTES {
             true => Err(EventTooLong),
             false => Ok(Bytes::from(events.into_boxed_slice())),
         }
     }
 
-    /// Removes the next complete event. One that is too long isn't returned.
-    fn next_event(&mut self) -> Option<BytesMut> {
+    /// Returns the end of the event that starts at `start`, if it is complete and not too long.
+    fn next_end(&mut self, start: usize) -> Option<usize> {
         let unsearched = &self.pending[self.searched..];
-        match find(unsearched, EVENT_END).map(|start| self.searched + start + EVENT_END.len()) {
-            Some(end) if end <= MAX_EVENT_BYTES => {
-                self.searched = 0;
-                Some(self.pending.split_to(end))
+        match find(unsearched, EVENT_END).map(|at| self.searched + at + EVENT_END.len()) {
+            Some(end) if end - start <= MAX_EVENT_BYTES => {
+                self.searched = end;
+                Some(end)
             }
             Some(_) => None,
             None => {
                 let overlap = EVENT_END.len() - 1;
-                self.searched = self.pending.len().saturating_sub(overlap);
+                let searched = self.pending.len().saturating_sub(overlap);
+                self.searched = searched.max(start);
                 None
             }
         }
     }
 
-    fn accept(&mut self, event: &[u8]) -> bool {
-        let id = event_id(event);
-        let is_known = matches!((id, self.last_id), (Some(id), Some(last)) if id <= last);
-        if !is_known {
-            self.last_id = id.or(self.last_id);
+    /// Removes the events up to `end`, and the memory that a long one needed.
+    fn remove(&mut self, end: usize) {
+        self.pending.drain(..end);
+        self.searched -= end;
+        if end > 0 && self.pending.capacity() > BUFFER_BYTES {
+            self.pending.shrink_to(BUFFER_BYTES);
         }
-        !is_known
     }
 }
 
+/// Returns whether an event wasn't returned before, and records its ID.
+fn accept(last_id: &mut Option<u64>, event: &[u8]) -> bool {
+    let id = event_id(event);
+    let is_known = matches!((id, *last_id), (Some(id), Some(last)) if id <= last);
+    if !is_known {
+        *last_id = id.or(*last_id);
+    }
+    !is_known
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let line = event
         .split(|byte| *byte == b'\n')
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -1,7 +1,8 @@
 //! Counts the bytes that this host holds for callers, and cuts responses at the limit.
 //!
 //! Bytes are counted as long as they are in memory: bodies of requests, whole responses
-//! from when they are read, and events until they are written to the caller's connection.
+//! from when they are read, events until they are written to the caller's connection, and what
+//! has been read of long ones.
 
 use crate::clock;
 use crate::metrics::GatewayMetrics;
@@ -269,6 +270,19 @@
         }
     }
 
+    /// Counts with `guard` the memory of what has been read of an event, which is `bytes` now.
+    /// Fails if it has grown and there is no room.
+    pub(crate) fn hold_partial(&self, guard: &mut HeldGuard, bytes: usize) -> Result<(), NoRoom> {
+        let bytes = bytes as u64;
+        match guard.bytes < bytes {
+            true => self.add(guard, (bytes - guard.bytes) as usize),
+            false => {
+                guard.remove(guard.bytes - bytes);
+                Ok(())
+            }
+        }
+    }
+
     /// Counts events as held until they have been written. They are in memory already, so
     /// they are counted also if there is no room; responses are cut then.
     pub(crate) fn hold(&self, events: Bytes) -> Bytes {
@@ -329,6 +343,13 @@
         self.counter.total.fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// Stops to count bytes that are in memory no more.
+    fn remove(&mut self, bytes: u64) {
+        self.bytes -= bytes;
+        self.counter.bytes.fetch_sub(bytes, Ordering::Relaxed);
+        self.counter.total.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     /// Returns the bytes, which stay counted until they are dropped.
     pub(crate) fn hold(self, bytes: Bytes) -> Bytes {
         match bytes.is_empty() {
@@ -343,8 +364,7 @@
 
 impl Drop for HeldGuard {
     fn drop(&mut self) {
-        self.counter.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-        self.counter.total.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.remove(self.bytes);
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 
 mod source;
 
-use self::source::{EventSource, StreamItem};
+use self::source::{EventSource, StreamBreak, StreamItem};
 use crate::clock;
 use crate::reply::{RelayError, ReplyBody};
 use crate::run::{RequestRun, RunOutcome};
@@ -108,8 +108,8 @@
             has_passed_events: false,
         };
         match relay.next_item().await {
-            StreamItem::Broken(detail) => {
-                relay.record_break(&detail);
+            StreamItem::Broken(cause) => {
+                relay.record_break(&cause);
                 let step = relay.record_run();
                 let Self {
                     run, request_log, ..
@@ -168,9 +168,9 @@
                     return Ok(Some(self.run.admitted.outgoing.held.hold(events)));
                 }
                 StreamItem::End => return Ok(None),
-                StreamItem::Broken(detail) => {
-                    self.record_break(&detail);
-                    self.resume(detail).await?;
+                StreamItem::Broken(cause) => {
+                    self.record_break(&cause);
+                    self.resume(cause.to_string()).await?;
                 }
             }
         }
@@ -191,7 +191,7 @@
             match item {
                 Some(item) => return item,
                 None if clock::now() >= deadline => {
-                    return StreamItem::Broken("no event in time".to_owned());
+                    return StreamItem::broken("no event in time");
                 }
                 None => {}
             }
@@ -281,12 +281,12 @@
                 }
             },
         };
-        if let Some(StreamItem::Broken(detail)) = &item {
-            if let Some(upstream) = upstream {
+        if let Some(StreamItem::Broken(cause)) = &item {
+            if let Some(upstream) = upstream.filter(|_| cause.is_of_upstream()) {
                 self.run.record_interruption(upstream);
             }
             let name = upstream.and_then(|upstream| self.run.name_of(upstream));
-            self.request_log.record_break(detail, name);
+            self.request_log.record_break(&cause.to_string(), name);
             return Err(self.run.history.record_send(SendResult::Unknown));
         }
         self.request_log.record_silence("replaced");
@@ -313,8 +313,10 @@
                 now.since(first_event_at) >= SUCCESS_TIME
             }
             Some(StreamItem::End) => self.source.was_framed(),
-            Some(StreamItem::Broken(_)) => {
-                self.record_interruption(now);
+            Some(StreamItem::Broken(cause)) => {
+                if cause.is_of_upstream() {
+                    self.record_interruption(now);
+                }
                 false
             }
             None => false,
@@ -359,13 +361,13 @@
         self.run.state.count_usage(clock::now(), workspace);
     }
 
-    fn record_break(&self, detail: &str) {
+    fn record_break(&self, cause: &StreamBreak) {
         let upstream = self.source.upstream();
-        if let Some(upstream) = upstream {
+        if let Some(upstream) = upstream.filter(|_| cause.is_of_upstream()) {
             record_break(&self.run.state, upstream);
         }
         let name = upstream.and_then(|upstream| self.run.name_of(upstream));
-        self.request_log.record_break(detail, name);
+        self.request_log.record_break(&cause.to_string(), name);
     }
 
     /// Records the run of the current upstream, once, and returns the next step.
--- a/crates/gateway/src/relay/source.rs
+++ b/crates/gateway/src/relay/source.rs
@@ -3,11 +3,14 @@
 use crate::clock;
 use crate::connection::describe;
 use crate::events::EventScanner;
+use crate::held::{HeldGuard, HeldRequest, NoRoom};
 use crate::send::UpstreamResponse;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use lagoonlift_policy::dispatch::VersionDigest;
 use lagoonlift_policy::{Timestamp, UpstreamKey};
+use std::rc::Rc;
+use thiserror::Error;
 use tokio::time::timeout;
 
 /// Next item of a stream.
@@ -16,8 +19,33 @@
     Events(Bytes),
     /// The stream is complete.
     End,
-    /// The stream can't go on; the text says why.
-    Broken(String),
+    /// The stream can't go on.
+    Broken(StreamBreak),
+}
+
+/// Why a stream can't go on.
+#[derive(Debug, Error)]
+pub(super) enum StreamBreak {
+    /// The response broke off, stayed away or isn't sound.
+    #[error("{0}")]
+    Upstream(String),
+    /// The host had no room for an event. That says nothing about the upstream.
+    #[error(transparent)]
+    NoRoom(#[from] NoRoom),
+}
+
+impl StreamBreak {
+    /// Returns whether the upstream broke the stream.
+    pub(super) fn is_of_upstream(&self) -> bool {
+        matches!(self, Self::Upstream(_))
+    }
+}
+
+impl StreamItem {
+    /// Returns the item of a stream that its upstream broke.
+    pub(super) fn broken(detail: impl Into<String>) -> Self {
+        Self::Broken(StreamBreak::Upstream(detail.into()))
+    }
 }
 
 /// Reads complete events from the response of one upstream.
@@ -25,6 +53,9 @@
     response: Option<Box<UpstreamResponse>>,
     version: Option<VersionDigest>,
     scanner: EventScanner,
+    held: Rc<HeldRequest>,
+    /// Counts what has been read of an event.
+    partial: HeldGuard,
     has_started: bool,
     /// Whether it goes on with a stream of which the caller has got a part.
     is_continuation: bool,
@@ -38,6 +69,8 @@
     pub(super) fn new(response: Box<UpstreamResponse>, last_event: Option<u64>) -> Self {
         Self {
             version: response.version,
+            held: Rc::clone(&response.held),
+            partial: response.held.guard(),
             response: Some(response),
             scanner: EventScanner::new(last_event),
             has_started: false,
@@ -86,6 +119,7 @@
     pub(super) fn close(&mut self) {
         self.response = None;
         self.scanner.drop_partial();
+        self.partial = self.held.guard();
     }
 
     /// Reads the next complete events. Returns `None` if there are none until the time
@@ -98,11 +132,11 @@
                 return None;
             }
             let Some(response) = self.response.as_mut() else {
-                return Some(StreamItem::Broken("no upstream".to_owned()));
+                return Some(StreamItem::broken("no upstream"));
             };
             let frame = match timeout(limit, response.body.frame()).await {
                 Err(_) => return None,
-                Ok(Some(Err(error))) => return Some(StreamItem::Broken(describe(&error))),
+                Ok(Some(Err(error))) => return Some(StreamItem::broken(describe(&error))),
                 Ok(None) => return Some(self.end()),
                 Ok(Some(Ok(frame))) => frame,
             };
@@ -115,22 +149,28 @@
             }
             let events = match self.scanner.push(&data) {
                 Ok(events) => events,
-                Err(error) => return Some(StreamItem::Broken(error.to_string())),
+                Err(error) => return Some(StreamItem::broken(error.to_string())),
             };
+            let room = self
+                .held
+                .hold_partial(&mut self.partial, self.scanner.held_bytes());
             if !events.is_empty() {
                 self.has_events = true;
                 return Some(StreamItem::Events(events));
             }
+            if let Err(no_room) = room {
+                return Some(StreamItem::Broken(no_room.into()));
+            }
         }
     }
 
     fn end(&mut self) -> StreamItem {
         if self.scanner.is_inside_event() {
-            return StreamItem::Broken("the stream ended inside an event".to_owned());
+            return StreamItem::broken("the stream ended inside an event");
         }
         let is_stated = self.response.as_ref().is_none_or(|one| one.head.is_framed);
         if self.is_continuation && !self.has_events && !is_stated {
-            return StreamItem::Broken("neither an event nor an end is stated".to_owned());
+            return StreamItem::broken("neither an event nor an end is stated");
         }
         if let Some(response) = self.response.take() {
             self.was_framed = response.head.is_framed;
--- a/tests/slow_callers/main.rs
+++ b/tests/slow_callers/main.rs
@@ -58,6 +58,21 @@
 /// Time between two requests while upstreams send responses without end.
 const ENDLESS_ARRIVAL_INTERVAL: Duration = Duration::from_millis(4);
 
+/// Streams whose upstreams leave an event unfinished.
+const UNFINISHED_EVENTS: usize = 240;
+
+/// Bytes of such an event.
+const UNFINISHED_EVENT_BYTES: usize = 900 * 1024;
+
+/// Timeout of the routes meanwhile, in milliseconds.
+const UNFINISHED_EVENT_TIMEOUT_MS: u64 = 20_000;
+
+/// Sound requests meanwhile.
+const SOUND_REQUESTS: usize = 200;
+
+/// Time between two sound requests.
+const SOUND_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Time within which a caller must get its whole response or its end.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -183,6 +198,54 @@
     }
 }
 
+/// Guards against a process that outgrows its host by the events that upstreams leave unfinished,
+/// each of which is shorter than the longest that is passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_events_leave_the_memory_to_others() {
+    let _running = RUNNING.lock().await;
+    let store = StoreStandin::start().await;
+    let duties = DutyStandin::start().await;
+    let mut upstreams = Vec::new();
+    for number in 0..UPSTREAMS {
+        let behaviour = Behaviour::UnfinishedEvent(UNFINISHED_EVENT_BYTES);
+        let upstream = UpstreamStandin::start(behaviour).await;
+        let mut record = upstream_record("app", upstream.address, None, "ready");
+        record["slots"] = 600.into();
+        store.put("servers", &format!("p{number}"), record);
+        upstreams.push(upstream);
+    }
+    let mut config = configuration(1);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = UNFINISHED_EVENT_TIMEOUT_MS.into();
+    }
+    store.put("config", "main", config);
+    let platform = PlatformAddresses {
+        store: store.address,
+        duties: duties.address,
+    };
+    let mut host = HostProcess::start(0, platform);
+    eventually("readiness", || host.is_ready()).await;
+    let mut callers = JoinSet::new();
+    for number in 0..UNFINISHED_EVENTS {
+        let request = Request::new("POST", "/plain-tell/1", &format!("u{number}"), KEY);
+        let request = request.with_body("{}");
+        let address = host.callers;
+        callers.spawn(async move { send(address, &request).await });
+        sleep(ENDLESS_ARRIVAL_INTERVAL).await;
+    }
+    for number in 0..SOUND_REQUESTS {
+        let request = Request::new("POST", "/read/1", &format!("r{number}"), KEY);
+        let response = send(host.callers, &request.with_body("{}")).await;
+        assert_eq!(response.status, 200, "{response:?}");
+        sleep(SOUND_INTERVAL).await;
+    }
+    let memory_bytes = host.peak_memory_bytes();
+    let begun: usize = upstreams.iter().map(|one| one.received().len()).sum();
+    println!("{memory_bytes} bytes, {begun} requests");
+    assert!(memory_bytes < MAX_MEMORY_BYTES, "{memory_bytes} bytes");
+    assert_eq!(host.exit_status(), None);
+}
+
 /// Runs callers that read streams of this many events slowly.
 async fn run_slow_callers(events: u64, pace: CallerPace) -> SlowCallersReport {
     let _running = RUNNING.lock().await;
