Keep no read buffers for bodies that come in tiny chunks

Callers saw: requests that end with their host, as with events that aren't complete: the same class, memory that isn't counted as what it is, looked for on related paths.

Cause: parts of a body that is read whole were kept as the HTTP library returns them. Each keeps the 8 KiB into which it was read and counted as its own length, so a chunk of one byte took 8,192 times what it counted.

Evidence: two new tests on a host of 160 MB, a hundred callers each, bound 120 MB.

Fix: parts are copied into buffers of up to 64 KiB, and what these take is counted; they are joined at the end, as the parts were. Answers of the store and the platform are read the same way. The test of unfinished events keeps the timeout that its requests name: the longer one of its routes had no effect.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -7,6 +7,7 @@
 //! the connection is closed, which also makes the other end stop working on the
 //! request.
 
+use crate::body::{BoxError, read_joined};
 use crate::clock;
 use crate::exchange::{CarriedExchanges, Exchange};
 use crate::interim::{GuardedStream, InterimCount};
@@ -14,7 +15,7 @@
 use crate::socket_options::set_service_options;
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
@@ -380,11 +381,12 @@
     let exchange = async {
         let response = connection.send(request).await?;
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, limits.body_bytes)
-            .collect()
-            .await
-            .map_err(|error| CallError::Lost(describe(error.as_ref())))?;
-        Ok((parts, body.to_bytes()))
+        let body = read_joined(Limited::new(body, limits.body_bytes), |_| {
+            Ok::<_, BoxError>(())
+        })
+        .await
+        .map_err(|error| CallError::Lost(describe(error.as_ref())))?;
+        Ok((parts, body))
     };
     let (parts, body) = match timeout(limits.time, exchange).await {
         Ok(result) => result?,
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -4,27 +4,23 @@
 //! from when they are read, events until they are written to the caller's connection, and what
 //! has been read of long ones.
 
+use crate::body::{BoxError, read_joined};
 use crate::clock;
 use crate::metrics::GatewayMetrics;
 use bytes::Bytes;
 use futures::task::AtomicWaker;
 use http_body::Body;
-use http_body_util::BodyExt;
 use lagoonlift_policy::Timestamp;
 use lagoonlift_policy::dispatch::{
     HeldCut, HeldKey, HeldLimits, HeldResponse, ReadProgress, choose_cuts,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::error::Error;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use thiserror::Error;
 
-/// Error of a body.
-type BoxError = Box<dyn Error + Send + Sync>;
-
 /// The host holds so much that there is no room for more.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("the host holds too much for callers")]
@@ -292,24 +288,14 @@
         guard.hold(events)
     }
 
-    /// Reads a body whole. Its bytes are held from when they are read.
-    pub(crate) async fn collect<B>(&self, mut body: B) -> Result<Bytes, BoxError>
+    /// Reads a body whole. The buffers are held from when it is read.
+    pub(crate) async fn collect<B>(&self, body: B) -> Result<Bytes, BoxError>
     where
         B: Body<Data = Bytes, Error = BoxError> + Unpin,
     {
         let mut guard = self.guard();
-        let mut parts = Vec::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(part) = frame?.into_data() else {
-                continue;
-            };
-            self.add(&mut guard, part.len())?;
-            parts.push(part);
-        }
-        let whole = match parts.len() {
-            1 => parts.remove(0),
-            _ => Bytes::from(parts.concat()),
-        };
+        let whole = read_joined(body, |bytes| self.add(&mut guard, bytes)).await?;
+        guard.remove(guard.bytes - whole.len() as u64);
         Ok(guard.hold(whole))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod admit;
 mod announcements;
+mod body;
 mod clock;
 mod connection;
 mod crash_monitor;
--- a/tests/slow_callers/main.rs
+++ b/tests/slow_callers/main.rs
@@ -20,6 +20,7 @@
     Behaviour, DutyStandin, EndlessHead, KEY, Request, ResponsePace, StoreStandin, UpstreamStandin,
     configuration, eventually, send,
 };
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -64,15 +65,21 @@
 /// Bytes of such an event.
 const UNFINISHED_EVENT_BYTES: usize = 900 * 1024;
 
-/// Timeout of the routes meanwhile, in milliseconds.
-const UNFINISHED_EVENT_TIMEOUT_MS: u64 = 20_000;
-
 /// Sound requests meanwhile.
 const SOUND_REQUESTS: usize = 200;
 
 /// Time between two sound requests.
 const SOUND_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Callers whose upload or response comes in tiny chunks.
+const TINY_CHUNK_CALLERS: usize = 100;
+
+/// Chunks of such an upload, which is within the limit on uploads.
+const TINY_CHUNKS: usize = 400;
+
+/// Time between two chunks of such an upload.
+const TINY_CHUNK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Time within which a caller must get its whole response or its end.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -214,11 +221,7 @@
         store.put("servers", &format!("p{number}"), record);
         upstreams.push(upstream);
     }
-    let mut config = configuration(1);
-    for route in config["routes"].as_array_mut().expect("routes") {
-        route["timeoutMs"] = UNFINISHED_EVENT_TIMEOUT_MS.into();
-    }
-    store.put("config", "main", config);
+    store.put("config", "main", configuration(1));
     let platform = PlatformAddresses {
         store: store.address,
         duties: duties.address,
@@ -246,6 +249,110 @@
     assert_eq!(host.exit_status(), None);
 }
 
+/// Guards against a process that outgrows its host by responses that come in tiny chunks, each of
+/// which keeps the buffer into which it was read.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_in_tiny_chunks_leave_the_memory_to_others() {
+    let _running = RUNNING.lock().await;
+    let behaviour = Behaviour::EndlessBody(ResponsePace::Tiny);
+    let fleet = start_with_upstream(behaviour).await;
+    let mut callers = JoinSet::new();
+    for number in 0..TINY_CHUNK_CALLERS {
+        let request = Request::new("POST", "/read/1", &format!("t{number}"), KEY);
+        let request = request.with_body("{}");
+        let address = fleet.host.callers;
+        callers.spawn(async move { timeout(CALLER_TIMEOUT, send(address, &request)).await });
+    }
+    let responses = callers.join_all().await;
+    fleet.assert_memory();
+    for response in responses {
+        let response = response.expect("the response ends in time");
+        assert!(response.status >= 500, "{response:?}");
+    }
+}
+
+/// Guards against a process that outgrows its host by uploads that come in tiny chunks.
+#[tokio::test(flavor = "multi_thread")]
+async fn uploads_in_tiny_chunks_leave_the_memory_to_others() {
+    let _running = RUNNING.lock().await;
+    let fleet = start_with_upstream(Behaviour::Respond).await;
+    let mut callers = JoinSet::new();
+    for number in 0..TINY_CHUNK_CALLERS {
+        let address = fleet.host.callers;
+        callers.spawn(timeout(
+            CALLER_TIMEOUT,
+            upload_in_tiny_chunks(address, number),
+        ));
+    }
+    let heads = callers.join_all().await;
+    fleet.assert_memory();
+    for head in heads {
+        let head = head.expect("the response comes in time");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    }
+}
+
+/// A gateway process with one upstream.
+struct SmallFleet {
+    host: HostProcess,
+    _upstream: UpstreamStandin,
+    _store: StoreStandin,
+    _duties: DutyStandin,
+}
+
+impl SmallFleet {
+    fn assert_memory(&self) {
+        let memory_bytes = self.host.peak_memory_bytes();
+        println!("{memory_bytes} bytes");
+        assert!(memory_bytes < MAX_MEMORY_BYTES, "{memory_bytes} bytes");
+    }
+}
+
+/// Starts a gateway process with one upstream, and waits until it is ready.
+async fn start_with_upstream(behaviour: Behaviour) -> SmallFleet {
+    let store = StoreStandin::start().await;
+    let duties = DutyStandin::start().await;
+    let upstream = UpstreamStandin::start(behaviour).await;
+    let mut record = upstream_record("app", upstream.address, None, "ready");
+    record["slots"] = 600.into();
+    store.put("servers", "one", record);
+    store.put("config", "main", configuration(1));
+    let platform = PlatformAddresses {
+        store: store.address,
+        duties: duties.address,
+    };
+    let host = HostProcess::start(0, platform);
+    eventually("readiness", || host.is_ready()).await;
+    SmallFleet {
+        host,
+        _upstream: upstream,
+        _store: store,
+        _duties: duties,
+    }
+}
+
+/// Sends a request whose body comes in chunks of one byte, and returns the start of the response.
+async fn upload_in_tiny_chunks(address: SocketAddr, number: usize) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connects");
+    stream.set_nodelay(true).expect("an option");
+    let head = format!(
+        "POST /read/1 HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: w{number}\r\n\
+         X-Deadline-Ms: 4000\r\n\
+         Authorization: Bearer {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("sends");
+    for _ in 0..TINY_CHUNKS {
+        if stream.write_all(b"1\r\nx\r\n").await.is_err() {
+            break;
+        }
+        sleep(TINY_CHUNK_INTERVAL).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await.unwrap_or_default();
+    let mut response = vec![0; 256];
+    let count = stream.read(&mut response).await.unwrap_or_default();
+    String::from_utf8_lossy(&response[..count]).into_owned()
+}
+
 /// Runs callers that read streams of this many events slowly.
 async fn run_slow_callers(events: u64, pace: CallerPace) -> SlowCallersReport {
     let _running = RUNNING.lock().await;
